Serve a request through the whole path, thin

Cause: nothing stood yet; the path comes first so that parts can be built side by side on fixed interfaces.

A caller's request is authenticated by its bearer key, gets a permit from the coordinator of its pool (rendezvous hash over the listed instances), is written to the target by urllib3 with its own retries and redirects off, and streamed back. Peers talk over one long-lived gRPC stream for each pair. The stand-ins are a batching engine, a plain service and a platform with Consul's read interface.

Ruled out: a unary call for each decision (a stream carries batches instead), and a coordinator set aside for the role.

Before: no path.

Conclusion: the interfaces hold; limits, keys, membership and failure handling are still thin.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,35 @@
+# Two commands do all set-up: `make demo` and `make test`.
+VENV ?= .venv
+PYTHON = $(VENV)/bin/python
+
+.PHONY: demo test format lint types unit features bench generated binary
+
+$(VENV)/.ready: requirements.lock
+	python3 -m venv $(VENV)
+	$(PYTHON) -m pip install --quiet --requirement requirements.lock
+	touch $@
+
+test: $(VENV)/.ready lint types generated unit features
+
+format: $(VENV)/.ready
+	$(PYTHON) -m ruff format .
+	$(PYTHON) -m ruff check --fix .
+
+lint: $(VENV)/.ready
+	$(PYTHON) -m ruff format --check .
+	$(PYTHON) -m ruff check .
+
+types: $(VENV)/.ready
+	$(PYTHON) -m mypy
+
+generated: $(VENV)/.ready
+	$(PYTHON) -m bench.generated
+
+unit: $(VENV)/.ready
+	$(PYTHON) -m pytest test
+
+features: $(VENV)/.ready
+	$(PYTHON) -m behave --format progress features
+
+demo: $(VENV)/.ready
+	$(PYTHON) -m bench.demo
--- /dev/null
+++ b/almondglade/__init__.py
@@ -0,0 +1,3 @@
+"""Schedule requests from many callers onto unlike targets."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/almondglade/coordinator/budgets.py
@@ -0,0 +1,162 @@
+"""What workspaces may draw: concurrency, tokens and requests of one service."""
+
+from dataclasses import dataclass
+
+SECONDS_PER_MINUTE = 60.0
+
+
+class TokenBucket:
+    """A bucket refilled at a steady rate, which may be overdrawn by settling.
+
+    Parameters
+    ----------
+    rate : float
+        Units a second.
+    capacity : float
+        Units saved up at most.
+    clock : callable
+        Returns monotonic seconds.
+    """
+
+    def __init__(self, rate, capacity, clock):
+        self.rate = rate
+        self.capacity = capacity
+        self.clock = clock
+        self.level = capacity
+        self.updated = clock()
+
+    def refill(self):
+        """Add what has accrued since the last call and return the level."""
+        now = self.clock()
+        accrued = self.rate * (now - self.updated)
+        self.level = min(self.capacity, self.level + accrued)
+        self.updated = now
+        return self.level
+
+    def wait_for(self, units):
+        """Return the seconds until a draw is covered.
+
+        A draw above the capacity is covered by a full bucket, so that a single
+        large request is slowed but never barred.
+        """
+        missing = min(units, self.capacity) - self.refill()
+        return max(0.0, missing / self.rate)
+
+    def draw(self, units):
+        """Take units out; a negative number puts them back."""
+        self.refill()
+        self.level = min(self.capacity, self.level - units)
+
+
+@dataclass
+class Account:
+    """The draw of one workspace on one service."""
+
+    concurrent: int
+    accepted: int
+    tokens: TokenBucket | None
+    requests: TokenBucket | None
+
+
+class BudgetTable:
+    """Accounts of all workspaces on one service, opened when first used.
+
+    Parameters
+    ----------
+    clock : callable
+        Returns monotonic seconds.
+    """
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.by_workspace: dict[str, Account] = {}
+
+    def admit(self, workspace, allowance, tokens, fraction=1.0):
+        """Reserve one request's draw, or say when to come back.
+
+        Parameters
+        ----------
+        workspace : str
+            Who draws.
+        allowance : Allowance
+            What its plan grants.
+        tokens : int
+            Estimated tokens.
+        fraction : float
+            Part of the budget that this coordinator may give out, 0 to 1.
+
+        Returns
+        -------
+        float or None
+            None when reserved, else seconds until a repeat is worthwhile.
+        """
+        account = self._account(workspace, allowance, fraction)
+        if account.accepted >= max(1, int(account.concurrent * fraction)):
+            return 1.0
+        wait = max(
+            account.tokens.wait_for(tokens) if account.tokens else 0.0,
+            account.requests.wait_for(1) if account.requests else 0.0,
+        )
+        if wait > 0:
+            return wait
+        account.accepted += 1
+        self._draw(account, tokens, 1)
+        return None
+
+    def settle(self, workspace, reserved, used, ran):
+        """Replace a reservation by what was used.
+
+        Parameters
+        ----------
+        workspace : str
+            Who drew.
+        reserved, used : int
+            Tokens.
+        ran : bool
+            Whether the request was dispatched; otherwise it costs nothing.
+        """
+        account = self.by_workspace.get(workspace)
+        if account is None:
+            return
+        account.accepted = max(0, account.accepted - 1)
+        self._draw(account, (used if ran else 0) - reserved, 0 if ran else -1)
+
+    def charge(self, workspace, allowance, tokens, requests):
+        """Count a draw that another coordinator allowed."""
+        self._draw(self._account(workspace, allowance, 1.0), tokens, requests)
+
+    def hold(self, workspace, allowance):
+        """Count a request in progress that another coordinator admitted."""
+        self._account(workspace, allowance, 1.0).accepted += 1
+
+    def _account(self, workspace, allowance, fraction):
+        account = self.by_workspace.get(workspace)
+        if account is None:
+            account = Account(
+                allowance.concurrent,
+                0,
+                self._bucket(allowance.tokens_per_minute, allowance),
+                self._bucket(allowance.requests_per_minute, allowance),
+            )
+            self.by_workspace[workspace] = account
+        account.concurrent = allowance.concurrent
+        for bucket, per_minute in (
+            (account.tokens, allowance.tokens_per_minute),
+            (account.requests, allowance.requests_per_minute),
+        ):
+            if bucket is not None and per_minute is not None:
+                bucket.rate = per_minute / SECONDS_PER_MINUTE * fraction
+        return account
+
+    def _bucket(self, per_minute, allowance):
+        if per_minute is None:
+            return None
+        rate = per_minute / SECONDS_PER_MINUTE
+        return TokenBucket(rate, max(1.0, rate * allowance.burst_seconds), self.clock)
+
+    @staticmethod
+    def _draw(account, tokens, requests):
+        if account.tokens is not None:
+            account.tokens.draw(tokens)
+        if account.requests is not None:
+            account.requests.draw(requests)
--- /dev/null
+++ b/almondglade/coordinator/host.py
@@ -0,0 +1,143 @@
+"""The coordinators that this instance runs, one for each pool asked of it."""
+
+import asyncio
+
+from .. import messages as m
+from ..log import get_logger
+from .core import Coordinator
+
+log = get_logger("coordinator")
+
+# Waiting demands are looked at this often for their deadlines.
+TICK_SECONDS = 0.05
+IDLE_TICK_SECONDS = 1.0
+# A coordinator that no entry uses is dropped after this long.
+UNUSED_SECONDS = 30.0
+
+
+class CoordinatorHost:
+    """Runs coordinators on the loop thread and sends on what they decide.
+
+    Parameters
+    ----------
+    instance, incarnation : str
+        Name this instance's coordinators.
+    clock : callable
+        Returns monotonic seconds.
+    rng : numpy.random.Generator
+        Source of random numbers.
+    policies : Policies
+        Plug-ins to use.
+    """
+
+    def __init__(self, instance, incarnation, clock, rng, policies):
+        self.term = f"{instance}/{incarnation}"
+        self.clock = clock
+        self.rng = rng
+        self.policies = policies
+        self.declarations = None
+        self.published = 1
+        self.by_pool: dict[str, Coordinator] = {}
+        self._send_by_entry: dict[str, object] = {}
+        self._unused_since: dict[str, float] = {}
+
+    def attach(self, entry, send):
+        """Set where the messages to an entry go."""
+        self._send_by_entry[entry] = send
+
+    def detach(self, entry, send):
+        """Drop an entry whose link has ended."""
+        if self._send_by_entry.get(entry) != send:
+            return
+        del self._send_by_entry[entry]
+        for coordinator in self.by_pool.values():
+            coordinator.leave(entry)
+        self.pump()
+
+    def configure(self, declarations):
+        """Put a newer declared document in force."""
+        self.declarations = declarations
+        for pool, coordinator in list(self.by_pool.items()):
+            if pool in declarations.services:
+                coordinator.configure(declarations)
+            else:
+                del self.by_pool[pool]
+        self.pump()
+
+    def set_published(self, count):
+        """Set the number of instances on the platform's list."""
+        self.published = count
+        for coordinator in self.by_pool.values():
+            coordinator.set_published(count)
+        self.pump()
+
+    def heard(self, entry, ping):
+        """Extend an entry's leases after an answered heartbeat."""
+        for coordinator in self.by_pool.values():
+            if entry in coordinator.leases.by_entry:
+                coordinator.renew(entry, ping.echo, ping.sent_at)
+
+    def receive(self, entry, message):
+        """Pass one message of an entry to the coordinator of its pool."""
+        coordinator = self._coordinator(message.pool)
+        if coordinator is None:
+            return
+        match message:
+            case m.Join():
+                coordinator.join(entry, message)
+                coordinator.heard_by_entry.setdefault(entry, 0.0)
+            case m.Leave():
+                coordinator.leave(entry)
+            case m.Demand():
+                coordinator.submit(entry, message)
+            case m.Withdrawal():
+                coordinator.withdraw(entry, message)
+            case m.Completion():
+                coordinator.finish(entry, message)
+
+    def observe(self, pool, report):
+        """Pass a target's load report to the coordinator of its pool."""
+        if (coordinator := self.by_pool.get(pool)) is not None:
+            coordinator.observe(report)
+
+    def pump(self):
+        """Send what the coordinators have decided."""
+        for coordinator in self.by_pool.values():
+            for addressed in coordinator.decide():
+                send = self._send_by_entry.get(addressed.entry)
+                if send is not None:
+                    send(addressed.message)
+
+    async def run(self):
+        """Look at deadlines and leases until cancelled."""
+        while True:
+            busy = any(len(c.queue) for c in self.by_pool.values())
+            await asyncio.sleep(TICK_SECONDS if busy else IDLE_TICK_SECONDS)
+            self.pump()
+            self._drop_unused()
+
+    def _coordinator(self, pool):
+        if pool in self.by_pool:
+            return self.by_pool[pool]
+        if self.declarations is None or pool not in self.declarations.services:
+            return None
+        coordinator = Coordinator(pool, self.term, self.clock, self.rng, self.policies)
+        coordinator.set_published(self.published)
+        coordinator.configure(self.declarations)
+        self.by_pool[pool] = coordinator
+        log.info("started coordinating", pool=pool)
+        return coordinator
+
+    def _drop_unused(self):
+        now = self.clock()
+        for pool, coordinator in list(self.by_pool.items()):
+            if coordinator.leases.by_entry:
+                self._unused_since.pop(pool, None)
+            elif now - self._unused_since.setdefault(pool, now) > UNUSED_SECONDS:
+                del self.by_pool[pool]
+                del self._unused_since[pool]
+                log.info("stopped coordinating, no entry is connected", pool=pool)
+
+    def snapshot(self):
+        """Return the state of all coordinators for the dump."""
+        return {pool: c.snapshot() for pool, c in sorted(self.by_pool.items())}
--- /dev/null
+++ b/almondglade/coordinator/limits.py
@@ -0,0 +1,85 @@
+"""Concurrency limit of one target: the base of the policies."""
+
+import abc
+from typing import ClassVar
+
+from ..messages import TargetState
+from ..plugins import Plugin
+
+COLD_LIMIT = 1.0
+
+
+class LimitPolicy(Plugin, abc.ABC):
+    """How many requests one target may run at once.
+
+    Parameters
+    ----------
+    target : str
+        Target id.
+    maximum : int
+        Declared upper bound.
+    clock : callable
+        Returns monotonic seconds.
+    """
+
+    registry: ClassVar[dict[str, type]] = {}
+
+    def __init__(self, target, maximum, clock):
+        self.target = target
+        self.maximum = maximum
+        self.clock = clock
+        self.epoch = ""
+        self.limit = COLD_LIMIT
+        self.baseline = 0.0
+
+    @property
+    def current(self):
+        """Whole requests that may run at once, at least one."""
+        return max(1, min(int(self.limit), self.maximum))
+
+    @property
+    def state(self):
+        """What a later coordinator needs to go on from here."""
+        return TargetState(self.target, self.epoch, self.limit, self.baseline)
+
+    def adopt(self, state):
+        """Go on from what another coordinator has learnt.
+
+        A state from another start of the target's process is ignored, since
+        that process has been cold since.
+        """
+        if self.epoch in ("", state.epoch) and state.limit > self.limit:
+            self.epoch = state.epoch or self.epoch
+            self.limit = min(state.limit, float(self.maximum))
+            self.baseline = state.baseline
+
+    def observe_epoch(self, epoch):
+        """Return to the cold limit when the target's process has restarted.
+
+        Returns
+        -------
+        bool
+            True if it has.
+        """
+        restarted = bool(self.epoch) and epoch != self.epoch
+        self.epoch = epoch
+        if restarted:
+            self.chill()
+        return restarted
+
+    def chill(self):
+        """Fall back to the limit of a cold target."""
+        self.limit = COLD_LIMIT
+        self.baseline = 0.0
+
+    @abc.abstractmethod
+    def complete(self, completion, running):
+        """Learn from a run that ended.
+
+        Parameters
+        ----------
+        completion : Completion
+            How the run ended.
+        running : int
+            Requests in progress when it ended, itself included.
+        """
--- /dev/null
+++ b/almondglade/declarations/loading.py
@@ -0,0 +1,84 @@
+"""Read a declared document and name every problem in it."""
+
+from pathlib import Path
+
+import yaml
+from pydantic import ValidationError
+
+from ..errors import DeclarationError
+from .models import Declarations
+
+
+def load_declarations(path):
+    """Read and validate a document from a file.
+
+    Parameters
+    ----------
+    path : str or Path
+        JSON or YAML file.
+
+    Raises
+    ------
+    DeclarationError
+        If the file cannot be read or the document is not valid.
+    """
+    try:
+        document = Path(path).read_bytes()
+    except OSError as error:
+        raise DeclarationError([f"{path}: {error.strerror}"]) from error
+    return parse_declarations(document)
+
+
+def parse_declarations(document):
+    """Validate a document.
+
+    Parameters
+    ----------
+    document : bytes
+        JSON or YAML text in UTF-8.
+
+    Returns
+    -------
+    Declarations
+        The checked lists.
+
+    Raises
+    ------
+    DeclarationError
+        With every problem and its place.
+    """
+    try:
+        raw = yaml.load(document, Loader=_UniqueKeyLoader)
+    except (yaml.YAMLError, UnicodeDecodeError, RecursionError, ValueError) as error:
+        raise DeclarationError([f"document: {_one_line(error)}"]) from error
+    if not isinstance(raw, dict):
+        raise DeclarationError(["document: a mapping of lists is expected"])
+    try:
+        return Declarations.model_validate(raw)
+    except ValidationError as error:
+        raise DeclarationError(_problems(error)) from error
+
+
+def _problems(error):
+    return [
+        line if not item["loc"] else f"{'.'.join(map(str, item['loc']))}: {line}"
+        for item in error.errors(include_url=False)
+        for line in item["msg"].splitlines()
+    ]
+
+
+def _one_line(error):
+    return " ".join(str(error).split())
+
+
+class _UniqueKeyLoader(yaml.CSafeLoader):
+    """Refuses a key that stands twice, which YAML would silently override."""
+
+    def construct_mapping(self, node, deep=False):
+        keys = [self.construct_object(key, deep=deep) for key, _ in node.value]
+        repeated = {str(key) for key in keys if keys.count(key) > 1}
+        if repeated:
+            raise yaml.constructor.ConstructorError(
+                None, None, f"key {min(repeated)!r} stands twice", node.start_mark
+            )
+        return super().construct_mapping(node, deep)
--- /dev/null
+++ b/almondglade/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""Send a permitted request to its target and read the answer."""
--- /dev/null
+++ b/almondglade/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Serve callers."""
--- /dev/null
+++ b/almondglade/outcome.py
@@ -0,0 +1,70 @@
+"""What a caller is told about the fate of its request."""
+
+import enum
+from dataclasses import dataclass
+
+from .errors import AlmondgladeError
+
+
+class Outcome(enum.Enum):
+    """The three possible fates of a request.
+
+    ``NOT_RUN`` is only ever said of a request that never reached the
+    dispatched state, so it is safe to send again.
+    """
+
+    NOT_RUN = "not-run"
+    ANSWERED = "answered"
+    UNKNOWN = "unknown"
+
+
+class Code(enum.Enum):
+    """Stable error codes with the HTTP status each is sent under."""
+
+    BAD_REQUEST = ("bad_request", 400)
+    UNAUTHENTICATED = ("unauthenticated", 401)
+    FORBIDDEN = ("forbidden", 403)
+    NOT_FOUND = ("not_found", 404)
+    KEY_IN_PROGRESS = ("key_in_progress", 409)
+    KEY_VOID = ("key_void", 410)
+    BODY_TOO_LARGE = ("body_too_large", 413)
+    KEY_REUSED = ("key_reused", 422)
+    PLAN_LIMIT = ("plan_limit", 429)
+    SUSPECT = ("suspect_request", 422)
+    OVERLOADED = ("overloaded", 503)
+    NO_COORDINATOR = ("no_coordinator", 503)
+    NO_TARGET = ("no_target", 503)
+    STOPPING = ("stopping", 503)
+    TARGET_FAILED = ("target_failed", 502)
+    TARGET_TIMEOUT = ("target_timeout", 504)
+    PREEMPTED = ("preempted", 503)
+    INTERNAL = ("internal", 500)
+
+    def __init__(self, text, status):
+        self.text = text
+        self.status = status
+
+
+@dataclass
+class RequestError(AlmondgladeError):
+    """A request ends with an error that its caller is told about.
+
+    Parameters
+    ----------
+    code : Code
+        Stable code and HTTP status.
+    message : str
+        One sentence for a person.
+    outcome : Outcome
+        Whether the request may have run.
+    retry_after : float or None
+        Seconds after which a repeat is worthwhile; None when it is not.
+    """
+
+    code: Code
+    message: str
+    outcome: Outcome = Outcome.NOT_RUN
+    retry_after: float | None = None
+
+    def __str__(self):
+        return f"{self.code.text}: {self.message}"
--- /dev/null
+++ b/almondglade/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Links between almondglade's own processes."""
--- /dev/null
+++ b/almondglade/peers/codec.py
@@ -0,0 +1,315 @@
+"""Translate between messages and their wire form."""
+
+from functools import singledispatch
+
+from .. import messages as m
+from ..errors import PeerError
+from . import link_pb2 as pb
+
+MICROSECONDS = 1_000_000
+MILLISECONDS = 1_000
+
+
+def encode_batch(messages):
+    """Return the frame that carries a list of messages."""
+    return pb.Batch(envelopes=[_envelope(message) for message in messages])
+
+
+def decode_batch(frame):
+    """Return the messages of a frame.
+
+    Raises
+    ------
+    PeerError
+        If a message is of an unknown kind or holds an impossible value.
+    """
+    return [_decode_envelope(envelope) for envelope in frame.envelopes]
+
+
+def _envelope(message):
+    wire = encode(message)
+    return pb.Envelope(**{_FIELD_BY_TYPE[type(wire)]: wire})
+
+
+def _decode_envelope(envelope):
+    kind = envelope.WhichOneof("kind")
+    if kind is None:
+        raise PeerError("a peer sent a message of an unknown kind")
+    try:
+        return decode(getattr(envelope, kind))
+    except ValueError as error:
+        raise PeerError(f"a peer sent an unusable {kind}: {error}") from error
+
+
+@singledispatch
+def encode(message):
+    """Return the wire form of one message."""
+    raise PeerError(f"no wire form for {type(message).__name__}")
+
+
+@singledispatch
+def decode(wire):
+    """Return the message of one wire form."""
+    raise PeerError(f"no message for {type(wire).__name__}")
+
+
+def _micros(seconds):
+    return max(0, round(seconds * MICROSECONDS))
+
+
+def _millis(seconds):
+    return max(0, round(seconds * MILLISECONDS))
+
+
+@encode.register
+def _(message: m.Hello):
+    return pb.Hello(
+        instance=message.instance,
+        incarnation=message.incarnation,
+        configuration_version=message.configuration_version,
+        protocol=message.protocol,
+    )
+
+
+@decode.register
+def _(wire: pb.Hello):
+    return m.Hello(
+        wire.instance, wire.incarnation, wire.configuration_version, wire.protocol
+    )
+
+
+@encode.register
+def _(message: m.Ping):
+    return pb.Ping(
+        sent_at=_micros(message.sent_at),
+        echo=_micros(message.echo),
+        configuration_version=message.configuration_version,
+    )
+
+
+@decode.register
+def _(wire: pb.Ping):
+    return m.Ping(
+        wire.sent_at / MICROSECONDS,
+        wire.echo / MICROSECONDS,
+        wire.configuration_version,
+    )
+
+
+@encode.register
+def _(message: m.Demand):
+    return pb.Demand(
+        request_id=message.request_id,
+        pool=message.pool,
+        workspace=message.workspace,
+        tier=message.tier,
+        input_tokens=message.input_tokens,
+        output_tokens=message.output_tokens,
+        prefix=message.prefix,
+        fingerprint=message.fingerprint,
+        max_wait_ms=_millis(message.max_wait),
+        preemptible=message.preemptible,
+        avoid=message.avoid,
+    )
+
+
+@decode.register
+def _(wire: pb.Demand):
+    return m.Demand(
+        wire.request_id,
+        wire.pool,
+        wire.workspace,
+        wire.tier,
+        wire.input_tokens,
+        wire.output_tokens,
+        wire.prefix,
+        wire.fingerprint,
+        wire.max_wait_ms / MILLISECONDS,
+        wire.preemptible,
+        tuple(wire.avoid),
+    )
+
+
+@encode.register
+def _(message: m.TargetState):
+    return pb.TargetState(
+        target=message.target,
+        epoch=message.epoch,
+        limit=message.limit,
+        baseline=message.baseline,
+    )
+
+
+@decode.register
+def _(wire: pb.TargetState):
+    return m.TargetState(wire.target, wire.epoch, wire.limit, wire.baseline)
+
+
+@encode.register
+def _(message: m.Grant):
+    return pb.Grant(
+        request_id=message.request_id,
+        pool=message.pool,
+        permit_id=message.permit_id,
+        term=message.term,
+        target=message.target,
+        heard_at=_micros(message.heard_at),
+        state=encode(message.state),
+    )
+
+
+@decode.register
+def _(wire: pb.Grant):
+    return m.Grant(
+        wire.request_id,
+        wire.pool,
+        wire.permit_id,
+        wire.term,
+        wire.target,
+        wire.heard_at / MICROSECONDS,
+        decode(wire.state),
+    )
+
+
+@encode.register
+def _(message: m.Refusal):
+    return pb.Refusal(
+        request_id=message.request_id,
+        reason=message.reason.value,
+        retry_after_ms=_millis(message.retry_after),
+    )
+
+
+@decode.register
+def _(wire: pb.Refusal):
+    return m.Refusal(
+        wire.request_id,
+        m.RefusalReason(wire.reason),
+        wire.retry_after_ms / MILLISECONDS,
+    )
+
+
+@encode.register
+def _(message: m.Preemption):
+    return pb.Preemption(
+        request_id=message.request_id, retry_after_ms=_millis(message.retry_after)
+    )
+
+
+@decode.register
+def _(wire: pb.Preemption):
+    return m.Preemption(wire.request_id, wire.retry_after_ms / MILLISECONDS)
+
+
+@encode.register
+def _(message: m.Withdrawal):
+    return pb.Withdrawal(request_id=message.request_id, pool=message.pool)
+
+
+@decode.register
+def _(wire: pb.Withdrawal):
+    return m.Withdrawal(wire.request_id, wire.pool)
+
+
+@encode.register
+def _(message: m.Completion):
+    return pb.Completion(
+        request_id=message.request_id,
+        pool=message.pool,
+        result=message.result.value,
+        input_tokens=message.input_tokens,
+        cached_tokens=message.cached_tokens,
+        output_tokens=message.output_tokens,
+        first_token=_micros(message.first_token),
+        duration=_micros(message.duration),
+    )
+
+
+@decode.register
+def _(wire: pb.Completion):
+    return m.Completion(
+        wire.request_id,
+        wire.pool,
+        m.Result(wire.result),
+        wire.input_tokens,
+        wire.cached_tokens,
+        wire.output_tokens,
+        wire.first_token / MICROSECONDS,
+        wire.duration / MICROSECONDS,
+    )
+
+
+@encode.register
+def _(message: m.CarriedPermit):
+    return pb.CarriedPermit(
+        demand=encode(message.demand),
+        target=message.target,
+        age=_micros(message.age),
+    )
+
+
+@decode.register
+def _(wire: pb.CarriedPermit):
+    return m.CarriedPermit(decode(wire.demand), wire.target, wire.age / MICROSECONDS)
+
+
+@encode.register
+def _(message: m.CarriedSpend):
+    return pb.CarriedSpend(
+        workspace=message.workspace,
+        tokens=message.tokens,
+        requests=message.requests,
+    )
+
+
+@decode.register
+def _(wire: pb.CarriedSpend):
+    return m.CarriedSpend(wire.workspace, wire.tokens, wire.requests)
+
+
+@encode.register
+def _(message: m.Join):
+    return pb.Join(
+        pool=message.pool,
+        counted_after=_micros(message.counted_after),
+        permits=[encode(permit) for permit in message.permits],
+        targets=[encode(state) for state in message.targets],
+        spends=[encode(spend) for spend in message.spends],
+    )
+
+
+@decode.register
+def _(wire: pb.Join):
+    return m.Join(
+        wire.pool,
+        wire.counted_after / MICROSECONDS,
+        tuple(decode(permit) for permit in wire.permits),
+        tuple(decode(state) for state in wire.targets),
+        tuple(decode(spend) for spend in wire.spends),
+    )
+
+
+@encode.register
+def _(message: m.Leave):
+    return pb.Leave(pool=message.pool)
+
+
+@decode.register
+def _(wire: pb.Leave):
+    return m.Leave(wire.pool)
+
+
+@encode.register
+def _(message: m.ConfigurationUpdate):
+    return pb.ConfigurationUpdate(version=message.version, document=message.document)
+
+
+@decode.register
+def _(wire: pb.ConfigurationUpdate):
+    return m.ConfigurationUpdate(wire.version, wire.document)
+
+
+_FIELD_BY_TYPE: dict[type, str] = {
+    field.message_type._concrete_class: field.name
+    for field in pb.Envelope.DESCRIPTOR.oneofs_by_name["kind"].fields
+}
--- /dev/null
+++ b/almondglade/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Read what the platform publishes."""
--- /dev/null
+++ b/almondglade/platform/watch.py
@@ -0,0 +1,43 @@
+"""Tasks that watch the platform."""
+
+import asyncio
+
+from ..errors import PlatformError
+from ..log import get_logger
+
+log = get_logger("platform")
+
+WAIT_SECONDS = 30.0
+MIN_BACKOFF_SECONDS = 0.2
+MAX_BACKOFF_SECONDS = 5.0
+
+
+async def watch(name, read, take):
+    """Read a value for each change and pass it on, until cancelled.
+
+    Parameters
+    ----------
+    name : str
+        What is watched, for the log.
+    read : callable
+        Takes an index and a wait in seconds; returns a `Versioned`. Runs in a
+        thread.
+    take : callable
+        Takes each newer `Versioned`; runs on the loop.
+    """
+    index, backoff = 0, MIN_BACKOFF_SECONDS
+    while True:
+        try:
+            wait = WAIT_SECONDS if index else 0.0
+            answer = await asyncio.to_thread(read, index, wait)
+        except PlatformError as error:
+            log.warning("cannot read the platform", watch=name, cause=str(error))
+            await asyncio.sleep(backoff)
+            backoff = min(2 * backoff, MAX_BACKOFF_SECONDS)
+            continue
+        backoff = MIN_BACKOFF_SECONDS
+        if answer.value is None:
+            await asyncio.sleep(MIN_BACKOFF_SECONDS)
+        elif answer.index != index:
+            take(answer)
+        index = answer.index
--- /dev/null
+++ b/almondglade/ui/__init__.py
@@ -0,0 +1,1 @@
+"""The command line, apart from the library."""
--- /dev/null
+++ b/almondgladeplug/kinds.py
@@ -0,0 +1,142 @@
+"""Kinds of service."""
+
+import itertools
+
+import orjson
+import xxhash
+
+from almondglade.errors import TargetError
+from almondglade.kinds import Load, ServiceKind, Size, Usage, UsageMeter
+from almondglade.outcome import Code, RequestError
+
+CHARACTERS_PER_TOKEN = 4
+DEFAULT_OUTPUT_TOKENS = 256
+PREFIX_CHARACTERS = 256
+MAX_EVENT_BYTES = 1 << 16
+
+
+def parse_gauges(text):
+    """Return the samples of a Prometheus text exposition, summed by name."""
+    gauges: dict[str, float] = {}
+    for line in text.splitlines():
+        if line and not line.startswith("#"):
+            series, _, value = line.rpartition(" ")
+            name = series.partition("{")[0]
+            gauges[name] = gauges.get(name, 0.0) + float(value)
+    return gauges
+
+
+def _load(text, running, waiting):
+    try:
+        gauges = parse_gauges(text)
+        return Load(
+            repr(gauges["process_start_time_seconds"]),
+            int(gauges[running]),
+            int(gauges.get(waiting, 0)),
+        )
+    except (KeyError, ValueError) as error:
+        raise TargetError(f"the load report is not usable: {error}") from error
+
+
+class PlainService(ServiceKind):
+    """A plain HTTP service."""
+
+    name = "plain"
+
+    def parse_load(self, text):
+        """Read the number of requests in progress."""
+        return _load(text, "http_requests_in_progress", "http_requests_waiting")
+
+
+class Engine(ServiceKind):
+    """A model engine with the OpenAI interface and vLLM's metrics."""
+
+    name = "engine"
+    preemptible = True
+
+    def check(self, request):
+        """Refuse a body that is not a usable completion request."""
+        document = _document(request.body)
+        prompt = document.get("messages", document.get("prompt"))
+        if not isinstance(prompt, str | list) or not prompt:
+            raise RequestError(Code.BAD_REQUEST, "messages or prompt is missing")
+        tokens = _max_tokens(document)
+        if not isinstance(tokens, int) or isinstance(tokens, bool) or tokens < 1:
+            raise RequestError(
+                Code.BAD_REQUEST, "max_tokens must be a positive integer"
+            )
+
+    def size(self, request):
+        """Estimate tokens from the prompt's length and the output limit."""
+        document = _document(request.body)
+        prompt = _prompt_text(document)
+        head = f"{request.workspace}\0{prompt[:PREFIX_CHARACTERS]}"
+        return Size(
+            1 + len(prompt) // CHARACTERS_PER_TOKEN,
+            _max_tokens(document),
+            xxhash.xxh64_intdigest(head.encode()),
+        )
+
+    def is_idempotent(self, service, request):
+        """Treat every generation as repeatable: it changes nothing outside."""
+        return True
+
+    def meter(self):
+        """Return a meter of the usage reported in the answer."""
+        return CompletionMeter()
+
+    def parse_load(self, text):
+        """Read vLLM's gauges of running and waiting requests."""
+        return _load(text, "vllm:num_requests_running", "vllm:num_requests_waiting")
+
+
+class CompletionMeter(UsageMeter):
+    """Counts the events of a stream and reads the usage of its end."""
+
+    def __init__(self):
+        super().__init__()
+        self._tail = b""
+
+    def feed(self, chunk):
+        """Take in the next bytes of the answer."""
+        *lines, self._tail = (self._tail + chunk).split(b"\n")
+        self._tail = self._tail[-MAX_EVENT_BYTES:]
+        for line in itertools.chain(lines, [self._tail]):
+            self._read(line)
+
+    def _read(self, line):
+        if line.startswith(b"data: {"):
+            self.usage.output_tokens += line is not self._tail
+            line = line[len(b"data: ") :]
+        if b'"usage"' not in line or not line.endswith(b"}"):
+            return
+        try:
+            reported = orjson.loads(line).get("usage") or {}
+            details = reported.get("prompt_tokens_details") or {}
+            self.usage = Usage(
+                int(reported.get("prompt_tokens", 0)),
+                int(details.get("cached_tokens", 0)),
+                int(reported.get("completion_tokens", self.usage.output_tokens)),
+            )
+        except (orjson.JSONDecodeError, AttributeError, TypeError, ValueError):
+            return
+
+
+def _document(body):
+    try:
+        document = orjson.loads(body)
+    except orjson.JSONDecodeError as error:
+        raise RequestError(Code.BAD_REQUEST, f"body is not JSON: {error}") from error
+    if not isinstance(document, dict):
+        raise RequestError(Code.BAD_REQUEST, "body must be a JSON object")
+    return document
+
+
+def _max_tokens(document):
+    value = document.get("max_completion_tokens", document.get("max_tokens"))
+    return DEFAULT_OUTPUT_TOKENS if value is None else value
+
+
+def _prompt_text(document):
+    prompt = document.get("messages", document.get("prompt"))
+    return prompt if isinstance(prompt, str) else orjson.dumps(prompt).decode()
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load, demo and measurements on one machine with the stand-ins."""
--- /dev/null
+++ b/bench/generated.py
@@ -0,0 +1,32 @@
+"""Check that the committed generated code matches its definitions."""
+
+import sys
+import tempfile
+from pathlib import Path
+
+PACKAGE = "almondglade/peers"
+SUFFIXES = ("_pb2.py", "_pb2.pyi", "_grpc.py")
+
+
+def differing_files():
+    """Return the generated files that differ from the committed ones."""
+    from grpc_tools import protoc
+
+    with tempfile.TemporaryDirectory() as folder:
+        outputs = ("python_out", "pyi_out", "grpclib_python_out")
+        flags = [f"--{output}={folder}" for output in outputs]
+        if protoc.main(["protoc", "-I.", *flags, f"{PACKAGE}/link.proto"]):
+            raise SystemExit("the definitions cannot be compiled")
+        return [
+            name
+            for suffix in SUFFIXES
+            for name in [f"{PACKAGE}/link{suffix}"]
+            if Path(name).read_text() != Path(folder, name).read_text()
+        ]
+
+
+if __name__ == "__main__":
+    differing = differing_files()
+    for name in differing:
+        print(f"{name} does not match its definition")
+    sys.exit(bool(differing))
--- /dev/null
+++ b/test/__init__.py
@@ -0,0 +1,1 @@
+"""Tests; each module mirrors one of the package."""
