Add an open-loop load and check untyped code

Cause: a load is needed before any decision can be measured; the type checker passed over functions without annotations.

Ruled out: a closed loop, which slows its arrivals down with the system and so hides queues.

Before: no load.

--- a/almondglade/configuration.py
+++ b/almondglade/configuration.py
@@ -1,5 +1,7 @@
 """The declared document in force at this instance."""
 
+from typing import Any
+
 from .declarations import parse_declarations
 from .errors import DeclarationError
 from .log import get_logger
@@ -25,7 +27,7 @@
 
     def __init__(self):
         self.version = 0
-        self.declarations = None
+        self.declarations: Any = None
         self.document = b""
         self.rejected_version = 0
         self.problems: list[str] = []
--- a/almondglade/coordinator/core.py
+++ b/almondglade/coordinator/core.py
@@ -7,6 +7,7 @@
 
 import itertools
 from dataclasses import dataclass
+from typing import Any
 
 from ..messages import (
     Completion,
@@ -72,7 +73,7 @@
         self.pool = pool
         self.term = term
         self.clock = clock
-        self.declarations = None
+        self.declarations: Any = None
         self.published = 1
         self.leases = LeaseTable(clock)
         self.budgets = BudgetTable(clock)
--- a/almondglade/coordinator/host.py
+++ b/almondglade/coordinator/host.py
@@ -1,6 +1,8 @@
 """The coordinators that this instance runs, one for each pool asked of it."""
 
 import asyncio
+from collections.abc import Callable
+from typing import Any
 
 from .. import messages as m
 from ..log import get_logger
@@ -38,7 +40,7 @@
         self.declarations = None
         self.published = 1
         self.by_pool: dict[str, Coordinator] = {}
-        self._send_by_entry: dict[str, object] = {}
+        self._send_by_entry: dict[str, Callable[[Any], None]] = {}
         self._unused_since: dict[str, float] = {}
 
     def attach(self, entry, send):
--- a/almondglade/dispatch/call.py
+++ b/almondglade/dispatch/call.py
@@ -3,6 +3,7 @@
 import socket
 import time
 from dataclasses import dataclass
+from typing import Any
 
 import urllib3
 from urllib3.exceptions import HTTPError, ReadTimeoutError
@@ -62,7 +63,7 @@
         self.clock = clock
         self.started = clock()
         self.cancelled = False
-        self._response = None
+        self._response: Any = None
 
     def open(self):
         """Send the request and return the head of the answer.
--- a/almondglade/dispatch/connections.py
+++ b/almondglade/dispatch/connections.py
@@ -78,7 +78,9 @@
         pool = self.by_url.get(url)
         if pool is None:
             parsed = urllib3.util.parse_url(url)
-            pool = TargetPool(parsed.host, parsed.port or 80, maxsize=IDLE_CONNECTIONS)
+            pool = TargetPool(
+                parsed.host or "", parsed.port or 80, maxsize=IDLE_CONNECTIONS
+            )
             pool = self.by_url.setdefault(url, pool)
         return pool
 
--- a/almondglade/entry/app.py
+++ b/almondglade/entry/app.py
@@ -3,6 +3,7 @@
 import itertools
 import math
 import threading
+from typing import Any
 
 import cherrypy
 import orjson
@@ -95,7 +96,7 @@
             f"{settings.instance}-{incarnation}-{number}"
             for number in itertools.count(1)
         )
-        self.callers = None
+        self.callers: Any = None
         store.subscribe(self._configured)
 
     def _configured(self, update):
--- a/almondglade/peers/links.py
+++ b/almondglade/peers/links.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+from typing import Any
 
 from grpclib.client import Channel
 from grpclib.exceptions import GRPCError, StreamTerminatedError
@@ -159,7 +160,7 @@
         self.store = store
         self.clock = clock
         self.by_peer: dict[str, Link] = {}
-        self.broker = None
+        self.broker: Any = None
         self._tasks: dict[str, asyncio.Task] = {}
 
     def hello(self):
--- a/almondglade/permits.py
+++ b/almondglade/permits.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+from collections.abc import Callable
 from concurrent.futures import Future
 from dataclasses import dataclass, field
 
@@ -36,7 +37,7 @@
     grant: m.Grant
     granted: float
     preempted: m.Preemption | None = None
-    cancel: object = None
+    cancel: Callable[[], None] | None = None
 
 
 @dataclass
--- a/almondgladeplug/queues.py
+++ b/almondgladeplug/queues.py
@@ -2,7 +2,9 @@
 
 from collections import OrderedDict
 
-from almondglade.coordinator.queues import QueueOrder
+from almondglade.coordinator.queues import QueueOrder, Waiting
+
+_Workspaces = OrderedDict[str, OrderedDict[str, Waiting]]
 
 
 class TieredQueue(QueueOrder):
@@ -11,13 +13,13 @@
     name = "tiered"
 
     def __init__(self):
-        self.by_tier: dict[int, OrderedDict[str, OrderedDict]] = {}
-        self.by_request = {}
+        self.by_tier: dict[int, _Workspaces] = {}
+        self.by_request: dict[str, Waiting] = {}
 
     def push(self, waiting):
         """Add a demand behind the others of its workspace."""
         demand = waiting.demand
-        workspaces = self.by_tier.setdefault(demand.tier, OrderedDict())
+        workspaces = self.by_tier.setdefault(demand.tier, _Workspaces())
         requests = workspaces.setdefault(demand.workspace, OrderedDict())
         requests[demand.request_id] = waiting
         self.by_request[demand.request_id] = waiting
@@ -35,8 +37,8 @@
         waiting = self.peek()
         demand = waiting.demand
         self.remove(demand.request_id)
-        workspaces = self.by_tier.get(demand.tier, {})
-        if demand.workspace in workspaces:
+        workspaces = self.by_tier.get(demand.tier)
+        if workspaces is not None and demand.workspace in workspaces:
             workspaces.move_to_end(demand.workspace)
         return waiting
 
--- /dev/null
+++ b/standin/load.py
@@ -0,0 +1,264 @@
+"""An open-loop load of callers, seeded, in tiers and of unlike lengths."""
+
+import itertools
+import threading
+import time
+from collections import Counter
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass, field
+
+import numpy as np
+import orjson
+import urllib3
+from urllib3.exceptions import HTTPError
+
+WORDS_PER_PREFIX = 60
+REQUEST_TIMEOUT = urllib3.Timeout(connect=2.0, read=60.0)
+MAX_CALLERS = 400
+
+
+@dataclass(frozen=True)
+class Stream:
+    """Requests of one workspace to one service.
+
+    Parameters
+    ----------
+    rate : float
+        Requests a second, arriving as a Poisson process.
+    model : str or None
+        Model to ask; None for a plain service.
+    path : str
+        Path of a plain request.
+    method : str
+        Method of a plain request.
+    min_tokens, max_tokens : int
+        Output lengths, drawn evenly on a logarithmic scale.
+    prefixes : int
+        Number of different prompt prefixes.
+    """
+
+    workspace: str
+    key: str
+    tier: int
+    rate: float
+    model: str | None = None
+    path: str = "/v1/chat/completions"
+    method: str = "POST"
+    min_tokens: int = 4
+    max_tokens: int = 400
+    prefixes: int = 8
+    streamed: bool = True
+
+
+@dataclass(frozen=True)
+class Arrival:
+    """One request of the load."""
+
+    at: float
+    number: int
+    stream: Stream
+    tokens: int = 0
+    prefix: int = 0
+
+
+@dataclass
+class Sample:
+    """What a caller saw of one request; times in seconds from the start."""
+
+    arrival: Arrival
+    started: float
+    status: int = 0
+    outcome: str = ""
+    code: str = ""
+    retry_after: float | None = None
+    first: float = 0.0
+    ended: float = 0.0
+    tokens: int = 0
+    cached_tokens: int = 0
+    prompt_tokens: int = 0
+    gaps: list[float] = field(default_factory=list)
+
+    @property
+    def good(self):
+        """Whether the whole answer arrived."""
+        return self.status == 200 and self.code == ""
+
+
+def plan(streams, seconds, seed):
+    """Return all arrivals of a load, in order.
+
+    Parameters
+    ----------
+    streams : list of Stream
+        What arrives.
+    seconds : float
+        Length of the load.
+    seed : int
+        Seed of the arrivals and lengths.
+    """
+    rng = np.random.default_rng(seed)
+    arrivals = []
+    for stream in streams:
+        at = 0.0
+        while (at := at + rng.exponential(1 / stream.rate)) < seconds:
+            span = np.log(stream.max_tokens / stream.min_tokens)
+            tokens = stream.min_tokens * np.exp(rng.uniform(0, span))
+            prefix = int(rng.integers(stream.prefixes))
+            arrivals.append((at, stream, int(tokens), prefix))
+    arrivals.sort(key=lambda arrival: arrival[0])
+    return [
+        Arrival(at, number, stream, tokens, prefix)
+        for number, (at, stream, tokens, prefix) in enumerate(arrivals)
+    ]
+
+
+class LoadRun:
+    """Sends a planned load to entry instances in turn.
+
+    Parameters
+    ----------
+    urls : list of str
+        Base URLs of the instances.
+    arrivals : list of Arrival
+        What to send.
+    """
+
+    def __init__(self, urls, arrivals):
+        self.urls = list(urls)
+        self.arrivals = arrivals
+        self.samples: list[Sample] = []
+        self.started = 0.0
+        self._lock = threading.Lock()
+        self._turns = itertools.count()
+        self._http = urllib3.PoolManager(
+            num_pools=len(self.urls) + 1, maxsize=MAX_CALLERS, retries=False
+        )
+
+    def run(self):
+        """Send everything and return the samples."""
+        self.started = time.monotonic()
+        with ThreadPoolExecutor(MAX_CALLERS) as callers:
+            for arrival in self.arrivals:
+                time.sleep(max(0.0, arrival.at - self._now()))
+                callers.submit(self._send, arrival)
+        return self.samples
+
+    def _now(self):
+        return time.monotonic() - self.started
+
+    def _send(self, arrival):
+        sample = Sample(arrival, self._now())
+        url = self.urls[next(self._turns) % len(self.urls)]
+        try:
+            response = self._http.request(
+                arrival.stream.method,
+                url + arrival.stream.path,
+                body=_body(arrival),
+                headers={"Authorization": f"Bearer {arrival.stream.key}"},
+                preload_content=False,
+                timeout=REQUEST_TIMEOUT,
+            )
+            self._read(sample, response)
+        except (HTTPError, OSError) as error:
+            sample.code = sample.code or type(error).__name__
+        sample.ended = self._now()
+        with self._lock:
+            self.samples.append(sample)
+
+    def _read(self, sample, response):
+        sample.status = response.status
+        sample.outcome = response.headers.get("X-Almondglade-Outcome", "")
+        retry_after = response.headers.get("Retry-After")
+        sample.retry_after = float(retry_after) if retry_after else None
+        tail, last = b"", 0.0
+        for chunk in response.stream(1 << 16):
+            now = self._now()
+            if last:
+                sample.gaps.append(now - last)
+            sample.first, last = sample.first or now, now
+            tail = (tail + chunk)[-4096:]
+        response.release_conn()
+        if response.status != 200:
+            sample.code = _error_code(tail)
+        elif arrival_is_streamed(sample.arrival):
+            self._read_usage(sample, tail)
+
+    @staticmethod
+    def _read_usage(sample, tail):
+        for line in tail.split(b"\n"):
+            if line.startswith(b"data: {") and b'"usage"' in line:
+                usage = orjson.loads(line[len(b"data: ") :])["usage"]
+                details = usage.get("prompt_tokens_details", {})
+                sample.tokens = usage["completion_tokens"]
+                sample.prompt_tokens = usage["prompt_tokens"]
+                sample.cached_tokens = details.get("cached_tokens", 0)
+        if b"data: [DONE]" not in tail:
+            sample.code = "truncated"
+
+
+def arrival_is_streamed(arrival):
+    """Tell whether an arrival asks for server-sent events."""
+    return arrival.stream.model is not None and arrival.stream.streamed
+
+
+def _body(arrival):
+    stream = arrival.stream
+    if stream.model is None:
+        return orjson.dumps({"number": arrival.number, "workspace": stream.workspace})
+    words = f"{stream.workspace} topic {arrival.prefix} " * WORDS_PER_PREFIX
+    document = {
+        "model": stream.model,
+        "messages": [{"role": "user", "content": f"{words} item {arrival.number}"}],
+        "max_tokens": arrival.tokens,
+        "stream": stream.streamed,
+    }
+    return orjson.dumps(document)
+
+
+def _error_code(body):
+    try:
+        return orjson.loads(body)["error"]["code"]
+    except (orjson.JSONDecodeError, KeyError, TypeError):
+        return "unreadable"
+
+
+@dataclass(frozen=True)
+class Report:
+    """Figures of a load.
+
+    Parameters
+    ----------
+    asked_by_tier, good_by_tier : dict of int to int
+        Requests asked and wholly answered.
+    codes : dict of str to int
+        Errors by code.
+    """
+
+    asked_by_tier: dict[int, int]
+    good_by_tier: dict[int, int]
+    codes: dict[str, int]
+    first_token_p50: float
+    first_token_p95: float
+    gap_p95: float
+    tokens: int
+    prompt_tokens: int
+    cached_tokens: int
+
+
+def summarise(samples):
+    """Return the `Report` of a load's samples."""
+    asked = Counter(s.arrival.stream.tier for s in samples)
+    good = Counter(s.arrival.stream.tier for s in samples if s.good)
+    firsts = [s.first - s.started for s in samples if s.good] or [0.0]
+    gaps = list(itertools.chain.from_iterable(s.gaps for s in samples)) or [0.0]
+    return Report(
+        dict(asked),
+        {tier: good.get(tier, 0) for tier in asked},
+        dict(Counter(s.code for s in samples if s.code)),
+        float(np.percentile(firsts, 50)),
+        float(np.percentile(firsts, 95)),
+        float(np.percentile(gaps, 95)),
+        sum(s.tokens for s in samples),
+        sum(s.prompt_tokens for s in samples),
+        sum(s.cached_tokens for s in samples),
+    )
--- a/standin/report.py
+++ b/standin/report.py
@@ -19,7 +19,9 @@
     def __init__(self, lag):
         self.lag = lag
         self.epoch = time.time()
-        self._samples = deque([(0.0, {})], maxlen=MAX_SAMPLES)
+        self._samples: deque[tuple[float, dict]] = deque(
+            [(0.0, {})], maxlen=MAX_SAMPLES
+        )
         self._lock = threading.Lock()
 
     def record(self, **gauges):
