--- a/almondglade/declarations/models.py
+++ b/almondglade/declarations/models.py
@@ -23,6 +23,8 @@
 BaseUrl = Annotated[
     str, StringConstraints(pattern=r"^http://[0-9a-zA-Z.\[\]:-]+(/[\w./-]*)?$")
 ]
+# Services are reached under their names, so these paths cannot be services.
+RESERVED_NAMES = frozenset({"v1"})
 HTTP_METHOD = re.compile(r"^[A-Z]{1,16}$")
 
 
@@ -132,6 +134,10 @@
         return self
 
     def _reference_problems(self):
+        yield from (
+            f"services.{name}: the name is reserved for paths of this system"
+            for name in RESERVED_NAMES & self.services.keys()
+        )
         yield from (
             f"workspaces.{name}.plan: no plan named {workspace.plan!r}"
             for name, workspace in self.workspaces.items()
--- a/almondglade/node.py
+++ b/almondglade/node.py
@@ -15,11 +15,11 @@
 from .coordinator.leases import LEASE_SECONDS
 from .dispatch.connections import TargetPools
 from .entry.app import EntryApp
-from .entry.operators import OperatorApp
 from .entry.scheduling import Scheduler
 from .httpserver import HttpServer
 from .loads import LoadPoller
 from .log import get_logger
+from .operators import OperatorApp
 from .peers.links import HEARTBEAT_SECONDS, LinkTable
 from .peers.membership import Instance, Membership
 from .peers.service import PeerService
--- a/almondglade/ui/check.py
+++ b/almondglade/ui/check.py
@@ -1,23 +1,35 @@
 """The ``check`` command."""
 
 from ..declarations import load_declarations
+from ..declarations.changes import changes_between, warnings_of
 from ..errors import DeclarationError
 
 EXIT_INVALID = 2
 
 
-def check(file: str):
-    """Say what is wrong with a declared document.
+def check(file: str, *, against: str | None = None):
+    """Say what is wrong with a declared document and what it will change.
+
+    Exits with 0 if the document is valid, with 2 if it is not. A warning does
+    not make a document invalid.
 
     Parameters
     ----------
     file
         JSON or YAML file.
+    against
+        The file in force now; prints what the new one changes.
     """
     try:
-        load_declarations(file)
+        declarations = load_declarations(file)
+        old = load_declarations(against) if against else None
     except DeclarationError as error:
         print("\n".join(error.problems))
         return EXIT_INVALID
+    for warning in sorted(warnings_of(declarations)):
+        print(f"warning: {warning}")
+    if old is not None:
+        for change in changes_between(old, declarations):
+            print(change)
     print(f"{file}: valid")
     return 0
