Serve metrics with bounded labels

Cause: nothing could be watched from outside but the dump.

Ruled out: the library's collectors without a lock; two threads can lose increments, so one lock covers changes and rendering. A label for workspaces was left out, since 24,000 of them would multiply every series.

Before: no metrics.

Conclusion: the requests' counters are not wired to the callers' port yet.

--- /dev/null
+++ b/almondglade/metrics.py
@@ -0,0 +1,144 @@
+"""Metrics of one process, with labels that cannot grow without bound.
+
+Labels are services, tiers, targets, outcomes and codes: all declared or fixed.
+No metric has a label for workspaces or instances.
+"""
+
+import threading
+
+import aioprometheus
+
+SECONDS_BUCKETS = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8, 25.6]
+PREFIX = "almondglade_"
+
+# Name, labels and meaning of each metric; the page on metrics is made from it.
+COUNTERS = {
+    "requests_total": (
+        ("service", "tier", "outcome", "code"),
+        "Requests that ended, by what the caller was told.",
+    ),
+    "dispatches_total": (
+        ("service", "result"),
+        "Dispatches to targets, by how they ended.",
+    ),
+    "tokens_total": (
+        ("service", "kind"),
+        "Tokens by kind: input, cached (part of input) and output.",
+    ),
+}
+HISTOGRAMS = {
+    "first_byte_seconds": (
+        ("service", "tier"),
+        "Seconds from a request's arrival to the first byte of its answer.",
+    ),
+    "request_seconds": (
+        ("service", "tier"),
+        "Seconds from a request's arrival to its end.",
+    ),
+}
+GAUGES = {
+    "active_requests": ((), "Requests in progress at this instance."),
+    "configuration_version": ((), "Version of the declared document in force."),
+    "configuration_rejected_version": (
+        (),
+        "Newest version that was not valid; above the version in force, an alert.",
+    ),
+    "platform_calls": ((), "Calls to the platform's service since the start."),
+    "published_instances": ((), "Instances on the platform's list."),
+    "links_up": ((), "Links to other instances that carry messages."),
+    "pool_waiting": (("service",), "Demands waiting at the coordinator here."),
+    "pool_counted_entries": (
+        ("service",),
+        "Instances counted by the coordinator here; under a majority, an alert.",
+    ),
+    "target_limit": (("target",), "Concurrency limit of a target, when coordinated."),
+    "target_running": (("target",), "Permits counted against a target."),
+}
+
+
+class Metrics:
+    """Collectors of one process.
+
+    The library's collectors are not safe for threads, so all changes and the
+    rendering hold one lock.
+    """
+
+    def __init__(self):
+        self.registry = aioprometheus.Registry()
+        self._lock = threading.Lock()
+        self._by_name = {}
+        for name, (_, meaning) in COUNTERS.items():
+            self._add(name, aioprometheus.Counter, meaning)
+        for name, (_, meaning) in GAUGES.items():
+            self._add(name, aioprometheus.Gauge, meaning)
+        for name, (_, meaning) in HISTOGRAMS.items():
+            self._add(name, aioprometheus.Histogram, meaning, buckets=SECONDS_BUCKETS)
+
+    def _add(self, name, kind, meaning, **options):
+        self._by_name[name] = kind(
+            PREFIX + name, meaning, registry=self.registry, **options
+        )
+
+    def count(self, name, amount=1, **labels):
+        """Add to a counter."""
+        with self._lock:
+            self._by_name[name].add(_texts(labels), amount)
+
+    def observe(self, name, value, **labels):
+        """Add an observation to a histogram."""
+        with self._lock:
+            self._by_name[name].observe(_texts(labels), value)
+
+    def set(self, name, value, **labels):
+        """Set a gauge."""
+        with self._lock:
+            self._by_name[name].set(_texts(labels), value)
+
+    def clear(self, name):
+        """Drop all values of a gauge, so that what is gone is not shown."""
+        with self._lock:
+            self._by_name[name].values.clear()
+
+    def render(self, accepts):
+        """Return the exposition and its content type.
+
+        Parameters
+        ----------
+        accepts : list of str
+            Accept headers of the scraper.
+        """
+        with self._lock:
+            body, headers = aioprometheus.render(self.registry, accepts)
+        return body, headers["Content-Type"]
+
+
+def _texts(labels):
+    return {name: str(value) for name, value in labels.items()}
+
+
+def set_gauges(metrics, node):
+    """Set the gauges from the present state of an instance.
+
+    Parameters
+    ----------
+    metrics : Metrics
+        Where to set them.
+    node : Node
+        The running instance.
+    """
+    metrics.set("active_requests", node.app.active)
+    metrics.set("configuration_version", node.store.version)
+    metrics.set("configuration_rejected_version", node.store.rejected_version)
+    metrics.set("platform_calls", node.platform.calls)
+    metrics.set("published_instances", node.membership.published)
+    links = list(node.links.by_peer.values())
+    metrics.set("links_up", sum(link.up for link in links))
+    for name in (n for n, (labels, _) in GAUGES.items() if labels):
+        metrics.clear(name)
+    for pool, coordinator in list(node.host.by_pool.items()):
+        metrics.set("pool_waiting", len(coordinator.queue), service=pool)
+        counted = coordinator.leases.counted()
+        metrics.set("pool_counted_entries", counted, service=pool)
+        for name, record in list(coordinator.targets_by_id.items()):
+            metrics.set("target_limit", record.limit.current, target=name)
+            metrics.set("target_running", record.running, target=name)
--- a/almondglade/node.py
+++ b/almondglade/node.py
@@ -19,6 +19,7 @@
 from .httpserver import HttpServer
 from .loads import LoadPoller
 from .log import get_logger
+from .metrics import Metrics
 from .operators import OperatorApp
 from .peers.links import HEARTBEAT_SECONDS, LinkTable
 from .peers.membership import Instance, Membership
@@ -57,6 +58,7 @@
             settings.peer_port,
             settings.data_centre,
         )
+        self.metrics = Metrics()
         self.store = ConfigurationStore()
         self.membership = Membership(own, self.clock)
         self.host = CoordinatorHost(
--- a/almondglade/operators.py
+++ b/almondglade/operators.py
@@ -3,6 +3,8 @@
 import cherrypy
 import orjson
 
+from .metrics import set_gauges
+
 
 class OperatorApp:
     """Answers operators.
@@ -29,6 +31,15 @@
             return b"not ready\n"
         return b"ready\n"
 
+    @cherrypy.expose
+    def metrics(self):
+        """Serve the metrics in Prometheus' text form."""
+        set_gauges(self.node.metrics, self.node)
+        accepts = cherrypy.request.headers.get("Accept", "").split(",")
+        body, content_type = self.node.metrics.render(accepts)
+        cherrypy.response.headers["Content-Type"] = content_type
+        return body
+
     @cherrypy.expose
     def dump(self):
         """Return the state of the whole process as JSON."""
