Ship as one binary that starts no other process

Cause: the program has to ship as one binary, and a process of it starts no other.

Ruled out: PyInstaller's one-file form, which keeps a parent process; a zipapp that boots through Python, which starts twice.

Before: only a source tree.

--- a/Makefile
+++ b/Makefile
@@ -33,3 +33,6 @@
 
 demo: $(VENV)/.ready
 	$(PYTHON) -m bench.demo
+
+binary: $(VENV)/.ready
+	$(PYTHON) -m bench.binary
