Measure the policies under load against the stand-ins

Stand-in engines give several tokens a step and have a knee beyond which steps lengthen with the square of the batch, so that a limit which is too high costs goodput. The load tool passed its patience as the total time of a call; it is the time without a byte now.

--- a/Makefile
+++ b/Makefile
@@ -31,5 +31,8 @@
 features: $(VENV)/.ready
 	$(PYTHON) -m behave --format progress features
 
+bench: $(VENV)/.ready
+	$(PYTHON) -m bench.policies
+
 demo: $(VENV)/.ready
 	$(PYTHON) -m bench.demo
--- a/almondglade/ui/standin.py
+++ b/almondglade/ui/standin.py
@@ -16,6 +16,8 @@
     max_batch: int = 64,
     cold_seconds: float = 0.0,
     cold_limit: int = 2,
+    tokens_per_step: int = 1,
+    knee: int = 64,
     lag: float = 0.0,
 ):
     """Run a model engine with the OpenAI interface.
@@ -38,6 +40,10 @@
         Seconds of cold start.
     cold_limit
         Sequences borne during the cold start.
+    tokens_per_step
+        Tokens that a sequence gains in a step, sent in one event.
+    knee
+        Sequences beyond which steps lengthen with the square of their number.
     lag
         Age of the load report, seconds.
     """
@@ -51,6 +57,8 @@
         max_batch,
         cold_seconds,
         cold_limit,
+        tokens_per_step=tokens_per_step,
+        knee=knee,
     )
     _serve(port, EngineApp(Engine(profile, lag)))
 
--- a/standin/engine.py
+++ b/standin/engine.py
@@ -37,6 +37,11 @@
         Prompt tokens kept.
     max_batch : int
         Sequences in a batch.
+    tokens_per_step : int
+        Tokens that each sequence gains in a step, sent in one event.
+    knee : int
+        Sequences beyond which a step lengthens with the square of their number,
+        as when the memory of the engine no longer holds them all.
     cold_seconds : float
         Time after the start in which more than `cold_limit` sequences make
         every step `collapse_factor` times as long.
@@ -50,6 +55,13 @@
     cold_seconds: float = 0.0
     cold_limit: int = 2
     collapse_factor: float = 10.0
+    tokens_per_step: int = 1
+    knee: int = 64
+
+    def step_time(self, running):
+        """Return the seconds of a decoding step of a warm engine."""
+        seconds = self.step + self.step_per_sequence * (running - 1)
+        return seconds * max(1.0, running / self.knee) ** 2
 
 
 @dataclass
@@ -103,6 +115,8 @@
         self.prefilled = 0
         self.cached = 0
         self.peak = 0
+        self.collapsed_steps = 0
+        self.abandoned_tokens = 0
         self.started = time.monotonic()
         self._waiting: queue.SimpleQueue = queue.SimpleQueue()
         self._batch: list[Sequence] = []
@@ -115,7 +129,7 @@
     def _run(self):
         while True:
             prefill = self._admit()
-            self._batch = [s for s in self._batch if not s.cancelled]
+            self._drop_cancelled()
             running = len(self._batch)
             self.peak = max(self.peak, running)
             self.gauges.record(running=running, waiting=self._waiting.qsize())
@@ -125,6 +139,12 @@
             time.sleep(self._step_time(running, prefill))
             self._emit()
 
+    def _drop_cancelled(self):
+        self.abandoned_tokens += sum(
+            s.produced + s.prompt_tokens - s.cached for s in self._batch if s.cancelled
+        )
+        self._batch = [s for s in self._batch if not s.cancelled]
+
     def _admit(self):
         prefill = 0
         while len(self._batch) < self.profile.max_batch and not self._waiting.empty():
@@ -138,17 +158,21 @@
 
     def _step_time(self, running, prefill):
         profile = self.profile
-        seconds = profile.step + profile.step_per_sequence * (running - 1)
-        seconds += profile.prefill_per_token * prefill
+        seconds = profile.step_time(running) + profile.prefill_per_token * prefill
         cold = time.monotonic() - self.started < profile.cold_seconds
         if cold and running > profile.cold_limit:
             seconds *= profile.collapse_factor
+            self.collapsed_steps += 1
         return seconds
 
     def _emit(self):
         for sequence in self._batch:
-            sequence.produced += 1
-            sequence.out.put(f"t{sequence.produced} ")
+            before = sequence.produced
+            sequence.produced = min(
+                sequence.tokens, before + self.profile.tokens_per_step
+            )
+            numbers = range(before + 1, sequence.produced + 1)
+            sequence.out.put("".join(f"t{number} " for number in numbers))
             if sequence.produced >= sequence.tokens:
                 sequence.out.put(None)
         self._batch = [s for s in self._batch if s.produced < s.tokens]
@@ -177,6 +201,9 @@
                 "prefilled": self.engine.prefilled,
                 "cached": self.engine.cached,
                 "peak": self.engine.peak,
+                "collapsed_steps": self.engine.collapsed_steps,
+                "abandoned_tokens": self.engine.abandoned_tokens,
+                "processor_seconds": time.process_time(),
             }
         )
 
--- a/standin/load.py
+++ b/standin/load.py
@@ -13,7 +13,7 @@
 from urllib3.exceptions import HTTPError
 
 WORDS_PER_PREFIX = 60
-REQUEST_TIMEOUT = urllib3.Timeout(connect=2.0, read=60.0)
+CONNECT_SECONDS = 2.0
 MAX_CALLERS = 400
 
 
@@ -35,6 +35,12 @@
         Output lengths, drawn evenly on a logarithmic scale.
     prefixes : int
         Number of different prompt prefixes.
+    prefix_words : int
+        Length of each prefix, in repeats of its topic.
+    patience : float
+        Seconds without a byte after which the caller gives up.
+    resends : int
+        Times that a caller sends a request again at once after a failure.
     """
 
     workspace: str
@@ -48,6 +54,9 @@
     max_tokens: int = 400
     prefixes: int = 8
     streamed: bool = True
+    prefix_words: int = WORDS_PER_PREFIX
+    patience: float = 60.0
+    resends: int = 0
 
 
 @dataclass(frozen=True)
@@ -147,6 +156,10 @@
         return time.monotonic() - self.started
 
     def _send(self, arrival):
+        attempts = range(arrival.stream.resends + 1)
+        next((True for _ in attempts if self._attempt(arrival).good), False)
+
+    def _attempt(self, arrival):
         sample = Sample(arrival, self._now())
         url = self.urls[next(self._turns) % len(self.urls)]
         try:
@@ -156,7 +169,9 @@
                 body=_body(arrival),
                 headers={"Authorization": f"Bearer {arrival.stream.key}"},
                 preload_content=False,
-                timeout=REQUEST_TIMEOUT,
+                timeout=urllib3.Timeout(
+                    connect=CONNECT_SECONDS, read=arrival.stream.patience
+                ),
             )
             self._read(sample, response)
         except (HTTPError, OSError) as error:
@@ -164,6 +179,7 @@
         sample.ended = self._now()
         with self._lock:
             self.samples.append(sample)
+        return sample
 
     def _read(self, sample, response):
         sample.status = response.status
@@ -205,7 +221,7 @@
     stream = arrival.stream
     if stream.model is None:
         return orjson.dumps({"number": arrival.number, "workspace": stream.workspace})
-    words = f"{stream.workspace} topic {arrival.prefix} " * WORDS_PER_PREFIX
+    words = f"{stream.workspace} topic {arrival.prefix} " * stream.prefix_words
     document = {
         "model": stream.model,
         "messages": [{"role": "user", "content": f"{words} item {arrival.number}"}],
