Ask a delay estimator at submit and at refusal

The order of the queue needs an expected delay and a Retry-After. The thin estimator expects none and keeps the former Retry-After; the coordinator calls it at the three places (end of a run, submit, refusal).

--- a/almondglade/coordinator/core.py
+++ b/almondglade/coordinator/core.py
@@ -21,6 +21,7 @@
 from ..plugins import find_plugin
 from .budgets import BudgetTable
 from .choices import Candidate, TargetChoice
+from .delay import MIN_RETRY_SECONDS, DelayEstimator
 from .leases import LeaseTable
 from .limits import LimitPolicy
 from .queues import QueueOrder, Waiting
@@ -30,7 +31,6 @@
 # A load report taken less than this long after an entry was lost may still
 # miss requests that it had in progress.
 REPORT_SETTLE_SECONDS = 2.0
-MIN_RETRY_SECONDS = 0.5
 NO_TARGET_RETRY_SECONDS = 2.0
 
 
@@ -77,6 +77,7 @@
         self.published = 1
         self.leases = LeaseTable(clock)
         self.budgets = BudgetTable(clock)
+        self.delay = DelayEstimator(clock)
         self.queue = find_plugin(QueueOrder, policies.queue_order)()
         self.choice = find_plugin(TargetChoice, policies.target_choice)(clock, rng)
         self.limit_policy = find_plugin(LimitPolicy, policies.limits)
@@ -200,7 +201,12 @@
             self._refuse(entry, demand, RefusalReason.PLAN_LIMIT, wait)
             return
         now = self.clock()
-        self.queue.push(Waiting(entry, demand, now, now + demand.max_wait))
+        waiting = Waiting(entry, demand, now, now + demand.max_wait)
+        targets = self.targets_by_id.values()
+        if self.delay.estimate(self.queue, waiting, targets) > demand.max_wait:
+            self._shed(waiting)
+            return
+        self.queue.push(waiting)
         if len(self.queue) > self._queue_length():
             self._shed(self.queue.victim())
 
@@ -222,6 +228,7 @@
         used = completion.input_tokens + completion.output_tokens
         self.budgets.settle(run.demand.workspace, run.demand.tokens, used, ran)
         record.limit.complete(completion, running)
+        self.delay.complete(record, run.demand, completion)
         self.choice.complete(run.target, run.demand, completion)
 
     def observe(self, report):
@@ -335,7 +342,7 @@
             waiting.entry,
             waiting.demand,
             RefusalReason.OVERLOADED,
-            max(MIN_RETRY_SECONDS, waiting.demand.max_wait / 2),
+            self.delay.retry_after(self.queue, waiting, self.targets_by_id.values()),
         )
 
     # Helpers
