Ask an entry to join again when its coordinator does not count it

The dump showed two of three entries joined. Ruled out: lapsed leases and heartbeats (the missing entry had no lease at all), the answer grace (refusals were immediate).

The coordinator now answers with Rejoin: at once to a demand of an entry that has not joined, and when the document comes for what was dropped before. The same mends a service that is taken away and brought back. The three tests fail on the former host.

TargetState.running, PoolState and CarriedSuspect come with the same change of link.proto, for the limits over the fleet.

--- a/almondglade/coordinator/core.py
+++ b/almondglade/coordinator/core.py
@@ -127,6 +127,10 @@
                     spend.workspace, allowance, spend.tokens, spend.requests
                 )
 
+    def is_joined(self, entry):
+        """Tell whether an entry has joined, whether or not its lease runs."""
+        return entry in self.leases.by_entry
+
     def _carry(self, entry, carried):
         demand = carried.demand
         record = self.targets_by_id.get(carried.target)
--- a/almondglade/coordinator/host.py
+++ b/almondglade/coordinator/host.py
@@ -42,6 +42,7 @@
         self.by_pool: dict[str, Coordinator] = {}
         self._send_by_entry: dict[str, Callable[[Any], None]] = {}
         self._unused_since: dict[str, float] = {}
+        self._asked_by_pool: dict[str, set[str]] = {}
 
     def attach(self, entry, send):
         """Set where the messages to an entry go."""
@@ -52,6 +53,8 @@
         if self._send_by_entry.get(entry) != send:
             return
         del self._send_by_entry[entry]
+        for entries in self._asked_by_pool.values():
+            entries.discard(entry)
         for coordinator in self.by_pool.values():
             coordinator.leave(entry)
         self.pump()
@@ -63,9 +66,17 @@
             if pool in declarations.services:
                 coordinator.configure(declarations)
             else:
+                self._asked_by_pool[pool] = set(coordinator.leases.by_entry)
                 del self.by_pool[pool]
+        self._ask_again()
         self.pump()
 
+    def _ask_again(self):
+        # What entries sent before this instance knew the service was dropped.
+        for pool in self._asked_by_pool.keys() & self.declarations.services.keys():
+            for entry in self._asked_by_pool.pop(pool):
+                self._send(entry, m.Rejoin(pool))
+
     def set_published(self, count):
         """Set the number of instances on the platform's list."""
         self.published = count
@@ -83,13 +94,19 @@
         """Pass one message of an entry to the coordinator of its pool."""
         coordinator = self._coordinator(message.pool)
         if coordinator is None:
+            # This instance does not know the service yet, or not any more.
+            self._asked_by_pool.setdefault(message.pool, set()).add(entry)
+            return
+        if isinstance(message, m.Leave):
+            coordinator.leave(entry)
+            return
+        if not isinstance(message, m.Join) and not coordinator.is_joined(entry):
+            self._send(entry, m.Rejoin(message.pool))
             return
         match message:
             case m.Join():
                 coordinator.join(entry, message)
                 coordinator.heard_by_entry.setdefault(entry, 0.0)
-            case m.Leave():
-                coordinator.leave(entry)
             case m.Demand():
                 coordinator.submit(entry, message)
             case m.Withdrawal():
@@ -106,9 +123,12 @@
         """Send what the coordinators have decided."""
         for coordinator in self.by_pool.values():
             for addressed in coordinator.decide():
-                send = self._send_by_entry.get(addressed.entry)
-                if send is not None:
-                    send(addressed.message)
+                self._send(addressed.entry, addressed.message)
+
+    def _send(self, entry, message):
+        send = self._send_by_entry.get(entry)
+        if send is not None:
+            send(message)
 
     async def run(self):
         """Look at deadlines and leases until cancelled."""
--- a/almondglade/messages.py
+++ b/almondglade/messages.py
@@ -89,12 +89,16 @@
         Concurrency limit learnt so far.
     baseline : float
         Seconds per token of an unloaded run; 0 when not known.
+    running : int
+        Requests that the coordinator counted as in progress there, whoever
+        holds them.
     """
 
     target: str
     epoch: str
     limit: float
     baseline: float = 0.0
+    running: int = 0
 
 
 @dataclass(frozen=True)
@@ -182,6 +186,21 @@
     requests: float
 
 
+@dataclass(frozen=True)
+class CarriedSuspect:
+    """A fingerprint whose runs broke, and the targets they broke on.
+
+    Parameters
+    ----------
+    age : float
+        Seconds since the latest broken run.
+    """
+
+    fingerprint: int
+    targets: tuple[str, ...]
+    age: float
+
+
 @dataclass(frozen=True)
 class Join:
     """An entry starts to use a coordinator for a pool.
@@ -198,6 +217,7 @@
     permits: tuple[CarriedPermit, ...] = ()
     targets: tuple[TargetState, ...] = ()
     spends: tuple[CarriedSpend, ...] = ()
+    suspects: tuple[CarriedSuspect, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -207,6 +227,25 @@
     pool: str
 
 
+@dataclass(frozen=True)
+class Rejoin:
+    """Asks an entry that its coordinator does not count to join again."""
+
+    pool: str
+
+
+@dataclass(frozen=True)
+class PoolState:
+    """What a coordinator lets its entries carry to the next one.
+
+    Only what changed is sent.
+    """
+
+    pool: str
+    targets: tuple[TargetState, ...] = ()
+    suspects: tuple[CarriedSuspect, ...] = ()
+
+
 @dataclass(frozen=True)
 class Ping:
     """A heartbeat.
@@ -273,6 +312,8 @@
     | Refusal
     | Preemption
     | ConfigurationUpdate
+    | Rejoin
+    | PoolState
 )
 
 
--- a/almondglade/peers/codec.py
+++ b/almondglade/peers/codec.py
@@ -137,12 +137,15 @@
         epoch=message.epoch,
         limit=message.limit,
         baseline=message.baseline,
+        running=message.running,
     )
 
 
 @decode.register
 def _(wire: pb.TargetState):
-    return m.TargetState(wire.target, wire.epoch, wire.limit, wire.baseline)
+    return m.TargetState(
+        wire.target, wire.epoch, wire.limit, wire.baseline, wire.running
+    )
 
 
 @encode.register
@@ -275,6 +278,7 @@
         permits=[encode(permit) for permit in message.permits],
         targets=[encode(state) for state in message.targets],
         spends=[encode(spend) for spend in message.spends],
+        suspects=[encode(suspect) for suspect in message.suspects],
     )
 
 
@@ -286,6 +290,7 @@
         tuple(decode(permit) for permit in wire.permits),
         tuple(decode(state) for state in wire.targets),
         tuple(decode(spend) for spend in wire.spends),
+        tuple(decode(suspect) for suspect in wire.suspects),
     )
 
 
--- a/almondglade/permits.py
+++ b/almondglade/permits.py
@@ -170,6 +170,8 @@
                 self._refused(message)
             case m.Preemption():
                 self._preempted(message)
+            case m.Rejoin():
+                self._rejoin(message)
 
     def heartbeat(self):
         """Renew the lease at coordinators on this instance itself."""
@@ -239,6 +241,11 @@
                 if permit.cancel is not None:
                     permit.cancel()
 
+    def _rejoin(self, message):
+        client = self.by_pool.get(message.pool)
+        if client is not None and client.coordinator:
+            self._join(client)
+
     def _choose(self, client):
         best = self.membership.coordinators(client.pool)[0]
         if best == client.coordinator:
--- /dev/null
+++ b/test/test_coordinator_host.py
@@ -0,0 +1,50 @@
+"""Entries and a host of coordinators that come to know each other in any order."""
+
+import numpy as np
+
+from almondglade import messages as m
+from almondglade.coordinator.core import Policies
+from almondglade.coordinator.host import CoordinatorHost
+
+from .coordinating import POOL, FakeClock, declare, demand
+
+
+def make_host():
+    clock = FakeClock()
+    host = CoordinatorHost("A", "1", clock, np.random.default_rng(1), Policies())
+    host.set_published(1)
+    inbox = []
+    host.attach("e1", inbox.append)
+    return host, inbox
+
+
+def answer_rejoin(host, inbox):
+    assert inbox[-1] == m.Rejoin(POOL)
+    host.receive("e1", m.Join(POOL))
+
+
+def test_an_entry_that_joined_before_the_document_is_asked_again_and_served():
+    host, inbox = make_host()
+    host.receive("e1", m.Join(POOL))
+    host.configure(declare())
+    answer_rejoin(host, inbox)
+    host.receive("e1", demand())
+    host.pump()
+    assert isinstance(inbox[-1], m.Grant)
+
+
+def test_a_demand_of_an_entry_that_is_not_counted_makes_it_join():
+    host, inbox = make_host()
+    host.configure(declare())
+    host.receive("e1", demand())
+    answer_rejoin(host, inbox)
+
+
+def test_entries_join_again_when_a_service_is_taken_away_and_brought_back():
+    host, inbox = make_host()
+    host.configure(declare())
+    host.receive("e1", m.Join(POOL))
+    without = declare().model_copy(update={"services": {}, "targets": {}})
+    host.configure(without)
+    host.configure(declare())
+    answer_rejoin(host, inbox)
