--- a/Makefile
+++ b/Makefile
@@ -31,6 +31,9 @@
 features: $(VENV)/.ready
 	$(PYTHON) -m behave --format progress features
 
+bench: $(VENV)/.ready
+	$(PYTHON) -m bench.policies
+
 demo: $(VENV)/.ready
 	$(PYTHON) -m bench.demo
 
