--- a/almondglade/coordinator/host.py
+++ b/almondglade/coordinator/host.py
@@ -37,7 +37,7 @@
         self.clock = clock
         self.rng = rng
         self.policies = policies
-        self.declarations = None
+        self.declarations: Any = None
         self.published = 1
         self.by_pool: dict[str, Coordinator] = {}
         self._send_by_entry: dict[str, Callable[[Any], None]] = {}
--- a/almondglade/settings.py
+++ b/almondglade/settings.py
@@ -1,9 +1,11 @@
 """Settings of an entry instance, from flags and environment variables."""
 
 import os
+from ipaddress import ip_address
 from typing import Annotated, Literal
 
 from pydantic import (
+    AfterValidator,
     BaseModel,
     ConfigDict,
     Field,
@@ -19,6 +21,7 @@
 MIN_SECRET_CHARACTERS = 16
 
 Port = Annotated[int, Field(ge=1, le=65535)]
+IpNumber = Annotated[str, AfterValidator(lambda text: str(ip_address(text)))]
 
 
 class Settings(BaseModel):
@@ -29,24 +32,52 @@
 
     model_config = ConfigDict(extra="forbid", frozen=True)
 
-    instance: Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9_.-]{0,62}$")]
-    data_centre: str
-    address: str = "127.0.0.1"
-    caller_port: Port = 8080
-    operator_port: Port = 8081
-    peer_port: Port = 8082
-    platform: Annotated[str, Field(pattern=r"^http://")]
-    configuration_key: str = "almondglade/declarations"
-    service_name: str = "almondglade"
-    peer_secret: Annotated[str, Field(min_length=MIN_SECRET_CHARACTERS, repr=False)]
-    max_requests: PositiveInt = 320
-    reserve_threads: PositiveInt = 16
-    stop_timeout: PositiveFloat = 30.0
-    queue_order: str = "tiered"
-    target_choice: str = "expected-finish"
-    limits: str = "adaptive"
-    log_level: Literal["debug", "info", "warning", "error"] = "info"
-    log_form: Literal["console", "json"] = "console"
+    instance: str = Field(
+        pattern=r"^[a-z0-9][a-z0-9_.-]{0,62}$",
+        description="Id of this instance, unique in the fleet.",
+    )
+    data_centre: str = Field(min_length=1, description="Data centre it runs in.")
+    address: IpNumber = Field(
+        "127.0.0.1", description="IP number to bind and to be reached at."
+    )
+    caller_port: Port = Field(8080, description="Port for callers.")
+    operator_port: Port = Field(
+        8081, description="Port for health, metrics and the dump."
+    )
+    peer_port: Port = Field(8082, description="Port for other instances.")
+    platform: str = Field(
+        pattern=r"^http://[^/\s]+",
+        description="Base URL of the configuration service.",
+    )
+    configuration_key: str = Field(
+        "almondglade/declarations", description="Key of the declared document."
+    )
+    service_name: str = Field(
+        "almondglade", description="Name under which the platform lists instances."
+    )
+    peer_secret: str = Field(
+        min_length=MIN_SECRET_CHARACTERS,
+        repr=False,
+        description="Secret that all instances share; at least 16 characters.",
+    )
+    max_requests: PositiveInt = Field(
+        320, description="Requests served at once; more are refused at once."
+    )
+    reserve_threads: PositiveInt = Field(16, description="Threads kept for refusals.")
+    stop_timeout: PositiveFloat = Field(
+        30.0, description="Seconds that a graceful stop may take."
+    )
+    queue_order: str = Field("tiered", description="Plug-in that orders the queue.")
+    target_choice: str = Field(
+        "expected-finish", description="Plug-in that chooses targets."
+    )
+    limits: str = Field("adaptive", description="Plug-in that limits targets.")
+    log_level: Literal["debug", "info", "warning", "error"] = Field(
+        "info", description="Lowest level that is logged."
+    )
+    log_form: Literal["console", "json"] = Field(
+        "console", description="Form of the log's lines."
+    )
 
     @model_validator(mode="after")
     def _check_ports(self):
--- a/standin/engine.py
+++ b/standin/engine.py
@@ -184,6 +184,7 @@
     def __init__(self, engine):
         self.engine = engine
         self.seen: list[str] = []
+        self.times: list[float] = []
 
     @cherrypy.expose
     def metrics(self):
@@ -198,6 +199,7 @@
         return orjson.dumps(
             {
                 "requests": self.seen,
+                "times": self.times,
                 "prefilled": self.engine.prefilled,
                 "cached": self.engine.cached,
                 "peak": self.engine.peak,
@@ -212,6 +214,7 @@
         """Serve completions."""
         http = cherrypy.request
         self.seen.append(http.headers.get("X-Request-Id", ""))
+        self.times.append(time.time())
         length = int(http.headers.get("Content-Length") or 0)
         document = orjson.loads(http.rfile.read(length))
         prompt = document.get("prompt") or orjson.dumps(document["messages"]).decode()
