--- a/almondglade/ui/standin.py
+++ b/almondglade/ui/standin.py
@@ -19,6 +19,7 @@
     tokens_per_step: int = 1,
     knee: int = 64,
     lag: float = 0.0,
+    journal: str | None = None,
 ):
     """Run a model engine with the OpenAI interface.
 
@@ -46,8 +47,11 @@
         Sequences beyond which steps lengthen with the square of their number.
     lag
         Age of the load report, seconds.
+    journal
+        File to append a line to for each request.
     """
     from standin.engine import Engine, EngineApp, EngineProfile
+    from standin.journal import Journal
 
     profile = EngineProfile(
         step,
@@ -60,10 +64,16 @@
         tokens_per_step=tokens_per_step,
         knee=knee,
     )
-    _serve(port, EngineApp(Engine(profile, lag)))
+    _serve(port, EngineApp(Engine(profile, lag), Journal(journal)))
 
 
-def service(port: int, *, delay: float = 0.005, lag: float = 0.0):
+def service(
+    port: int,
+    *,
+    delay: float = 0.005,
+    lag: float = 0.0,
+    journal: str | None = None,
+):
     """Run a plain service.
 
     Parameters
@@ -74,10 +84,13 @@
         Seconds that each request takes.
     lag
         Age of the load report, seconds.
+    journal
+        File to append a line to for each request.
     """
+    from standin.journal import Journal
     from standin.plain import PlainApp
 
-    _serve(port, PlainApp(delay, lag))
+    _serve(port, PlainApp(delay, lag, Journal(journal)))
 
 
 def platform(port: int):
--- a/standin/engine.py
+++ b/standin/engine.py
@@ -1,5 +1,6 @@
 """A model engine that batches continuously and caches prompt prefixes."""
 
+import os
 import queue
 import threading
 import time
@@ -9,6 +10,7 @@
 import cherrypy
 import orjson
 
+from .journal import Journal
 from .report import LaggingGauges
 
 METRIC_BY_GAUGE = {
@@ -19,6 +21,9 @@
 CHARACTERS_PER_TOKEN = 4
 IDLE_SECONDS = 0.002
 STREAM_TIMEOUT_SECONDS = 120
+# A prompt with this text ends the engine's process at once.
+POISON = b"crash the engine"
+EXIT_POISONED = 70
 
 
 @dataclass(frozen=True)
@@ -181,8 +186,9 @@
 class EngineApp:
     """The engine's HTTP interface."""
 
-    def __init__(self, engine):
+    def __init__(self, engine, journal=None):
         self.engine = engine
+        self.journal = journal or Journal()
         self.seen: list[str] = []
         self.times: list[float] = []
 
@@ -217,6 +223,9 @@
         self.times.append(time.time())
         length = int(http.headers.get("Content-Length") or 0)
         document = orjson.loads(http.rfile.read(length))
+        self.journal.write(request_id=self.seen[-1], path=http.path_info)
+        if POISON in orjson.dumps(document):
+            os._exit(EXIT_POISONED)
         prompt = document.get("prompt") or orjson.dumps(document["messages"]).decode()
         sequence = Sequence(prompt, int(document.get("max_tokens") or 256))
         self.engine.submit(sequence)
--- /dev/null
+++ b/standin/journal.py
@@ -0,0 +1,35 @@
+"""A record of what a target has seen, which outlives its process."""
+
+import threading
+import time
+
+import orjson
+
+
+class Journal:
+    """Appends one JSON line for each request before it is run.
+
+    Parameters
+    ----------
+    path : str or None
+        File to append to; nothing is written when None.
+    """
+
+    def __init__(self, path=None):
+        self._file = open(path, "ab") if path else None  # noqa: SIM115
+        self._lock = threading.Lock()
+
+    def write(self, **fields):
+        """Append a line with the time and the given fields."""
+        if self._file is None:
+            return
+        line = orjson.dumps({"at": time.time(), **fields}) + b"\n"
+        with self._lock:
+            self._file.write(line)
+            self._file.flush()
+
+
+def read_journal(path):
+    """Return the lines of a journal; a line cut short by a kill is left out."""
+    with open(path, "rb") as file:
+        return [orjson.loads(line) for line in file if line.endswith(b"\n")]
--- a/standin/plain.py
+++ b/standin/plain.py
@@ -7,6 +7,7 @@
 import cherrypy
 import orjson
 
+from .journal import Journal
 from .report import LaggingGauges
 
 METRIC_BY_GAUGE = {"running": "http_requests_in_progress"}
@@ -23,7 +24,8 @@
         Age of the load report, seconds.
     """
 
-    def __init__(self, delay=0.005, lag=0.0):
+    def __init__(self, delay=0.005, lag=0.0, journal=None):
+        self.journal = journal or Journal()
         self.delay = delay
         self.gauges = LaggingGauges(lag)
         self.running = 0
@@ -52,6 +54,11 @@
         http = cherrypy.request
         length = int(http.headers.get("Content-Length") or 0)
         body = http.rfile.read(length) if length else b""
+        self.journal.write(
+            request_id=http.headers.get("X-Request-Id", ""),
+            path=http.path_info,
+            body=body.decode("latin-1"),
+        )
         self._count(1, f"{http.method} {http.path_info} {body.decode('latin-1')}")
         try:
             time.sleep(self.delay)
