Park the demands of an entry whose lease has lapsed

Such demands now wait aside and return to the queue with the heartbeat, or end at their deadline. The test of the host fails without the change.

--- a/almondglade/coordinator/core.py
+++ b/almondglade/coordinator/core.py
@@ -21,7 +21,7 @@
 from ..plugins import find_plugin
 from .budgets import BudgetTable
 from .choices import Candidate, TargetChoice
-from .delay import MIN_RETRY_SECONDS, DelayEstimator
+from .delay import DelayEstimator
 from .leases import LeaseTable
 from .limits import LimitPolicy
 from .queues import QueueOrder, Waiting
@@ -84,6 +84,7 @@
         self.targets_by_id: dict[str, TargetRecord] = {}
         self.running_by_request: dict[str, Running] = {}
         self.heard_by_entry: dict[str, float] = {}
+        self.parked_by_entry: dict[str, list[Waiting]] = {}
         self._permit_ids = itertools.count(1)
         self._outbox: list[Addressed] = []
 
@@ -167,12 +168,21 @@
         """
         self.leases.renew(entry, answered_at)
         self.heard_by_entry[entry] = heard_at
+        if self._may_grant_to(entry):
+            for waiting in self.parked_by_entry.pop(entry, ()):
+                self.queue.push(waiting)
+
+    def _may_grant_to(self, entry):
+        # A grant to an entry whose lease has lapsed might arrive after it has
+        # gone elsewhere; one to an entry never heard would bear no valid time.
+        return self.leases.live(entry) and entry in self.heard_by_entry
 
     def leave(self, entry):
         """Drop an entry; what it has running stays counted for now."""
         self.leases.drop(entry)
         self.heard_by_entry.pop(entry, None)
-        for waiting in [w for w in self.queue if w.entry == entry]:
+        parked = self.parked_by_entry.pop(entry, [])
+        for waiting in parked + [w for w in self.queue if w.entry == entry]:
             self.queue.remove(waiting.demand.request_id)
             self._release_budget(waiting.demand, ran=False)
         now = self.clock()
@@ -216,7 +226,8 @@
 
     def withdraw(self, entry, withdrawal):
         """Forget a waiting demand whose caller has gone."""
-        waiting = self.queue.remove(withdrawal.request_id)
+        request_id = withdrawal.request_id
+        waiting = self.queue.remove(request_id) or self._unpark(request_id)
         if waiting is not None:
             self._release_budget(waiting.demand, ran=False)
 
@@ -271,15 +282,8 @@
             if not candidates:
                 break
             self.queue.pop()
-            if not self.leases.live(waiting.entry):
-                # Its grant might arrive after the entry has gone elsewhere.
-                self._release_budget(waiting.demand, ran=False)
-                self._refuse(
-                    waiting.entry,
-                    waiting.demand,
-                    RefusalReason.NO_COORDINATOR,
-                    MIN_RETRY_SECONDS,
-                )
+            if not self._may_grant_to(waiting.entry):
+                self.parked_by_entry.setdefault(waiting.entry, []).append(waiting)
                 continue
             self._grant(waiting, self.choice.choose(waiting.demand, candidates))
         outbox, self._outbox = self._outbox, []
@@ -333,14 +337,26 @@
 
     def _expire(self):
         now = self.clock()
-        for waiting in [w for w in self.queue if w.deadline <= now]:
+        for waiting in [w for w in self._all_waiting() if w.deadline <= now]:
             self._shed(waiting)
         for record in self.targets_by_id.values():
             for run in [r for r in record.lost() if r.release_by <= now]:
                 self._forget(record, run)
 
+    def _all_waiting(self):
+        return itertools.chain(self.queue, *self.parked_by_entry.values())
+
+    def _unpark(self, request_id):
+        for waiting_list in self.parked_by_entry.values():
+            for waiting in waiting_list:
+                if waiting.demand.request_id == request_id:
+                    waiting_list.remove(waiting)
+                    return waiting
+        return None
+
     def _shed(self, waiting):
         self.queue.remove(waiting.demand.request_id)
+        self._unpark(waiting.demand.request_id)
         self._release_budget(waiting.demand, ran=False)
         self._refuse(
             waiting.entry,
@@ -352,7 +368,7 @@
     # Helpers
 
     def _queued_ids(self):
-        return {waiting.demand.request_id for waiting in self.queue}
+        return {waiting.demand.request_id for waiting in self._all_waiting()}
 
     def _start(self, record, run):
         self.running_by_request[run.demand.request_id] = run
--- a/almondglade/coordinator/host.py
+++ b/almondglade/coordinator/host.py
@@ -37,7 +37,7 @@
         self.clock = clock
         self.rng = rng
         self.policies = policies
-        self.declarations = None
+        self.declarations: Any = None
         self.published = 1
         self.by_pool: dict[str, Coordinator] = {}
         self._send_by_entry: dict[str, Callable[[Any], None]] = {}
@@ -106,7 +106,6 @@
         match message:
             case m.Join():
                 coordinator.join(entry, message)
-                coordinator.heard_by_entry.setdefault(entry, 0.0)
             case m.Demand():
                 coordinator.submit(entry, message)
             case m.Withdrawal():
--- a/test/coordinating.py
+++ b/test/coordinating.py
@@ -18,6 +18,7 @@
         self.now = now
 
     def __call__(self):
+        """Return the time that was set."""
         return self.now
 
 
--- a/test/test_coordinator_host.py
+++ b/test/test_coordinator_host.py
@@ -30,7 +30,11 @@
     answer_rejoin(host, inbox)
     host.receive("e1", demand())
     host.pump()
+    assert not any(isinstance(message, m.Grant) for message in inbox)
+    host.heard("e1", m.Ping(100.0, 100.0, 1))
+    host.pump()
     assert isinstance(inbox[-1], m.Grant)
+    assert inbox[-1].heard_at == 100.0
 
 
 def test_a_demand_of_an_entry_that_is_not_counted_makes_it_join():
