--- a/almondglade/coordinator/host.py
+++ b/almondglade/coordinator/host.py
@@ -106,7 +106,6 @@
         match message:
             case m.Join():
                 coordinator.join(entry, message)
-                coordinator.heard_by_entry.setdefault(entry, 0.0)
             case m.Demand():
                 coordinator.submit(entry, message)
             case m.Withdrawal():
