Show operators' changes as features

Cause: what operators do by editing the document was only tried by hand.

Ruled out: features with fakes; they run on separate processes, so they show what operators will see.

--- a/features/steps/serving.py
+++ b/features/steps/serving.py
@@ -1,5 +1,7 @@
 """Steps about serving callers."""
 
+import copy
+
 import orjson
 from behave import given, then, when
 
@@ -12,10 +14,12 @@
         fleet = context.stack.enter_context(Fleet(sample_declarations()))
         fleet.start_target("d1", "drafts", "muc-a")
         fleet.start_target("b1", "bookings", "muc-b")
+        fleet.start_target("b2", "bookings", "muc-a")
         for number in range(1, count + 1):
             fleet.start_instance(f"e{number}", "muc-a")
         fleet.list_instances()
         fleet.await_ready(fleet.publish())
+        fleet.first_declarations = copy.deepcopy(fleet.declarations)
         context.fleets_by_size[count] = fleet
     context.fleet = context.fleets_by_size[count]
 
