--- a/almondglade/coordinator/core.py
+++ b/almondglade/coordinator/core.py
@@ -101,6 +101,7 @@
                 record = TargetRecord(name, limit, service.limits.total)
                 self.targets_by_id[name] = record
             record.limit.maximum = target.max_concurrent
+            record.limit.token_gap = service.token_gap
             record.run_limit = service.limits.total
             was_serving = record.serving
             record.serving = declarations.takes_new_work(name)
@@ -297,7 +298,7 @@
                         name,
                         record.running,
                         allowed,
-                        record.limit.baseline,
+                        record.limit.pace(record.running + 1),
                         record.backlog,
                         reported.running + reported.waiting if reported else 0,
                     )
--- a/almondglade/coordinator/limits.py
+++ b/almondglade/coordinator/limits.py
@@ -31,6 +31,11 @@
         self.epoch = ""
         self.limit = COLD_LIMIT
         self.baseline = 0.0
+        self.token_gap: float | None = None
+
+    def pace(self, running):
+        """Return the expected seconds per token at a concurrency; 0 if unknown."""
+        return self.baseline
 
     @property
     def current(self):
--- a/almondglade/declarations/models.py
+++ b/almondglade/declarations/models.py
@@ -89,12 +89,20 @@
 
 
 class Service(_Model):
-    """A pool of targets that answer the same requests."""
+    """A pool of targets that answer the same requests.
+
+    Parameters
+    ----------
+    token_gap : float or None
+        Goal for the seconds between tokens; a target's limit stays below the
+        concurrency that would miss it.
+    """
 
     kind: Name
     models: list[str] = []
     limits: TimeLimits = TimeLimits()
     max_wait: PositiveFloat = 10.0
+    token_gap: PositiveFloat | None = None
     max_body_bytes: PositiveInt = MAX_BODY_BYTES
     queue_length: PositiveInt = 256
     routes: list[Route] = []
--- a/bench/policies.py
+++ b/bench/policies.py
@@ -8,6 +8,7 @@
 
 import itertools
 import json
+import math
 import sys
 import time
 from dataclasses import asdict, dataclass, field, replace
@@ -21,12 +22,14 @@
 
 from .fleet import Fleet
 
-STEP_SECONDS = 0.05
-STEP_PER_SEQUENCE = 0.002
-TOKENS_PER_STEP = 16
+STEP_SECONDS = 0.025
+STEP_PER_SEQUENCE = 0.001
+TOKENS_PER_STEP = 8
 KNEE = 8
 MIN_TOKENS, MAX_TOKENS = 8, 800
-MEAN_TOKENS = (MAX_TOKENS - MIN_TOKENS) / 4.605
+MEAN_TOKENS = (MAX_TOKENS - MIN_TOKENS) / math.log(MAX_TOKENS / MIN_TOKENS)
+# An engine spends whole steps, half of one more than needed on average.
+MEAN_WORK = MEAN_TOKENS + TOKENS_PER_STEP / 2
 MAX_CONCURRENT = 32
 INSTANCES = 3
 TIERS = {"gold": 0, "silver": 1, "basic": 2}
@@ -128,8 +131,8 @@
     name: str
     load_by_plan: dict[str, float]
     engines: tuple[EngineSpec, ...] = EQUAL
-    seconds: float = 16.0
-    warm_seconds: float = 6.0
+    seconds: float = 20.0
+    warm_seconds: float = 10.0
     max_wait: float = 3.0
     prefixes: int = 8
     prefix_words: int = 20
@@ -149,7 +152,7 @@
                 workspace,
                 f"key-{workspace}",
                 TIERS[name],
-                share * part * self.capacity / MEAN_TOKENS,
+                share * part * self.capacity / MEAN_WORK,
                 "script-7b",
                 min_tokens=MIN_TOKENS,
                 max_tokens=MAX_TOKENS,
@@ -271,9 +274,9 @@
             )
             for second in range(int(scenario.seconds))
         ],
-        {t: sum(s.arrival.tokens for s in measured if tier_of(s) == t) for t in tiers},
+        {t: sum(work_of(s) for s in measured if tier_of(s) == t) for t in tiers},
         {
-            t: sum(s.arrival.tokens for s in measured if s.good and tier_of(s) == t)
+            t: sum(work_of(s) for s in measured if s.good and tier_of(s) == t)
             for t in tiers
         },
         quantile(firsts, 0.5),
@@ -310,7 +313,12 @@
     span = max(sample.ended - sample.first, STEP_SECONDS)
     began = sample.ended - span
     overlap = min(sample.ended, end) - max(began, start)
-    return sample.arrival.tokens * max(0.0, overlap) / span
+    return work_of(sample) * max(0.0, overlap) / span
+
+
+def work_of(sample):
+    """Return the tokens that a sample's engine spent in whole steps."""
+    return math.ceil(sample.arrival.tokens / TOKENS_PER_STEP) * TOKENS_PER_STEP
 
 
 def quantile(ordered, part):
--- /dev/null
+++ b/test/test_limits.py
@@ -0,0 +1,100 @@
+"""Concurrency limits learnt from completed work."""
+
+import numpy as np
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from almondglade.messages import Completion, Result
+from almondgladeplug.limits import AdaptiveLimit
+
+from .modelled import FakeClock, ModelEngine, drive
+
+MAXIMUM = 64
+COMPLETIONS = st.builds(
+    Completion,
+    st.just("r"),
+    st.just("drafts"),
+    st.sampled_from(Result),
+    input_tokens=st.integers(0, 1000),
+    output_tokens=st.integers(0, 1000),
+    first_token=st.floats(0, 1),
+    duration=st.floats(0, 100),
+)
+
+
+def learnt(knee=8, seed=1, seconds=30, **settings):
+    """Return an engine and its limit after some time at full load."""
+    clock = FakeClock()
+    engine = ModelEngine(clock, knee)
+    limit = AdaptiveLimit("d1", MAXIMUM, clock)
+    for name, value in settings.items():
+        setattr(limit, name, value)
+    rng = np.random.default_rng(seed)
+    for _ in drive(engine, limit, rng, seconds):
+        pass
+    return engine, limit, rng
+
+
+@given(st.lists(st.tuples(COMPLETIONS, st.integers(1, 80), st.floats(0, 5))))
+def test_the_limit_stays_between_one_and_the_declared_maximum(runs):
+    clock = FakeClock()
+    limit = AdaptiveLimit("d1", 16, clock)
+    limit.observe_epoch("1")
+    for completion, running, pause in runs:
+        clock.now += pause
+        limit.complete(completion, running)
+        assert 1 <= limit.current <= 16
+    limit.observe_epoch("2")
+    assert limit.current == 1
+
+
+@pytest.mark.parametrize("knee", [4, 8, 16])
+@pytest.mark.parametrize("seed", range(3))
+def test_the_limit_rises_to_the_knee_and_keeps_the_throughput(knee, seed):
+    engine, limit, rng = learnt(knee, seed)
+    before, began = engine.work_done, engine.clock()
+    for _ in drive(engine, limit, rng, 60):
+        pass
+    throughput = (engine.work_done - before) / (engine.clock() - began)
+    assert throughput >= 0.92 * engine.capacity
+
+
+@pytest.mark.parametrize("slow", [2.5, 10.0])
+def test_the_limit_falls_when_the_engine_slows_down(slow):
+    engine, limit, rng = learnt()
+    settled = limit.current
+    engine.slow = slow
+    lowest = min(limit.current for _ in drive(engine, limit, rng, 20))
+    assert lowest <= settled / 2
+
+
+def test_a_longer_request_is_not_a_slower_target():
+    clock = FakeClock()
+    limit = AdaptiveLimit("d1", MAXIMUM, clock)
+    for tokens in (8, 800, 8, 800, 8, 800):
+        clock.now += tokens * 0.01
+        limit.complete(
+            Completion(
+                "r",
+                "drafts",
+                Result.COMPLETED,
+                output_tokens=tokens,
+                duration=tokens * 0.01,
+            ),
+            limit.current,
+        )
+    assert limit.current > 1
+
+
+def test_the_gap_between_tokens_stays_within_its_goal():
+    # 16 tokens each 50 ms and 2 ms a sequence: a goal of 60 ms a step.
+    engine, limit, _ = learnt(knee=16, token_gap=0.060 / 16)
+    assert 2 <= limit.current <= 7
+
+
+@pytest.mark.parametrize("result", [Result.BROKEN, Result.REFUSED])
+def test_a_failure_makes_the_target_cold(result):
+    engine, limit, _ = learnt()
+    limit.complete(Completion("r", "drafts", result), limit.current)
+    assert limit.current == 1
