--- a/Makefile
+++ b/Makefile
@@ -36,3 +36,6 @@
 
 demo: $(VENV)/.ready
 	$(PYTHON) -m bench.demo
+
+binary: $(VENV)/.ready
+	$(PYTHON) -m bench.binary
