Run a non-idempotent request at most once for its key

Cause: after an unknown outcome a caller could only guess whether to send a pickup, a tipping credit or a reel booking again.

An issued key names its home process and is run there only; a caller's own key is claimed at every listed or connected instance first. Departures from the starting design: "not run" is never said where the home or a peer gave no answer, since an earlier send may have run; a witness must have been on the list, unpaused, for the window and the list's lag.

--- a/almondglade/entry/app.py
+++ b/almondglade/entry/app.py
@@ -12,6 +12,7 @@
 from ..log import get_logger
 from ..outcome import Code, Outcome, RequestError
 from .callers import CallerTable
+from .keys import before_lookup, issue_keys
 
 log = get_logger("entry")
 
@@ -125,12 +126,15 @@
             self.active -= 1
 
     def _answer(self, request_id):
-        self._check_capacity()
+        with before_lookup():
+            self._check_capacity()
         http = cherrypy.request
         path = http.wsgi_environ.get("REQUEST_URI", http.path_info).partition("?")[0]
         caller = self.callers.authenticate(http.headers.get("Authorization"))
         if path == "/v1/models":
             return self._models()
+        if path == "/v1/keys":
+            return issue_keys(self.scheduler, caller.workspace)
         request = self._incoming(request_id, caller, path)
         run = self.scheduler.run(request)
         cherrypy.response.status = run.head.status
--- /dev/null
+++ b/almondglade/keys/__init__.py
@@ -0,0 +1,1 @@
+"""Idempotency keys: a non-idempotent request runs at most once."""
--- /dev/null
+++ b/almondglade/keys/claiming.py
@@ -0,0 +1,202 @@
+"""Ask every instance to accept a claim on a caller's own key."""
+
+from dataclasses import dataclass
+
+from ..outcome import Code, Outcome, RequestError
+from .claims import MARGIN_SECONDS
+from .codec import Holder, void
+
+UNSETTLED_RETRY_SECONDS = 2.0
+
+
+@dataclass(frozen=True)
+class ClaimOrder:
+    """What a claimant sends to every other instance.
+
+    Parameters
+    ----------
+    instead_of : Holder or None
+        A holder that has yielded to the claimant.
+    """
+
+    workspace: str
+    key: str
+    claimant: Holder
+    instead_of: Holder | None = None
+
+
+@dataclass(frozen=True)
+class ClaimVote:
+    """An instance's reply to a claim.
+
+    Parameters
+    ----------
+    voter : Holder
+        Who replies.
+    holder : Holder or None
+        The holder that it has recorded; None if its table is full.
+    listed_for : float
+        Seconds for which it has been listed without a break.
+    known : frozenset of str
+        Instances that are listed or connected at the voter.
+    """
+
+    voter: Holder
+    holder: Holder | None
+    listed_for: float
+    known: frozenset[str]
+
+
+@dataclass(frozen=True)
+class Settlement:
+    """Who may run the request of a key.
+
+    Parameters
+    ----------
+    holder : Holder
+        This process only if every instance has accepted its claim.
+    began_at : float
+        When the round began, monotonic seconds.
+    """
+
+    holder: Holder
+    began_at: float
+
+
+class Voter:
+    """Replies to claims, also to this process's own.
+
+    Parameters
+    ----------
+    claims : ClaimTable
+        Claims recorded here.
+    peers : Peers
+        Tells which instances are known.
+    """
+
+    def __init__(self, claims, peers):
+        self.claims = claims
+        self.peers = peers
+
+    def vote(self, slot, order):
+        """Record a claim if it can be accepted and return the `ClaimVote`."""
+        holder = self.claims.receive(slot, order.claimant, order.instead_of)
+        listed_for = self.peers.listing.listed_for()
+        known = frozenset(self.peers.names())
+        return ClaimVote(self.claims.own, holder, listed_for, known)
+
+
+class Claimant:
+    """Settles who holds a caller's own key.
+
+    Parameters
+    ----------
+    voter : Voter
+        This process's own vote.
+    peers : Peers
+        Carries claims to the other instances.
+    list_lag : float
+        Seconds after an instance is listed by which all others may read so.
+    """
+
+    def __init__(self, voter, peers, list_lag):
+        self.voter = voter
+        self.claims = voter.claims
+        self.peers = peers
+        self.list_lag = list_lag
+
+    @property
+    def witness_age(self):
+        """Seconds on the list from which an instance is a witness.
+
+        A witness was known to all when the key can first have been used within
+        the window, so it would have recorded the claim.
+        """
+        return self.claims.window + self.list_lag + MARGIN_SECONDS
+
+    def settle(self, slot):
+        """Return the `Settlement` of a key.
+
+        Raises
+        ------
+        RequestError
+            If it cannot be settled now, or its holder has gone.
+        """
+        began_at = self.claims.clock()
+        own = self.claims.own
+        order = ClaimOrder(slot.workspace, slot.key, own)
+        ours = self.voter.vote(slot, order)
+        if ours.holder is None:
+            raise unsettled("too many keys are in use")
+        if ours.holder != own:
+            return Settlement(ours.holder, began_at)
+        if not self.peers.listing.is_fresh():
+            raise unsettled("the list of instances was not read lately")
+        asked = self.peers.names()
+        votes = self._ask(asked, order)
+        dissenting = [vote for vote in votes.values() if vote.holder != own]
+        if dissenting:
+            return self._contest(slot, began_at, votes, dissenting)
+        self._check_complete(asked, [ours, *votes.values()])
+        return Settlement(own, began_at)
+
+    def _ask(self, names, order):
+        votes = self.peers.claim(names, order)
+        missing = sorted(set(names) - votes.keys())
+        held = [vote for vote in votes.values() if self._holds_itself(vote)]
+        # A first-hand holder settles it, whoever else is silent.
+        if missing and not held:
+            raise unsettled(f"no reply from {', '.join(missing)}")
+        return votes
+
+    def _holds_itself(self, vote):
+        return vote.holder == vote.voter
+
+    def _contest(self, slot, began_at, votes, dissenting):
+        """Follow another holder, or take over from one that has yielded."""
+        for vote in dissenting:
+            if vote.holder is None:
+                raise unsettled(f"{vote.voter.instance} has too many keys in use")
+            if self._holds_itself(vote):
+                self.claims.yield_to(slot, vote.holder)
+                return Settlement(vote.holder, began_at)
+        accepting = {v.voter for v in votes.values() if v.holder == self.claims.own}
+        for vote in dissenting:
+            self._take_over(slot, vote, accepting, votes)
+        raise unsettled("another instance claimed the key at the same time")
+
+    def _take_over(self, slot, vote, accepting, votes):
+        if vote.holder in accepting:
+            own = self.claims.own
+            order = ClaimOrder(slot.workspace, slot.key, own, vote.holder)
+            self.peers.claim([vote.voter.instance], order)
+            return
+        present = {v.voter for v in votes.values()} | {self.claims.own}
+        if vote.holder not in present:
+            self.claims.yield_to(slot, vote.holder)
+            raise void("the instance that used the key has gone")
+
+    def _check_complete(self, asked, votes):
+        unknown = set().union(*(v.known for v in votes)) - set(asked)
+        unknown.discard(self.claims.own.instance)
+        if unknown:
+            raise unsettled(f"not yet known here: {', '.join(sorted(unknown))}")
+        oldest = max(vote.listed_for for vote in votes)
+        if oldest < self.witness_age:
+            raise unsettled(
+                "no instance has been listed for long enough",
+                self.witness_age - oldest,
+            )
+
+
+def unsettled(cause, retry_after=UNSETTLED_RETRY_SECONDS):
+    """Return the error of a key whose use could not be ruled out now.
+
+    The outcome is unknown, since an earlier send may have run it.
+    """
+    return RequestError(
+        Code.KEY_UNSETTLED,
+        f"the key's use cannot be ruled out at present: {cause}",
+        Outcome.UNKNOWN,
+        retry_after,
+    )
--- /dev/null
+++ b/almondglade/keys/claims.py
@@ -0,0 +1,153 @@
+"""Who may run the request of a caller's own key: the record at each instance."""
+
+import threading
+from collections import Counter, OrderedDict
+from dataclasses import dataclass
+
+from .codec import Holder
+
+MAX_CLAIMS = 100_000
+# A claim must be used this soon after its round began, else it is made again.
+CLAIM_VALID_SECONDS = 5.0
+# Kept beyond the window, for a claimant paused between claim and use.
+MARGIN_SECONDS = 60.0
+
+
+@dataclass
+class Claim:
+    """One recorded claim.
+
+    Parameters
+    ----------
+    made_at : float
+        Monotonic seconds of its latest renewal.
+    used : bool
+        Set at its holder when the request may be dispatched; never yielded
+        after that.
+    """
+
+    holder: Holder
+    made_at: float
+    used: bool = False
+
+
+class ClaimTable:
+    """The holder of each caller's own key, as this process knows it.
+
+    Parameters
+    ----------
+    own : Holder
+        This process.
+    clock : callable
+        Returns monotonic seconds.
+    window : float
+        Seconds for which a key is protected after its first use.
+    max_claims : int
+        Bound of its memory; a full table accepts no further key.
+    """
+
+    def __init__(self, own, clock, window, max_claims=MAX_CLAIMS):
+        self.own = own
+        self.clock = clock
+        self.window = window
+        self.max_claims = max_claims
+        self.by_slot: OrderedDict = OrderedDict()
+        self.counts: Counter = Counter()
+        self._lock = threading.Lock()
+
+    @property
+    def kept_for(self):
+        """Seconds for which a claim is kept."""
+        return self.window + MARGIN_SECONDS
+
+    def receive(self, slot, claimant, instead_of=None):
+        """Take in a claim and return the holder that is now recorded.
+
+        Parameters
+        ----------
+        slot : Slot
+            Workspace and key.
+        claimant : Holder
+            Who claims it; this process itself too.
+        instead_of : Holder or None
+            A holder that has itself yielded to the claimant.
+
+        Returns
+        -------
+        Holder or None
+            The claimant if the claim is accepted; None if the table is full.
+        """
+        with self._lock:
+            now = self.clock()
+            self._forget(now)
+            claim = self.by_slot.get(slot)
+            if claim is None:
+                if len(self.by_slot) >= self.max_claims:
+                    self.counts["refused_full"] += 1
+                    return None
+                claim = Claim(claimant, now)
+            elif claim.holder == instead_of or self._yields(claim, claimant):
+                if not claim.used:
+                    claim.holder = claimant
+            if claim.holder == claimant:
+                self._renew(slot, claim, now)
+            return claim.holder
+
+    def yield_to(self, slot, holder):
+        """Record another holder in place of this process's unused claim."""
+        with self._lock:
+            claim = self.by_slot.get(slot)
+            if claim is not None and claim.holder == self.own and not claim.used:
+                claim.holder = holder
+                self.counts["yielded"] += 1
+
+    def use(self, slot, began_at):
+        """Mark this process's claim as used.
+
+        Parameters
+        ----------
+        began_at : float
+            When the round began that all others have accepted.
+
+        Returns
+        -------
+        bool
+            False if the claim was yielded meanwhile or is too old.
+        """
+        with self._lock:
+            claim = self.by_slot.get(slot)
+            if claim is None or claim.holder != self.own:
+                return False
+            if self.clock() - began_at > CLAIM_VALID_SECONDS:
+                return False
+            claim.used = True
+            return True
+
+    def snapshot(self):
+        """Return sizes and counters for the dump."""
+        with self._lock:
+            return {"claims": len(self.by_slot), **dict(self.counts)}
+
+    def _yields(self, claim, claimant):
+        """Tell whether an unused claim of this process gives way.
+
+        Of two that claim at once the smaller wins; both know the order.
+        """
+        ours = claim.holder == self.own and not claim.used
+        return ours and _order(claimant) < _order(self.own)
+
+    def _renew(self, slot, claim, now):
+        claim.made_at = now
+        self.by_slot[slot] = claim
+        self.by_slot.move_to_end(slot)
+
+    def _forget(self, now):
+        while self.by_slot:
+            slot, claim = next(iter(self.by_slot.items()))
+            if now - claim.made_at <= self.kept_for:
+                return
+            del self.by_slot[slot]
+
+
+def _order(holder):
+    return holder.instance, holder.incarnation
--- /dev/null
+++ b/almondglade/keys/codec.py
@@ -0,0 +1,147 @@
+"""The text of an idempotency key, and the MAC of those that are issued here."""
+
+import hashlib
+import hmac
+import itertools
+import re
+from dataclasses import dataclass
+
+from ..outcome import Code, Outcome, RequestError
+
+PREFIX = "agk1"
+SEPARATOR = ":"
+MAC_CHARACTERS = 32
+MAX_KEY_CHARACTERS = 255
+MILLISECONDS = 1_000
+MAC_CONTEXT = b"almondglade idempotency key\0"
+
+_PRINTABLE = re.compile(r"[!-~](?:[ -~]*[!-~])?")
+_ISSUED = re.compile(
+    r"agk1:([a-z0-9][a-z0-9_.-]{0,62}):([0-9a-f]{1,64}):([0-9]{1,18}):([0-9]{1,18})"
+    r":([0-9a-f]{32})"
+)
+
+
+@dataclass(frozen=True)
+class Holder:
+    """One process that may run the requests of a key.
+
+    Parameters
+    ----------
+    instance : str
+        Instance id.
+    incarnation : str
+        Changes with each start of the instance.
+    """
+
+    instance: str
+    incarnation: str
+
+
+@dataclass(frozen=True)
+class IssuedKey:
+    """A key that an instance issued.
+
+    Parameters
+    ----------
+    home : Holder
+        The only process that may run its request.
+    issued_at : float
+        Seconds on the home's monotonic clock.
+    serial : int
+        Unique at its home.
+    """
+
+    home: Holder
+    issued_at: float
+    serial: int
+
+
+def clean_key(header):
+    """Return the key in an ``Idempotency-Key`` header.
+
+    The header is a quoted string by the IETF draft; bare text is taken too.
+
+    Raises
+    ------
+    RequestError
+        If it is empty, too long or not printable ASCII.
+    """
+    text = header.strip()
+    if len(text) >= 2 and text[0] == text[-1] == '"':
+        text = text[1:-1]
+    if len(text) > MAX_KEY_CHARACTERS or not _PRINTABLE.fullmatch(text):
+        raise RequestError(
+            Code.BAD_REQUEST,
+            f"an idempotency key is 1 to {MAX_KEY_CHARACTERS} printable characters",
+        )
+    return text
+
+
+class KeyCodec:
+    """Issues keys and reads those issued by any instance.
+
+    Parameters
+    ----------
+    secret : str
+        Secret that all instances share.
+    own : Holder
+        This process.
+    clock : callable
+        Returns monotonic seconds.
+    """
+
+    def __init__(self, secret, own, clock):
+        self.own = own
+        self._secret = secret.encode()
+        self._clock = clock
+        self._serials = itertools.count(1)
+
+    def issue(self, workspace):
+        """Return a new key for a workspace."""
+        issued_ms = int(self._clock() * MILLISECONDS)
+        fields = (
+            PREFIX,
+            self.own.instance,
+            self.own.incarnation,
+            str(issued_ms),
+            str(next(self._serials)),
+        )
+        text = SEPARATOR.join(fields)
+        return f"{text}{SEPARATOR}{self._mac(workspace, text)}"
+
+    def is_issued(self, text):
+        """Tell whether a key claims to be issued by the system."""
+        return text.partition(SEPARATOR)[0] == PREFIX
+
+    def read(self, text, workspace):
+        """Return the `IssuedKey` of a genuine key.
+
+        Raises
+        ------
+        RequestError
+            If it is malformed (not run), or not genuine for this workspace.
+            The latter is unknown: the secret may have been changed since the
+            key was used.
+        """
+        match = _ISSUED.fullmatch(text)
+        if match is None:
+            raise RequestError(
+                Code.BAD_REQUEST, f"keys that begin with {PREFIX}: are issued only"
+            )
+        instance, incarnation, issued_ms, serial, mac = match.groups()
+        signed = text.rpartition(SEPARATOR)[0]
+        if not hmac.compare_digest(mac, self._mac(workspace, signed)):
+            raise void("the key was not issued to this workspace")
+        home = Holder(instance, incarnation)
+        return IssuedKey(home, int(issued_ms) / MILLISECONDS, int(serial))
+
+    def _mac(self, workspace, text):
+        message = MAC_CONTEXT + f"{workspace}\0{text}".encode()
+        digest = hmac.new(self._secret, message, hashlib.sha256)
+        return digest.hexdigest()[:MAC_CHARACTERS]
+
+
+def void(message):
+    """Return the error of a key under which nothing will be run any more."""
+    return RequestError(Code.KEY_VOID, message, Outcome.UNKNOWN)
--- /dev/null
+++ b/almondglade/keys/listing.py
@@ -0,0 +1,64 @@
+"""How long this instance has been on the platform's list, by its own clock."""
+
+# A list confirmed longer ago may lack an instance that has started since.
+MAX_VIEW_AGE_SECONDS = 45.0
+
+
+class Listing:
+    """When the list was read, and since when it has held this instance.
+
+    Parameters
+    ----------
+    clock : callable
+        Returns monotonic seconds.
+    """
+
+    def __init__(self, clock):
+        self.clock = clock
+        self._attempted_at = clock()
+        self._confirmed_at = None
+        self._listed_since = None
+
+    def attempt(self):
+        """Note that the list is about to be read, and return the time."""
+        now = self.clock()
+        if self._was_paused(now):
+            # It may have been dropped from the list and taken back unseen.
+            self._listed_since = None
+        self._attempted_at = now
+        return now
+
+    def confirm(self, attempted_at, listed):
+        """Take in an answer.
+
+        Parameters
+        ----------
+        attempted_at : float
+            What `attempt` returned: an answer that waited here in a paused
+            process is as old as its question.
+        listed : bool
+            Whether the list held this instance.
+        """
+        self._confirmed_at = attempted_at
+        if not listed:
+            self._listed_since = None
+        elif self._listed_since is None:
+            self._listed_since = self.clock()
+
+    def is_fresh(self):
+        """Tell whether the list was confirmed lately."""
+        confirmed_at = self._confirmed_at
+        return (
+            confirmed_at is not None
+            and self.clock() - confirmed_at <= MAX_VIEW_AGE_SECONDS
+        )
+
+    def listed_for(self):
+        """Return for how many seconds this instance has been listed, unpaused."""
+        now, since = self.clock(), self._listed_since
+        if since is None or self._was_paused(now):
+            return 0.0
+        return now - since
+
+    def _was_paused(self, now):
+        return now - self._attempted_at > MAX_VIEW_AGE_SECONDS
--- /dev/null
+++ b/almondglade/keys/scheduling.py
@@ -0,0 +1,261 @@
+"""Run each keyed request at most once, here or at the holder of its key."""
+
+from collections import Counter
+
+import xxhash
+
+from ..dispatch.call import AnswerHead
+from ..errors import PeerError
+from ..kinds import ServiceKind
+from ..log import get_logger
+from ..outcome import Code, Outcome, RequestError
+from ..plugins import find_plugin
+from .claiming import unsettled
+from .codec import clean_key, void
+from .table import MAX_ANSWER_BYTES, Answer, Slot
+
+log = get_logger("keys")
+
+# An issued key is void this long after its issue.
+KEY_LIFETIME_SECONDS = 3600.0
+MAX_ISSUED = 100
+REPLAYED_HEADER = "Idempotency-Replayed"
+UNREACHABLE_RETRY_SECONDS = 1.0
+
+
+class StoredRun:
+    """A whole answer, in the form of a `Run`."""
+
+    is_whole = True
+
+    def __init__(self, answer, replayed=False):
+        extra = ((REPLAYED_HEADER, "true"),) if replayed else ()
+        self.head = AnswerHead(answer.head.status, answer.head.headers + extra)
+        self._chunks = iter([answer.body] if answer.body else [])
+
+    def __iter__(self):
+        return self
+
+    def __next__(self):
+        return next(self._chunks)
+
+    def close(self):
+        """Do nothing; the run has ended."""
+
+
+class KeyedScheduler:
+    """A scheduler that runs non-idempotent requests once for each key.
+
+    Parameters
+    ----------
+    scheduler : Scheduler
+        Runs the requests.
+    codec : KeyCodec
+        Issues and reads keys.
+    table : KeyTable
+        What was done here under each key.
+    claimant : Claimant
+        Settles who holds a caller's own key.
+    peers : Peers
+        Carries requests to the holders of their keys.
+    """
+
+    def __init__(self, scheduler, codec, table, claimant, peers):
+        self.scheduler = scheduler
+        self.codec = codec
+        self.table = table
+        self.claimant = claimant
+        self.peers = peers
+        self.counts: Counter = Counter()
+
+    def issue(self, workspace, count):
+        """Return new keys of which this process is the home."""
+        if not isinstance(count, int) or not 1 <= count <= MAX_ISSUED:
+            raise RequestError(
+                Code.BAD_REQUEST, f"count must be from 1 to {MAX_ISSUED}"
+            )
+        self.counts["issued"] += count
+        return [self.codec.issue(workspace) for _ in range(count)]
+
+    def run(self, request):
+        """Dispatch a request, or return what became of it, as a `Run`.
+
+        Raises
+        ------
+        RequestError
+            If it was not run, or its fate is unknown.
+        """
+        if request.key is None or self._is_idempotent(request):
+            return self.scheduler.run(request)
+        return self.run_keyed(request, may_forward=True)
+
+    def run_keyed(self, request, may_forward=False):
+        """Run a keyed request here, or forward it once to its holder."""
+        key = clean_key(request.key)
+        slot = Slot(request.workspace, key)
+        if self.codec.is_issued(key):
+            return self._run_issued(request, slot, may_forward)
+        return self._run_claimed(request, slot, may_forward)
+
+    def outcome_unless_run(self, workspace, header):
+        """Return what may be said of a keyed request refused before its lookup.
+
+        An earlier send may have run it, unless its record here tells that none
+        has.
+        """
+        try:
+            key = clean_key(header)
+            issued = (
+                self.codec.read(key, workspace) if self.codec.is_issued(key) else None
+            )
+        except RequestError as error:
+            return error.outcome
+        if issued is None or issued.home != self.codec.own:
+            return Outcome.UNKNOWN
+        expires_at = issued.issued_at + KEY_LIFETIME_SECONDS
+        unused = self.table.is_unused(Slot(workspace, key), expires_at)
+        return Outcome.NOT_RUN if unused else Outcome.UNKNOWN
+
+    def _is_idempotent(self, request):
+        service = self.scheduler.store.declarations.services[request.service]
+        kind = find_plugin(ServiceKind, service.kind)()
+        return kind.is_idempotent(service, request)
+
+    def _run_issued(self, request, slot, may_forward):
+        issued = self.codec.read(slot.key, slot.workspace)
+        if issued.home == self.codec.own:
+            expires_at = issued.issued_at + KEY_LIFETIME_SECONDS
+            return self._run_once(request, slot, expires_at)
+        if not may_forward:
+            raise void("the instance that issued the key has been replaced")
+        return self._forward(issued.home, request)
+
+    def _run_claimed(self, request, slot, may_forward):
+        claims = self.claimant.claims
+        if not self.table.knows(slot):
+            settlement = self.claimant.settle(slot)
+            if settlement.holder != claims.own:
+                if not may_forward:
+                    raise unsettled("another instance holds it")
+                return self._forward(settlement.holder, request)
+            if not claims.use(slot, settlement.began_at):
+                raise unsettled("another instance claimed it meanwhile")
+        expires_at = self.table.clock() + claims.kept_for
+        return self._run_once(request, slot, expires_at)
+
+    def _forward(self, holder, request):
+        if self.peers.is_gone(holder.instance):
+            raise void("the instance that holds the key has gone")
+        self.counts["forwarded"] += 1
+        try:
+            return self.peers.forward(holder, request)
+        except PeerError as error:
+            self.counts["unreachable"] += 1
+            log.warning(
+                "cannot reach the holder of a key",
+                holder=holder.instance,
+                request=request.request_id,
+                cause=str(error),
+            )
+            raise RequestError(
+                Code.HOLDER_UNREACHABLE,
+                "the instance that holds the key gave no answer;"
+                " it is safe to send again with the same key",
+                Outcome.UNKNOWN,
+                UNREACHABLE_RETRY_SECONDS,
+            ) from error
+
+    def _run_once(self, request, slot, expires_at):
+        answer = self.table.begin(slot, fingerprint(request), expires_at)
+        if answer is not None:
+            return StoredRun(answer, replayed=True)
+        try:
+            run = self.scheduler.run(request)
+        except RequestError as error:
+            self._end_failed(slot, error)
+            raise
+        except BaseException:
+            self.table.lost(slot)
+            raise
+        return self._collect(slot, run)
+
+    def _end_failed(self, slot, error):
+        if error.outcome is Outcome.NOT_RUN:
+            self.table.release(slot)
+        else:
+            self.table.lost(slot)
+
+    def _collect(self, slot, run):
+        """Read the whole answer, so that a caller that goes away cuts nothing."""
+        chunks, size = [], 0
+        try:
+            for chunk in run:
+                size += len(chunk)
+                chunks.append(chunk)
+                if size > MAX_ANSWER_BYTES:
+                    return LargeRun(self.table, slot, run, chunks)
+        except BaseException:
+            self.table.lost(slot)
+            run.close()
+            raise
+        answer = Answer(run.head, b"".join(chunks))
+        self.table.answered(slot, answer)
+        return StoredRun(answer)
+
+    def snapshot(self):
+        """Return the state for the dump."""
+        return {
+            **dict(self.counts),
+            "records": self.table.snapshot(),
+            "claims": self.claimant.claims.snapshot(),
+        }
+
+
+class LargeRun:
+    """An answer too large to keep: passed on, its end recorded."""
+
+    is_whole = False
+
+    def __init__(self, table, slot, run, chunks):
+        self.head = run.head
+        self._table = table
+        self._slot = slot
+        self._run = run
+        self._chunks = iter(chunks)
+        self._ended = False
+
+    def __iter__(self):
+        return self
+
+    def __next__(self):
+        for chunk in self._chunks:
+            return chunk
+        try:
+            return next(self._run)
+        except StopIteration:
+            self._end(self._table.answered, self._slot, None)
+            raise
+        except BaseException:
+            self._end(self._table.lost, self._slot)
+            raise
+
+    def drain(self):
+        """Read the run to its end."""
+        for _ in self:
+            pass
+
+    def close(self):
+        """Cancel what is left of the run."""
+        self._run.close()
+        self._end(self._table.lost, self._slot)
+
+    def _end(self, record, *arguments):
+        if not self._ended:
+            self._ended = True
+            record(*arguments)
+
+
+def fingerprint(request):
+    """Return a hash that tells another request under the same key."""
+    head = "\0".join((request.service, request.method, request.target_path, ""))
+    return xxhash.xxh64_intdigest(head.encode() + request.body)
--- /dev/null
+++ b/almondglade/keys/table.py
@@ -0,0 +1,230 @@
+"""What this process has done under each key: the home's record."""
+
+import enum
+import heapq
+import itertools
+import threading
+from collections import Counter
+from dataclasses import dataclass
+from typing import NamedTuple
+
+from ..dispatch.call import AnswerHead
+from ..outcome import Code, Outcome, RequestError
+from .codec import void
+
+MAX_RECORDS = 50_000
+# No workspace may take more than this part of the table.
+WORKSPACE_SHARE = 0.25
+MAX_ANSWER_BYTES = 1 << 20
+MAX_ANSWERS_BYTES = 8 << 20
+IN_PROGRESS_RETRY_SECONDS = 1.0
+FULL_RETRY_SECONDS = 10.0
+# An expired record whose request still runs is looked at again after this.
+RUNNING_RECHECK_SECONDS = 60.0
+
+
+class Slot(NamedTuple):
+    """A key in its workspace; equal keys of two workspaces never meet."""
+
+    workspace: str
+    key: str
+
+
+class State(enum.Enum):
+    """What became of the request of a key."""
+
+    IN_PROGRESS = "in-progress"
+    ANSWERED = "answered"
+    UNKNOWN = "unknown"
+
+
+@dataclass(frozen=True)
+class Answer:
+    """The whole answer of a target."""
+
+    head: AnswerHead
+    body: bytes
+
+
+@dataclass
+class Record:
+    """One used key.
+
+    Parameters
+    ----------
+    fingerprint : int
+        Hash of the request, to recognise another request under the key.
+    answer : Answer or None
+        None also for an answer that was too large to keep.
+    """
+
+    fingerprint: int
+    state: State = State.IN_PROGRESS
+    answer: Answer | None = None
+
+
+class KeyTable:
+    """Records of used keys, each kept until its key is void.
+
+    A full table refuses further keys; it never forgets one early, since a
+    forgotten key would run again.
+
+    Parameters
+    ----------
+    clock : callable
+        Returns monotonic seconds.
+    max_records, max_answers_bytes : int
+        Bounds of its memory.
+    """
+
+    def __init__(
+        self, clock, max_records=MAX_RECORDS, max_answers_bytes=MAX_ANSWERS_BYTES
+    ):
+        self.clock = clock
+        self.max_records = max_records
+        self.max_answers_bytes = max_answers_bytes
+        self.by_slot: dict[Slot, Record] = {}
+        self.answers_bytes = 0
+        self.counts: Counter = Counter()
+        self._records_by_workspace: Counter = Counter()
+        self._expiries: list[tuple[float, int, Slot, Record]] = []
+        self._order = itertools.count()
+        self._lock = threading.Lock()
+
+    def knows(self, slot):
+        """Tell whether a key is in use or used."""
+        with self._lock:
+            return slot in self.by_slot
+
+    def is_unused(self, slot, expires_at):
+        """Tell whether nothing has been run under a key that is not void."""
+        with self._lock:
+            return self.clock() <= expires_at and slot not in self.by_slot
+
+    def begin(self, slot, fingerprint, expires_at):
+        """Take a key for one run.
+
+        Parameters
+        ----------
+        slot : Slot
+            Workspace and key.
+        fingerprint : int
+            Hash of the request.
+        expires_at : float
+            When the key is void and its record forgotten, by one clock: so
+            forgetting cannot lead to a second run.
+
+        Returns
+        -------
+        Answer or None
+            The answer to replay; None if the caller must run the request and
+            then call `answered`, `lost` or `release`.
+
+        Raises
+        ------
+        RequestError
+            If the key cannot be used.
+        """
+        with self._lock:
+            now = self.clock()
+            if now > expires_at:
+                raise void("the key is past its lifetime")
+            self._forget(now)
+            if (record := self.by_slot.get(slot)) is not None:
+                return self._resent(record, fingerprint)
+            self._check_room(slot)
+            self.by_slot[slot] = Record(fingerprint)
+            self._records_by_workspace[slot.workspace] += 1
+            self._push(expires_at, slot)
+            self.counts["begun"] += 1
+            return None
+
+    def release(self, slot):
+        """Make a key unused again after its request was not run."""
+        with self._lock:
+            self._drop(slot)
+            self.counts["released"] += 1
+
+    def answered(self, slot, answer):
+        """Keep the answer of a run; None if it is too large."""
+        with self._lock:
+            record = self.by_slot[slot]
+            record.state = State.ANSWERED
+            size = len(answer.body) if answer is not None else 0
+            if answer and self.answers_bytes + size <= self.max_answers_bytes:
+                record.answer = answer
+                self.answers_bytes += size
+            self.counts["answered"] += 1
+
+    def lost(self, slot):
+        """Record that a request was dispatched and its answer is unknown."""
+        with self._lock:
+            self.by_slot[slot].state = State.UNKNOWN
+            self.counts["lost"] += 1
+
+    def snapshot(self):
+        """Return sizes and counters for the dump."""
+        with self._lock:
+            return {
+                "records": len(self.by_slot),
+                "answers_bytes": self.answers_bytes,
+                **dict(self.counts),
+            }
+
+    def _resent(self, record, fingerprint):
+        if record.fingerprint != fingerprint:
+            self.counts["reused"] += 1
+            raise RequestError(Code.KEY_REUSED, "the key was used for another request")
+        match record.state:
+            case State.IN_PROGRESS:
+                self.counts["resent_in_progress"] += 1
+                raise RequestError(
+                    Code.KEY_IN_PROGRESS,
+                    "the request of this key is in progress",
+                    Outcome.UNKNOWN,
+                    IN_PROGRESS_RETRY_SECONDS,
+                )
+            case State.UNKNOWN:
+                raise void("the request was dispatched, its answer is not known")
+        if record.answer is None:
+            raise RequestError(
+                Code.ANSWER_GONE, "the answer was not kept", Outcome.ANSWERED
+            )
+        self.counts["replayed"] += 1
+        return record.answer
+
+    def _check_room(self, slot):
+        mine = self._records_by_workspace[slot.workspace]
+        if (
+            len(self.by_slot) >= self.max_records
+            or mine >= self.max_records * WORKSPACE_SHARE
+        ):
+            self.counts["refused_full"] += 1
+            raise RequestError(
+                Code.OVERLOADED,
+                "too many keys are in use",
+                Outcome.NOT_RUN,
+                FULL_RETRY_SECONDS,
+            )
+
+    def _forget(self, now):
+        while self._expiries and self._expiries[0][0] < now:
+            _, _, slot, record = heapq.heappop(self._expiries)
+            if self.by_slot.get(slot) is not record:
+                continue
+            if record.state is State.IN_PROGRESS:
+                self._push(now + RUNNING_RECHECK_SECONDS, slot)
+            else:
+                self._drop(slot)
+
+    def _push(self, expires_at, slot):
+        item = (expires_at, next(self._order), slot, self.by_slot[slot])
+        heapq.heappush(self._expiries, item)
+
+    def _drop(self, slot):
+        record = self.by_slot.pop(slot)
+        self._records_by_workspace[slot.workspace] -= 1
+        if not self._records_by_workspace[slot.workspace]:
+            del self._records_by_workspace[slot.workspace]
+        if record.answer is not None:
+            self.answers_bytes -= len(record.answer.body)
--- a/almondglade/node.py
+++ b/almondglade/node.py
@@ -17,6 +17,7 @@
 from .entry.app import EntryApp
 from .entry.scheduling import Scheduler
 from .httpserver import HttpServer
+from .keys.assembly import assemble_keys
 from .loads import LoadPoller
 from .log import get_logger
 from .metrics import Metrics
@@ -91,7 +92,8 @@
         )
         self.pools = TargetPools()
         self.scheduler = Scheduler(self.broker, self.store, self.pools)
-        self.app = EntryApp(settings, self.incarnation, self.scheduler, self.store)
+        self.keyed, self.forwarded = assemble_keys(self)
+        self.app = EntryApp(settings, self.incarnation, self.keyed, self.store)
         self.platform = PlatformClient(settings.platform)
         self.store.subscribe(self._configured)
 
@@ -146,8 +148,10 @@
             "watch instances",
             lambda: watch(
                 "instances",
-                lambda index, wait: self.platform.read_instances(
-                    settings.service_name, index, wait
+                lambda index, wait: self.keyed.peers.read_list(
+                    lambda: self.platform.read_instances(
+                        settings.service_name, index, wait
+                    )
                 ),
                 self._instances_listed,
             ),
@@ -167,9 +171,12 @@
         log.info("stopping, requests in progress will end first")
         self.app.stopping = True
         deadline = self.clock() + self.settings.stop_timeout
-        while self.app.active and self.clock() < deadline:
+        while self._is_busy() and self.clock() < deadline:
             await asyncio.sleep(DRAIN_POLL_SECONDS)
 
+    def _is_busy(self):
+        return self.app.active or self.forwarded.active
+
     def _configured(self, update):
         self.pools.keep_only(
             target.url for target in self.store.declarations.targets.values()
@@ -210,6 +217,7 @@
             "links": self.links.snapshot(),
             "pools": self.broker.snapshot(),
             "coordinators": self.host.snapshot(),
+            "keys": self.keyed.snapshot() | self.forwarded.snapshot(),
             "platform_calls": self.platform.calls,
         }
 
--- /dev/null
+++ b/almondglade/peers/callcodec.py
@@ -0,0 +1,186 @@
+"""Translate between keyed requests, claims and their wire form."""
+
+import re
+
+from ..dispatch.call import AnswerHead
+from ..errors import PeerError
+from ..keys.claiming import ClaimOrder, ClaimVote
+from ..keys.codec import Holder
+from ..keys.scheduling import StoredRun
+from ..keys.table import Answer
+from ..kinds import IncomingRequest
+from ..outcome import Code, Outcome, RequestError
+from . import link_pb2 as pb
+
+MILLISECONDS = 1_000
+MAX_HEADERS = 256
+
+_CODE_BY_TEXT = {code.text: code for code in Code}
+_METHOD = re.compile(r"[A-Z]{1,16}")
+_TARGET_PART = re.compile(r"[!-~]*")
+_HEADER_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+_HEADER_VALUE = re.compile(r"[\t -~\x80-\xff]*")
+
+
+def encode_request(request, incarnation):
+    """Return the wire form of a request for the holder of its key."""
+    return pb.ForwardRequest(
+        workspace=request.workspace,
+        service=request.service,
+        method=request.method,
+        path=request.path,
+        query=request.query,
+        headers=_headers(request.headers),
+        body=request.body,
+        key=request.key,
+        request_id=request.request_id,
+        incarnation=incarnation,
+        tier=request.tier,
+    )
+
+
+def decode_request(wire):
+    """Return the request of a wire form.
+
+    Raises
+    ------
+    PeerError
+        If it could not be sent to a target.
+    """
+    headers = tuple((header.name, header.value) for header in wire.headers)
+    usable = (
+        _METHOD.fullmatch(wire.method)
+        and wire.path.startswith("/")
+        and _TARGET_PART.fullmatch(wire.path + wire.query)
+        and len(headers) <= MAX_HEADERS
+        and all(_HEADER_NAME.fullmatch(name) for name, _ in headers)
+        and all(_HEADER_VALUE.fullmatch(value) for _, value in headers)
+    )
+    if not usable:
+        raise PeerError("a peer forwarded an unusable request")
+    return IncomingRequest(
+        wire.request_id,
+        wire.workspace,
+        wire.tier,
+        wire.service,
+        wire.method,
+        wire.path,
+        wire.query,
+        headers,
+        wire.body,
+        wire.key,
+    )
+
+
+def encode_answer(answer):
+    """Return the wire form of a whole answer."""
+    head = answer.head
+    return pb.ForwardReply(
+        status=head.status, headers=_headers(head.headers), body=answer.body
+    )
+
+
+def encode_error(error):
+    """Return the wire form of a `RequestError`."""
+    reply = pb.ForwardReply(
+        code=error.code.text, message=error.message, outcome=error.outcome.value
+    )
+    if error.retry_after is not None:
+        reply.retry_after_ms = round(error.retry_after * MILLISECONDS)
+    return reply
+
+
+def decode_answer(wire):
+    """Return the answer in a reply, as a `StoredRun`.
+
+    Raises
+    ------
+    RequestError
+        If the holder replied with an error.
+    PeerError
+        If the reply is not usable.
+    """
+    if wire.code:
+        raise _decode_error(wire)
+    if not 100 <= wire.status <= 599:
+        raise PeerError(f"the holder replied with the status {wire.status}")
+    headers = tuple((header.name, header.value) for header in wire.headers)
+    return StoredRun(Answer(AnswerHead(wire.status, headers), wire.body))
+
+
+def _decode_error(wire):
+    code = _CODE_BY_TEXT.get(wire.code)
+    outcomes = [outcome for outcome in Outcome if outcome.value == wire.outcome]
+    if code is None or not outcomes:
+        raise PeerError("the holder replied with an error of an unknown kind")
+    retry_after = None
+    if wire.HasField("retry_after_ms"):
+        retry_after = wire.retry_after_ms / MILLISECONDS
+    return RequestError(code, wire.message, outcomes[0], retry_after)
+
+
+def encode_claim(order):
+    """Return the wire form of a claim."""
+    wire = pb.ClaimRequest(
+        workspace=order.workspace,
+        key=order.key,
+        instance=order.claimant.instance,
+        incarnation=order.claimant.incarnation,
+    )
+    if order.instead_of is not None:
+        wire.instead_of = order.instead_of.instance
+        wire.instead_of_incarnation = order.instead_of.incarnation
+    return wire
+
+
+def decode_claim(wire):
+    """Return the claim of a wire form.
+
+    Raises
+    ------
+    PeerError
+        If it names no workspace, key or claimant.
+    """
+    if not (wire.workspace and wire.key and wire.instance and wire.incarnation):
+        raise PeerError("a peer sent an unusable claim")
+    return ClaimOrder(
+        wire.workspace,
+        wire.key,
+        Holder(wire.instance, wire.incarnation),
+        _holder(wire.instead_of, wire.instead_of_incarnation),
+    )
+
+
+def encode_vote(vote, order):
+    """Return the wire form of a vote on a claim."""
+    wire = pb.ClaimReply(
+        accepted=vote.holder == order.claimant,
+        instance=vote.voter.instance,
+        incarnation=vote.voter.incarnation,
+        listed_for_ms=round(vote.listed_for * MILLISECONDS),
+        known=sorted(vote.known),
+    )
+    if vote.holder is not None:
+        wire.holder = vote.holder.instance
+        wire.holder_incarnation = vote.holder.incarnation
+    return wire
+
+
+def decode_vote(wire):
+    """Return the vote of a wire form."""
+    if not (wire.instance and wire.incarnation):
+        raise PeerError("a peer sent an unusable vote")
+    return ClaimVote(
+        Holder(wire.instance, wire.incarnation),
+        _holder(wire.holder, wire.holder_incarnation),
+        wire.listed_for_ms / MILLISECONDS,
+        frozenset(wire.known),
+    )
+
+
+def _holder(instance, incarnation):
+    return Holder(instance, incarnation) if instance else None
+
+
+def _headers(headers):
+    return [pb.Header(name=name, value=value) for name, value in headers]
--- /dev/null
+++ b/almondglade/peers/callhandlers.py
@@ -0,0 +1,142 @@
+"""Answer the unary calls of other instances."""
+
+import asyncio
+import functools
+from concurrent.futures import ThreadPoolExecutor
+
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError
+
+from ..errors import PeerError
+from ..keys.codec import clean_key, void
+from ..keys.table import Answer, Slot
+from ..log import get_logger
+from ..outcome import Code, Outcome, RequestError
+from .callcodec import (
+    decode_claim,
+    decode_request,
+    encode_answer,
+    encode_error,
+    encode_vote,
+)
+
+log = get_logger("calls")
+
+MAX_FORWARDED = 32
+REFUSED_RETRY_SECONDS = 1.0
+
+
+class CallHandlers:
+    """Runs forwarded requests and votes on claims.
+
+    Parameters
+    ----------
+    keyed : KeyedScheduler
+        Runs the requests.
+    voter : Voter
+        This process's vote.
+    store : ConfigurationStore
+        Declared document in force.
+    is_stopping : callable
+        Tells whether no new request may begin.
+    max_forwarded : int
+        Forwarded requests in progress at once.
+    """
+
+    def __init__(self, keyed, voter, store, is_stopping, max_forwarded=MAX_FORWARDED):
+        self.keyed = keyed
+        self.voter = voter
+        self.store = store
+        self.is_stopping = is_stopping
+        self.max_forwarded = max_forwarded
+        self.active = 0
+        self._threads = ThreadPoolExecutor(max_forwarded, "forwarded")
+
+    async def forward(self, sender, wire):
+        """Return the reply to a forwarded request.
+
+        Raises
+        ------
+        GRPCError
+            If the request is not usable.
+        """
+        try:
+            request = decode_request(wire)
+            self._check(request, wire.incarnation)
+            answer = await self._run(request)
+        except PeerError as error:
+            raise GRPCError(Status.INVALID_ARGUMENT, str(error)) from error
+        except RequestError as error:
+            return encode_error(error)
+        log.debug("ran a forwarded request", sender=sender, request=request.request_id)
+        return encode_answer(answer)
+
+    def claim(self, sender, wire):
+        """Return the reply to a claim.
+
+        Raises
+        ------
+        GRPCError
+            If the claim is not usable, or not the sender's own.
+        """
+        try:
+            order = decode_claim(wire)
+        except PeerError as error:
+            raise GRPCError(Status.INVALID_ARGUMENT, str(error)) from error
+        if order.claimant.instance != sender:
+            raise GRPCError(Status.PERMISSION_DENIED, "the claim is another's")
+        vote = self.voter.vote(Slot(order.workspace, order.key), order)
+        return encode_vote(vote, order)
+
+    def _check(self, request, incarnation):
+        if incarnation != self.keyed.codec.own.incarnation:
+            raise void("the instance that holds the key has been replaced")
+        declarations = self.store.declarations
+        if declarations is None or request.service not in declarations.services:
+            raise self._refusal(
+                request, Code.NO_COORDINATOR, "the service is not known here yet"
+            )
+        slot = Slot(request.workspace, clean_key(request.key))
+        if self.keyed.table.knows(slot):
+            return
+        if self.is_stopping():
+            raise self._refusal(
+                request, Code.STOPPING, "the instance that holds the key is stopping"
+            )
+        if self.active >= self.max_forwarded:
+            raise self._refusal(
+                request, Code.OVERLOADED, "too many forwarded requests in progress"
+            )
+
+    def _refusal(self, request, code, message):
+        outcome = self.keyed.outcome_unless_run(request.workspace, request.key)
+        return RequestError(code, message, outcome, REFUSED_RETRY_SECONDS)
+
+    async def _run(self, request):
+        """Run a request in a thread, to its end even if the sender goes away."""
+        self.active += 1
+        job = asyncio.get_running_loop().run_in_executor(
+            self._threads, functools.partial(self._collect, request)
+        )
+        job.add_done_callback(self._ended)
+        return await asyncio.shield(job)
+
+    def _ended(self, job):
+        self.active -= 1
+        if not job.cancelled():
+            job.exception()
+
+    def _collect(self, request):
+        run = self.keyed.run_keyed(request)
+        if not run.is_whole:
+            run.drain()
+            raise RequestError(
+                Code.ANSWER_GONE,
+                "the answer is too large to be forwarded",
+                Outcome.ANSWERED,
+            )
+        return Answer(run.head, b"".join(run))
+
+    def snapshot(self):
+        """Return the state for the dump."""
+        return {"forwarded_in_progress": self.active}
--- /dev/null
+++ b/almondglade/peers/calls.py
@@ -0,0 +1,171 @@
+"""Unary calls between instances: forward a keyed request, vote on a claim."""
+
+import asyncio
+import contextlib
+from collections import OrderedDict
+
+from grpclib.client import Channel
+from grpclib.config import Configuration
+
+from ..errors import PeerError
+from ..keys.claiming import ClaimOrder
+from ..keys.listing import Listing
+from ..log import get_logger
+from .callcodec import (
+    decode_answer,
+    decode_vote,
+    encode_claim,
+    encode_request,
+)
+from .link_grpc import PeersStub
+from .links import LINK_ERRORS
+
+log = get_logger("calls")
+
+CONNECT_SECONDS = 0.5
+CLAIM_SECONDS = 1.0
+# Added to the time that a service may take for a request.
+FORWARD_MARGIN_SECONDS = 5.0
+# A peer that answers no HTTP/2 ping for this long is given up.
+KEEPALIVE_SECONDS = 1.0
+KEEPALIVE_TIMEOUT_SECONDS = 2.0
+# An instance is gone once it has not been listed for this long.
+GONE_SECONDS = 60.0
+MAX_ABSENT = 1024
+MAX_FORWARD_BYTES = 8 << 20
+
+# A call waits without sending data for as long as its request runs, so pings
+# must not depend on data.
+CALL_CONFIGURATION = Configuration(
+    _keepalive_time=KEEPALIVE_SECONDS,
+    _keepalive_timeout=KEEPALIVE_TIMEOUT_SECONDS,
+    _keepalive_permit_without_calls=True,
+    _http2_max_pings_without_data=0,
+    _http2_min_sent_ping_interval_without_data=KEEPALIVE_SECONDS / 2,
+)
+
+
+class PeerCalls:
+    """Calls to the other instances, from any worker thread.
+
+    Each call opens a connection of its own: an idle one may have gone silent.
+
+    Parameters
+    ----------
+    own : Instance
+        This instance.
+    loop : asyncio.AbstractEventLoop
+        Where the calls run.
+    membership : Membership
+        Where the peers are.
+    links : LinkTable
+        Gives the credential, and the peers connected from here.
+    service : PeerService
+        Tells the peers connected to here.
+    store : ConfigurationStore
+        Declared document in force.
+    """
+
+    def __init__(self, own, loop, membership, links, service, store):
+        self.own = own
+        self.loop = loop
+        self.membership = membership
+        self.links = links
+        self.service = service
+        self.store = store
+        self.listing = Listing(membership.clock)
+        self._absent_since: OrderedDict = OrderedDict()
+
+    def names(self):
+        """Return the other instances that are listed or connected."""
+        listed = dict(self.membership.by_name)
+        names = {*listed, *self.service.outbox_by_entry.copy()}
+        names.update(n for n, link in self.links.by_peer.copy().items() if link.up)
+        known = listed.get(self.own.name, self.own)
+        if (known.address, known.port) == (self.own.address, self.own.port):
+            names.discard(self.own.name)
+        return names
+
+    def read_list(self, read):
+        """Read the list of instances by a function, and note what it tells."""
+        attempted_at = self.listing.attempt()
+        answer = read()
+        own = (self.own.name, self.own.address, self.own.port)
+        present = any((i.name, i.address, i.port) == own for i in answer.value)
+        self.listing.confirm(attempted_at, present)
+        return answer
+
+    def is_gone(self, name):
+        """Tell whether an instance has not been known for a time."""
+        if name in self.names():
+            self._absent_since.pop(name, None)
+            return False
+        if name == self.own.name:
+            return True
+        now = self.membership.clock()
+        since = self._absent_since.setdefault(name, now)
+        while len(self._absent_since) > MAX_ABSENT:
+            with contextlib.suppress(KeyError):
+                self._absent_since.popitem(last=False)
+        return now - since > GONE_SECONDS
+
+    def forward(self, holder, request):
+        """Have a request run by the holder of its key.
+
+        Raises
+        ------
+        RequestError
+            If the holder says so.
+        PeerError
+            If it gave no answer; it may have received the request.
+        """
+        if len(request.body) > MAX_FORWARD_BYTES:
+            raise PeerError("the body is too large to be forwarded")
+        service = self.store.declarations.services[request.service]
+        seconds = service.max_wait + service.limits.total + FORWARD_MARGIN_SECONDS
+        message = encode_request(request, holder.incarnation)
+        call = self._call(holder.instance, "Forward", message, seconds)
+        return decode_answer(self._wait(call))
+
+    def claim(self, names, order: ClaimOrder):
+        """Ask instances to accept a claim.
+
+        Returns
+        -------
+        dict of str to ClaimVote
+            The votes of those that answered in time.
+        """
+        return self._wait(self._claim_all(sorted(names), encode_claim(order)))
+
+    def _wait(self, coroutine):
+        return asyncio.run_coroutine_threadsafe(coroutine, self.loop).result()
+
+    async def _claim_all(self, names, message):
+        replies = await asyncio.gather(
+            *(self._vote(name, message) for name in names), return_exceptions=True
+        )
+        return {
+            name: vote
+            for name, vote in zip(names, replies, strict=True)
+            if not isinstance(vote, BaseException)
+        }
+
+    async def _vote(self, name, message):
+        vote = decode_vote(await self._call(name, "Claim", message, CLAIM_SECONDS))
+        if vote.voter.instance != name:
+            raise PeerError(f"{vote.voter.instance} answered in place of {name}")
+        return vote
+
+    async def _call(self, name, method, message, seconds):
+        peer = self.membership.by_name.get(name)
+        if peer is None:
+            raise PeerError(f"{name} is not listed")
+        channel = Channel(peer.address, peer.port, config=CALL_CONFIGURATION)
+        try:
+            await asyncio.wait_for(channel.__connect__(), CONNECT_SECONDS)
+            call = getattr(PeersStub(channel), method)
+            return await call(message, timeout=seconds, metadata=self.links.metadata())
+        except LINK_ERRORS as error:
+            raise PeerError(f"{name}: {error or error!r}") from error
+        finally:
+            channel.close()
--- a/almondglade/peers/service.py
+++ b/almondglade/peers/service.py
@@ -1,6 +1,7 @@
 """The peers' port: links that other instances have opened to this one."""
 
 import asyncio
+from typing import Any
 
 from grpclib.const import Status
 from grpclib.exceptions import GRPCError
@@ -35,6 +36,7 @@
         self.host = host
         self.store = store
         self.clock = clock
+        self.calls: Any = None
         self.outbox_by_entry: dict[str, Outbox] = {}
 
     def authenticate(self, stream):
@@ -104,11 +106,13 @@
             outbox.put(update)
 
     async def Forward(self, stream):
-        """Not offered yet."""
-        self.authenticate(stream)
-        raise GRPCError(Status.UNIMPLEMENTED)
+        """Run a request whose idempotency key is held here."""
+        sender = self.authenticate(stream)
+        request = await stream.recv_message()
+        await stream.send_message(await self.calls.forward(sender, request))
 
     async def Claim(self, stream):
-        """Not offered yet."""
-        self.authenticate(stream)
-        raise GRPCError(Status.UNIMPLEMENTED)
+        """Vote on a claim to a caller's own idempotency key."""
+        sender = self.authenticate(stream)
+        request = await stream.recv_message()
+        await stream.send_message(self.calls.claim(sender, request))
--- a/almondglade/settings.py
+++ b/almondglade/settings.py
@@ -42,6 +42,8 @@
     max_requests: PositiveInt = 320
     reserve_threads: PositiveInt = 16
     stop_timeout: PositiveFloat = 30.0
+    own_key_window: PositiveFloat = 900.0
+    list_lag: PositiveFloat = 60.0
     queue_order: str = "tiered"
     target_choice: str = "expected-finish"
     limits: str = "adaptive"
--- a/almondglade/ui/serve.py
+++ b/almondglade/ui/serve.py
@@ -18,6 +18,8 @@
     max_requests: int | None = None,
     reserve_threads: int | None = None,
     stop_timeout: float | None = None,
+    own_key_window: float | None = None,
+    list_lag: float | None = None,
     queue_order: str | None = None,
     target_choice: str | None = None,
     limits: str | None = None,
@@ -56,6 +58,10 @@
         Threads kept for refusals.
     stop_timeout
         Seconds that a graceful stop may take.
+    own_key_window
+        Seconds for which a caller's own idempotency key is protected.
+    list_lag
+        Seconds after its start by which an instance is listed everywhere.
     queue_order
         Plug-in that orders the queue.
     target_choice
