--- a/almondglade/keys/scheduling.py
+++ b/almondglade/keys/scheduling.py
@@ -136,13 +136,19 @@
             settlement = self.claimant.settle(slot)
             if settlement.holder != claims.own:
                 if not may_forward:
-                    raise unsettled("another instance holds it")
+                    raise self._not_held(settlement.holder)
                 return self._forward(settlement.holder, request)
             if not claims.use(slot, settlement.began_at):
                 raise unsettled("another instance claimed it meanwhile")
         expires_at = self.table.clock() + claims.kept_for
         return self._run_once(request, slot, expires_at)
 
+    def _not_held(self, holder):
+        """Return the error of a forwarded request whose key is held elsewhere."""
+        if self.peers.is_gone(holder.instance):
+            return void("the instance that holds the key has gone")
+        return unsettled("another instance holds it")
+
     def _forward(self, holder, request):
         if self.peers.is_gone(holder.instance):
             raise void("the instance that holds the key has gone")
--- /dev/null
+++ b/test/test_keys_claims.py
@@ -0,0 +1,187 @@
+"""Claims on a caller's own key: one holder, whoever claims at the same time."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from almondglade.keys.claiming import ClaimOrder
+from almondglade.keys.claims import CLAIM_VALID_SECONDS, MARGIN_SECONDS, ClaimTable
+from almondglade.keys.codec import Holder
+from almondglade.keys.table import Slot
+from almondglade.outcome import Code, Outcome, RequestError
+
+from .keyfleet import LIST_LAG, WINDOW, Fleet
+
+SLOT = Slot("partner-a", "own")
+FIRST, SECOND, THIRD = (Holder(name, "1") for name in ("e1", "e2", "e3"))
+UP_SECONDS = 400.0
+
+
+class Clock:
+    """A clock that the test sets."""
+
+    now = 0.0
+
+    def __call__(self):
+        """Return the time set."""
+        return self.now
+
+
+@pytest.fixture
+def fleet():
+    made = Fleet(["e1", "e2", "e3"])
+    made.meanwhile = lambda: None
+    made.choose = lambda options: options[0]
+    made.advance(UP_SECONDS, 0.0)
+    return made
+
+
+def interrupt_once(fleet, act):
+    """Let something happen at the next step of any process."""
+
+    def meanwhile():
+        fleet.meanwhile = lambda: None
+        act()
+
+    fleet.meanwhile = meanwhile
+
+
+def send(fleet, name):
+    return fleet.send(fleet.by_name[name], *SLOT)
+
+
+def replace(fleet, name):
+    fleet.by_name[name].alive = False
+    fleet.start(name)
+    fleet.publish()
+
+
+def test_a_used_claim_is_never_yielded():
+    for first, claimant in [(SECOND, FIRST), (FIRST, SECOND)]:
+        table = ClaimTable(first, Clock(), WINDOW)
+        assert table.receive(SLOT, first) == first
+        assert table.use(SLOT, 0.0)
+        assert table.receive(SLOT, claimant, instead_of=THIRD) == first
+        assert table.receive(SLOT, claimant, instead_of=first) == first
+        table.yield_to(SLOT, claimant)
+        assert table.receive(SLOT, first) == first
+
+
+def test_of_two_unused_claims_the_smaller_wins_at_both():
+    smaller, larger = (ClaimTable(own, Clock(), WINDOW) for own in (FIRST, SECOND))
+    assert smaller.receive(SLOT, FIRST) == FIRST
+    assert larger.receive(SLOT, SECOND) == SECOND
+    assert smaller.receive(SLOT, SECOND) == FIRST
+    assert larger.receive(SLOT, FIRST) == FIRST
+    assert not larger.use(SLOT, 0.0)
+    assert smaller.use(SLOT, 0.0)
+
+
+def test_a_claim_made_long_ago_is_not_used():
+    clock = Clock()
+    table = ClaimTable(FIRST, clock, WINDOW)
+    table.receive(SLOT, FIRST)
+    clock.now = CLAIM_VALID_SECONDS + 1
+    assert not table.use(SLOT, 0.0)
+
+
+@given(st.lists(st.tuples(st.floats(0, 50), st.integers(0, 5)), max_size=60))
+def test_a_claim_is_kept_for_the_window_and_a_full_table_takes_no_other(steps):
+    clock = Clock()
+    table = ClaimTable(FIRST, clock, WINDOW, max_claims=3)
+    made_at: dict = {}
+    for seconds, number in steps:
+        clock.now += seconds
+        slot = Slot("partner-a", str(number))
+        holder = table.receive(slot, SECOND)
+        assert len(table.by_slot) <= 3
+        if holder == SECOND:
+            made_at[slot] = clock.now
+        for known, at in made_at.items():
+            if clock.now - at <= WINDOW + MARGIN_SECONDS:
+                assert table.receive(known, THIRD) == SECOND
+
+
+def test_a_resend_through_any_instance_gets_the_first_answer(fleet):
+    assert not dict(send(fleet, "e2").head.headers).get("Idempotency-Replayed")
+    for name in ("e1", "e2", "e3"):
+        assert dict(send(fleet, name).head.headers)["Idempotency-Replayed"] == "true"
+
+
+def test_claims_at_the_same_time_end_in_one_run(fleet):
+    for order in (("e1", "e2"), ("e2", "e1"), ("e3", "e1")):
+        SLOT_OF = Slot("partner-b", "-".join(order))
+        first, second = (fleet.by_name[name] for name in order)
+        interrupt_once(fleet, lambda n=second, s=SLOT_OF: fleet.send(n, *s))
+        for node in (first, second, first):
+            fleet.send(node, *SLOT_OF)
+        assert fleet.runs[SLOT_OF] == 1
+
+
+def test_the_record_of_one_survivor_stops_a_second_run(fleet):
+    send(fleet, "e2")
+    for name in ("e2", "e3"):
+        replace(fleet, name)
+    fleet.advance(30.0, 0.0)
+    for name in ("e1", "e2", "e3"):
+        assert send(fleet, name).code is Code.KEY_VOID
+
+
+def test_a_smaller_instance_started_later_does_not_win_a_used_key(fleet):
+    send(fleet, "e2")
+    replace(fleet, "e1")
+    fleet.advance(30.0, 0.0)
+    for _ in range(3):
+        assert dict(send(fleet, "e1").head.headers)["Idempotency-Replayed"] == "true"
+
+
+def test_a_wholly_replaced_fleet_takes_no_own_key_until_the_window_is_over(fleet):
+    send(fleet, "e1")
+    for name in ("e1", "e2", "e3"):
+        replace(fleet, name)
+    fleet.advance(WINDOW - 1, 0.0)
+    error = send(fleet, "e2")
+    assert (error.code, error.outcome) == (Code.KEY_UNSETTLED, Outcome.UNKNOWN)
+    assert error.retry_after >= LIST_LAG
+    fleet.advance(error.retry_after, 0.0)
+    assert send(fleet, "e2").head.status == 200
+
+
+def test_a_process_that_woke_with_an_old_list_settles_nothing():
+    fleet = Fleet(["e1"])
+    fleet.meanwhile, fleet.choose = lambda: None, lambda options: options[0]
+    fleet.advance(UP_SECONDS, 0.0)
+    old = fleet.by_name["e1"]
+    old.frozen_at = fleet.now
+    for name in ("e2", "e3"):
+        fleet.start(name)
+    fleet.publish()
+    fleet.advance(UP_SECONDS, 0.0)
+    fleet.wake(old)
+    assert send(fleet, "e1").code is Code.KEY_UNSETTLED
+    assert not fleet.runs[SLOT]
+
+
+def test_a_process_that_was_paused_off_the_list_is_no_witness():
+    fleet = Fleet(["e1", "e2"])
+    fleet.meanwhile, fleet.choose = lambda: None, lambda options: options[0]
+    fleet.advance(UP_SECONDS, 0.0)
+    paused = fleet.by_name["e1"]
+    paused.frozen_at = fleet.now
+    fleet.advance(60.0, 0.0)
+    fleet.publish()
+    fleet.advance(30.0, 0.0)
+    assert send(fleet, "e2").head.status == 200
+    replace(fleet, "e2")
+    fleet.wake(paused)
+    fleet.publish()
+    fleet.by_name["e2"].read_list(0.0)
+    error = send(fleet, "e2")
+    assert isinstance(error, RequestError) and error.code is Code.KEY_UNSETTLED
+
+
+def test_a_late_claim_takes_over_from_nobody():
+    table = ClaimTable(THIRD, Clock(), WINDOW)
+    assert table.receive(SLOT, FIRST) == FIRST
+    assert table.receive(SLOT, SECOND, instead_of=THIRD) == FIRST
+    assert ClaimOrder(*SLOT, SECOND).instead_of is None
