--- a/almondglade/settings.py
+++ b/almondglade/settings.py
@@ -67,6 +67,14 @@
     stop_timeout: PositiveFloat = Field(
         30.0, description="Seconds that a graceful stop may take."
     )
+    own_key_window: PositiveFloat = Field(
+        900.0,
+        description="Seconds for which a caller's own idempotency key is protected.",
+    )
+    list_lag: PositiveFloat = Field(
+        60.0,
+        description="Seconds after its start in which an instance may not be listed yet.",
+    )
     queue_order: str = Field("tiered", description="Plug-in that orders the queue.")
     target_choice: str = Field(
         "expected-finish", description="Plug-in that chooses targets."
