--- a/almondglade/settings.py
+++ b/almondglade/settings.py
@@ -73,7 +73,7 @@
     )
     list_lag: PositiveFloat = Field(
         60.0,
-        description="Seconds after its start in which an instance may not be listed yet.",
+        description="Seconds in which a started instance may not be listed yet.",
     )
     queue_order: str = Field("tiered", description="Plug-in that orders the queue.")
     target_choice: str = Field(
--- a/almondglade/ui/serve.py
+++ b/almondglade/ui/serve.py
@@ -61,7 +61,7 @@
     own_key_window
         Seconds for which a caller's own idempotency key is protected.
     list_lag
-        Seconds after its start in which an instance may not be listed yet.
+        Seconds in which a started instance may not be listed yet.
     queue_order
         Plug-in that orders the queue.
     target_choice
