--- a/almondglade/ui/standin.py
+++ b/almondglade/ui/standin.py
@@ -16,7 +16,10 @@
     max_batch: int = 64,
     cold_seconds: float = 0.0,
     cold_limit: int = 2,
+    tokens_per_step: int = 1,
+    knee: int = 64,
     lag: float = 0.0,
+    journal: str | None = None,
 ):
     """Run a model engine with the OpenAI interface.
 
@@ -38,10 +41,17 @@
         Seconds of cold start.
     cold_limit
         Sequences borne during the cold start.
+    tokens_per_step
+        Tokens that a sequence gains in a step, sent in one event.
+    knee
+        Sequences beyond which steps lengthen with the square of their number.
     lag
         Age of the load report, seconds.
+    journal
+        File to append a line to for each request.
     """
     from standin.engine import Engine, EngineApp, EngineProfile
+    from standin.journal import Journal
 
     profile = EngineProfile(
         step,
@@ -51,11 +61,19 @@
         max_batch,
         cold_seconds,
         cold_limit,
+        tokens_per_step=tokens_per_step,
+        knee=knee,
     )
-    _serve(port, EngineApp(Engine(profile, lag)))
+    _serve(port, EngineApp(Engine(profile, lag), Journal(journal)))
 
 
-def service(port: int, *, delay: float = 0.005, lag: float = 0.0):
+def service(
+    port: int,
+    *,
+    delay: float = 0.005,
+    lag: float = 0.0,
+    journal: str | None = None,
+):
     """Run a plain service.
 
     Parameters
@@ -66,10 +84,13 @@
         Seconds that each request takes.
     lag
         Age of the load report, seconds.
+    journal
+        File to append a line to for each request.
     """
+    from standin.journal import Journal
     from standin.plain import PlainApp
 
-    _serve(port, PlainApp(delay, lag))
+    _serve(port, PlainApp(delay, lag, Journal(journal)))
 
 
 def platform(port: int):
