Test the record, claims and calls of idempotency keys

Found by the tests: a resend of a key in progress waited behind other forwarded requests for a thread; it is now answered from the record without one.

--- a/almondglade/keys/table.py
+++ b/almondglade/keys/table.py
@@ -96,6 +96,18 @@
         with self._lock:
             return slot in self.by_slot
 
+    def recall(self, slot, fingerprint):
+        """Return the answer to replay, None if nothing was run under the key.
+
+        Raises
+        ------
+        RequestError
+            If the key is in use or cannot be used.
+        """
+        with self._lock:
+            record = self.by_slot.get(slot)
+            return None if record is None else self._resent(record, fingerprint)
+
     def is_unused(self, slot, expires_at):
         """Tell whether nothing has been run under a key that is not void."""
         with self._lock:
--- a/almondglade/peers/callhandlers.py
+++ b/almondglade/peers/callhandlers.py
@@ -9,6 +9,7 @@
 
 from ..errors import PeerError
 from ..keys.codec import clean_key, void
+from ..keys.scheduling import fingerprint
 from ..keys.table import Answer, Slot
 from ..log import get_logger
 from ..outcome import Code, Outcome, RequestError
@@ -62,8 +63,10 @@
         """
         try:
             request = decode_request(wire)
-            self._check(request, wire.incarnation)
-            answer = await self._run(request)
+            answer = self._recall(request, wire.incarnation)
+            if answer is None:
+                self._check_capacity(request)
+                answer = await self._run(request)
         except PeerError as error:
             raise GRPCError(Status.INVALID_ARGUMENT, str(error)) from error
         except RequestError as error:
@@ -88,17 +91,19 @@
         vote = self.voter.vote(Slot(order.workspace, order.key), order)
         return encode_vote(vote, order)
 
-    def _check(self, request, incarnation):
+    def _recall(self, request, incarnation):
+        """Return what is to be replayed, without waiting for a thread."""
         if incarnation != self.keyed.codec.own.incarnation:
             raise void("the instance that holds the key has been replaced")
+        slot = Slot(request.workspace, clean_key(request.key))
+        return self.keyed.table.recall(slot, fingerprint(request))
+
+    def _check_capacity(self, request):
         declarations = self.store.declarations
         if declarations is None or request.service not in declarations.services:
             raise self._refusal(
                 request, Code.NO_COORDINATOR, "the service is not known here yet"
             )
-        slot = Slot(request.workspace, clean_key(request.key))
-        if self.keyed.table.knows(slot):
-            return
         if self.is_stopping():
             raise self._refusal(
                 request, Code.STOPPING, "the instance that holds the key is stopping"
--- /dev/null
+++ b/test/test_keys_calls.py
@@ -0,0 +1,203 @@
+"""Forwarded requests and claims from a peer: bad input gets a clear error."""
+
+import asyncio
+import threading
+from types import SimpleNamespace
+
+import pytest
+from grpclib.exceptions import GRPCError
+from hypothesis import given
+from hypothesis import strategies as st
+
+from almondglade.errors import PeerError
+from almondglade.keys.claiming import ClaimOrder
+from almondglade.keys.codec import Holder
+from almondglade.keys.scheduling import KEY_LIFETIME_SECONDS
+from almondglade.keys.table import Slot
+from almondglade.kinds import IncomingRequest
+from almondglade.outcome import Code, Outcome, RequestError
+from almondglade.peers import link_pb2 as pb
+from almondglade.peers.callcodec import (
+    decode_answer,
+    decode_claim,
+    decode_vote,
+    encode_claim,
+    encode_error,
+    encode_request,
+    encode_vote,
+)
+from almondglade.peers.callhandlers import CallHandlers
+
+from .keyfleet import Fleet
+
+STORE = SimpleNamespace(declarations=SimpleNamespace(services={"bookings": None}))
+words = st.sampled_from(["", "e1", "1", "bookings", "POST", "/x", "own"]) | st.text(
+    max_size=12
+)
+headers = st.builds(pb.Header, name=words, value=words)
+
+
+def made_fleet():
+    """Return a fleet of one process that lets everything pass."""
+    fleet = Fleet(["e1"])
+    fleet.meanwhile, fleet.choose = lambda: None, lambda options: options[0]
+    fleet.advance(400.0, 0.0)
+    return fleet
+
+
+def made_handlers(node, **options):
+    """Return the handlers of a process."""
+    return CallHandlers(node.keyed, node.voter, STORE, lambda: False, **options)
+
+
+def wire_request(node, key):
+    """Return a request as another process forwards it."""
+    node.fleet.open_sends[Slot("partner-a", key)] += 1
+    request = IncomingRequest(
+        "r", "partner-a", 0, "bookings", "POST", "/pickups", "", (), b"", key
+    )
+    return encode_request(request, node.own.incarnation)
+
+
+@given(
+    st.builds(
+        pb.ForwardRequest,
+        workspace=words,
+        service=words,
+        method=words,
+        path=words,
+        query=words,
+        headers=st.lists(headers, max_size=3),
+        body=st.binary(max_size=10),
+        key=words,
+        incarnation=words,
+        tier=st.integers(0, 2**32 - 1),
+    )
+)
+def test_any_forwarded_request_gets_a_reply_or_a_clear_error(wire):
+    handlers = made_handlers(made_fleet().by_name["e1"])
+    try:
+        reply = asyncio.run(handlers.forward("e2", wire))
+    except GRPCError as error:
+        assert "unusable" in error.message
+    else:
+        assert reply.code or reply.status == 200
+    assert handlers.active == 0
+
+
+@given(
+    st.builds(
+        pb.ClaimRequest,
+        workspace=words,
+        key=words,
+        instance=words,
+        incarnation=words,
+        instead_of=words,
+        instead_of_incarnation=words,
+    )
+)
+def test_any_claim_gets_a_vote_or_a_clear_error(wire):
+    node = made_fleet().by_name["e1"]
+    try:
+        reply = made_handlers(node).claim("e2", wire)
+    except GRPCError:
+        assert wire.instance != "e2" or not all((wire.workspace, wire.key))
+        assert not node.claims.by_slot
+        return
+    assert decode_vote(reply).voter == node.own
+
+
+@given(
+    st.builds(pb.ForwardReply, code=words, outcome=words, status=st.integers(0, 999))
+)
+def test_any_reply_is_an_answer_or_a_clear_error(wire):
+    try:
+        run = decode_answer(wire)
+    except (PeerError, RequestError) as error:
+        assert str(error)
+    else:
+        assert run.head.status == wire.status >= 100 and not wire.code
+
+
+@given(
+    st.builds(
+        RequestError,
+        st.sampled_from(list(Code)),
+        st.text(max_size=9),
+        st.sampled_from(list(Outcome)),
+        st.none() | st.integers(0, 99).map(float),
+    )
+)
+def test_an_error_passes_between_instances_unchanged(error):
+    with pytest.raises(RequestError) as raised:
+        decode_answer(encode_error(error))
+    assert raised.value == error
+
+
+def test_claims_and_votes_pass_between_instances_unchanged():
+    node = made_fleet().by_name["e1"]
+    order = decode_claim(encode_claim(_order("e2")))
+    assert order == _order("e2")
+    vote = node.voter.vote(Slot("partner-a", "own"), order)
+    assert decode_vote(encode_vote(vote, order)) == vote
+
+
+def _order(name):
+    return ClaimOrder("partner-a", "own", Holder(name, "7"), Holder("e3", "8"))
+
+
+def test_more_forwarded_requests_than_threads_are_refused_at_once_as_not_run():
+    fleet = made_fleet()
+    node = fleet.by_name["e1"]
+    going, release = threading.Event(), threading.Event()
+    fleet.meanwhile = lambda: (going.set(), release.wait(10))
+    handlers = made_handlers(node, max_forwarded=1)
+    keys = node.keyed.issue("partner-a", 2)
+
+    async def scenario():
+        first = asyncio.create_task(handlers.forward("e2", wire_request(node, keys[0])))
+        await asyncio.to_thread(going.wait, 10)
+        second = await handlers.forward("e2", wire_request(node, keys[1]))
+        resent = await handlers.forward("e2", wire_request(node, keys[0]))
+        release.set()
+        return await first, second, resent
+
+    first, second, resent = asyncio.run(scenario())
+    assert first.status == 200
+    assert (second.code, second.outcome) == ("overloaded", "not-run")
+    assert (resent.code, resent.outcome) == ("key_in_progress", "unknown")
+
+
+def test_a_forward_that_its_sender_gives_up_is_run_to_its_end():
+    fleet = made_fleet()
+    node = fleet.by_name["e1"]
+    handlers = made_handlers(node)
+    key = node.keyed.issue("partner-a", 1)[0]
+
+    async def scenario():
+        call = asyncio.create_task(handlers.forward("e2", wire_request(node, key)))
+        await asyncio.sleep(0)
+        call.cancel()
+        while handlers.active:
+            await asyncio.sleep(0.01)
+        return await handlers.forward("e3", wire_request(node, key))
+
+    assert asyncio.run(scenario()).status == 200
+    assert fleet.runs[Slot("partner-a", key)] == 1
+
+
+def test_a_refusal_before_the_lookup_says_not_run_of_unused_keys_only():
+    fleet = made_fleet()
+    node = fleet.by_name["e1"]
+    used, unused = node.keyed.issue("partner-a", 2)
+    fleet.send(node, "partner-a", used)
+    tell = node.keyed.outcome_unless_run
+    assert tell("partner-a", unused) is Outcome.NOT_RUN
+    for key in (
+        used,
+        "own",
+        Fleet(["e9"]).by_name["e9"].keyed.issue("partner-a", 1)[0],
+    ):
+        assert tell("partner-a", key) is Outcome.UNKNOWN
+    fleet.now += KEY_LIFETIME_SECONDS + 1
+    assert tell("partner-a", unused) is Outcome.UNKNOWN
--- /dev/null
+++ b/test/test_keys_table.py
@@ -0,0 +1,150 @@
+"""The home's record of used keys, and the text of keys."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from almondglade.dispatch.call import AnswerHead
+from almondglade.keys.codec import Holder, KeyCodec, clean_key
+from almondglade.keys.table import Answer, KeyTable, Slot
+from almondglade.outcome import Code, Outcome, RequestError
+
+SECRET = "a secret of the fleet"
+HOME = Holder("e1", "a1")
+HEAD = AnswerHead(200, ())
+MAX_RECORDS, MAX_BYTES = 8, 20
+SLOTS = [Slot(workspace, str(n)) for workspace in "abcde" for n in range(3)]
+LIFETIME = 30.0
+
+
+def codec(home=HOME, secret=SECRET, now=5.0):
+    return KeyCodec(secret, home, lambda: now)
+
+
+def error_of(act, *arguments):
+    """Return the `RequestError` that a call raises, or None."""
+    try:
+        act(*arguments)
+    except RequestError as error:
+        return error
+    return None
+
+
+class Records(RuleBasedStateMachine):
+    """Compare the table with a model that forgets nothing."""
+
+    def __init__(self):
+        super().__init__()
+        self.now = 0.0
+        self.table = KeyTable(lambda: self.now, MAX_RECORDS, MAX_BYTES)
+        self.running: dict = {}
+        self.begun: dict = {}
+        self.answers: dict = {}
+
+    @rule(slot=st.sampled_from(SLOTS), fingerprint=st.integers(1, 2))
+    def begin(self, slot, fingerprint):
+        """Begin, with the key's lifetime counted from time 0."""
+        try:
+            answer = self.table.begin(slot, fingerprint, LIFETIME)
+        except RequestError as error:
+            self._check_refusal(slot, fingerprint, error)
+            return
+        if answer is None:
+            assert slot not in self.begun and self.now <= LIFETIME
+            self.begun[slot] = self.running[slot] = fingerprint
+        else:
+            assert answer.body == self.answers[slot]
+            assert self.begun[slot] == fingerprint
+
+    def _check_refusal(self, slot, fingerprint, error):
+        if self.now > LIFETIME:
+            assert (error.code, error.outcome) == (Code.KEY_VOID, Outcome.UNKNOWN)
+        elif error.code is Code.KEY_REUSED:
+            assert self.begun[slot] != fingerprint
+        else:
+            expected = Outcome.ANSWERED if slot in self.answers else Outcome.UNKNOWN
+            known = slot in self.begun
+            assert error.outcome is (expected if known else Outcome.NOT_RUN)
+            assert (error.code is Code.KEY_IN_PROGRESS) is (slot in self.running)
+
+    @precondition(lambda self: self.running)
+    @rule(data=st.data(), end=st.sampled_from(("answered", "lost", "release")))
+    def end(self, data, end):
+        """End one of the runs in progress."""
+        slot = data.draw(st.sampled_from(sorted(self.running)))
+        del self.running[slot]
+        if end == "answered":
+            body = data.draw(st.binary(min_size=1, max_size=9))
+            self.answers[slot] = body
+            self.table.answered(slot, Answer(HEAD, body))
+        elif end == "lost":
+            self.table.lost(slot)
+        else:
+            del self.begun[slot]
+            self.table.release(slot)
+
+    @rule(seconds=st.floats(0.1, 4.0))
+    def wait(self, seconds):
+        """Let time pass."""
+        self.now += seconds
+
+    @invariant()
+    def stays_in_bounds(self):
+        """Bound the memory, and forget no key that could still run."""
+        assert len(self.table.by_slot) <= MAX_RECORDS
+        assert self.table.answers_bytes <= MAX_BYTES
+        if self.now <= LIFETIME:
+            assert self.begun.keys() == self.table.by_slot.keys()
+
+
+Records.TestCase.settings = settings(max_examples=200, stateful_step_count=40)
+TestRecords = Records.TestCase
+
+
+def test_an_expired_key_is_forgotten_once_its_run_has_ended():
+    now = [0.0]
+    table = KeyTable(lambda: now[0])
+    for slot in SLOTS[:2]:
+        assert table.begin(slot, 1, LIFETIME) is None
+    table.answered(SLOTS[0], Answer(HEAD, b"done"))
+    now[0] = LIFETIME + 1
+    assert table.begin(SLOTS[2], 1, 2 * LIFETIME) is None
+    assert table.by_slot.keys() == {SLOTS[1], SLOTS[2]}
+    assert table.answers_bytes == 0
+    table.lost(SLOTS[1])
+
+
+@given(st.text(max_size=20), st.text(max_size=20), st.integers(1, 3))
+def test_a_key_is_genuine_for_its_workspace_and_secret_only(workspace, other, count):
+    issuer = codec()
+    keys = [issuer.issue(workspace) for _ in range(count)]
+    assert len(set(keys)) == count
+    for key in keys:
+        assert clean_key(f'"{key}"') == key
+        assert codec(Holder("e2", "b")).read(key, workspace).home == HOME
+        if other != workspace:
+            error = error_of(issuer.read, key, other)
+            assert (error.code, error.outcome) == (Code.KEY_VOID, Outcome.UNKNOWN)
+        error = error_of(codec(secret="another secret").read, key, workspace)
+        assert error.code is Code.KEY_VOID
+
+
+KEY = codec().issue("partner-a")
+
+
+@given(st.integers(0, len(KEY) - 1), st.characters(max_codepoint=255))
+def test_a_changed_key_is_refused(place, character):
+    text = KEY[:place] + character + KEY[place + 1 :]
+    if text != KEY:
+        error = error_of(codec().read, text, "partner-a")
+        assert error.code in (Code.BAD_REQUEST, Code.KEY_VOID)
+
+
+@given(st.text(max_size=300) | st.builds("agk1:{}".format, st.text(max_size=80)))
+def test_any_header_gives_a_key_or_a_clear_error(header):
+    try:
+        key = clean_key(header)
+        codec().read(key, "partner-a")
+    except RequestError as error:
+        assert error.code in (Code.BAD_REQUEST, Code.KEY_VOID)
+        assert len(error.message) < 100
