--- a/almondglade/settings.py
+++ b/almondglade/settings.py
@@ -73,7 +73,7 @@
     )
     list_lag: PositiveFloat = Field(
         60.0,
-        description="Seconds in which a started instance may not be listed yet.",
+        description="Seconds after an instance is listed until all can read so.",
     )
     queue_order: str = Field("tiered", description="Plug-in that orders the queue.")
     target_choice: str = Field(
