Spread the configuration by relays and stop new work without evidence

Cause: each instance watched the service alone, so one that was cut off, paused or met a stale service went on with an old document without end.

Entry's file: scheduling.py asks the store, which asks for the evidence, before a dispatch (one line). httpserver.py and ui/serve.py: the notice time of a stop. PeerService.authenticate still returns the sender; links.metadata(peer) signs each call for one callee, once.

--- a/almondglade/entry/scheduling.py
+++ b/almondglade/entry/scheduling.py
@@ -239,7 +239,7 @@
 
     def _may_dispatch(self, permit):
         return self.broker.is_valid(permit) and (
-            self.store.declarations.takes_new_work(permit.grant.target)
+            self.store.takes_new_work(permit.grant.target)
         )
 
     def _release_unused(self, request, permit, result):
--- a/almondglade/httpserver.py
+++ b/almondglade/httpserver.py
@@ -44,6 +44,7 @@
     """
 
     def __init__(self, address, port, root, threads):
+        self.port = port
         app = cherrypy.Application(root, "", APP_CONFIG)
         self._server = wsgi.Server(
             (address, port),
@@ -71,6 +72,10 @@
     def _serve(self):
         self._server.serve()
 
+    def end_keep_alive(self):
+        """Close each connection after its next answer."""
+        self._server.keep_alive_conn_limit = 0
+
     def stop(self):
         """Stop serving."""
         self._server.stop()
--- a/almondglade/messages.py
+++ b/almondglade/messages.py
@@ -4,6 +4,7 @@
 """
 
 import enum
+import math
 from dataclasses import dataclass, field
 
 
@@ -219,11 +220,23 @@
         Latest ``sent_at`` received from the other side.
     configuration_version : int
         Version in force at the sender.
+    confirmed_age : float
+        Seconds since that version was known to be the newest.
+    majority_age : float
+        Seconds since a majority of the relays was known to be in contact.
+    leaving : bool
+        Whether the sender is about to stop.
+    interval : float
+        Seconds within which the next heartbeat follows; 0 when not known.
     """
 
     sent_at: float
     echo: float
     configuration_version: int
+    confirmed_age: float = math.inf
+    majority_age: float = math.inf
+    leaving: bool = False
+    interval: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -234,6 +247,39 @@
     document: bytes
 
 
+@dataclass(frozen=True)
+class ConfigurationRequest:
+    """Asks for the document in force; `version` is the one already held."""
+
+    version: int
+
+
+@dataclass(frozen=True)
+class ConfigurationPart:
+    """A piece of a document's compressed difference from an older one.
+
+    Parameters
+    ----------
+    base_version : int
+        The older document; 0 for an empty one.
+    prefix, suffix : int
+        Bytes at the start and the end that both documents share.
+    offset, total : int
+        Place of `data` in the compressed difference, and its whole length.
+    checksum : int
+        XXH64 of the new document.
+    """
+
+    version: int
+    base_version: int
+    prefix: int
+    suffix: int
+    offset: int
+    total: int
+    checksum: int
+    data: bytes
+
+
 @dataclass(frozen=True)
 class LoadReport:
     """A target's own view of its load.
@@ -259,6 +305,7 @@
     incarnation: str
     configuration_version: int
     protocol: int = 1
+    proof: str = ""
 
 
 Message = (
@@ -273,6 +320,8 @@
     | Refusal
     | Preemption
     | ConfigurationUpdate
+    | ConfigurationRequest
+    | ConfigurationPart
 )
 
 
--- a/almondglade/node.py
+++ b/almondglade/node.py
@@ -2,11 +2,15 @@
 
 import asyncio
 import contextlib
+import os
 import secrets
 import signal
+import sys
+import threading
 import time
 
 import numpy as np
+import orjson
 from grpclib.server import Server
 
 from .configuration import ConfigurationStore
@@ -17,20 +21,27 @@
 from .entry.app import EntryApp
 from .entry.operators import OperatorApp
 from .entry.scheduling import Scheduler
+from .errors import SettingsError
 from .httpserver import HttpServer
 from .loads import LoadPoller
 from .log import get_logger
-from .peers.links import HEARTBEAT_SECONDS, LinkTable
+from .peers.currency import Currency
+from .peers.exchange import HEARTBEAT_SECONDS, Gossip
+from .peers.links import TRANSPORT, LinkTable
 from .peers.membership import Instance, Membership
 from .peers.service import PeerService
+from .peers.tending import PeerTender
 from .permits import PermitBroker, run_heartbeat
 from .platform.client import PlatformClient
+from .platform.reading import DocumentReader
 from .platform.watch import watch
+from .stopping import drain
 
 log = get_logger("node")
 
 OPERATOR_THREADS = 4
-DRAIN_POLL_SECONDS = 0.05
+SNAPSHOT_SECONDS = 2.0
+EXIT_CUT = 3
 INCARNATION_BYTES = 4
 RESTART_SECONDS = 1.0
 
@@ -50,7 +61,10 @@
         self.clock = time.monotonic
         self.loop = asyncio.get_running_loop()
         self.stop_asked = asyncio.Event()
-        self.listed = False
+        self.cut_asked = asyncio.Event()
+        self.stopping = False
+        self.rng = np.random.default_rng()
+        self._loop_thread = threading.get_ident()
         own = Instance(
             settings.instance,
             settings.address,
@@ -59,11 +73,14 @@
         )
         self.store = ConfigurationStore()
         self.membership = Membership(own, self.clock)
+        self.currency = Currency(settings.instance, self.store, self.clock)
+        self.store.may_dispatch = self.currency.is_current
+        self.gossip = Gossip(self.store, self.currency, self.membership, self.clock)
         self.host = CoordinatorHost(
             settings.instance,
             self.incarnation,
             self.clock,
-            np.random.default_rng(),
+            self.rng,
             Policies(settings.queue_order, settings.target_choice, settings.limits),
         )
         self.links = LinkTable(
@@ -71,8 +88,9 @@
             self.incarnation,
             settings.peer_secret,
             self.membership,
-            self.store,
+            self.gossip,
             self.clock,
+            self.rng,
         )
         self.broker = PermitBroker(
             settings.instance,
@@ -85,7 +103,11 @@
         )
         self.links.broker = self.broker
         self.peers = PeerService(
-            settings.peer_secret, self.host, self.store, self.clock
+            settings.instance,
+            self.incarnation,
+            settings.peer_secret,
+            self.host,
+            self.gossip,
         )
         self.pools = TargetPools()
         self.scheduler = Scheduler(self.broker, self.store, self.pools)
@@ -94,11 +116,21 @@
         self.store.subscribe(self._configured)
 
     async def run(self):
-        """Serve until a signal asks to stop, then drain."""
+        """Serve until a signal asks to stop, then drain.
+
+        Returns
+        -------
+        int
+            Requests in progress that were cut off.
+
+        Raises
+        ------
+        SettingsError
+            If a port cannot be bound.
+        """
         settings = self.settings
-        for number in (signal.SIGTERM, signal.SIGINT):
-            self.loop.add_signal_handler(number, self.stop_asked.set)
-        callers = HttpServer(
+        self._handle_signals()
+        self.callers = HttpServer(
             settings.address,
             settings.caller_port,
             self.app,
@@ -110,35 +142,56 @@
             OperatorApp(self),
             OPERATOR_THREADS,
         )
-        peers = Server([self.peers])
-        await peers.start(settings.address, settings.peer_port)
-        callers.start()
-        operators.start()
-        log.info("started", instance=settings.instance, incarnation=self.incarnation)
-        tasks = [
-            asyncio.create_task(keep_running(name, job)) for name, job in self._jobs()
-        ]
-        await self.stop_asked.wait()
-        await self._drain()
-        for task in tasks:
-            task.cancel()
-        await self.links.close()
-        peers.close()
-        await asyncio.to_thread(callers.stop)
-        await asyncio.to_thread(operators.stop)
+        peers = Server([self.peers], config=TRANSPORT)
+        async with contextlib.AsyncExitStack() as stack:
+            with _port_errors(settings.peer_port):
+                await peers.start(settings.address, settings.peer_port)
+            stack.callback(peers.close)
+            for server in (self.callers, operators):
+                with _port_errors(server.port):
+                    server.start()
+                stack.push_async_callback(asyncio.to_thread, server.stop)
+            stack.push_async_callback(self.links.close)
+            log.info(
+                "started", instance=settings.instance, incarnation=self.incarnation
+            )
+            tasks = [
+                asyncio.create_task(keep_running(name, job))
+                for name, job in self._jobs()
+            ]
+            await self.stop_asked.wait()
+            cut = await drain(self)
+            for task in tasks:
+                task.cancel()
         log.info("stopped", instance=settings.instance)
+        return cut
+
+    def _handle_signals(self):
+        for number in (signal.SIGTERM, signal.SIGINT):
+            self.loop.add_signal_handler(number, self._stop)
+        self.loop.add_signal_handler(signal.SIGUSR1, self._log_state)
+
+    def _stop(self):
+        if self.stop_asked.is_set():
+            self.cut_asked.set()
+        self.stop_asked.set()
+
+    def _log_state(self):
+        log.info("state", state=orjson.dumps(self.snapshot()).decode())
 
     def _jobs(self):
         settings = self.settings
         yield (
-            "watch configuration",
-            lambda: watch(
-                "configuration",
-                lambda index, wait: self.platform.read_document(
-                    settings.configuration_key, index, wait
-                ),
-                lambda answer: self.store.offer(answer.index, answer.value, "platform"),
-            ),
+            "read configuration",
+            DocumentReader(
+                self.platform,
+                settings.configuration_key,
+                self.store,
+                self.currency,
+                self.membership,
+                self.clock,
+                self.rng,
+            ).run,
         )
         yield (
             "watch instances",
@@ -150,61 +203,83 @@
                 self._instances_listed,
             ),
         )
+        yield (
+            "tend links",
+            PeerTender(
+                self.membership,
+                self.links,
+                self.currency,
+                self.host,
+                self.store,
+                self._join,
+                self.clock,
+            ).run,
+        )
         yield "coordinate", self.host.run
         yield "heartbeat", lambda: run_heartbeat(self.broker, HEARTBEAT_SECONDS)
-        yield "rejoin", self._rejoin
         yield "poll loads", LoadPoller(self.host, self.store).run
 
-    async def _rejoin(self):
-        """Return to a better coordinator once it can be tried again."""
-        while True:
-            await asyncio.sleep(1.0)
-            self._join()
-
-    async def _drain(self):
-        log.info("stopping, requests in progress will end first")
-        self.app.stopping = True
-        deadline = self.clock() + self.settings.stop_timeout
-        while self.app.active and self.clock() < deadline:
-            await asyncio.sleep(DRAIN_POLL_SECONDS)
-
     def _configured(self, update):
         self.pools.keep_only(
             target.url for target in self.store.declarations.targets.values()
         )
         self.host.configure(self.store.declarations)
-        self.links.announce(update)
-        self.peers.announce(update)
+        self.membership.configure(self.store.declarations)
+        self.peers.configured()
         self._join()
 
     def _instances_listed(self, answer):
-        self.listed = True
         self.membership.update(answer.value)
+        self.currency.set_relays(self.membership.relays())
         self.host.set_published(self.membership.published)
         self._join()
 
     def _join(self):
-        if self.store.declarations is not None and self.listed:
+        if self.store.declarations is not None and self.membership.listed:
             self.broker.join_all(self.store.declarations.services)
 
+    def leave(self):
+        """Pass on the coordinators' role and say so to all peers."""
+        self.stopping = True
+        self.membership.set_leaving(self.settings.instance, True)
+        self.gossip.leaving = True
+        self.gossip.announce()
+        self._join()
+
     def is_ready(self):
-        """Tell whether callers can be served."""
+        """Tell whether the balancer should send callers here."""
         return (
-            self.store.declarations is not None
-            and self.listed
-            and not self.app.stopping
+            not self.stopping
+            and self.membership.listed
+            and self.membership.is_serving(self.settings.instance)
+            and self.currency.is_current()
         )
 
     def snapshot(self):
-        """Return the state of the whole process, without secrets."""
+        """Return the state of the whole process, without secrets.
+
+        It is taken on the loop thread, which alone changes it.
+        """
+        if threading.get_ident() == self._loop_thread:
+            return self._snapshot()
+
+        async def take():
+            return self._snapshot()
+
+        future = asyncio.run_coroutine_threadsafe(take(), self.loop)
+        return future.result(SNAPSHOT_SECONDS)
+
+    def _snapshot(self):
         return {
             "instance": self.settings.instance,
             "incarnation": self.incarnation,
             "ready": self.is_ready(),
-            "stopping": self.app.stopping,
+            "stopping": self.stopping,
             "active_requests": self.app.active,
             "configuration": self.store.snapshot(),
+            "currency": self.currency.snapshot(),
             "published": self.membership.published,
+            "suspects": sorted(self.membership.suspects),
             "links": self.links.snapshot(),
             "pools": self.broker.snapshot(),
             "coordinators": self.host.snapshot(),
@@ -230,11 +305,27 @@
         await asyncio.sleep(RESTART_SECONDS)
 
 
+@contextlib.contextmanager
+def _port_errors(port):
+    try:
+        yield
+    except OSError as error:
+        raise SettingsError(f"port {port} cannot be bound: {error}") from error
+
+
 def run_node(settings):
-    """Run one instance in this process until it stops."""
+    """Run one instance in this process until it stops.
+
+    Raises
+    ------
+    SettingsError
+        If a port cannot be bound.
+    """
 
     async def main():
-        await Node(settings).run()
+        return await Node(settings).run()
 
-    with contextlib.suppress(KeyboardInterrupt):
-        asyncio.run(main())
+    if asyncio.run(main()):
+        # Threads that still serve a cut request would keep the process.
+        sys.stderr.flush()
+        os._exit(EXIT_CUT)
--- a/almondglade/peers/codec.py
+++ b/almondglade/peers/codec.py
@@ -1,5 +1,6 @@
 """Translate between messages and their wire form."""
 
+import math
 from functools import singledispatch
 
 from .. import messages as m
@@ -8,6 +9,7 @@
 
 MICROSECONDS = 1_000_000
 MILLISECONDS = 1_000
+MAX_AGE = (1 << 32) - 1
 
 
 def encode_batch(messages):
@@ -16,14 +18,18 @@
 
 
 def decode_batch(frame):
-    """Return the messages of a frame.
+    """Return the messages of a frame; kinds of a newer protocol are left out.
 
     Raises
     ------
     PeerError
-        If a message is of an unknown kind or holds an impossible value.
+        If a message holds an impossible value.
     """
-    return [_decode_envelope(envelope) for envelope in frame.envelopes]
+    return [
+        _decode_envelope(envelope)
+        for envelope in frame.envelopes
+        if envelope.WhichOneof("kind") is not None
+    ]
 
 
 def _envelope(message):
@@ -33,8 +39,6 @@
 
 def _decode_envelope(envelope):
     kind = envelope.WhichOneof("kind")
-    if kind is None:
-        raise PeerError("a peer sent a message of an unknown kind")
     try:
         return decode(getattr(envelope, kind))
     except ValueError as error:
@@ -53,6 +57,33 @@
     raise PeerError(f"no message for {type(wire).__name__}")
 
 
+def _register_plain(message_type, wire_type):
+    """Register a pair of types whose fields have equal names and values."""
+    names = [field.name for field in wire_type.DESCRIPTOR.fields]
+
+    def to_wire(message):
+        return wire_type(**{name: getattr(message, name) for name in names})
+
+    def from_wire(wire):
+        return message_type(**{name: getattr(wire, name) for name in names})
+
+    encode.register(message_type, to_wire)
+    decode.register(wire_type, from_wire)
+
+
+for _name in (
+    "CarriedSpend",
+    "ConfigurationPart",
+    "ConfigurationRequest",
+    "ConfigurationUpdate",
+    "Hello",
+    "Leave",
+    "TargetState",
+    "Withdrawal",
+):
+    _register_plain(getattr(m, _name), getattr(pb, _name))
+
+
 def _micros(seconds):
     return max(0, round(seconds * MICROSECONDS))
 
@@ -61,21 +92,12 @@
     return max(0, round(seconds * MILLISECONDS))
 
 
-@encode.register
-def _(message: m.Hello):
-    return pb.Hello(
-        instance=message.instance,
-        incarnation=message.incarnation,
-        configuration_version=message.configuration_version,
-        protocol=message.protocol,
-    )
+def _age(seconds):
+    return 0 if math.isinf(seconds) else min(1 + _millis(seconds), MAX_AGE)
 
 
-@decode.register
-def _(wire: pb.Hello):
-    return m.Hello(
-        wire.instance, wire.incarnation, wire.configuration_version, wire.protocol
-    )
+def _seconds(age):
+    return (age - 1) / MILLISECONDS if age else math.inf
 
 
 @encode.register
@@ -84,6 +106,10 @@
         sent_at=_micros(message.sent_at),
         echo=_micros(message.echo),
         configuration_version=message.configuration_version,
+        confirmed_age=_age(message.confirmed_age),
+        majority_age=_age(message.majority_age),
+        leaving=message.leaving,
+        interval_ms=_millis(message.interval),
     )
 
 
@@ -93,6 +119,10 @@
         wire.sent_at / MICROSECONDS,
         wire.echo / MICROSECONDS,
         wire.configuration_version,
+        _seconds(wire.confirmed_age),
+        _seconds(wire.majority_age),
+        wire.leaving,
+        wire.interval_ms / MILLISECONDS,
     )
 
 
@@ -130,21 +160,6 @@
     )
 
 
-@encode.register
-def _(message: m.TargetState):
-    return pb.TargetState(
-        target=message.target,
-        epoch=message.epoch,
-        limit=message.limit,
-        baseline=message.baseline,
-    )
-
-
-@decode.register
-def _(wire: pb.TargetState):
-    return m.TargetState(wire.target, wire.epoch, wire.limit, wire.baseline)
-
-
 @encode.register
 def _(message: m.Grant):
     return pb.Grant(
@@ -201,16 +216,6 @@
     return m.Preemption(wire.request_id, wire.retry_after_ms / MILLISECONDS)
 
 
-@encode.register
-def _(message: m.Withdrawal):
-    return pb.Withdrawal(request_id=message.request_id, pool=message.pool)
-
-
-@decode.register
-def _(wire: pb.Withdrawal):
-    return m.Withdrawal(wire.request_id, wire.pool)
-
-
 @encode.register
 def _(message: m.Completion):
     return pb.Completion(
@@ -253,20 +258,6 @@
     return m.CarriedPermit(decode(wire.demand), wire.target, wire.age / MICROSECONDS)
 
 
-@encode.register
-def _(message: m.CarriedSpend):
-    return pb.CarriedSpend(
-        workspace=message.workspace,
-        tokens=message.tokens,
-        requests=message.requests,
-    )
-
-
-@decode.register
-def _(wire: pb.CarriedSpend):
-    return m.CarriedSpend(wire.workspace, wire.tokens, wire.requests)
-
-
 @encode.register
 def _(message: m.Join):
     return pb.Join(
@@ -289,26 +280,6 @@
     )
 
 
-@encode.register
-def _(message: m.Leave):
-    return pb.Leave(pool=message.pool)
-
-
-@decode.register
-def _(wire: pb.Leave):
-    return m.Leave(wire.pool)
-
-
-@encode.register
-def _(message: m.ConfigurationUpdate):
-    return pb.ConfigurationUpdate(version=message.version, document=message.document)
-
-
-@decode.register
-def _(wire: pb.ConfigurationUpdate):
-    return m.ConfigurationUpdate(wire.version, wire.document)
-
-
 _FIELD_BY_TYPE: dict[type, str] = {
     field.message_type._concrete_class: field.name
     for field in pb.Envelope.DESCRIPTOR.oneofs_by_name["kind"].fields
--- /dev/null
+++ b/almondglade/peers/documents.py
@@ -0,0 +1,116 @@
+"""Pass a declared document over a link as a compressed difference, in parts.
+
+Parts are small, so that heartbeats on the same link go out between them.
+"""
+
+import zlib
+
+import numpy as np
+import xxhash
+
+from ..errors import PeerError
+from ..messages import ConfigurationPart, ConfigurationUpdate
+
+PART_BYTES = 16 * 1024
+MAX_DOCUMENT_BYTES = 4 << 20
+COMPRESSION_LEVEL = 6
+
+
+def make_parts(version, document, base_version=0, base=b""):
+    """Return the messages that carry a document to a side that holds another.
+
+    Parameters
+    ----------
+    version, base_version : int
+        Versions of the document and of the one held.
+    document, base : bytes
+        Their texts.
+
+    Returns
+    -------
+    list of ConfigurationPart
+        At least one.
+    """
+    prefix = _shared(document, base)
+    suffix = _shared(document[prefix:][::-1], base[prefix:][::-1])
+    middle = document[prefix : len(document) - suffix]
+    data = zlib.compress(middle, COMPRESSION_LEVEL)
+    checksum = xxhash.xxh64_intdigest(document)
+    return [
+        ConfigurationPart(
+            version,
+            base_version,
+            prefix,
+            suffix,
+            offset,
+            len(data),
+            checksum,
+            data[offset : offset + PART_BYTES],
+        )
+        for offset in range(0, len(data), PART_BYTES)
+    ]
+
+
+def _shared(one, other):
+    """Return how many bytes two texts share from their start."""
+    size = min(len(one), len(other))
+    differ = np.frombuffer(one, np.uint8, size) != np.frombuffer(other, np.uint8, size)
+    return int(differ.argmax()) if differ.any() else size
+
+
+class Assembler:
+    """Puts the parts of one document together, in the order they were made."""
+
+    def __init__(self):
+        self._first: ConfigurationPart | None = None
+        self._data = bytearray()
+
+    def add(self, part, base):
+        """Take in a part.
+
+        Parameters
+        ----------
+        part : ConfigurationPart
+            The next part, or the first of another document.
+        base : bytes or None
+            The older document it builds on; None if it is no longer held.
+
+        Returns
+        -------
+        ConfigurationUpdate or None
+            The document, once whole.
+
+        Raises
+        ------
+        PeerError
+            If the parts do not make a document.
+        """
+        if part.offset == 0:
+            self._first, self._data = part, bytearray()
+        if (
+            self._first is None
+            or part.version != self._first.version
+            or part.offset != len(self._data)
+            or part.total > MAX_DOCUMENT_BYTES
+            or len(part.data) > part.total - part.offset
+        ):
+            raise PeerError("a peer sent a part of a document out of place")
+        self._data += part.data
+        if len(self._data) < part.total:
+            return None
+        first, self._first = self._first, None
+        return None if base is None else _assemble(first, bytes(self._data), base)
+
+
+def _assemble(first, data, base):
+    if first.prefix + first.suffix > len(base):
+        raise PeerError("a peer sent a difference from another document")
+    inflater = zlib.decompressobj()
+    try:
+        middle = inflater.decompress(data, MAX_DOCUMENT_BYTES)
+    except zlib.error as error:
+        raise PeerError(f"a peer sent an unreadable document: {error}") from error
+    document = base[: first.prefix] + middle + base[len(base) - first.suffix :]
+    if not inflater.eof or xxhash.xxh64_intdigest(document) != first.checksum:
+        raise PeerError("a peer sent a damaged document")
+    return ConfigurationUpdate(first.version, document)
--- /dev/null
+++ b/almondglade/peers/exchange.py
@@ -0,0 +1,206 @@
+"""What both ends of a link say to each other, whichever of them opened it."""
+
+import asyncio
+
+from google.protobuf.message import DecodeError
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+
+from .. import messages as m
+from ..errors import PeerError
+from ..log import get_logger
+from .codec import decode_batch, encode_batch
+from .documents import Assembler, make_parts
+from .outbox import Outbox
+
+log = get_logger("links")
+
+# While a link carries permits, the lease of the coordinator sets the interval.
+HEARTBEAT_SECONDS = 0.25
+IDLE_HEARTBEAT_SECONDS = 0.5
+# A link is given up when nothing has arrived for this many heartbeats.
+SILENT_HEARTBEATS = 4
+MAX_SILENCE_SECONDS = 5.0
+SILENCE_SECONDS = SILENT_HEARTBEATS * HEARTBEAT_SECONDS
+# Another peer is asked for a document when one has not sent it after this.
+DOCUMENT_SECONDS = 1.0
+
+LINK_ERRORS = (
+    GRPCError,
+    StreamTerminatedError,
+    ProtocolError,
+    DecodeError,
+    PeerError,
+    OSError,
+    TimeoutError,
+    ConnectionError,
+)
+
+
+class Gossip:
+    """What this instance tells all its peers, and what it makes of theirs.
+
+    Parameters
+    ----------
+    store : ConfigurationStore
+        Declared document in force.
+    currency : Currency
+        Evidence that it is the newest.
+    membership : Membership
+        Learns which peers are leaving.
+    clock : callable
+        Returns monotonic seconds.
+    """
+
+    def __init__(self, store, currency, membership, clock):
+        self.store = store
+        self.currency = currency
+        self.membership = membership
+        self.clock = clock
+        self.leaving = False
+        self.exchanges: set[Exchange] = set()
+        self._asked_until = 0.0
+        store.subscribe(self.announce)
+
+    def announce(self, _update=None):
+        """Send a heartbeat on every link now."""
+        for exchange in self.exchanges:
+            exchange.put_ping()
+
+    def ping(self, echo, interval):
+        """Return a heartbeat of this moment."""
+        return m.Ping(
+            self.clock(),
+            echo,
+            self.store.version,
+            self.currency.confirmed_age,
+            self.currency.majority_age,
+            self.leaving,
+            interval,
+        )
+
+    def should_ask(self, version):
+        """Tell whether to ask a peer for the version it has."""
+        now = self.clock()
+        known = max(self.store.version, self.store.rejected_version)
+        if version <= known or now < self._asked_until:
+            return False
+        self._asked_until = now + DOCUMENT_SECONDS
+        return True
+
+    async def offer(self, update):
+        """Take in a whole document; its announcement goes to all peers."""
+        await self.store.offer_in_thread(update.version, update.document, "peer")
+        self._asked_until = 0.0
+
+
+class Exchange:
+    """One end of a link.
+
+    Parameters
+    ----------
+    gossip : Gossip
+        What is shared by all links.
+    peer : str
+        Instance at the other end.
+    """
+
+    def __init__(self, gossip, peer):
+        self.gossip = gossip
+        self.peer = peer
+        self.outbox = Outbox()
+        self.last_ping = gossip.clock()
+        self.last_heard = 0.0
+        self.latest_ping: m.Ping | None = None
+        self.early_joins: dict[str, m.Join] = {}
+        self.interval = IDLE_HEARTBEAT_SECONDS
+        self.silence = MAX_SILENCE_SECONDS
+        self._assembler = Assembler()
+        self._offer: asyncio.Task | None = None
+
+    async def run(self, stream, *jobs):
+        """Write, and do other jobs, until the first of them ends.
+
+        Raises
+        ------
+        PeerError
+            If the link has failed.
+        """
+        self.gossip.exchanges.add(self)
+        tasks = [asyncio.ensure_future(job) for job in (self._write(stream), *jobs)]
+        try:
+            done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+            for task in done:
+                task.result()
+        finally:
+            self.gossip.exchanges.discard(self)
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _write(self, stream):
+        while True:
+            frame = encode_batch(await self.outbox.take())
+            await asyncio.wait_for(stream.send_message(frame), MAX_SILENCE_SECONDS)
+
+    async def receive(self, stream):
+        """Return the messages of the next frame, or None at the end."""
+        frame = await asyncio.wait_for(stream.recv_message(), self.silence)
+        return None if frame is None else decode_batch(frame)
+
+    def put_ping(self, echo=None):
+        """Send a heartbeat."""
+        self.last_ping = self.gossip.clock()
+        echo = self.last_heard if echo is None else echo
+        self.outbox.put(self.gossip.ping(echo, self.interval))
+
+    def take(self, message):
+        """Take in a message, unless it is about permits.
+
+        Returns
+        -------
+        bool
+            True if it was taken in.
+        """
+        match message:
+            case m.Ping():
+                self._take_ping(message)
+            case m.ConfigurationRequest():
+                self._send_document(message.version)
+            case m.ConfigurationPart():
+                self._take_part(message)
+            case m.ConfigurationUpdate():
+                self._offer_document(message)
+            case _:
+                return False
+        return True
+
+    def _take_ping(self, ping):
+        gossip = self.gossip
+        self.last_heard = ping.sent_at
+        self.latest_ping = ping
+        if ping.interval:
+            self.silence = min(SILENT_HEARTBEATS * ping.interval, MAX_SILENCE_SECONDS)
+        gossip.currency.heard(self.peer, ping)
+        gossip.membership.set_leaving(self.peer, ping.leaving)
+        if gossip.should_ask(ping.configuration_version):
+            self.outbox.put(m.ConfigurationRequest(gossip.store.version))
+
+    def _send_document(self, held):
+        store = self.gossip.store
+        base = store.document_of(held)
+        if store.version <= held:
+            return
+        base_version = 0 if base is None else held
+        self.outbox.replace_parts(
+            make_parts(store.version, store.document, base_version, base or b"")
+        )
+
+    def _take_part(self, part):
+        base = self.gossip.store.document_of(part.base_version)
+        update = self._assembler.add(part, base)
+        if update is not None:
+            self._offer_document(update)
+
+    def _offer_document(self, update):
+        # Kept here, since the loop holds no strong reference to a task.
+        self._offer = asyncio.ensure_future(self.gossip.offer(update))
--- a/almondglade/peers/links.py
+++ b/almondglade/peers/links.py
@@ -1,57 +1,40 @@
-"""Links to coordinators on other instances: one task for each peer."""
+"""Links to other instances that this one opens: one task for each peer."""
 
 import asyncio
 import contextlib
 from typing import Any
 
 from grpclib.client import Channel
-from grpclib.exceptions import GRPCError, StreamTerminatedError
+from grpclib.config import Configuration
 
 from .. import messages as m
 from ..errors import PeerError
 from ..log import get_logger
 from . import auth
-from .codec import decode_batch, encode_batch
+from .exchange import (
+    HEARTBEAT_SECONDS,
+    IDLE_HEARTBEAT_SECONDS,
+    LINK_ERRORS,
+    SILENCE_SECONDS,
+    Exchange,
+)
 from .link_grpc import PeersStub
 
 log = get_logger("links")
 
-HEARTBEAT_SECONDS = 0.25
-# A link on which nothing arrives for this long is given up.
-SILENCE_SECONDS = 1.0
 CONNECT_SECONDS = 0.5
-AVOID_SECONDS = 2.0
-
-LINK_ERRORS = (
-    GRPCError,
-    StreamTerminatedError,
-    PeerError,
-    OSError,
-    TimeoutError,
-    ConnectionError,
+MIN_BACKOFF_SECONDS = 0.1
+MAX_BACKOFF_SECONDS = 2.0
+# A link that failed must have held for this long before its peer is chosen
+# again as a coordinator, since each move costs the wait for a lease.
+STEADY_SECONDS = 2.0
+# Bounds what a peer that does not read may leave unread on this side.
+WINDOW_BYTES = 1 << 18
+TRANSPORT = Configuration(
+    http2_connection_window_size=WINDOW_BYTES, http2_stream_window_size=WINDOW_BYTES
 )
 
 
-class Outbox:
-    """Messages that wait to be sent together."""
-
-    def __init__(self):
-        self._messages = []
-        self._ready = asyncio.Event()
-
-    def put(self, message):
-        """Add a message to the next frame."""
-        self._messages.append(message)
-        self._ready.set()
-
-    async def take(self):
-        """Wait for messages and return all of them."""
-        await self._ready.wait()
-        self._ready.clear()
-        messages, self._messages = self._messages, []
-        return messages
-
-
 class Link:
     """A link that this instance has opened to a peer.
 
@@ -66,71 +49,62 @@
     def __init__(self, table, peer):
         self.table = table
         self.peer = peer
-        self.outbox = Outbox()
+        self.exchange = Exchange(table.gossip, peer.name)
         self.up = False
-        self.last_ping = table.clock()
-        self.last_heard = 0.0
+        self.up_since = 0.0
+
+    @property
+    def outbox(self):
+        """Messages that wait to be sent."""
+        return self.exchange.outbox
 
     async def run(self):
         """Connect, then carry messages both ways until the link fails."""
-        channel = Channel(self.peer.address, self.peer.port)
+        channel = Channel(self.peer.address, self.peer.port, config=TRANSPORT)
         try:
             await asyncio.wait_for(channel.__connect__(), CONNECT_SECONDS)
-            stub = PeersStub(channel)
-            async with stub.Link.open(metadata=self.table.metadata()) as stream:
-                await self._carry(stream)
-        except LINK_ERRORS as error:
-            log.warning(
-                "link failed", peer=self.peer.name, cause=str(error) or repr(error)
-            )
+            nonce = auth.make_nonce()
+            metadata = self.table.metadata(self.peer.name, nonce)
+            async with PeersStub(channel).Link.open(metadata=metadata) as stream:
+                await self._carry(stream, nonce)
         finally:
             self.up = False
             channel.close()
 
-    async def _carry(self, stream):
-        await stream.send_message(encode_batch([self.table.hello()]))
-        self.up = True
-        self.table.on_up(self.peer.name)
-        async with asyncio.TaskGroup() as group:
-            writer = group.create_task(self._write(stream))
-            pinger = group.create_task(self._ping())
-            try:
-                await self._read(stream)
-            finally:
-                writer.cancel()
-                pinger.cancel()
-
-    async def _write(self, stream):
-        while True:
-            messages = await self.outbox.take()
-            await stream.send_message(encode_batch(messages))
+    async def _carry(self, stream, nonce):
+        self.outbox.put(self.table.hello())
+        self.exchange.put_ping()
+        self.exchange.silence = SILENCE_SECONDS
+        await self.exchange.run(stream, self._ping(), self._read(stream, nonce))
 
     async def _ping(self):
         while True:
-            now = self.table.clock()
-            self.last_ping = now
-            self.outbox.put(m.Ping(now, self.last_heard, self.table.store.version))
-            await asyncio.sleep(HEARTBEAT_SECONDS)
+            busy = self.table.uses(self.peer.name)
+            self.exchange.interval = (
+                HEARTBEAT_SECONDS if busy else IDLE_HEARTBEAT_SECONDS
+            )
+            self.exchange.put_ping()
+            await asyncio.sleep(self.exchange.interval)
 
-    async def _read(self, stream):
-        while True:
-            frame = await asyncio.wait_for(stream.recv_message(), SILENCE_SECONDS)
-            if frame is None:
-                raise PeerError("the peer ended the link")
-            for message in decode_batch(frame):
-                self._receive(message)
-
-    def _receive(self, message):
-        match message:
-            case m.Ping():
-                self.last_heard = message.sent_at
-                update = self.table.store.update_for(message.configuration_version)
-                if update is not None:
-                    self.outbox.put(update)
-            case m.ConfigurationUpdate():
-                self.table.store.offer(message.version, message.document, "peer")
-            case _:
-                self.table.on_message(message)
+    async def _read(self, stream, nonce):
+        self._check(await self.exchange.receive(stream), nonce)
+        self.up = True
+        self.up_since = self.table.clock()
+        self.table.on_up(self.peer.name)
+        while (messages := await self.exchange.receive(stream)) is not None:
+            for message in messages:
+                if not self.exchange.take(message):
+                    self.table.on_message(message)
+        raise PeerError("the peer ended the link")
+
+    def _check(self, messages, nonce):
+        hello = messages[0] if messages else None
+        if not isinstance(hello, m.Hello) or hello.instance != self.peer.name:
+            raise PeerError("another instance answers under this address")
+        if not auth.is_proof(self.table.secret, hello.instance, nonce, hello.proof):
+            raise PeerError("the peer does not hold the secret")
+        for message in messages[1:]:
+            self.exchange.take(message)
 
 
 class LinkTable:
@@ -146,34 +120,40 @@
         Secret that all instances share.
     membership : Membership
         Where the peers are.
-    store : ConfigurationStore
-        Declared document in force.
+    gossip : Gossip
+        What is told on every link.
     clock : callable
         Returns monotonic seconds.
+    rng : numpy.random.Generator
+        Spreads the reconnections.
     """
 
-    def __init__(self, own, incarnation, secret, membership, store, clock):
+    def __init__(self, own, incarnation, secret, membership, gossip, clock, rng):
         self.own = own
         self.incarnation = incarnation
         self.secret = secret
         self.membership = membership
-        self.store = store
+        self.gossip = gossip
         self.clock = clock
+        self.rng = rng
         self.by_peer: dict[str, Link] = {}
         self.broker: Any = None
         self._tasks: dict[str, asyncio.Task] = {}
+        self._failures_by_peer: dict[str, int] = {}
+        self._retry_at_by_peer: dict[str, float] = {}
+        self._lost: set[str] = set()
 
     def hello(self):
         """Return the first message of a link."""
-        return m.Hello(self.own, self.incarnation, self.store.version)
+        return m.Hello(self.own, self.incarnation, self.gossip.store.version)
 
-    def metadata(self):
-        """Return the credential sent with each call."""
-        return {auth.METADATA_KEY: auth.sign(self.secret, self.own)}
+    def metadata(self, peer, nonce=None):
+        """Return the credential for one call to a peer."""
+        return {auth.METADATA_KEY: auth.sign(self.secret, self.own, peer, nonce)}
 
     def open(self, name):
         """Start a link to a peer unless there is one."""
-        if name in self._tasks:
+        if name in self._tasks or name == self.own:
             return
         link = Link(self, self.membership.by_name[name])
         self.by_peer[name] = link
@@ -181,24 +161,76 @@
             self._run(name, link)
         )
 
+    def keep(self, names):
+        """Open the links that are wanted and not up, and close the others.
+
+        Parameters
+        ----------
+        names : set of str
+            Peers to have links to, besides the coordinators in use.
+        """
+        now = self.clock()
+        for name in names & self.membership.by_name.keys():
+            if self._retry_at_by_peer.get(name, 0.0) <= now:
+                self.open(name)
+        for name in self._tasks.keys() - names:
+            if not self.uses(name):
+                self._tasks[name].cancel()
+        self._lost &= self.membership.by_name.keys()
+        for table in (self._failures_by_peer, self._retry_at_by_peer):
+            for name in table.keys() - self.membership.by_name.keys():
+                del table[name]
+
     async def _run(self, name, link):
         try:
             await link.run()
+        except LINK_ERRORS as error:
+            cause = str(error) or type(error).__name__
+            log.warning("link failed", peer=name, cause=cause)
+        except Exception:
+            log.exception("link failed", peer=name)
         finally:
-            self._tasks.pop(name, None)
-            self.membership.avoid(name, AVOID_SECONDS)
-            with contextlib.suppress(RuntimeError):
-                self.broker.link_down(name)
+            self._ended(name, link)
+
+    def _ended(self, name, link):
+        self._tasks.pop(name, None)
+        if self.by_peer.get(name) is link:
+            del self.by_peer[name]
+        now = self.clock()
+        steady = link.up_since and now - link.up_since > STEADY_SECONDS
+        if link.up_since:
+            self._lost.add(name)
+        failures = 0 if steady else self._failures_by_peer.get(name, 0)
+        self._failures_by_peer[name] = failures + 1
+        backoff = min(MIN_BACKOFF_SECONDS * 2**failures, MAX_BACKOFF_SECONDS)
+        self._retry_at_by_peer[name] = now + backoff * self.rng.uniform(0.5, 1.0)
+        self.membership.suspect(name)
+        self.gossip.currency.failed(name)
+        with contextlib.suppress(RuntimeError):
+            self.broker.link_down(name)
+
+    def uses(self, name):
+        """Tell whether a peer coordinates a pool for this instance."""
+        return any(
+            client.coordinator == name for client in self.broker.by_pool.values()
+        )
 
     def is_up(self, name):
         """Tell whether a link carries messages."""
         link = self.by_peer.get(name)
         return link is not None and link.up
 
+    def is_steady(self, name):
+        """Tell whether a link is up, and for a while if a former one broke."""
+        if not self.is_up(name):
+            return False
+        held = self.clock() - self.by_peer[name].up_since
+        return name not in self._lost or held >= STEADY_SECONDS
+
     def last_ping(self, name):
         """Return when the last heartbeat was sent to a peer."""
         link = self.by_peer.get(name)
-        return link.last_ping if link is not None else None
+        return link.exchange.last_ping if link is not None else None
 
     def send(self, name, message):
         """Send a message to a peer; it is lost if the link is down."""
@@ -214,12 +246,6 @@
         """Pass a coordinator's message to the broker."""
         self.broker.receive(message)
 
-    def announce(self, update):
-        """Pass a new declared document on to all peers."""
-        for link in self.by_peer.values():
-            if link.up:
-                link.outbox.put(update)
-
     async def close(self):
         """End all links."""
         tasks = list(self._tasks.values())
--- a/almondglade/peers/service.py
+++ b/almondglade/peers/service.py
@@ -1,16 +1,14 @@
 """The peers' port: links that other instances have opened to this one."""
 
-import asyncio
-
 from grpclib.const import Status
 from grpclib.exceptions import GRPCError
 
 from .. import messages as m
+from ..errors import PeerError
 from ..log import get_logger
 from . import auth
-from .codec import decode_batch, encode_batch
+from .exchange import LINK_ERRORS, Exchange
 from .link_grpc import PeersBase
-from .links import LINK_ERRORS, SILENCE_SECONDS, Outbox
 
 log = get_logger("peers")
 
@@ -20,22 +18,24 @@
 
     Parameters
     ----------
+    own, incarnation : str
+        This instance.
     secret : str
         Secret that all instances share.
     host : CoordinatorHost
         Coordinators that run here.
-    store : ConfigurationStore
-        Declared document in force.
-    clock : callable
-        Returns monotonic seconds.
+    gossip : Gossip
+        What is told on every link.
     """
 
-    def __init__(self, secret, host, store, clock):
+    def __init__(self, own, incarnation, secret, host, gossip):
+        self.own = own
+        self.incarnation = incarnation
         self.secret = secret
         self.host = host
-        self.store = store
-        self.clock = clock
-        self.outbox_by_entry: dict[str, Outbox] = {}
+        self.gossip = gossip
+        self.verifier = auth.Verifier(secret, own)
+        self.exchange_by_entry: dict[str, Exchange] = {}
 
     def authenticate(self, stream):
         """Return the calling instance.
@@ -45,63 +45,79 @@
         GRPCError
             If its credential is not genuine.
         """
-        sender = auth.verify(self.secret, stream.metadata.get(auth.METADATA_KEY))
-        if sender is None:
+        return self._credential(stream).sender
+
+    def _credential(self, stream):
+        credential = self.verifier.verify(stream.metadata.get(auth.METADATA_KEY))
+        if credential is None:
             raise GRPCError(Status.UNAUTHENTICATED, "the credential is not genuine")
-        return sender
+        return credential
 
     async def Link(self, stream):
         """Carry messages both ways until the link fails."""
-        entry = self.authenticate(stream)
-        outbox = Outbox()
-        self.outbox_by_entry[entry] = outbox
-        self.host.attach(entry, outbox.put)
-        writer = asyncio.create_task(self._write(stream, outbox))
+        credential = self._credential(stream)
+        entry = credential.sender
+        exchange = Exchange(self.gossip, entry)
+        proof = auth.prove(self.secret, self.own, credential.nonce)
+        exchange.outbox.put(
+            m.Hello(self.own, self.incarnation, self.gossip.store.version, proof=proof)
+        )
+        self.exchange_by_entry[entry] = exchange
+        self.host.attach(entry, exchange.outbox.put)
         try:
-            await self._read(stream, entry, outbox)
+            await exchange.run(stream, self._read(stream, exchange))
         except LINK_ERRORS as error:
-            log.info("link ended", entry=entry, cause=str(error) or repr(error))
+            cause = str(error) or type(error).__name__
+            log.info("link ended", entry=entry, cause=cause)
         finally:
-            writer.cancel()
-            self.host.detach(entry, outbox.put)
-            if self.outbox_by_entry.get(entry) is outbox:
-                del self.outbox_by_entry[entry]
-
-    async def _write(self, stream, outbox):
-        try:
-            while True:
-                await stream.send_message(encode_batch(await outbox.take()))
-        except LINK_ERRORS as error:
-            log.info("link cannot be written", cause=str(error) or repr(error))
-
-    async def _read(self, stream, entry, outbox):
-        while True:
-            frame = await asyncio.wait_for(stream.recv_message(), SILENCE_SECONDS)
-            if frame is None:
-                return
-            for message in decode_batch(frame):
-                self._receive(entry, outbox, message)
+            self.host.detach(entry, exchange.outbox.put)
+            if self.exchange_by_entry.get(entry) is exchange:
+                del self.exchange_by_entry[entry]
+
+    async def _read(self, stream, exchange):
+        messages = await exchange.receive(stream)
+        hello = messages[0] if messages else None
+        if not isinstance(hello, m.Hello) or hello.instance != exchange.peer:
+            raise PeerError("the first message names another instance")
+        log.info("link is up", entry=exchange.peer)
+        messages = messages[1:]
+        while messages is not None:
+            for message in messages:
+                self._receive(exchange, message)
             self.host.pump()
-
-    def _receive(self, entry, outbox, message):
-        match message:
-            case m.Hello():
-                log.info("link is up", entry=message.instance)
-            case m.Ping():
-                self.host.heard(entry, message)
-                outbox.put(m.Ping(self.clock(), message.sent_at, self.store.version))
-                update = self.store.update_for(message.configuration_version)
-                if update is not None:
-                    outbox.put(update)
-            case m.ConfigurationUpdate():
-                self.store.offer(message.version, message.document, "peer")
-            case _:
-                self.host.receive(entry, message)
-
-    def announce(self, update):
-        """Pass a new declared document on to all entries."""
-        for outbox in self.outbox_by_entry.values():
-            outbox.put(update)
+            messages = await exchange.receive(stream)
+
+    def _receive(self, exchange, message):
+        if isinstance(message, m.Ping):
+            self.host.heard(exchange.peer, message)
+            exchange.interval = message.interval
+            exchange.take(message)
+            exchange.put_ping(message.sent_at)
+        elif isinstance(message, m.Hello):
+            raise PeerError("a second first message")
+        elif not exchange.take(message):
+            self._pass_on(exchange, message)
+
+    def _pass_on(self, exchange, message):
+        if isinstance(message, m.Join | m.Leave):
+            exchange.early_joins.pop(message.pool, None)
+        if isinstance(message, m.Join) and not self._knows(message.pool):
+            exchange.early_joins[message.pool] = message
+            return
+        self.host.receive(exchange.peer, message)
+        if isinstance(message, m.Join) and exchange.latest_ping is not None:
+            # Its grants would carry no date before the next heartbeat.
+            self.host.heard(exchange.peer, exchange.latest_ping)
+
+    def _knows(self, pool):
+        declarations = self.gossip.store.declarations
+        return declarations is not None and pool in declarations.services
+
+    def configured(self):
+        """Let in the entries that joined a pool before it was known here."""
+        for exchange in self.exchange_by_entry.values():
+            for join in list(exchange.early_joins.values()):
+                self._pass_on(exchange, join)
 
     async def Forward(self, stream):
         """Not offered yet."""
--- /dev/null
+++ b/almondglade/peers/tending.py
@@ -0,0 +1,68 @@
+"""Keep the links that this instance needs, and return to better coordinators."""
+
+import asyncio
+
+TEND_SECONDS = 0.25
+# This instance coordinates from then on, even if no other has joined it.
+ALONE_SECONDS = 4.0
+
+
+class PeerTender:
+    """Looks at links, relays and coordinators at regular intervals.
+
+    Parameters
+    ----------
+    membership : Membership
+        Which instances there are.
+    links : LinkTable
+        Links that this instance has opened.
+    currency : Currency
+        Evidence from the relays.
+    host : CoordinatorHost
+        Coordinators that run here.
+    store : ConfigurationStore
+        Declared document in force.
+    rejoin : callable
+        Chooses the coordinators anew.
+    clock : callable
+        Returns monotonic seconds.
+    """
+
+    def __init__(self, membership, links, currency, host, store, rejoin, clock):
+        self.membership = membership
+        self.links = links
+        self.currency = currency
+        self.host = host
+        self.store = store
+        self.rejoin = rejoin
+        self.clock = clock
+        self.started = clock()
+
+    async def run(self):
+        """Tend the links until cancelled."""
+        while True:
+            if self.membership.listed:
+                self.tend()
+            await asyncio.sleep(TEND_SECONDS)
+
+    def tend(self):
+        """Open, close and trust links as needed."""
+        membership = self.membership
+        self.currency.set_relays(membership.relays())
+        self.currency.is_current()
+        declarations = self.store.declarations
+        pools = declarations.services if declarations is not None else ()
+        self.links.keep(membership.wanted_links(pools))
+        for name in list(membership.suspects):
+            if self._is_trustworthy(name):
+                membership.trust(name)
+        self.rejoin()
+
+    def _is_trustworthy(self, name):
+        if name != self.membership.own.name:
+            return self.links.is_steady(name)
+        used = any(
+            coordinator.leases.by_entry.keys() - {name}
+            for coordinator in self.host.by_pool.values()
+        )
+        return used or self.clock() - self.started > ALONE_SECONDS
--- a/almondglade/platform/client.py
+++ b/almondglade/platform/client.py
@@ -19,6 +19,7 @@
 ANSWER_SECONDS = 2.0
 CONNECT_SECONDS = 1.0
 MAX_VALUE_BYTES = 1 << 20
+MAX_CONTACT_AGE_MS = 500
 
 
 @dataclass(frozen=True)
@@ -31,10 +32,14 @@
         Version to watch from.
     value : object
         The value, or None when it is not published.
+    fresh : bool
+        False if the server that answered says that it is cut off from the
+        service's leader.
     """
 
     index: int
     value: object
+    fresh: bool = True
 
 
 class PlatformClient:
@@ -74,7 +79,7 @@
         try:
             item = answer.value[0]
             document = base64.b64decode(item["Value"], validate=True)
-            return Versioned(int(item["ModifyIndex"]), document)
+            return Versioned(int(item["ModifyIndex"]), document, answer.fresh)
         except (KeyError, IndexError, TypeError, ValueError, binascii.Error) as error:
             raise PlatformError(f"the key's value is not usable: {error}") from error
 
@@ -102,7 +107,8 @@
         if response.status != 200 or len(response.data) > 2 * MAX_VALUE_BYTES:
             raise PlatformError(f"the platform answered {response.status}")
         try:
-            return Versioned(_index(response), orjson.loads(response.data))
+            value = orjson.loads(response.data)
+            return Versioned(_index(response), value, _is_fresh(response))
         except orjson.JSONDecodeError as error:
             raise PlatformError("the platform's answer is not JSON") from error
 
@@ -114,6 +120,12 @@
         raise PlatformError("the platform's answer has no version") from error
 
 
+def _is_fresh(response):
+    known = response.headers.get("X-Consul-KnownLeader", "true")
+    contact = response.headers.get("X-Consul-LastContact", "0")
+    return known == "true" and contact.isdigit() and int(contact) <= MAX_CONTACT_AGE_MS
+
+
 def _instance(service):
     meta = service.get("Meta") or {}
     return Instance(
--- a/almondglade/platform/watch.py
+++ b/almondglade/platform/watch.py
@@ -1,13 +1,17 @@
 """Tasks that watch the platform."""
 
 import asyncio
+import random
 
 from ..errors import PlatformError
 from ..log import get_logger
 
 log = get_logger("platform")
 
-WAIT_SECONDS = 30.0
+WAIT_SECONDS = 10.0
+# Longest pause after an answer, so that a list that changes often is not read
+# by all instances at each change.
+MAX_PAUSE_SECONDS = 0.5
 MIN_BACKOFF_SECONDS = 0.2
 MAX_BACKOFF_SECONDS = 5.0
 
@@ -32,12 +36,11 @@
             answer = await asyncio.to_thread(read, index, wait)
         except PlatformError as error:
             log.warning("cannot read the platform", watch=name, cause=str(error))
-            await asyncio.sleep(backoff)
+            await asyncio.sleep(random.uniform(0.5, 1.0) * backoff)
             backoff = min(2 * backoff, MAX_BACKOFF_SECONDS)
             continue
         backoff = MIN_BACKOFF_SECONDS
-        if answer.value is None:
-            await asyncio.sleep(MIN_BACKOFF_SECONDS)
-        elif answer.index != index:
+        if answer.value is not None and answer.index != index:
             take(answer)
         index = answer.index
+        await asyncio.sleep(random.uniform(0.2, 1.0) * MAX_PAUSE_SECONDS)
--- a/almondglade/settings.py
+++ b/almondglade/settings.py
@@ -7,6 +7,7 @@
     BaseModel,
     ConfigDict,
     Field,
+    NonNegativeFloat,
     PositiveFloat,
     PositiveInt,
     ValidationError,
@@ -42,6 +43,7 @@
     max_requests: PositiveInt = 320
     reserve_threads: PositiveInt = 16
     stop_timeout: PositiveFloat = 30.0
+    stop_notice: NonNegativeFloat = 2.0
     queue_order: str = "tiered"
     target_choice: str = "expected-finish"
     limits: str = "adaptive"
--- a/almondglade/ui/serve.py
+++ b/almondglade/ui/serve.py
@@ -18,6 +18,7 @@
     max_requests: int | None = None,
     reserve_threads: int | None = None,
     stop_timeout: float | None = None,
+    stop_notice: float | None = None,
     queue_order: str | None = None,
     target_choice: str | None = None,
     limits: str | None = None,
@@ -56,6 +57,8 @@
         Threads kept for refusals.
     stop_timeout
         Seconds that a graceful stop may take.
+    stop_notice
+        Seconds of it in which requests that still come are served.
     queue_order
         Plug-in that orders the queue.
     target_choice
