--- a/almondglade/coordinator/core.py
+++ b/almondglade/coordinator/core.py
@@ -21,6 +21,7 @@
 from ..plugins import find_plugin
 from .budgets import BudgetTable
 from .choices import Candidate, TargetChoice
+from .delay import DelayEstimator
 from .leases import LeaseTable
 from .limits import LimitPolicy
 from .queues import QueueOrder, Waiting
@@ -30,7 +31,6 @@
 # A load report taken less than this long after an entry was lost may still
 # miss requests that it had in progress.
 REPORT_SETTLE_SECONDS = 2.0
-MIN_RETRY_SECONDS = 0.5
 NO_TARGET_RETRY_SECONDS = 2.0
 
 
@@ -77,12 +77,14 @@
         self.published = 1
         self.leases = LeaseTable(clock)
         self.budgets = BudgetTable(clock)
+        self.delay = DelayEstimator(clock)
         self.queue = find_plugin(QueueOrder, policies.queue_order)()
         self.choice = find_plugin(TargetChoice, policies.target_choice)(clock, rng)
         self.limit_policy = find_plugin(LimitPolicy, policies.limits)
         self.targets_by_id: dict[str, TargetRecord] = {}
         self.running_by_request: dict[str, Running] = {}
         self.heard_by_entry: dict[str, float] = {}
+        self.parked_by_entry: dict[str, list[Waiting]] = {}
         self._permit_ids = itertools.count(1)
         self._outbox: list[Addressed] = []
 
@@ -126,6 +128,10 @@
                     spend.workspace, allowance, spend.tokens, spend.requests
                 )
 
+    def is_joined(self, entry):
+        """Tell whether an entry has joined, whether or not its lease runs."""
+        return entry in self.leases.by_entry
+
     def _carry(self, entry, carried):
         demand = carried.demand
         record = self.targets_by_id.get(carried.target)
@@ -162,12 +168,21 @@
         """
         self.leases.renew(entry, answered_at)
         self.heard_by_entry[entry] = heard_at
+        if self._may_grant_to(entry):
+            for waiting in self.parked_by_entry.pop(entry, ()):
+                self.queue.push(waiting)
+
+    def _may_grant_to(self, entry):
+        # A grant to an entry whose lease has lapsed might arrive after it has
+        # gone elsewhere; one to an entry never heard would bear no valid time.
+        return self.leases.live(entry) and entry in self.heard_by_entry
 
     def leave(self, entry):
         """Drop an entry; what it has running stays counted for now."""
         self.leases.drop(entry)
         self.heard_by_entry.pop(entry, None)
-        for waiting in [w for w in self.queue if w.entry == entry]:
+        parked = self.parked_by_entry.pop(entry, [])
+        for waiting in parked + [w for w in self.queue if w.entry == entry]:
             self.queue.remove(waiting.demand.request_id)
             self._release_budget(waiting.demand, ran=False)
         now = self.clock()
@@ -200,13 +215,19 @@
             self._refuse(entry, demand, RefusalReason.PLAN_LIMIT, wait)
             return
         now = self.clock()
-        self.queue.push(Waiting(entry, demand, now, now + demand.max_wait))
+        waiting = Waiting(entry, demand, now, now + demand.max_wait)
+        targets = self.targets_by_id.values()
+        if self.delay.estimate(self.queue, waiting, targets) > demand.max_wait:
+            self._shed(waiting)
+            return
+        self.queue.push(waiting)
         if len(self.queue) > self._queue_length():
             self._shed(self.queue.victim())
 
     def withdraw(self, entry, withdrawal):
         """Forget a waiting demand whose caller has gone."""
-        waiting = self.queue.remove(withdrawal.request_id)
+        request_id = withdrawal.request_id
+        waiting = self.queue.remove(request_id) or self._unpark(request_id)
         if waiting is not None:
             self._release_budget(waiting.demand, ran=False)
 
@@ -222,6 +243,7 @@
         used = completion.input_tokens + completion.output_tokens
         self.budgets.settle(run.demand.workspace, run.demand.tokens, used, ran)
         record.limit.complete(completion, running)
+        self.delay.complete(record, run.demand, completion)
         self.choice.complete(run.target, run.demand, completion)
 
     def observe(self, report):
@@ -260,15 +282,8 @@
             if not candidates:
                 break
             self.queue.pop()
-            if not self.leases.live(waiting.entry):
-                # Its grant might arrive after the entry has gone elsewhere.
-                self._release_budget(waiting.demand, ran=False)
-                self._refuse(
-                    waiting.entry,
-                    waiting.demand,
-                    RefusalReason.NO_COORDINATOR,
-                    MIN_RETRY_SECONDS,
-                )
+            if not self._may_grant_to(waiting.entry):
+                self.parked_by_entry.setdefault(waiting.entry, []).append(waiting)
                 continue
             self._grant(waiting, self.choice.choose(waiting.demand, candidates))
         outbox, self._outbox = self._outbox, []
@@ -322,26 +337,38 @@
 
     def _expire(self):
         now = self.clock()
-        for waiting in [w for w in self.queue if w.deadline <= now]:
+        for waiting in [w for w in self._all_waiting() if w.deadline <= now]:
             self._shed(waiting)
         for record in self.targets_by_id.values():
             for run in [r for r in record.lost() if r.release_by <= now]:
                 self._forget(record, run)
 
+    def _all_waiting(self):
+        return itertools.chain(self.queue, *self.parked_by_entry.values())
+
+    def _unpark(self, request_id):
+        for waiting_list in self.parked_by_entry.values():
+            for waiting in waiting_list:
+                if waiting.demand.request_id == request_id:
+                    waiting_list.remove(waiting)
+                    return waiting
+        return None
+
     def _shed(self, waiting):
         self.queue.remove(waiting.demand.request_id)
+        self._unpark(waiting.demand.request_id)
         self._release_budget(waiting.demand, ran=False)
         self._refuse(
             waiting.entry,
             waiting.demand,
             RefusalReason.OVERLOADED,
-            max(MIN_RETRY_SECONDS, waiting.demand.max_wait / 2),
+            self.delay.retry_after(self.queue, waiting, self.targets_by_id.values()),
         )
 
     # Helpers
 
     def _queued_ids(self):
-        return {waiting.demand.request_id for waiting in self.queue}
+        return {waiting.demand.request_id for waiting in self._all_waiting()}
 
     def _start(self, record, run):
         self.running_by_request[run.demand.request_id] = run
--- a/almondglade/messages.py
+++ b/almondglade/messages.py
@@ -90,12 +90,16 @@
         Concurrency limit learnt so far.
     baseline : float
         Seconds per token of an unloaded run; 0 when not known.
+    running : int
+        Requests that the coordinator counted as in progress there, whoever
+        holds them.
     """
 
     target: str
     epoch: str
     limit: float
     baseline: float = 0.0
+    running: int = 0
 
 
 @dataclass(frozen=True)
@@ -183,6 +187,21 @@
     requests: float
 
 
+@dataclass(frozen=True)
+class CarriedSuspect:
+    """A fingerprint whose runs broke, and the targets they broke on.
+
+    Parameters
+    ----------
+    age : float
+        Seconds since the latest broken run.
+    """
+
+    fingerprint: int
+    targets: tuple[str, ...]
+    age: float
+
+
 @dataclass(frozen=True)
 class Join:
     """An entry starts to use a coordinator for a pool.
@@ -199,6 +218,7 @@
     permits: tuple[CarriedPermit, ...] = ()
     targets: tuple[TargetState, ...] = ()
     spends: tuple[CarriedSpend, ...] = ()
+    suspects: tuple[CarriedSuspect, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -208,6 +228,25 @@
     pool: str
 
 
+@dataclass(frozen=True)
+class Rejoin:
+    """Asks an entry that its coordinator does not count to join again."""
+
+    pool: str
+
+
+@dataclass(frozen=True)
+class PoolState:
+    """What a coordinator lets its entries carry to the next one.
+
+    Only what changed is sent.
+    """
+
+    pool: str
+    targets: tuple[TargetState, ...] = ()
+    suspects: tuple[CarriedSuspect, ...] = ()
+
+
 @dataclass(frozen=True)
 class Ping:
     """A heartbeat.
@@ -322,6 +361,8 @@
     | ConfigurationUpdate
     | ConfigurationRequest
     | ConfigurationPart
+    | Rejoin
+    | PoolState
 )
 
 
--- a/almondglade/node.py
+++ b/almondglade/node.py
@@ -19,12 +19,13 @@
 from .coordinator.leases import LEASE_SECONDS
 from .dispatch.connections import TargetPools
 from .entry.app import EntryApp
-from .entry.operators import OperatorApp
 from .entry.scheduling import Scheduler
 from .errors import SettingsError
 from .httpserver import HttpServer
 from .loads import LoadPoller
 from .log import get_logger
+from .metrics import Metrics
+from .operators import OperatorApp
 from .peers.currency import Currency
 from .peers.exchange import HEARTBEAT_SECONDS, Gossip
 from .peers.links import TRANSPORT, LinkTable
@@ -71,6 +72,7 @@
             settings.peer_port,
             settings.data_centre,
         )
+        self.metrics = Metrics()
         self.store = ConfigurationStore()
         self.membership = Membership(own, self.clock)
         self.currency = Currency(settings.instance, self.store, self.clock)
@@ -225,7 +227,6 @@
         )
         self.host.configure(self.store.declarations)
         self.membership.configure(self.store.declarations)
-        self.peers.configured()
         self._join()
 
     def _instances_listed(self, answer):
--- a/almondglade/peers/exchange.py
+++ b/almondglade/peers/exchange.py
@@ -111,7 +111,6 @@
         self.last_ping = gossip.clock()
         self.last_heard = 0.0
         self.latest_ping: m.Ping | None = None
-        self.early_joins: dict[str, m.Join] = {}
         self.interval = IDLE_HEARTBEAT_SECONDS
         self.silence = MAX_SILENCE_SECONDS
         self._assembler = Assembler()
--- a/almondglade/peers/service.py
+++ b/almondglade/peers/service.py
@@ -99,26 +99,11 @@
             self._pass_on(exchange, message)
 
     def _pass_on(self, exchange, message):
-        if isinstance(message, m.Join | m.Leave):
-            exchange.early_joins.pop(message.pool, None)
-        if isinstance(message, m.Join) and not self._knows(message.pool):
-            exchange.early_joins[message.pool] = message
-            return
         self.host.receive(exchange.peer, message)
         if isinstance(message, m.Join) and exchange.latest_ping is not None:
             # Its grants would carry no date before the next heartbeat.
             self.host.heard(exchange.peer, exchange.latest_ping)
 
-    def _knows(self, pool):
-        declarations = self.gossip.store.declarations
-        return declarations is not None and pool in declarations.services
-
-    def configured(self):
-        """Let in the entries that joined a pool before it was known here."""
-        for exchange in self.exchange_by_entry.values():
-            for join in list(exchange.early_joins.values()):
-                self._pass_on(exchange, join)
-
     async def Forward(self, stream):
         """Not offered yet."""
         self.authenticate(stream)
--- /dev/null
+++ b/test/test_configuration.py
@@ -0,0 +1,69 @@
+"""A configuration never goes back, and only valid ones are in force."""
+
+import itertools
+
+import orjson
+from hypothesis import given
+from hypothesis import strategies as st
+
+from almondglade.configuration import KEPT_DOCUMENTS, ConfigurationStore
+from bench.fleet import sample_declarations
+
+WRONG = b"plans: 7"
+
+
+def document(number):
+    declarations = sample_declarations()
+    declarations["data_centres"][f"dc-{number}"] = {}
+    return orjson.dumps(declarations)
+
+
+OFFERS = st.lists(
+    st.tuples(st.integers(1, 9), st.booleans(), st.sampled_from(["platform", "peer"]))
+)
+
+
+@given(OFFERS)
+def test_the_newest_valid_version_is_in_force_whatever_is_offered(offers):
+    store, seen = ConfigurationStore(), []
+    store.subscribe(lambda update: seen.append(update.version))
+    newest = rejected = 0
+    for version, valid, source in offers:
+        text = document(version) if valid else WRONG
+        store.offer(version, text, source)
+        if version > max(newest, rejected):
+            newest, rejected = (version, rejected) if valid else (newest, version)
+        assert store.version == newest
+        assert store.rejected_version == rejected
+        if newest:
+            assert f"dc-{newest}" in store.declarations.data_centres
+    assert seen == sorted(set(seen))
+    assert len(store._former) <= KEPT_DOCUMENTS
+
+
+def test_a_refused_document_and_a_service_that_went_back_are_shown():
+    store = ConfigurationStore()
+    store.offer(5, document(5), "platform")
+    store.offer(6, WRONG, "platform")
+    assert store.snapshot()["rejected_version"] == 6
+    assert store.snapshot()["problems"]
+    store.offer(2, document(2), "platform")
+    assert store.snapshot()["platform_behind_at"] == 2
+    assert store.version == 5
+    store.offer(5, document(1), "platform")
+    assert "two documents" in store.snapshot()["problems"][0]
+
+
+async def _race(store, versions):
+    await __import__("asyncio").gather(
+        *(store.offer_in_thread(v, document(v), "peer") for v in versions)
+    )
+
+
+def test_answers_that_race_leave_the_newest_in_force():
+    import asyncio
+
+    for versions in itertools.permutations((3, 4, 5)):
+        store = ConfigurationStore()
+        asyncio.run(_race(store, versions))
+        assert store.version == 5
