--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV ?= .venv
 PYTHON = $(VENV)/bin/python
 
-.PHONY: demo test format lint types unit features bench generated binary
+.PHONY: demo test format lint types unit features bench generated binary soak
 
 $(VENV)/.ready: requirements.lock
 	python3 -m venv $(VENV)
@@ -39,3 +39,6 @@
 
 binary: $(VENV)/.ready
 	$(PYTHON) -m bench.binary
+
+soak: $(VENV)/.ready
+	HYPOTHESIS_PROFILE=soak ALMONDGLADE_SOAK_EXAMPLES=$(or $(EXAMPLES),100) $(PYTHON) -m pytest test/test_faults.py
--- a/almondglade/settings.py
+++ b/almondglade/settings.py
@@ -9,6 +9,7 @@
     BaseModel,
     ConfigDict,
     Field,
+    NonNegativeFloat,
     PositiveFloat,
     PositiveInt,
     ValidationError,
@@ -67,6 +68,9 @@
     stop_timeout: PositiveFloat = Field(
         30.0, description="Seconds that a graceful stop may take."
     )
+    stop_notice: NonNegativeFloat = Field(
+        2.0, description="Seconds of it in which new requests are still served."
+    )
     own_key_window: PositiveFloat = Field(
         900.0,
         description="Seconds for which a caller's own idempotency key is protected.",
--- /dev/null
+++ b/test/test_peers.py
@@ -0,0 +1,297 @@
+"""Decisions about peers: documents, evidence, roles and credentials."""
+
+import math
+import random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from almondglade import messages as m
+from almondglade.configuration import ConfigurationStore
+from almondglade.errors import PeerError
+from almondglade.peers import auth
+from almondglade.peers.codec import decode_batch, encode_batch
+from almondglade.peers.currency import EVIDENCE_SECONDS, Currency
+from almondglade.peers.documents import PART_BYTES, Assembler, make_parts
+from almondglade.peers.link_pb2 import Batch
+from almondglade.peers.membership import RELAYS, Instance, Membership, rank
+from almondglade.peers.outbox import Outbox
+
+SECRET = "a secret for these tests only"
+
+
+class Clock:
+    """A clock that tests move."""
+
+    def __init__(self, now=100.0):
+        self.now = now
+
+    def __call__(self):
+        return self.now
+
+
+# Documents
+
+
+@given(st.binary(max_size=300), st.binary(max_size=300), st.binary(max_size=40))
+def test_a_difference_gives_back_the_document(start, end, change):
+    base, document = start + end, start + change + end
+    parts = make_parts(2, document, 1, base)
+    updates = [update for p in parts if (update := _add(Assembler(), p, base))]
+    assert updates[-1:] == [m.ConfigurationUpdate(2, document)] or len(parts) > 1
+
+
+def _add(assembler, part, base):
+    (decoded,) = decode_batch(encode_batch([part]))
+    return assembler.add(decoded, base)
+
+
+def test_a_large_document_goes_in_parts_and_a_small_change_in_one():
+    document = random.Random(7).randbytes(1 << 20)
+    parts, assembler = make_parts(1, document), Assembler()
+    assert all(len(part.data) <= PART_BYTES for part in parts)
+    updates = [_add(assembler, part, b"") for part in parts]
+    assert updates[-1].document == document
+    changed = document[:500_000] + b"x" + document[500_001:]
+    (part,) = make_parts(2, changed, 1, document)
+    assert len(part.data) < 100
+    assert _add(assembler, part, document).document == changed
+    assert _add(assembler, part, None) is None
+
+
+@given(st.data())
+def test_damaged_parts_are_refused_or_ignored(data):
+    parts = make_parts(3, random.Random(1).randbytes(3 * PART_BYTES))
+    wire = bytearray(encode_batch(parts).SerializeToString())
+    for _ in range(data.draw(st.integers(1, 3))):
+        wire[data.draw(st.integers(0, len(wire) - 1))] ^= data.draw(st.integers(1, 255))
+    assembler = Assembler()
+    try:
+        messages = decode_batch(Batch.FromString(bytes(wire)))
+        updates = [assembler.add(part, b"") for part in messages]
+    except Exception as error:
+        assert isinstance(error, PeerError) or "DecodeError" in type(error).__name__
+    else:
+        whole = make_parts(3, random.Random(1).randbytes(3 * PART_BYTES))
+        assert all(u is None or u.document for u in updates) and whole
+
+
+# Evidence
+
+
+def ping(clock, version, confirmed_age=math.inf, majority_age=math.inf, echo=None):
+    echo = clock() if echo is None else echo
+    return m.Ping(0.0, echo, version, confirmed_age, majority_age)
+
+
+def current(relays=("a", "b", "c"), own="e", version=1):
+    clock, store = Clock(), ConfigurationStore()
+    store.version = version
+    currency = Currency(own, store, clock)
+    currency.set_relays(relays)
+    return clock, store, currency
+
+
+@given(st.data())
+def test_no_dispatch_without_recent_evidence(data):
+    """Evidence is never younger than the contact it came from."""
+    clock, store, currency = current()
+    evidence = -math.inf
+    for _ in range(data.draw(st.integers(1, 30))):
+        clock.now += data.draw(st.floats(0, 3))
+        match data.draw(st.sampled_from(["peer", "old", "service", "wait"])):
+            case "peer":
+                age = data.draw(st.floats(0, 3))
+                currency.heard("x", ping(clock, 1, confirmed_age=age))
+                evidence = max(evidence, clock() - age)
+            case "old":
+                currency.heard("x", ping(clock, 0, confirmed_age=0.0))
+            case "service":
+                asked = clock() - data.draw(st.floats(0, 3))
+                currency.confirm(asked)
+                evidence = max(evidence, asked)
+        if currency.is_current():
+            assert clock() - evidence <= EVIDENCE_SECONDS
+
+
+def test_a_paused_instance_does_not_take_old_heartbeats_for_new_ones():
+    clock, store, currency = current()
+    for name in "abc":
+        currency.heard(name, ping(clock, 1, 0.0, 0.0))
+    assert currency.is_current()
+    sent = clock()
+    clock.now += 60
+    currency.heard("a", ping(clock, 1, 0.0, 0.0, echo=sent))
+    assert not currency.is_current()
+
+
+def test_a_woken_or_fresh_instance_first_hears_every_relay_it_can_reach():
+    clock, store, currency = current()
+    currency.confirm(clock())  # a stale service
+    currency.heard("a", ping(clock, 1, 0.0, 0.0))  # a peer as ignorant
+    currency.heard("b", ping(clock, 1, 0.0, 0.0))
+    assert not currency.is_current()
+    currency.heard("c", ping(clock, 2, 0.0, 0.0))
+    assert not currency.is_current()
+    clock.now += 2.1
+    currency.confirm(clock())
+    assert not currency.is_current()  # the newer document is still missing
+    store.version = 2
+    assert currency.is_current()
+
+
+def test_a_relay_that_cannot_be_reached_is_not_waited_for():
+    clock, store, currency = current()
+    for name in "ab":
+        currency.heard(name, ping(clock, 1))
+    assert not currency.is_current()
+    currency.failed("c")
+    assert currency.is_current()
+
+
+@pytest.mark.parametrize("seen, allowed", [("ab", True), ("a", False), ("", False)])
+def test_with_the_service_down_only_those_who_see_a_majority_go_on(seen, allowed):
+    clock, store, currency = current(own="e")
+    for _ in range(20):
+        clock.now += 0.5
+        for name in seen:
+            currency.heard(name, ping(clock, 1))
+        currency.is_current()
+    assert currency.is_current() == allowed
+
+
+def test_an_instance_alone_in_its_fleet_needs_no_one():
+    clock, store, currency = current(relays=("e",))
+    clock.now += 3600
+    assert currency.is_current()
+
+
+def test_a_newer_document_that_does_not_come_stops_new_work():
+    clock, store, currency = current(relays=("e",))
+    assert currency.is_current()
+    currency.heard("x", ping(clock, 2, 0.0, 0.0))
+    assert currency.is_current()
+    clock.now += 1.6
+    assert not currency.is_current()
+    store.rejected_version = 2
+    assert currency.is_current()
+
+
+# Membership
+
+
+def members(*names, leaving=()):
+    return [Instance(n, "127.0.0.1", 1, "dc", n in leaving) for n in names]
+
+
+def membership(*names):
+    own = Membership(members(names[0])[0], Clock())
+    own.update(members(*names))
+    own.trust(names[0])
+    return own
+
+
+NAMES = [f"e{number}" for number in range(9)]
+
+
+@given(
+    st.sets(st.sampled_from(NAMES)),
+    st.sets(st.sampled_from(NAMES)),
+    st.sets(st.sampled_from(NAMES)),
+)
+def test_the_coordinator_is_the_best_that_serves_and_is_reached(
+    suspects, leaving, told
+):
+    fleet = membership(*NAMES)
+    fleet.update(members(*NAMES, leaving=leaving))
+    for name in suspects:
+        fleet.suspect(name)
+    for name in told:
+        fleet.set_leaving(name, True)
+    serving = [n for n in NAMES if n not in leaving | told] or NAMES
+    expected = [n for n in rank("drafts", serving) if n not in suspects]
+    assert fleet.coordinators("drafts") == (expected or [NAMES[0]])
+    best = rank("drafts", serving)[0]
+    probed = {best} & suspects - {NAMES[0]}
+    assert probed <= fleet.wanted_links(["drafts"])
+    assert fleet.published == len(NAMES)
+
+
+def test_an_instance_listed_later_is_probed_before_it_is_chosen():
+    fleet = membership(*NAMES[:4])
+    before = fleet.coordinators("drafts")[0]
+    fleet.update(members(*NAMES))
+    assert fleet.coordinators("drafts")[0] == before
+    for name in NAMES:
+        fleet.trust(name)
+    assert fleet.coordinators("drafts")[0] == rank("drafts", NAMES)[0]
+
+
+def test_few_relays_watch_the_service_at_any_size():
+    names = [f"i{number}" for number in range(330)]
+    listed = [
+        Instance(name, "127.0.0.1", 1, f"dc{number % 24}")
+        for number, name in enumerate(names)
+    ]
+    watchers, links = 0, []
+    for instance in listed:
+        fleet = Membership(instance, Clock())
+        fleet.update(listed)
+        watchers += fleet.is_relay()
+        links.append(len(fleet.wanted_links([])))
+    assert watchers <= RELAYS * 25
+    assert max(links) <= RELAYS
+
+
+# Credentials and outbox
+
+
+def test_a_credential_is_bound_to_both_sides_and_taken_once():
+    verifier = auth.Verifier(SECRET, "b")
+    credential = auth.sign(SECRET, "a", "b", "nonce")
+    assert verifier.verify(credential) == auth.Credential("a", "nonce")
+    assert verifier.verify(credential) is None
+    for wrong in (
+        auth.sign(SECRET, "a", "c"),
+        auth.sign("another secret of length", "a", "b"),
+        auth.sign(SECRET, "a", "b", now=1),
+        auth.sign(SECRET, "a", "b").replace("a:", "z:", 1),
+        None,
+        "",
+        ":::",
+        "a:" + "9" * 5000 + ":n:d",
+    ):
+        assert verifier.verify(wrong) is None
+    assert auth.is_proof(SECRET, "b", "n", auth.prove(SECRET, "b", "n"))
+    assert not auth.is_proof(SECRET, "b", "n", auth.prove(SECRET, "b", "m"))
+
+
+@given(st.text(max_size=200))
+def test_any_text_is_refused_as_a_credential(text):
+    assert auth.Verifier(SECRET, "b").verify(text) is None
+
+
+async def _frames(outbox, count):
+    return [await outbox.take() for _ in range(count)]
+
+
+def test_heartbeats_go_before_a_large_document_and_the_queue_is_bounded():
+    import asyncio
+
+    outbox = Outbox(limit=2)
+    outbox.replace_parts(make_parts(1, random.Random(2).randbytes(PART_BYTES * 3)))
+    outbox.put(m.Leave("p"))
+    (first, second) = asyncio.run(_frames(outbox, 2))
+    assert first[0] == m.Leave("p") and len(first) == 2 and len(second) == 1
+    for _ in range(3):
+        outbox.put(m.Leave("p"))
+    with pytest.raises(PeerError):
+        asyncio.run(_frames(outbox, 1))
+
+
+def test_kinds_of_a_newer_protocol_are_passed_over():
+    frame = encode_batch([m.Leave("p")])
+    # Field 200 of an envelope, of a length-delimited kind.
+    frame.envelopes.add().MergeFromString(b"\xc2\x0c\x02\x08\x01")
+    assert decode_batch(frame) == [m.Leave("p")]
