--- a/almondglade/dispatch/connections.py
+++ b/almondglade/dispatch/connections.py
@@ -1,13 +1,25 @@
-"""Connections to targets, with a mark set before the first byte goes out."""
+"""Connections to targets: kept for reuse, bounded in age, never retried."""
 
-from contextvars import ContextVar
+import http.client
+import logging
+import threading
+import time
+from collections import deque
+from typing import Any
 
 import urllib3
 from urllib3.connection import HTTPConnection
 
 from ..errors import AlmondgladeError
+from ..sockets import TCP_OPTIONS
 
+DEFAULT_PORT = 80
 IDLE_CONNECTIONS = 64
+MAX_IDLE_SECONDS = 15.0
+MAX_AGE_SECONDS = 300.0
+
+# A malformed head is judged and logged here.
+logging.getLogger("urllib3").setLevel(logging.ERROR)
 
 
 class PermitExpiredError(AlmondgladeError):
@@ -40,37 +52,163 @@
         PermitExpiredError
             If its permit is no longer valid.
         """
+        if self.dispatched:
+            raise AssertionError("a request is dispatched once")
         if not self._permit_is_valid():
             raise PermitExpiredError("the permit has expired")
         self.dispatched = True
 
 
-current_attempt: ContextVar[Attempt | None] = ContextVar("attempt", default=None)
+class LineReader:
+    """Reads lines of a head and remembers the last."""
+
+    def __init__(self, fp):
+        self._fp = fp
+        self.last = b""
+
+    def readline(self, *limit):
+        """Return the next line."""
+        self.last = self._fp.readline(*limit)
+        return self.last
+
+    def close(self):
+        """Close what is read from."""
+        self._fp.close()
+
+
+class WholeHeadResponse(http.client.HTTPResponse):
+    """An answer whose head must be whole.
+
+    The library takes the end of the connection for the end of the headers, and
+    would present a head that was cut as a whole answer without a body.
+    """
+
+    def begin(self):
+        """Read the head."""
+        fp: Any = self.fp
+        reader: Any = LineReader(fp)
+        self.fp = reader
+        try:
+            super().begin()
+        finally:
+            if self.fp is reader:
+                self.fp = fp
+        if reader.last not in (b"\r\n", b"\n"):
+            raise http.client.IncompleteRead(reader.last)
 
 
 class TargetConnection(HTTPConnection):
-    """A connection that checks the permit after connecting, before writing."""
+    """A connection that never connects again by itself.
+
+    Used without urllib3's pool, which could retry, follow redirects or take a
+    connection back before the answer is known to be whole.
+    """
+
+    auto_open = 0
+    response_class = WholeHeadResponse
+    opened = 0.0
+    released = 0.0
 
-    def send(self, data):
-        """Send bytes, marking the current attempt before the first of them."""
-        attempt = current_attempt.get()
-        if attempt is not None and not attempt.dispatched:
-            if self.sock is None:
-                self.connect()
-            attempt.begin()
-        super().send(data)
 
+class TargetPool:
+    """Connections to one target, the most recently used first.
+
+    Parameters
+    ----------
+    host : str
+        IP number or name.
+    port : int
+        TCP port.
+    prefix : str
+        Put before the path of each request.
+    clock : callable
+        Returns monotonic seconds.
+    """
 
-class TargetPool(urllib3.HTTPConnectionPool):
-    """Connections to one target."""
+    def __init__(self, host, port, prefix="", clock=time.monotonic):
+        self.host = host
+        self.port = port
+        self.prefix = prefix
+        self.clock = clock
+        self.closed = False
+        self._idle: deque[TargetConnection] = deque()
+        self._lock = threading.Lock()
+
+    def take(self):
+        """Return an idle connection that the target keeps open, or None."""
+        while True:
+            with self._lock:
+                if not self._idle:
+                    return None
+                connection = self._idle.pop()
+            if self._is_usable(connection):
+                return connection
+            connection.close()
+
+    def connect(self, timeout):
+        """Return a new connection.
+
+        Parameters
+        ----------
+        timeout : float
+            Seconds to wait for the target to accept it.
 
-    ConnectionCls = TargetConnection
+        Raises
+        ------
+        HTTPError, OSError
+            If the target cannot be reached.
+        """
+        connection = TargetConnection(
+            self.host, self.port, timeout=timeout, socket_options=TCP_OPTIONS
+        )
+        connection.connect()
+        connection.opened = self.clock()
+        return connection
+
+    def put(self, connection):
+        """Keep a connection whose last answer was read to its last byte."""
+        connection.released = self.clock()
+        with self._lock:
+            keep = not self.closed
+            if keep:
+                self._idle.append(connection)
+            surplus = self._take_surplus()
+        for old in surplus if keep else [connection]:
+            old.close()
+
+    def close(self):
+        """Close the idle connections; those in use close when they end."""
+        with self._lock:
+            self.closed = True
+            idle = list(self._idle)
+            self._idle.clear()
+        for connection in idle:
+            connection.close()
+
+    def _take_surplus(self):
+        oldest = self.clock() - MAX_IDLE_SECONDS
+        surplus = []
+        while self._idle and (
+            len(self._idle) > IDLE_CONNECTIONS or self._idle[0].released < oldest
+        ):
+            surplus.append(self._idle.popleft())
+        return surplus
+
+    def _is_usable(self, connection):
+        now = self.clock()
+        return (
+            now - connection.released <= MAX_IDLE_SECONDS
+            and now - connection.opened <= MAX_AGE_SECONDS
+            # Readable means closed by the target, or bytes nobody asked for.
+            and connection.is_connected
+        )
 
 
 class TargetPools:
     """A pool of connections for each target's address."""
 
-    def __init__(self):
+    def __init__(self, clock=time.monotonic):
+        self.clock = clock
         self.by_url: dict[str, TargetPool] = {}
 
     def get(self, url):
@@ -78,9 +216,9 @@
         pool = self.by_url.get(url)
         if pool is None:
             parsed = urllib3.util.parse_url(url)
-            pool = TargetPool(
-                parsed.host or "", parsed.port or 80, maxsize=IDLE_CONNECTIONS
-            )
+            host = (parsed.host or "").strip("[]")
+            prefix = (parsed.path or "").rstrip("/")
+            pool = TargetPool(host, parsed.port or DEFAULT_PORT, prefix, self.clock)
             pool = self.by_url.setdefault(url, pool)
         return pool
 
--- a/almondglade/entry/app.py
+++ b/almondglade/entry/app.py
@@ -1,73 +1,35 @@
 """The callers' port: a CherryPy application."""
 
 import itertools
-import math
 import threading
 from typing import Any
 
 import cherrypy
-import orjson
 
+from ..deadlines import Deadlines
+from ..httpserver.strict import REQUEST_KEY
 from ..kinds import IncomingRequest
 from ..log import get_logger
-from ..outcome import Code, Outcome, RequestError
+from ..outcome import (
+    OUTCOME_HEADER,
+    REQUEST_ID_HEADER,
+    Code,
+    Outcome,
+    RequestError,
+)
+from ..presence import CallerWatch
+from .bodies import BodyReader
 from .callers import CallerTable
+from .relaying import NOT_FOR_CALLERS, NOT_FOR_TARGETS, RelayedBody, end_to_end
+from .routing import MODELS_PATH, find_route, models_document, service_of_model
+from .serving import EntryRequest, EntryResponse, internal_error
 
 log = get_logger("entry")
 
-COMPLETION_PATHS = frozenset({"/v1/chat/completions", "/v1/completions"})
-REQUEST_ID_HEADER = "X-Request-Id"
-OUTCOME_HEADER = "X-Almondglade-Outcome"
 BUSY_RETRY_SECONDS = 1.0
-# RFC 9110 section 7.6.1, and those that this side sets itself.
-HOP_BY_HOP = frozenset(
-    {
-        "authorization",
-        "connection",
-        "content-length",
-        "host",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
-)
-
-
-class RelayedBody:
-    """The body of a run's answer, as the server iterates and closes it.
-
-    Parameters
-    ----------
-    run : Run
-        Iterator over the body.
-    on_end : callable
-        Called once, when the body ends or is closed.
-    """
-
-    def __init__(self, run, on_end):
-        self._run = run
-        self._on_end = on_end
-
-    def __iter__(self):
-        return self
-
-    def __next__(self):
-        try:
-            return next(self._run)
-        except BaseException:
-            self.close()
-            raise
-
-    def close(self):
-        """End the run if it has not ended yet."""
-        self._run.close()
-        on_end, self._on_end = self._on_end, None
-        if on_end is not None:
-            on_end()
+# Of the requests at once, one in this many may still be sending its body.
+ARRIVING_SHARE = 4
+NO_BODY_STATUSES = frozenset({204, 205, 304})
 
 
 class EntryApp:
@@ -85,6 +47,9 @@
         Declared document in force.
     """
 
+    request_class = EntryRequest
+    response_class = EntryResponse
+
     def __init__(self, settings, incarnation, scheduler, store):
         self.settings = settings
         self.scheduler = scheduler
@@ -96,51 +61,112 @@
             f"{settings.instance}-{incarnation}-{number}"
             for number in itertools.count(1)
         )
+        self._watch = CallerWatch()
+        places = max(1, settings.max_requests // ARRIVING_SHARE)
+        self._bodies = BodyReader(Deadlines(), places)
         self.callers: Any = None
         store.subscribe(self._configured)
 
     def _configured(self, update):
         self.callers = CallerTable(self.store.declarations)
 
-    @cherrypy.expose
-    def default(self, *parts, **query):
-        """Answer any path."""
+    def answer(self):
+        """Answer any request."""
         with self._lock:
             request_id = next(self._ids)
             self.active += 1
-        streaming = False
+        response = cherrypy.serving.response
         try:
-            cherrypy.response.headers[REQUEST_ID_HEADER] = request_id
-            answer = self._answer(request_id)
-            streaming = cherrypy.response.stream
-            return answer
+            return self._answer(request_id, response)
         except RequestError as error:
-            return self._refusal(error)
+            response.refuse(error, request_id)
+        except Exception:
+            log.exception("a request failed", request=request_id)
+            response.refuse(internal_error(), request_id)
         finally:
-            if not streaming:
+            response.pairs.append((REQUEST_ID_HEADER, request_id))
+            if not response.stream:
                 self._leave()
+        return response.body
 
     def _leave(self):
         with self._lock:
             self.active -= 1
 
-    def _answer(self, request_id):
+    def _answer(self, request_id, response):
         self._check_capacity()
-        http = cherrypy.request
-        path = http.wsgi_environ.get("REQUEST_URI", http.path_info).partition("?")[0]
-        caller = self.callers.authenticate(http.headers.get("Authorization"))
-        if path == "/v1/models":
-            return self._models()
-        request = self._incoming(request_id, caller, path)
-        run = self.scheduler.run(request)
-        cherrypy.response.status = run.head.status
-        for name, value in run.head.headers:
-            if name.lower() not in HOP_BY_HOP:
-                cherrypy.response.headers[name] = value
-        cherrypy.response.headers[REQUEST_ID_HEADER] = request_id
-        cherrypy.response.headers[OUTCOME_HEADER] = Outcome.ANSWERED.value
-        cherrypy.response.stream = True
-        return RelayedBody(run, self._leave)
+        http = cherrypy.serving.request.wsgi_environ[REQUEST_KEY]
+        method = http.method.decode("latin-1")
+        path, _, query = http.uri.decode("latin-1").partition("?")
+        caller = self.callers.authenticate(header_of(http, "authorization"))
+        services = self.store.declarations.services
+        if path == MODELS_PATH and method in ("GET", "HEAD"):
+            response.pairs = [("Content-Type", "application/json")]
+            return models_document(services)
+        route = find_route(services, method, path)
+        if route.service is not None:
+            self._check_plan(caller, route.service)
+        body = self._bodies.read(http, route.max_body_bytes)
+        service = route.service or service_of_model(services, body)
+        self._check_plan(caller, service)
+        request = IncomingRequest(
+            request_id,
+            caller.workspace,
+            caller.tier,
+            service,
+            method,
+            route.path,
+            query,
+            (
+                *end_to_end(http.pairs, NOT_FOR_TARGETS),
+                (REQUEST_ID_HEADER, request_id),
+            ),
+            body,
+            header_of(http, "idempotency-key"),
+        )
+        return self._run(http, request, response)
+
+    def _run(self, http, request, response):
+        sock = http.conn.socket
+        self._watch.watch(sock, request.presence)
+        streaming = False
+        try:
+            run = self.scheduler.run(request)
+            try:
+                first = next(run, b"")
+            except BaseException:
+                run.close()
+                raise
+            response.status = run.head.status
+            response.pairs = [
+                *end_to_end(run.head.headers, NOT_FOR_CALLERS),
+                (OUTCOME_HEADER, Outcome.ANSWERED.value),
+            ]
+            if not first:
+                self._describe_empty(request, response)
+                return b""
+            streaming = response.stream = True
+        finally:
+            if not streaming:
+                self._watch.forget(sock)
+        return RelayedBody(run, first, lambda: self._end(sock))
+
+    def _end(self, sock):
+        self._watch.forget(sock)
+        self._leave()
+
+    @staticmethod
+    def _describe_empty(request, response):
+        """Keep the target's own length where the body is left out by rule."""
+        if request.method == "HEAD" or response.status in NO_BODY_STATUSES:
+            return
+        response.pairs = [
+            pair for pair in response.pairs if pair[0].lower() != "content-length"
+        ]
+
+    def _check_plan(self, caller, service):
+        if self.store.declarations.allowance(caller.workspace, service) is None:
+            raise RequestError(Code.FORBIDDEN, f"the plan does not include {service}")
 
     def _check_capacity(self):
         if self.stopping:
@@ -160,89 +186,7 @@
                 retry_after=BUSY_RETRY_SECONDS,
             )
 
-    def _incoming(self, request_id, caller, path):
-        service_name, target_path, body = self._route(path)
-        http = cherrypy.request
-        if self.store.declarations.allowance(caller.workspace, service_name) is None:
-            raise RequestError(
-                Code.FORBIDDEN, f"the plan does not include {service_name}"
-            )
-        headers = tuple(
-            (name, value)
-            for name, value in http.headers.items()
-            if name.lower() not in HOP_BY_HOP
-        )
-        return IncomingRequest(
-            request_id,
-            caller.workspace,
-            caller.tier,
-            service_name,
-            http.method,
-            target_path,
-            http.query_string,
-            headers,
-            body,
-            http.headers.get("Idempotency-Key"),
-        )
-
-    def _route(self, path):
-        services = self.store.declarations.services
-        if path in COMPLETION_PATHS:
-            body = self._read_body(max(s.max_body_bytes for s in services.values()))
-            return self._service_of_model(body), path, body
-        name, _, rest = path.lstrip("/").partition("/")
-        service = services.get(name)
-        if service is None or service.models:
-            raise RequestError(Code.NOT_FOUND, f"no service at {path}")
-        return name, f"/{rest}", self._read_body(service.max_body_bytes)
-
-    def _service_of_model(self, body):
-        try:
-            model = orjson.loads(body).get("model")
-        except (orjson.JSONDecodeError, AttributeError) as error:
-            raise RequestError(Code.BAD_REQUEST, "body is not a JSON object") from error
-        for name, service in self.store.declarations.services.items():
-            if model in service.models:
-                return name
-        raise RequestError(Code.NOT_FOUND, f"no model named {model!r}")
-
-    def _read_body(self, limit):
-        length = int(cherrypy.request.headers.get("Content-Length") or 0)
-        if length > limit:
-            raise RequestError(Code.BODY_TOO_LARGE, f"the limit is {limit} bytes")
-        body = cherrypy.request.rfile.read(length) if length else b""
-        if len(body) < length:
-            raise RequestError(Code.BAD_REQUEST, "the body ends too early")
-        return body
-
-    def _models(self):
-        names = [
-            model
-            for service in self.store.declarations.services.values()
-            for model in service.models
-        ]
-        cherrypy.response.headers["Content-Type"] = "application/json"
-        return orjson.dumps(
-            {
-                "object": "list",
-                "data": [{"id": name, "object": "model"} for name in sorted(names)],
-            }
-        )
 
-    def _refusal(self, error):
-        headers = cherrypy.response.headers
-        cherrypy.response.status = error.code.status
-        headers["Content-Type"] = "application/json"
-        headers[OUTCOME_HEADER] = error.outcome.value
-        body = {
-            "error": {
-                "code": error.code.text,
-                "message": error.message,
-                "outcome": error.outcome.value,
-                "request_id": headers[REQUEST_ID_HEADER],
-            }
-        }
-        if error.retry_after is not None:
-            headers["Retry-After"] = str(math.ceil(error.retry_after))
-            body["error"]["retry_after"] = error.retry_after
-        return orjson.dumps(body)
+def header_of(http, name):
+    """Return a header that occurs once at most, or None."""
+    return next((value for key, value in http.pairs if key.lower() == name), None)
--- /dev/null
+++ b/almondglade/entry/bodies.py
@@ -0,0 +1,139 @@
+"""Read the bodies of requests, bounded in size and time."""
+
+import contextlib
+import socket
+import threading
+import time
+
+from cheroot.errors import MaxSizeExceeded
+
+from ..httpserver.gate import GATED_BODY_BYTES
+from ..outcome import Code, RequestError
+from ..sockets import shut_down
+
+# A body must arrive within this.
+BODY_SECONDS = 20.0
+# Framing of a chunked body is counted by the library, on top of its bytes.
+FRAMING_ALLOWANCE_BYTES = 1 << 16
+CHUNKED_READ_BYTES = 1 << 12
+BUSY_RETRY_SECONDS = 1.0
+
+
+class BodyReader:
+    """Reads bodies; those that are still arriving share a few places.
+
+    Parameters
+    ----------
+    deadlines : Deadlines
+        Bounds the time of each.
+    places : int
+        Bodies that may be arriving at once.
+    clock : callable
+        Returns monotonic seconds.
+    """
+
+    def __init__(self, deadlines, places, clock=time.monotonic):
+        self.deadlines = deadlines
+        self.clock = clock
+        self._places = threading.BoundedSemaphore(places)
+
+    def read(self, http, limit):
+        """Return the body of a request.
+
+        Parameters
+        ----------
+        http : StrictRequest
+            The request.
+        limit : int
+            Largest body, bytes.
+
+        Raises
+        ------
+        RequestError
+            If the body is too large, late, cut short or malformed.
+        """
+        length = http.content_length
+        if length == 0:
+            return b""
+        if length is not None and length > limit:
+            raise too_large(limit)
+        if length is None or length > GATED_BODY_BYTES or http.expects_continue:
+            with self._place():
+                return self._read(http, length, limit)
+        return self._read(http, length, limit)
+
+    @contextlib.contextmanager
+    def _place(self):
+        if not self._places.acquire(blocking=False):
+            raise RequestError(
+                Code.OVERLOADED,
+                "too many bodies are arriving at once",
+                retry_after=BUSY_RETRY_SECONDS,
+            )
+        try:
+            yield
+        finally:
+            self._places.release()
+
+    def _read(self, http, length, limit):
+        late = threading.Event()
+
+        def expire():
+            late.set()
+            shut_down(http.conn.socket, socket.SHUT_RD)
+
+        deadline = self.deadlines.call_at(self.clock() + BODY_SECONDS, expire)
+        try:
+            http.send_continue()
+            if length is None:
+                return read_chunked(http.rfile, limit)
+            body = http.rfile.read(length)
+        except MaxSizeExceeded as error:
+            raise too_large(limit) from error
+        except (OSError, ValueError) as error:
+            if late.is_set() or isinstance(error, TimeoutError):
+                raise too_late() from error
+            raise RequestError(Code.BAD_REQUEST, "the body is malformed") from error
+        finally:
+            deadline.cancel()
+        if len(body) < length:
+            raise too_late() if late.is_set() else ends_early()
+        return body
+
+
+def read_chunked(rfile, limit):
+    """Return a chunked body and discard its trailers.
+
+    Parameters
+    ----------
+    rfile : ChunkedRFile
+        The library's reader.
+    limit : int
+        Largest body, bytes.
+    """
+    rfile.maxlen = 2 * limit + FRAMING_ALLOWANCE_BYTES
+    pieces = []
+    size = 0
+    while piece := rfile.read(CHUNKED_READ_BYTES):
+        pieces.append(piece)
+        size += len(piece)
+        if size > limit:
+            raise too_large(limit)
+    for _ in rfile.read_trailer_lines():
+        continue
+    return b"".join(pieces)
+
+
+def too_large(limit):
+    """Return the refusal of a body over its limit."""
+    return RequestError(Code.BODY_TOO_LARGE, f"the limit is {limit} bytes")
+
+
+def too_late():
+    """Return the refusal of a body that arrives too slowly."""
+    return RequestError(Code.CALLER_TIMEOUT, "the body did not arrive in time")
+
+
+def ends_early():
+    """Return the refusal of a body that is cut short."""
+    return RequestError(Code.BAD_REQUEST, "the body ends too early")
--- /dev/null
+++ b/almondglade/entry/relaying.py
@@ -0,0 +1,128 @@
+"""Pass a target's answer on to the caller."""
+
+import re
+
+from ..errors import AlmondgladeError
+from ..log import get_logger
+from ..outcome import OUTCOME_HEADER, REQUEST_ID_HEADER, RequestError
+
+log = get_logger("entry")
+
+# RFC 9110 section 7.6.1, and those that each side sets itself.
+HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "expect",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+# The caller's key is for this system alone.
+NOT_FOR_TARGETS = frozenset(
+    {"authorization", "content-length", "host", REQUEST_ID_HEADER.lower()}
+)
+NOT_FOR_CALLERS = frozenset({OUTCOME_HEADER.lower(), REQUEST_ID_HEADER.lower()})
+NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+CONTROLS = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]+")
+EVENT_STREAM = "text/event-stream"
+EVENT_ENDS = (b"\n\n", b"\r\n\r\n", b"\r\r")
+
+
+class TruncatedAnswerError(AlmondgladeError):
+    """The answer cannot be completed; the connection must be cut."""
+
+
+def end_to_end(pairs, dropped):
+    """Return the headers that go on to the other side.
+
+    Parameters
+    ----------
+    pairs : iterable of (str, str)
+        Headers in their order.
+    dropped : frozenset of str
+        Further lower-case names that stay here.
+    """
+    pairs = list(pairs)
+    named = {
+        token.strip().lower()
+        for name, value in pairs
+        if name.lower() == "connection"
+        for token in value.split(",")
+    }
+    return tuple(
+        (name, CONTROLS.sub(" ", value))
+        for name, value in pairs
+        if NAME.fullmatch(name) and name.lower() not in HOP_BY_HOP | dropped | named
+    )
+
+
+def is_event_stream(head):
+    """Tell whether an answer is a stream of server-sent events."""
+    return any(
+        name.lower() == "content-type" and value.lower().startswith(EVENT_STREAM)
+        for name, value in head.headers
+    )
+
+
+class RelayedBody:
+    """The body of a run's answer, as the server iterates and closes it.
+
+    If the answer breaks off, the connection is cut without the last chunk, so
+    that the caller's HTTP library sees that it is not whole. In a stream of
+    events an ``error`` event goes before the cut, unless it would fall into
+    the middle of another event.
+
+    Parameters
+    ----------
+    run : Run
+        Iterator over the body.
+    first : bytes
+        What was read of it already.
+    on_end : callable
+        Called once, when the body ends or is closed.
+    """
+
+    def __init__(self, run, first, on_end):
+        self._run = run
+        self._on_end = on_end
+        self._events = is_event_stream(run.head)
+        self._last = b""
+        self._first = first
+        self._failed = False
+
+    def __iter__(self):
+        return self
+
+    def __next__(self):
+        if self._failed:
+            raise TruncatedAnswerError("the answer is not whole")
+        if self._first:
+            chunk, self._first = self._first, b""
+        else:
+            try:
+                chunk = next(self._run)
+            except RequestError as error:
+                return self._fail(error)
+        self._last = chunk
+        return chunk
+
+    def close(self):
+        """End the run if it has not ended yet."""
+        on_end, self._on_end = self._on_end, None
+        if on_end is not None:
+            self._run.close()
+            on_end()
+
+    def _fail(self, error):
+        self._failed = True
+        request_id = self._run.request.request_id
+        log.info("an answer broke off", request=request_id, code=error.code.text)
+        if self._events and self._last.endswith(EVENT_ENDS):
+            return b"event: error\ndata: %b\n\n" % error.document(request_id)
+        raise TruncatedAnswerError("the answer is not whole") from error
--- /dev/null
+++ b/almondglade/entry/routing.py
@@ -0,0 +1,88 @@
+"""Find the service that a request is for."""
+
+from dataclasses import dataclass
+
+import orjson
+
+from ..outcome import Code, RequestError
+
+COMPLETION_PATHS = frozenset({"/v1/chat/completions", "/v1/completions"})
+MODELS_PATH = "/v1/models"
+MODEL_NAME_SHOWN = 64
+
+
+@dataclass(frozen=True)
+class Route:
+    """Where a request goes.
+
+    Parameters
+    ----------
+    service : str or None
+        Name of the service; None when the model in the body decides.
+    path : str
+        Path at the target.
+    max_body_bytes : int
+        Largest body.
+    """
+
+    service: str | None
+    path: str
+    max_body_bytes: int
+
+
+def find_route(services, method, path):
+    """Return the route of a path, before the body is read.
+
+    Raises
+    ------
+    RequestError
+        If no service answers there.
+    """
+    if path in COMPLETION_PATHS:
+        if method != "POST":
+            raise RequestError(Code.METHOD_NOT_ALLOWED, f"{path} takes POST only")
+        limits = (s.max_body_bytes for s in services.values() if s.models)
+        return Route(None, path, max(limits, default=0))
+    name, slash, rest = path.removeprefix("/").partition("/")
+    service = services.get(name)
+    if service is None or service.models:
+        raise RequestError(Code.NOT_FOUND, f"no service at {path}")
+    return Route(name, slash + rest or "/", service.max_body_bytes)
+
+
+def service_of_model(services, body):
+    """Return the name of the service that serves the model in a body.
+
+    Raises
+    ------
+    RequestError
+        If the body names no declared model.
+    """
+    try:
+        model = orjson.loads(body).get("model")
+    except (orjson.JSONDecodeError, AttributeError) as error:
+        raise RequestError(Code.BAD_REQUEST, "body is not a JSON object") from error
+    for name, service in services.items():
+        if model in service.models:
+            if len(body) > service.max_body_bytes:
+                raise RequestError(
+                    Code.BODY_TOO_LARGE,
+                    f"the limit is {service.max_body_bytes} bytes",
+                )
+            return name
+    shown = model if isinstance(model, str) else "of another type"
+    raise RequestError(Code.NOT_FOUND, f"no model {shown[:MODEL_NAME_SHOWN]!r}")
+
+
+def models_document(services):
+    """Return the declared models in the form of OpenAI's list."""
+    names = (model for service in services.values() for model in service.models)
+    return orjson.dumps(
+        {
+            "object": "list",
+            "data": [
+                {"id": name, "object": "model", "created": 0, "owned_by": "almondglade"}
+                for name in sorted(names)
+            ],
+        }
+    )
--- a/almondglade/entry/scheduling.py
+++ b/almondglade/entry/scheduling.py
@@ -6,8 +6,8 @@
 import xxhash
 
 from .. import messages as m
+from ..deadlines import Deadlines
 from ..dispatch.call import (
-    BrokenCallError,
     Call,
     CallCancelledError,
     CallTimeoutError,
@@ -23,7 +23,7 @@
 log = get_logger("requests")
 
 MAX_ATTEMPTS = 3
-UNKNOWN_RETRY_SECONDS = 0.0
+REPEAT_AT_ONCE_SECONDS = 0.0
 NO_TARGET_RETRY_SECONDS = 1.0
 
 
@@ -60,33 +60,39 @@
         Status and headers of the answer.
     meter : UsageMeter
         Counts the answer.
+    idempotent : bool
+        Whether the request may be sent again after an unknown outcome.
     """
 
-    def __init__(self, scheduler, request, permit, call, head, meter):
+    def __init__(self, scheduler, request, permit, call, head, meter, idempotent):
         self.scheduler = scheduler
         self.request = request
         self.permit = permit
         self.call = call
         self.head = head
         self.meter = meter
+        self.idempotent = idempotent
         self.first_byte = 0.0
         self.ended = False
-        self._chunks = call.chunks()
 
     def __iter__(self):
         return self
 
     def __next__(self):
+        if self.ended:
+            raise StopIteration
         try:
-            chunk = next(self._chunks)
-        except StopIteration:
-            self.finish(m.Result.COMPLETED)
-            raise
+            chunk = self.call.read()
         except TargetError as error:
-            self.finish(result_of(error))
-            raise failure(error, self.permit) from error
-        self.first_byte = self.first_byte or self._elapsed()
-        self.meter.feed(chunk)
+            raise self.fail(error) from error
+        if chunk:
+            self.first_byte = self.first_byte or self._elapsed()
+            self.meter.feed(chunk)
+        if self.call.whole:
+            # Before the last byte goes out: the caller may hang up after it.
+            self.finish(m.Result.COMPLETED)
+        if not chunk:
+            raise StopIteration
         return chunk
 
     def close(self):
@@ -95,11 +101,18 @@
             self.call.close()
             self.finish(m.Result.CANCELLED)
 
+    def fail(self, error):
+        """End the permit and return what the caller is told."""
+        self.finish(result_of(error))
+        return failure(error, self.permit, self.idempotent)
+
     def finish(self, result):
         """End the permit and write the usage record, once."""
         if self.ended:
             return
         self.ended = True
+        self.request.presence.on_gone(None)
+        self.permit.cancel = None
         usage = self.meter.usage
         self.scheduler.end(
             self.request,
@@ -133,13 +146,16 @@
         Connections to the targets.
     clock : callable
         Returns monotonic seconds.
+    deadlines : Deadlines or None
+        Bounds the calls; own ones when None.
     """
 
-    def __init__(self, broker, store, pools, clock=time.monotonic):
+    def __init__(self, broker, store, pools, clock=time.monotonic, deadlines=None):
         self.broker = broker
         self.store = store
         self.pools = pools
         self.clock = clock
+        self.deadlines = deadlines or Deadlines(clock)
 
     def run(self, request):
         """Dispatch a request and return its `Run`.
@@ -156,17 +172,14 @@
         avoid: tuple[str, ...] = ()
         for _ in range(MAX_ATTEMPTS):
             demand = self._demand(request, service, kind, deadline, avoid)
-            permit = self.broker.acquire(demand)
+            permit = self._acquire(request, demand)
             try:
                 return self._dispatch(request, service, kind, permit)
-            except (NotSentError, PermitExpiredError) as error:
-                log.info(
-                    "request was not sent, trying another target",
-                    request=request.request_id,
-                    target=permit.grant.target,
-                    cause=str(error),
-                )
+            except NotSentError as error:
                 avoid += (permit.grant.target,)
+                self._log_not_sent(request, permit, error)
+            except PermitExpiredError as error:
+                self._log_not_sent(request, permit, error)
         raise RequestError(
             Code.NO_TARGET,
             "no target could be reached",
@@ -174,6 +187,28 @@
             NO_TARGET_RETRY_SECONDS,
         )
 
+    def _acquire(self, request, demand):
+        """Wait for a permit, no longer than the caller does."""
+        request.presence.on_gone(lambda: self.broker.withdraw(demand))
+        try:
+            if request.presence.gone:
+                raise caller_gone()
+            permit = self.broker.acquire(demand)
+        finally:
+            request.presence.on_gone(None)
+        if request.presence.gone:
+            self._release_unused(request, permit, m.Result.UNUSED)
+            raise caller_gone()
+        return permit
+
+    def _log_not_sent(self, request, permit, error):
+        log.info(
+            "request was not sent, trying again",
+            request=request.request_id,
+            target=permit.grant.target,
+            cause=str(error),
+        )
+
     def end(self, request, permit, completion):
         """Release a permit and log what is billed for the dispatch."""
         self.broker.release(permit, completion)
@@ -216,15 +251,23 @@
 
     def _dispatch(self, request, service, kind, permit):
         target = self.store.declarations.targets.get(permit.grant.target)
-        attempt = Attempt(lambda: self._may_dispatch(permit))
         if target is None:
             self._release_unused(request, permit, m.Result.UNUSED)
             raise NotSentError("the target is no longer declared")
-        pool = self.pools.get(target.url)
-        call = Call(pool, request, service.limits, attempt, self.clock)
-        permit.cancel = call.cancel
+        idempotent = kind.is_idempotent(service, request)
+        call = Call(
+            self.pools.get(target.url),
+            request,
+            service.limits,
+            Attempt(lambda: self._may_dispatch(request, permit)),
+            self.deadlines,
+            self.clock,
+            fresh=not idempotent,
+        )
+        run = Run(self, request, permit, call, None, kind.meter(), idempotent)
+        self._pass_on_cancellation(request, permit, kind, call)
         try:
-            head = call.open()
+            run.head = call.open()
         except NotSentError:
             self._release_unused(request, permit, m.Result.REFUSED)
             raise
@@ -232,14 +275,24 @@
             self._release_unused(request, permit, m.Result.UNUSED)
             raise
         except TargetError as error:
-            run = Run(self, request, permit, call, None, kind.meter())
-            run.finish(result_of(error))
-            raise failure(error, permit) from error
-        return Run(self, request, permit, call, head, kind.meter())
-
-    def _may_dispatch(self, permit):
-        return self.broker.is_valid(permit) and (
-            self.store.declarations.takes_new_work(permit.grant.target)
+            raise run.fail(error) from error
+        except BaseException:
+            run.finish(m.Result.BROKEN)
+            raise
+        return run
+
+    def _pass_on_cancellation(self, request, permit, kind, call):
+        permit.cancel = call.cancel
+        if permit.preempted is not None:
+            call.cancel()
+        if kind.preemptible:
+            request.presence.on_gone(call.cancel)
+
+    def _may_dispatch(self, request, permit):
+        return (
+            not request.presence.gone
+            and self.broker.is_valid(permit)
+            and self.store.declarations.takes_new_work(permit.grant.target)
         )
 
     def _release_unused(self, request, permit, result):
@@ -259,21 +312,26 @@
             return m.Result.BROKEN
 
 
-def failure(error, permit):
+def failure(error, permit, idempotent):
     """Return what the caller is told of a run that failed."""
     if permit.preempted is not None:
         return RequestError(
             Code.PREEMPTED,
             "the run was cancelled for a higher tier",
             Outcome.UNKNOWN,
-            permit.preempted.retry_after,
+            permit.preempted.retry_after if idempotent else None,
         )
     match error:
         case CallTimeoutError():
-            return RequestError(
-                Code.TARGET_TIMEOUT, str(error), Outcome.UNKNOWN, UNKNOWN_RETRY_SECONDS
-            )
-        case BrokenCallError() | _:
-            return RequestError(
-                Code.TARGET_FAILED, str(error), Outcome.UNKNOWN, UNKNOWN_RETRY_SECONDS
-            )
+            code = Code.TARGET_TIMEOUT
+        case CallCancelledError():
+            code = Code.CALLER_GONE
+        case _:
+            code = Code.TARGET_FAILED
+    retry_after = REPEAT_AT_ONCE_SECONDS if idempotent else None
+    return RequestError(code, str(error), Outcome.UNKNOWN, retry_after)
+
+
+def caller_gone():
+    """Return the error that ends a request without a caller."""
+    return RequestError(Code.CALLER_GONE, "the caller has gone away")
--- a/almondglade/httpserver.py
+++ b/almondglade/httpserver/__init__.py
@@ -3,11 +3,10 @@
 import threading
 
 import cherrypy
-from cheroot import wsgi
 
-SOCKET_TIMEOUT_SECONDS = 10
+from .gate import GatedServer
+
 STOP_SECONDS = 2
-BACKLOG = 512
 
 cherrypy.config.update(
     {
@@ -38,23 +37,21 @@
     port : int
         TCP port.
     root : object
-        CherryPy root with exposed handlers.
+        CherryPy root with exposed handlers. If it has an attribute
+        ``request_class`` and ``response_class``, CherryPy uses these.
     threads : int
         Number of threads, and so of requests at once.
     """
 
     def __init__(self, address, port, root, threads):
         app = cherrypy.Application(root, "", APP_CONFIG)
-        self._server = wsgi.Server(
-            (address, port),
-            app,
-            numthreads=threads,
-            max=threads,
-            server_name="almondglade",
-            request_queue_size=BACKLOG,
-            timeout=SOCKET_TIMEOUT_SECONDS,
-            shutdown_timeout=STOP_SECONDS,
-        )
+        app.request_class = getattr(root, "request_class", app.request_class)
+        app.response_class = getattr(root, "response_class", app.response_class)
+        # Errors reach the server, which cuts the connection; nothing here
+        # redirects inside the server or writes an access log.
+        app.wsgiapp.pipeline.clear()
+        app.log.access = no_access_log
+        self._server = GatedServer((address, port), app, threads, STOP_SECONDS)
         self._thread = threading.Thread(target=self._serve, daemon=True)
 
     def start(self):
@@ -68,9 +65,18 @@
         self._server.prepare()
         self._thread.start()
 
+    @property
+    def port(self):
+        """The bound TCP port."""
+        return self._server.bind_addr[1]
+
     def _serve(self):
         self._server.serve()
 
     def stop(self):
         """Stop serving."""
         self._server.stop()
+
+
+def no_access_log():
+    """Write nothing; each dispatch has its usage record."""
--- /dev/null
+++ b/almondglade/httpserver/gate.py
@@ -0,0 +1,183 @@
+"""Hand a connection to a thread only once a request has arrived on it.
+
+A caller that sends slowly, or nothing, costs a socket and no thread, so the
+threads stay free for the others.
+"""
+
+import logging
+import re
+import resource
+import socket
+import time
+
+from cheroot import server, wsgi
+from cheroot.makefile import MakeFile
+
+from ..deadlines import Deadlines
+from ..log import get_logger
+from ..sockets import set_options, shut_down
+from .strict import MAX_HEAD_BYTES, StrictGateway, StrictRequest
+
+log = get_logger("http")
+
+# A connection without a request is closed after this.
+IDLE_SECONDS = 60
+# A request's head, and the gated part of its body, must arrive within this.
+HEAD_SECONDS = 10.0
+# One read or write may wait this long for the caller.
+SOCKET_TIMEOUT_SECONDS = 10.0
+# The part of a body that must have arrived before a thread is used.
+GATED_BODY_BYTES = 32 << 10
+MAX_CONNECTIONS = 2048
+BACKLOG = 512
+ACCEPTED_REQUESTS = 1024
+
+HEAD_END = b"\r\n\r\n"
+CONTENT_LENGTH = re.compile(rb"(?i)\r\ncontent-length:[ \t]*([0-9]{1,9})[ \t]*\r\n")
+EXPECT = re.compile(rb"(?i)\r\nexpect:")
+
+
+def bytes_wanted(peeked):
+    """Return how many bytes must have arrived before a request is served.
+
+    Parameters
+    ----------
+    peeked : bytes
+        What has arrived.
+
+    Returns
+    -------
+    int
+        At most ``len(peeked)`` when the request can be served.
+    """
+    end = peeked.find(HEAD_END)
+    if end < 0:
+        return 0 if len(peeked) >= MAX_HEAD_BYTES else len(peeked) + 1
+    head = peeked[: end + len(HEAD_END)]
+    length = CONTENT_LENGTH.search(head)
+    if length is None or EXPECT.search(head):
+        return len(head)
+    return len(head) + min(int(length[1]), GATED_BODY_BYTES)
+
+
+class GatedConnection(server.HTTPConnection):
+    """A caller's connection, watched until a request has arrived."""
+
+    RequestHandlerClass = StrictRequest
+
+    def __init__(self, server, sock, makefile=MakeFile):
+        set_options(sock)
+        super().__init__(server, sock, makefile)
+        self.late = False
+        self._wanted = 0
+        self._deadline = None
+
+    def has_request(self):
+        """Tell whether a thread should serve the connection now."""
+        if self.rfile.has_data():
+            # Pipelined: what is left of it cannot be waited for here.
+            self.late = HEAD_END not in self.rfile.peek(0)
+            return True
+        self.socket.setblocking(False)
+        try:
+            peeked = self.socket.recv(
+                MAX_HEAD_BYTES + GATED_BODY_BYTES, socket.MSG_PEEK
+            )
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        return not peeked or self._has_enough(peeked)
+
+    def open_gate(self):
+        """Prepare the socket for the thread that serves it."""
+        if self._deadline is not None:
+            self._deadline.cancel()
+            self._deadline = None
+        if self._wanted:
+            self._set_wanted(0)
+        self.socket.settimeout(SOCKET_TIMEOUT_SECONDS)
+
+    def communicate(self):
+        """Serve one request; a late one is answered and closed."""
+        if self.late:
+            request = self.RequestHandlerClass(self.server, self)
+            request.simple_response("408 Request Timeout")
+            return False
+        return super().communicate()
+
+    def _has_enough(self, peeked):
+        # Woken before enough arrived: the caller will send no more.
+        if len(peeked) < self._wanted:
+            return True
+        wanted = bytes_wanted(peeked)
+        if wanted <= len(peeked):
+            return True
+        self._set_wanted(wanted)
+        if self._deadline is None:
+            when = time.monotonic() + HEAD_SECONDS
+            self._deadline = self.server.deadlines.call_at(when, self._expire)
+        return False
+
+    def _set_wanted(self, count):
+        """Let the kernel report the socket as readable from this on."""
+        self._wanted = count
+        try:
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVLOWAT, count or 1)
+        except OSError as error:
+            log.debug("a caller's socket failed", cause=str(error))
+
+    def _expire(self):
+        self.late = True
+        shut_down(self.socket, socket.SHUT_RD)
+
+
+class GatedServer(wsgi.Server):
+    """A server whose threads are not held by callers that send slowly.
+
+    Parameters
+    ----------
+    bind_address : (str, int)
+        IP number and TCP port.
+    app : callable
+        WSGI application.
+    threads : int
+        Requests served at once.
+    stop_seconds : float
+        Time for the threads to end at a stop.
+    """
+
+    ConnectionClass = GatedConnection
+
+    def __init__(self, bind_address, app, threads, stop_seconds):
+        super().__init__(
+            bind_address,
+            app,
+            numthreads=threads,
+            max=threads,
+            server_name="almondglade",
+            request_queue_size=BACKLOG,
+            timeout=IDLE_SECONDS,
+            shutdown_timeout=stop_seconds,
+            accepted_queue_size=ACCEPTED_REQUESTS,
+            accepted_queue_timeout=0,
+        )
+        self.gateway = StrictGateway
+        self.max_request_header_size = MAX_HEAD_BYTES
+        files, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        self.keep_alive_conn_limit = min(MAX_CONNECTIONS, files // 2)
+        self.deadlines = Deadlines()
+
+    def process_conn(self, conn):
+        """Serve a connection that has a request; let the others wait."""
+        if conn.has_request():
+            conn.open_gate()
+            super().process_conn(conn)
+        elif self.can_add_keepalive_connection:
+            self.put_conn(conn)
+        else:
+            conn.close()
+
+    def error_log(self, msg="", level=logging.INFO, traceback=False):
+        """Log what the server reports."""
+        log.debug("a connection ended", cause=msg)
--- /dev/null
+++ b/almondglade/httpserver/strict.py
@@ -0,0 +1,244 @@
+"""Read requests strictly and write answers with few copies."""
+
+import re
+import socket
+import struct
+import threading
+import time
+
+from cheroot import server, wsgi
+
+from ..outcome import Code, Outcome, RequestError
+
+MAX_HEAD_BYTES = 32 << 10
+MAX_HEADERS = 100
+# What is read of a body that is not wanted, so that the answer arrives.
+DRAIN_BYTES = 4 << 20
+DRAIN_SECONDS = 1.0
+DRAINS = threading.BoundedSemaphore(8)
+READ_BYTES = 1 << 16
+OVERLOADED_RETRY_SECONDS = 1.0
+ABORT_ON_CLOSE = struct.pack("ii", 1, 0)
+
+VERSIONS = frozenset({b"HTTP/1.0", b"HTTP/1.1"})
+URI = re.compile(rb"[\x21-\x7e]+")
+HEADER = re.compile(
+    rb"([!#$%&'*+.^_`|~0-9A-Za-z-]+):[ \t]*"
+    rb"((?:[^\x00-\x08\x0a-\x20\x7f](?:[^\x00-\x08\x0a-\x1f\x7f]*"
+    rb"[^\x00-\x08\x0a-\x20\x7f])?)?)[ \t]*\r\n"
+)
+DIGITS = re.compile(rb"[0-9]{1,18}")
+SINGLE_HEADERS = (
+    b"host",
+    b"content-length",
+    b"transfer-encoding",
+    b"authorization",
+    b"idempotency-key",
+    b"content-type",
+)
+
+CODE_BY_STATUS = {
+    408: Code.CALLER_TIMEOUT,
+    413: Code.HEAD_TOO_LARGE,
+    414: Code.HEAD_TOO_LARGE,
+    500: Code.INTERNAL,
+    503: Code.OVERLOADED,
+}
+
+
+class StrictHeaderReader(server.HeaderReader):
+    """Reads headers, refusing all that two readers could read differently.
+
+    Attributes
+    ----------
+    pairs : list of (str, str)
+        Every header in its order, repeated ones too.
+    expects_continue : bool
+        Whether the caller waits for a word before it sends the body; kept
+        from the library, which would send it before the key is checked.
+    """
+
+    def __init__(self):
+        self.pairs = []
+        self.expects_continue = False
+
+    def __call__(self, rfile, hdict=None):
+        """Return the headers by title-case name, the first of each."""
+        hdict = {} if hdict is None else hdict
+        for name, value in self._read(rfile):
+            hdict.setdefault(name.title(), value)
+            self.pairs.append((name.decode("latin-1"), value.decode("latin-1")))
+        self._check(hdict)
+        expected = hdict.pop(b"Expect", b"")
+        self.expects_continue = expected.lower() == b"100-continue"
+        return hdict
+
+    def _read(self, rfile):
+        for _ in range(MAX_HEADERS + 1):
+            line = rfile.readline()
+            if line == b"\r\n":
+                return
+            match = HEADER.fullmatch(line)
+            if match is None:
+                raise ValueError("a header line is malformed")
+            yield match.groups()
+        raise ValueError("there are too many headers")
+
+    def _check(self, hdict):
+        names = [name.lower().encode("latin-1") for name, _ in self.pairs]
+        for name in SINGLE_HEADERS:
+            if names.count(name) > 1:
+                raise ValueError(f"the header {name.decode()} is repeated")
+        length = hdict.get(b"Content-Length")
+        coding = hdict.get(b"Transfer-Encoding")
+        if length is not None and not DIGITS.fullmatch(length):
+            raise ValueError("the header content-length is malformed")
+        if coding is not None and (length is not None or coding.lower() != b"chunked"):
+            raise ValueError("the length of the body is not clear")
+
+
+class StrictRequest(server.HTTPRequest):
+    """One request on a caller's connection."""
+
+    def __init__(self, server, conn, proxy_mode=False, strict_mode=True):
+        super().__init__(server, conn, proxy_mode, strict_mode)
+        self.header_reader = StrictHeaderReader()
+        self.handed_over = False
+
+    @property
+    def pairs(self):
+        """Headers in their order, as (name, value) strings."""
+        return self.header_reader.pairs
+
+    @property
+    def content_length(self):
+        """Declared length of the body, bytes; None when it is chunked."""
+        if self.chunked_read:
+            return None
+        return int(self.inheaders.get(b"Content-Length", 0))
+
+    @property
+    def expects_continue(self):
+        """Whether the caller waits for a word before it sends the body."""
+        return self.header_reader.expects_continue
+
+    def read_request_line(self):
+        """Read the first line; refuse what is not plain HTTP/1."""
+        try:
+            if not super().read_request_line():
+                return False
+        except ValueError:
+            self.simple_response("400 Bad Request", "the request line is malformed")
+            return False
+        if self.request_protocol not in VERSIONS or not URI.fullmatch(self.uri):
+            self.simple_response("400 Bad Request", "the request line is malformed")
+            return False
+        return True
+
+    def read_request_headers(self):
+        """Read the headers; the word to continue is sent when the body is read."""
+        if not super().read_request_headers():
+            return False
+        http_1_1 = self.request_protocol == b"HTTP/1.1"
+        if http_1_1 and b"Host" not in self.inheaders:
+            self.simple_response("400 Bad Request", "the header host is missing")
+            return False
+        if not http_1_1 and b"Transfer-Encoding" in self.inheaders:
+            self.simple_response("400 Bad Request", "HTTP/1.0 has no codings")
+            return False
+        if b"close" in self.inheaders.get(b"Connection", b"").lower():
+            self.close_connection = True
+        return True
+
+    def send_continue(self):
+        """Ask a caller that waits for it to send the body."""
+        if self.expects_continue:
+            self.header_reader.expects_continue = False
+            self.conn.socket.sendall(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def respond(self):
+        """Answer; cut the connection if the answer is not whole."""
+        self.handed_over = True
+        try:
+            super().respond()
+        except BaseException:
+            if self.response_protocol == "HTTP/1.0":
+                # Without chunks only a reset tells that the end is missing.
+                self.conn.socket.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, ABORT_ON_CLOSE
+                )
+            raise
+        if self._has_unread_body():
+            self._drain()
+
+    def write(self, chunk):
+        """Send a piece of the body at once."""
+        if self.chunked_write and chunk:
+            chunk = b"%x\r\n%b\r\n" % (len(chunk), chunk)
+        self.conn.socket.sendall(chunk)
+
+    def send_headers(self):
+        """Send the head; close afterwards if a body was left unread."""
+        if self._has_unread_body():
+            self.close_connection = True
+        super().send_headers()
+
+    def simple_response(self, status, msg=""):
+        """Answer with the documented JSON error and close."""
+        code = CODE_BY_STATUS.get(int(str(status)[:3]), Code.BAD_REQUEST)
+        error = RequestError(
+            code,
+            str(msg) or str(status)[4:].lower(),
+            Outcome.UNKNOWN if self.handed_over else Outcome.NOT_RUN,
+            OVERLOADED_RETRY_SECONDS if code is Code.OVERLOADED else None,
+        )
+        body = error.document("")
+        lines = [
+            f"HTTP/1.1 {code.status} {code.text}",
+            *(f"{name}: {value}" for name, value in error.headers()),
+            f"Content-Length: {len(body)}",
+            "Connection: close",
+        ]
+        self.close_connection = True
+        try:
+            self.conn.socket.sendall("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+            self._drain()
+        except OSError:
+            return
+
+    def _has_unread_body(self):
+        if self.chunked_read:
+            return not getattr(self.rfile, "closed", False)
+        return getattr(self.rfile, "remaining", 0) > 0
+
+    def _drain(self):
+        """Read on for a while: closing at once could destroy the answer."""
+        if not DRAINS.acquire(blocking=False):
+            return
+        try:
+            self._discard(self.conn.socket)
+        finally:
+            DRAINS.release()
+
+    @staticmethod
+    def _discard(sock):
+        sock.shutdown(socket.SHUT_WR)
+        left = DRAIN_BYTES
+        end = time.monotonic() + DRAIN_SECONDS
+        while left > 0 and (wait := end - time.monotonic()) > 0:
+            sock.settimeout(wait)
+            data = sock.recv(READ_BYTES)
+            if not data:
+                return
+            left -= len(data)
+
+
+class StrictGateway(wsgi.Gateway_10):
+    """Passes the request itself on to the application."""
+
+    def get_environ(self):
+        """Return the WSGI environment with the request."""
+        return super().get_environ() | {REQUEST_KEY: self.req}
+
+
+REQUEST_KEY = "almondglade.request"
--- a/almondglade/kinds.py
+++ b/almondglade/kinds.py
@@ -5,6 +5,7 @@
 from typing import ClassVar
 
 from .plugins import Plugin
+from .presence import Presence
 
 # Methods that RFC 9110 section 9.2.2 calls idempotent.
 IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "TRACE", "PUT", "DELETE"})
@@ -20,6 +21,8 @@
         Path at the target, with its leading slash.
     headers : tuple of (str, str)
         End-to-end headers only.
+    presence : Presence
+        Tells when the caller has gone away.
     """
 
     request_id: str
@@ -32,6 +35,7 @@
     headers: tuple[tuple[str, str], ...] = ()
     body: bytes = b""
     key: str | None = None
+    presence: Presence = field(default_factory=Presence, compare=False, repr=False)
 
     @property
     def target_path(self):
--- a/almondglade/outcome.py
+++ b/almondglade/outcome.py
@@ -1,10 +1,16 @@
 """What a caller is told about the fate of its request."""
 
 import enum
+import math
 from dataclasses import dataclass
 
+import orjson
+
 from .errors import AlmondgladeError
 
+REQUEST_ID_HEADER = "X-Request-Id"
+OUTCOME_HEADER = "X-Almondglade-Outcome"
+
 
 class Outcome(enum.Enum):
     """The three possible fates of a request.
@@ -25,11 +31,15 @@
     UNAUTHENTICATED = ("unauthenticated", 401)
     FORBIDDEN = ("forbidden", 403)
     NOT_FOUND = ("not_found", 404)
+    METHOD_NOT_ALLOWED = ("method_not_allowed", 405)
+    CALLER_TIMEOUT = ("caller_timeout", 408)
     KEY_IN_PROGRESS = ("key_in_progress", 409)
     KEY_VOID = ("key_void", 410)
     BODY_TOO_LARGE = ("body_too_large", 413)
     KEY_REUSED = ("key_reused", 422)
     PLAN_LIMIT = ("plan_limit", 429)
+    HEAD_TOO_LARGE = ("head_too_large", 431)
+    CALLER_GONE = ("caller_gone", 499)
     SUSPECT = ("suspect_request", 422)
     OVERLOADED = ("overloaded", 503)
     NO_COORDINATOR = ("no_coordinator", 503)
@@ -66,5 +76,43 @@
     outcome: Outcome = Outcome.NOT_RUN
     retry_after: float | None = None
 
+    @property
+    def repeatable(self):
+        """Whether the same request may be sent again without a second effect."""
+        return self.outcome is Outcome.NOT_RUN or self.retry_after is not None
+
+    def document(self, request_id):
+        """Return the error as the JSON document that callers read.
+
+        Parameters
+        ----------
+        request_id : str
+            Id of the request; empty when it has none.
+
+        Returns
+        -------
+        bytes
+        """
+        error = {
+            "code": self.code.text,
+            "message": self.message,
+            "outcome": self.outcome.value,
+            "repeatable": self.repeatable,
+            "request_id": request_id,
+        }
+        if self.retry_after is not None:
+            error["retry_after"] = self.retry_after
+        return orjson.dumps({"error": error})
+
+    def headers(self):
+        """Return the headers that accompany the document."""
+        headers = [
+            ("Content-Type", "application/json"),
+            (OUTCOME_HEADER, self.outcome.value),
+        ]
+        if self.retry_after is not None:
+            headers.append(("Retry-After", str(math.ceil(self.retry_after))))
+        return headers
+
     def __str__(self):
         return f"{self.code.text}: {self.message}"
--- a/almondglade/permits.py
+++ b/almondglade/permits.py
@@ -127,6 +127,10 @@
                 NO_COORDINATOR_RETRY_SECONDS,
             ) from None
 
+    def withdraw(self, demand):
+        """Give up a demand; its `acquire` then fails."""
+        self.loop.call_soon_threadsafe(self._withdraw, demand)
+
     def release(self, permit, completion):
         """End a permit."""
         self.loop.call_soon_threadsafe(self._finish, permit, completion)
@@ -204,6 +208,15 @@
         else:
             self._send(client, m.Withdrawal(demand.request_id, demand.pool))
 
+    def _withdraw(self, demand):
+        client = self.by_pool.get(demand.pool)
+        pending = client and client.pending_by_request.get(demand.request_id)
+        if pending:
+            self._abandon(demand, pending[1])
+            pending[1].set_exception(
+                RequestError(Code.CALLER_GONE, "the caller has gone away")
+            )
+
     def _finish(self, permit, completion):
         client = self.by_pool.get(permit.demand.pool)
         if client is None:
--- /dev/null
+++ b/almondglade/sockets.py
@@ -0,0 +1,32 @@
+"""Options of TCP sockets, so that dead connections are noticed in bounded time."""
+
+import socket
+
+KEEPALIVE_IDLE_SECONDS = 5
+KEEPALIVE_INTERVAL_SECONDS = 3
+KEEPALIVE_PROBES = 3
+# Bounds unacknowledged data too; the kernel gives up a connection after this.
+USER_TIMEOUT_MILLISECONDS = 14_000
+
+TCP_OPTIONS: list[tuple[int, int, int | bytes]] = [
+    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MILLISECONDS),
+]
+
+
+def set_options(sock):
+    """Set `TCP_OPTIONS` on a connected socket."""
+    for option in TCP_OPTIONS:
+        sock.setsockopt(*option)
+
+
+def shut_down(sock, how=socket.SHUT_RDWR):
+    """Wake whoever reads or writes a socket; safe from any thread."""
+    try:
+        sock.shutdown(how)
+    except OSError:
+        return
--- /dev/null
+++ b/test/test_dispatch.py
@@ -0,0 +1,255 @@
+"""No outcome is lost or mislabelled, wherever a target cuts a connection."""
+
+import threading
+import time
+
+import orjson
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from almondglade import messages as m
+
+from .support.entries import Entry
+from .support.targets import WHOLE, Cut, FakeTarget, answer_with
+
+LIMITS = {"connect": 1.0, "first_byte": 2.0, "between_bytes": 1.0, "total": 5.0}
+BODY = b"data: {}\n\n" * 6
+PROMPT = {"model": "script-7b", "messages": [{"role": "user", "content": "brief"}]}
+ENGINE = "text/event-stream"
+
+
+def post(entry, idempotent, **more):
+    if idempotent:
+        return entry.call("POST", "/v1/chat/completions", orjson.dumps(PROMPT), **more)
+    return entry.call("POST", "/bookings/slots/7", b'{"reel":7}' * 10, **more)
+
+
+def wait_for(condition, seconds=5.0):
+    deadline = time.monotonic() + seconds
+    while not condition() and time.monotonic() < deadline:
+        time.sleep(0.005)
+    assert condition()
+
+
+@pytest.fixture(scope="module")
+def target():
+    with FakeTarget(None) as target:
+        yield target
+
+
+@pytest.fixture(scope="module")
+def entry(target):
+    with Entry({"d1": target.url, "b1": target.url}, LIMITS) as entry:
+        yield entry
+
+
+cuts = st.one_of(
+    st.builds(Cut, after_read=st.integers(0, 400), reset=st.booleans()),
+    st.builds(Cut, after_written=st.integers(0, 260), reset=st.booleans()),
+    st.just(WHOLE),
+)
+
+
+@settings(max_examples=250)
+@given(
+    cut=cuts,
+    reused=st.booleans(),
+    idempotent=st.booleans(),
+    framing=st.sampled_from(["length", "chunked", "close"]),
+    content_type=st.sampled_from([ENGINE, "application/json"]),
+)
+def test_a_cut_anywhere_is_told_truly(
+    entry, target, cut, reused, idempotent, framing, content_type
+):
+    target.answer = lambda _: answer_with(BODY, framing, content_type)
+    target.cut = WHOLE
+    if reused:
+        assert post(entry, idempotent).whole
+    target.seen.clear()
+    entry.broker.released.clear()
+    target.cut = cut
+    answer = post(entry, idempotent)
+    assert len(target.seen) <= 1
+    wait_for(lambda: entry.broker.released)
+    result = entry.broker.released[-1].result
+    if answer.outcome == "not-run":
+        assert not target.seen
+    elif answer.outcome == "answered" and answer.whole:
+        # A close without a length is the end that the target chose to tell.
+        assert answer.body == BODY or (framing == "close" and not cut.reset)
+        assert result is m.Result.COMPLETED
+    else:
+        assert answer.outcome == "unknown" or not answer.whole
+        assert result is m.Result.BROKEN
+        assert answer.outcome != "unknown" or (answer.error["repeatable"] == idempotent)
+    if cut is WHOLE:
+        assert answer.outcome == "answered" and answer.whole
+
+
+def test_a_refused_connection_is_not_run_and_tried_elsewhere(target):
+    target.answer, target.cut = (lambda _: answer_with(BODY)), WHOLE
+    with FakeTarget(None) as closed:
+        url = closed.url
+    with Entry({"b0": url, "b1": target.url}, LIMITS) as entry:
+        assert post(entry, False).body == BODY
+        assert [c.result.value for c in entry.broker.released] == [
+            "refused",
+            "completed",
+        ]
+        entry.document["targets"].pop("b1")
+        entry.publish()
+        refused = post(entry, False)
+    assert (refused.outcome, refused.status) == ("not-run", 503)
+
+
+def test_a_closed_idle_connection_is_not_used_for_a_booking(target):
+    """A booking takes a fresh connection, so a stale one cannot cost it."""
+    target.answer, target.cut = (lambda _: answer_with(BODY)), WHOLE
+    with Entry({"b1": target.url, "d1": target.url}, LIMITS) as entry:
+        before = target.connections
+        for _ in range(3):
+            assert post(entry, False).outcome == "answered"
+        assert target.connections == before + 3
+        for _ in range(3):
+            assert post(entry, True).outcome == "answered"
+        assert target.connections == before + 3
+
+
+def test_a_redirect_is_passed_through_and_an_error_is_not_repeated(entry, target):
+    target.cut = WHOLE
+    for status in (b"302 Found\r\nLocation: /elsewhere", b"503 Busy"):
+        target.seen.clear()
+        target.answer = lambda _, status=status: (
+            b"HTTP/1.1 " + status + b"\r\nContent-Length: 0\r\n\r\n"
+        )
+        answer = post(entry, True)
+        assert answer.status == int(status[:3]) and answer.outcome == "answered"
+        assert len(target.seen) == 1
+
+
+@pytest.mark.parametrize(
+    ("head", "status"),
+    [
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 5\r\n", 502),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: +3\r\n", 502),
+        (
+            b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+            502,
+        ),
+        (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n", 502),
+        (b"HTTP/1.1 101 Switching\r\n", 502),
+        (b"HTTP/1.1 999 Odd\r\nContent-Length: 3\r\n", 502),
+        (b"nonsense\r\n", 502),
+        (b"HTTP/1.1 200 OK\r\nX-A: \xc3\xa4\x00b\r\nContent-Length: 3\r\n", 200),
+    ],
+)
+def test_an_answer_without_a_sure_end_is_unknown(entry, target, head, status):
+    target.cut, target.answer = WHOLE, lambda _: head + b"\r\nabc"
+    answer = post(entry, False)
+    assert answer.status == status
+    assert answer.outcome == ("answered" if status == 200 else "unknown")
+    if status == 200:
+        assert b"X-A: \xc3\xa4 b" in answer.raw_head
+
+
+def trickle(data, seconds):
+    for byte in data:
+        time.sleep(seconds)
+        yield bytes([byte])
+
+
+@pytest.mark.parametrize(
+    ("limits", "answer"),
+    [
+        ({"first_byte": 0.3}, lambda _: trickle(answer_with(BODY), 0.1)),
+        ({"between_bytes": 0.3}, lambda _: stall_after(answer_with(BODY))),
+        ({"total": 0.5}, lambda _: trickle(answer_with(BODY), 0.02)),
+        ({"total": 0.5}, lambda _: trickle(answer_with(BODY, "close"), 0.01)),
+        ({"first_byte": 0.3}, lambda _: stall_after(b"H")),
+    ],
+)
+def test_a_stalled_read_ends_within_its_limit(target, limits, answer):
+    target.cut = WHOLE
+    target.answer = lambda request: Pieces(answer(request))
+    started = time.monotonic()
+    with Entry({"b1": target.url}, LIMITS | limits) as entry:
+        told = entry.call("GET", "/bookings/stock")
+        assert [c.result.value for c in entry.broker.released] == ["timed-out"]
+    assert time.monotonic() - started < 3.0
+    if told.status == 504:
+        assert told.error["repeatable"] and told.headers["retry-after"] == "0"
+    else:
+        assert not told.whole
+
+
+class Pieces:
+    """Pieces of an answer, made while they are sent."""
+
+    def __init__(self, pieces):
+        self.pieces = pieces
+
+    def __iter__(self):
+        return iter(self.pieces)
+
+    def __getitem__(self, index):
+        return b"close"
+
+
+def stall_after(data):
+    yield data[:-1]
+    time.sleep(4.0)
+
+
+def receive_until(sock, word):
+    data = b""
+    while word not in data and (piece := sock.recv(65536)):
+        data += piece
+    return word in data
+
+
+@pytest.mark.parametrize("phase", ["head", "body"])
+@pytest.mark.parametrize("cause", ["preempted", "hung up"])
+def test_a_cancelled_run_ends_and_its_connection_is_not_reused(phase, cause):
+    released = threading.Event()
+    whole = answer_with(BODY, "chunked", ENGINE)
+
+    def answer(request):
+        return Pieces(stream())
+
+    def stream():
+        if phase == "body":
+            yield whole[:-40]
+        released.wait(5.0)
+        yield whole[-40:] if phase == "body" else whole
+
+    with FakeTarget(answer) as target, Entry({"d1": target.url}, LIMITS) as entry:
+        body = orjson.dumps(PROMPT | {"stream": True})
+        with entry.send("POST", "/v1/chat/completions", body) as sock:
+            wait_for(lambda: target.seen)
+            if phase == "body":
+                assert sock.recv(1)
+            if cause == "preempted":
+                permit = entry.broker.acquired[-1]
+                permit.preempted = m.Preemption(permit.demand.request_id, 2.0)
+                permit.cancel()
+                assert receive_until(sock, b"preempted")
+        wait_for(lambda: entry.broker.released)
+        assert [c.result.value for c in entry.broker.released] == ["cancelled"]
+        released.set()
+        target.answer = lambda _: whole
+        connections = target.connections
+        again = entry.call("POST", "/v1/chat/completions", body)
+        assert again.body == BODY and target.connections == connections + 1
+        wait_for(lambda: entry.app.active == 0)
+
+
+def test_a_caller_that_leaves_the_queue_is_withdrawn_and_never_dispatched():
+    with FakeTarget(None) as target, Entry({"d1": target.url}, LIMITS) as entry:
+        entry.broker.on_acquire = lambda demand: wait_for(
+            lambda: demand.request_id in entry.broker.withdrawn
+        )
+        entry.send("POST", "/v1/chat/completions", orjson.dumps(PROMPT)).close()
+        wait_for(lambda: entry.broker.released)
+        assert entry.broker.released[0].result is m.Result.UNUSED
+        assert not target.seen and target.connections == 0
