--- a/almondglade/entry/keys.py
+++ b/almondglade/entry/keys.py
@@ -3,46 +3,52 @@
 import contextlib
 import dataclasses
 
-import cherrypy
 import orjson
 
 from ..kinds import IDEMPOTENT_METHODS
 from ..outcome import Code, Outcome, RequestError
 
-MAX_BODY_BYTES = 1024
-KEY_HEADER = "Idempotency-Key"
+MAX_KEYS_BODY_BYTES = 1024
+KEY_HEADER = "idempotency-key"
+KEYS_PATH = "/v1/keys"
+KEYS_HEADERS = [("Content-Type", "application/json"), ("Cache-Control", "no-store")]
 
 
-def issue_keys(keyed, workspace):
+def issue_keys(keyed, workspace, method, body):
     """Answer ``POST /v1/keys``.
 
+    Parameters
+    ----------
+    keyed : KeyedScheduler
+        Issues the keys.
+    workspace : str
+        Whose keys they are.
+    method : str
+        Method of the request.
+    body : bytes
+        Empty, or a JSON object with a count.
+
     Raises
     ------
     RequestError
         If the method or the body is not usable.
     """
-    http = cherrypy.request
-    if http.method != "POST":
+    if method != "POST":
         raise RequestError(Code.NOT_FOUND, "keys are issued by POST")
-    cherrypy.response.headers["Content-Type"] = "application/json"
-    cherrypy.response.headers["Cache-Control"] = "no-store"
-    return orjson.dumps({"keys": keyed.issue(workspace, _count(http))})
+    return orjson.dumps({"keys": keyed.issue(workspace, _count(body))})
 
 
-def _count(http):
+def _count(body):
+    if not body:
+        return 1
     try:
-        length = int(http.headers.get("Content-Length") or 0)
-        if not length:
-            return 1
-        if not 0 < length <= MAX_BODY_BYTES:
-            raise RequestError(Code.BODY_TOO_LARGE, "a count is a few bytes")
-        return orjson.loads(http.rfile.read(length)).get("count", 1)
+        return orjson.loads(body).get("count", 1)
     except (ValueError, AttributeError) as error:
         raise RequestError(Code.BAD_REQUEST, "body is not a JSON object") from error
 
 
 @contextlib.contextmanager
-def before_lookup():
+def before_lookup(method, key):
     """Word refusals that come before a request's key is looked up.
 
     An earlier send under the same key may have run, which this instance has
@@ -51,7 +57,6 @@
     try:
         yield
     except RequestError as error:
-        http = cherrypy.request
-        if KEY_HEADER not in http.headers or http.method in IDEMPOTENT_METHODS:
+        if key is None or method in IDEMPOTENT_METHODS:
             raise
         raise dataclasses.replace(error, outcome=Outcome.UNKNOWN) from error
