--- a/almondglade/coordinator/core.py
+++ b/almondglade/coordinator/core.py
@@ -42,6 +42,7 @@
                 record = TargetRecord(name, limit, service.limits.total)
                 self.targets_by_id[name] = record
             record.limit.maximum = target.max_concurrent
+            record.limit.token_gap = service.token_gap
             record.run_limit = service.limits.total
             was_serving = record.serving
             record.serving = declarations.takes_new_work(name)
--- a/almondglade/coordinator/granting.py
+++ b/almondglade/coordinator/granting.py
@@ -82,7 +82,7 @@
             record.name,
             record.running,
             allowed,
-            record.limit.baseline,
+            record.limit.pace(record.running + 1),
             record.backlog,
             report.running + report.waiting if report else 0,
         )
--- a/almondglade/coordinator/leases.py
+++ b/almondglade/coordinator/leases.py
@@ -102,5 +102,10 @@
         return bisect_right(self._counted, min(at, now))
 
     def grew(self, since, until):
-        """Tell whether a live entry came to count between two times."""
-        return self.counted(since) != self.counted(until)
+        """Tell whether an entry came to count between two times.
+
+        One whose lease has lapsed is included: it may be renewed later.
+        """
+        return any(
+            since < lease.counted_from <= until for lease in self.by_entry.values()
+        )
--- a/almondglade/declarations/models.py
+++ b/almondglade/declarations/models.py
@@ -95,12 +95,16 @@
     ----------
     report_lag : float
         Greatest age of a target's load report, seconds.
+    token_gap : float or None
+        Goal for the seconds between tokens; a target's limit stays below the
+        concurrency that would miss it.
     """
 
     kind: Name
     models: list[str] = []
     limits: TimeLimits = TimeLimits()
     max_wait: PositiveFloat = 10.0
+    token_gap: PositiveFloat | None = None
     max_body_bytes: PositiveInt = MAX_BODY_BYTES
     queue_length: PositiveInt = 256
     routes: list[Route] = []
