Keep the order of tiers when not everything can be served

Before a demand is shed (full queue, expected delay, deadline) one preemptible run of a lower tier is cancelled for it, a second before its deadline or at half its wait; once a tier is shed no lower one is granted for a second, then one tier more for each second. Waiting lower demands are not given up with a higher one's deadline: that frees nothing, and the level already keeps them from being served. A demand whose entry is not heard, or a suspect that waits for its own target, does not hold lower tiers back.

--- a/almondglade/coordinator/core.py
+++ b/almondglade/coordinator/core.py
@@ -194,7 +194,7 @@
         now = self.clock()
         for waiting in self.room.due(now):
             if waiting.deadline <= now:
-                self.shedder.shed(waiting)
+                self.shedder.expire(waiting)
             else:
                 self.shedder.cancel_lower(waiting.demand)
         for record in self.targets_by_id.values():
--- a/almondglade/coordinator/shedding.py
+++ b/almondglade/coordinator/shedding.py
@@ -101,22 +101,29 @@
         return True
 
     def shed(self, waiting):
-        """Give a demand up, after all that wait in lower tiers."""
-        tier = waiting.demand.tier
-        for lower in self.pool.room.below(tier):
-            self._give_up(lower)
-        self._give_up(waiting)
-        self.pool.level.shed(tier)
-
-    def _give_up(self, waiting):
+        """Give a demand up; no lower tier is granted for a time."""
+        self.pool.level.shed(waiting.demand.tier)
+        self._give_up(waiting, RefusalReason.OVERLOADED)
+
+    def expire(self, waiting):
+        """Give a demand up whose deadline has come.
+
+        What waits for its entry to be heard, or for a target of its own, says
+        nothing of the load, so lower tiers are not held back for it.
+        """
+        request_id = waiting.demand.request_id
+        if self.pool.room.is_parked(waiting):
+            self._give_up(waiting, RefusalReason.NO_COORDINATOR)
+        elif request_id in self.pool.solo.waiting_by_request:
+            self._give_up(waiting, RefusalReason.OVERLOADED)
+        else:
+            self.shed(waiting)
+
+    def _give_up(self, waiting, reason):
         self.pool.drop(waiting)
         self.pool.send(
             waiting.entry,
-            Refusal(
-                waiting.demand.request_id,
-                RefusalReason.OVERLOADED,
-                self._retry_after(waiting),
-            ),
+            Refusal(waiting.demand.request_id, reason, self._retry_after(waiting)),
         )
 
     def _retry_after(self, waiting):
--- a/almondglade/coordinator/waiting.py
+++ b/almondglade/coordinator/waiting.py
@@ -48,6 +48,11 @@
         parked = self.parked_by_entry.setdefault(waiting.entry, {})
         parked[waiting.demand.request_id] = waiting
 
+    def is_parked(self, waiting):
+        """Tell whether a demand waits for its entry to be heard."""
+        parked = self.parked_by_entry.get(waiting.entry, {})
+        return waiting.demand.request_id in parked
+
     def unpark(self, entry):
         """Queue the demands of an entry again that were set aside."""
         for waiting in self.parked_by_entry.pop(entry, {}).values():
@@ -66,13 +71,6 @@
         """Return the demands of one entry."""
         return [w for w in self.by_request.values() if w.entry == entry]
 
-    def below(self, tier):
-        """Return the waiting demands of lower tiers, lowest and newest first."""
-        return sorted(
-            (w for w in self.by_request.values() if w.demand.tier > tier),
-            key=lambda w: (-w.demand.tier, -w.arrived),
-        )
-
     def due(self, now):
         """Return the demands of which a reminder or the deadline has come."""
         due = []
