--- a/almondglade/coordinator/core.py
+++ b/almondglade/coordinator/core.py
@@ -77,7 +77,7 @@
         self.published = 1
         self.leases = LeaseTable(clock)
         self.budgets = BudgetTable(clock)
-        self.delay = DelayEstimator(clock)
+        self.delay = DelayEstimator(clock, rng)
         self.queue = find_plugin(QueueOrder, policies.queue_order)()
         self.choice = find_plugin(TargetChoice, policies.target_choice)(clock, rng)
         self.limit_policy = find_plugin(LimitPolicy, policies.limits)
--- a/almondglade/coordinator/delay.py
+++ b/almondglade/coordinator/delay.py
@@ -1,22 +1,43 @@
 """Expected delay of a demand, for admission and for Retry-After."""
 
+import math
+from collections import defaultdict
+
+import numpy as np
+
 MIN_RETRY_SECONDS = 0.5
+MAX_RETRY_SECONDS = 30.0
+# Refused callers come back spread over this part of their Retry-After.
+JITTER_SHARE = 0.5
+# Work that arrives from higher tiers is remembered with this time constant.
+ARRIVAL_SECONDS = 3.0
+# Part of the speed that is always counted for a tier, however much comes above.
+MIN_SPEED_SHARE = 0.05
+SMOOTHING = 0.05
 
 
 class DelayEstimator:
     """Estimates how long a demand waits for its grant.
 
-    The coordinator calls `complete` for each run that ended, `estimate` before
-    it queues a demand and `retry_after` when it gives one up.
+    The speed is what the targets give at their limits by their learnt paces.
+    Ahead of a demand is the work of its own and of higher tiers, of each other
+    workspace at most as much as its own workspace has waiting, since those are
+    served in turn; what arrives from higher tiers meanwhile lowers the speed.
 
     Parameters
     ----------
     clock : callable
         Returns monotonic seconds.
+    rng : numpy.random.Generator or None
+        Source of the jitter.
     """
 
-    def __init__(self, clock):
+    def __init__(self, clock, rng=None):
         self.clock = clock
+        self.rng = rng or np.random.default_rng()
+        self.used_share = 1.0
+        self._arrived_by_tier = defaultdict(float)
+        self._decayed_at = clock()
 
     def complete(self, record, demand, completion):
         """Learn from a run that ended.
@@ -30,6 +51,9 @@
         completion : Completion
             How it ended.
         """
+        if demand.output_tokens and completion.output_tokens:
+            share = min(1.0, completion.output_tokens / demand.output_tokens)
+            self.used_share += SMOOTHING * (share - self.used_share)
 
     def estimate(self, queue, waiting, targets):
         """Return the expected seconds until a demand's grant.
@@ -43,8 +67,58 @@
         targets : collection of TargetRecord
             Targets of the pool.
         """
-        return 0.0
+        self._decay()
+        wait = self._wait(queue, waiting.demand, targets)
+        if wait <= waiting.demand.max_wait:
+            self._arrived_by_tier[waiting.demand.tier] += work_of(waiting.demand)
+        return wait
 
     def retry_after(self, queue, waiting, targets):
         """Return the seconds until a repeat of a given-up demand is worthwhile."""
-        return max(MIN_RETRY_SECONDS, waiting.demand.max_wait / 2)
+        demand = waiting.demand
+        excess = self._wait(queue, demand, targets) - demand.max_wait / 2
+        seconds = min(MAX_RETRY_SECONDS, max(MIN_RETRY_SECONDS, excess))
+        return seconds * (1 + JITTER_SHARE * self.rng.random())
+
+    def _wait(self, queue, demand, targets):
+        speed = sum(speed_of(record) for record in targets if record.serving)
+        if speed == 0:
+            return 0.0
+        above = sum(
+            work for tier, work in self._arrived_by_tier.items() if tier < demand.tier
+        )
+        left = speed - self.used_share * above / ARRIVAL_SECONDS
+        left = max(left, MIN_SPEED_SHARE * speed)
+        return self.used_share * work_ahead(queue, demand) / left
+
+    def _decay(self):
+        now = self.clock()
+        factor = math.exp((self._decayed_at - now) / ARRIVAL_SECONDS)
+        self._decayed_at = now
+        for tier in self._arrived_by_tier:
+            self._arrived_by_tier[tier] *= factor
+
+
+def work_of(demand):
+    """Return the tokens that a demand asks an engine for; 1 at a plain service."""
+    return max(1, demand.output_tokens)
+
+
+def speed_of(record):
+    """Return the work a second of a target at its limit; 0 when not known."""
+    pace = record.limit.pace(record.limit.current)
+    return record.limit.current / pace if pace > 0 else 0.0
+
+
+def work_ahead(queue, demand):
+    """Return the work that is served before a demand."""
+    higher = 0
+    same: defaultdict[str, int] = defaultdict(int)
+    for other in queue:
+        if other.demand.tier < demand.tier:
+            higher += work_of(other.demand)
+        elif other.demand.tier == demand.tier:
+            same[other.demand.workspace] += work_of(other.demand)
+    own = same.pop(demand.workspace, 0)
+    turn = own + work_of(demand)
+    return higher + own + sum(min(work, turn) for work in same.values())
--- a/almondglade/coordinator/pace.py
+++ b/almondglade/coordinator/pace.py
@@ -146,11 +146,7 @@
         margin : float
             Ratio of powers from which another is clearly better.
         """
-        meeting = [
-            known
-            for known, pace in self.by_level.items()
-            if token_gap is None or pace.gap <= token_gap
-        ]
+        meeting = [n for n in self.by_level if not self.misses(n, token_gap)]
         if not meeting:
             return max(1, min(self.by_level) - 1)
         best = max(meeting, key=self._power)
@@ -158,6 +154,10 @@
             return level
         return best
 
+    def misses(self, level, token_gap):
+        """Tell whether a known concurrency misses the goal for the gap."""
+        return token_gap is not None and self.by_level[level].gap > token_gap
+
     def _power(self, level):
         return level / self.by_level[level].whole ** POWER_EXPONENT
 
--- a/almondgladeplug/limits.py
+++ b/almondgladeplug/limits.py
@@ -103,7 +103,7 @@
         margin = SETTLED_MARGIN if self._settled else RAMP_MARGIN
         best = self._curve.best_level(level, self.token_gap, margin)
         busy = level >= BUSY_SHARE * self.limit
-        if best < level or (best > level and busy):
+        if best != level and (busy or self._curve.misses(level, self.token_gap)):
             self._settle(best)
         elif busy and self.clock() >= self._held_until:
             self._probe(level)
--- a/bench/policies.py
+++ b/bench/policies.py
@@ -6,188 +6,63 @@
 processor time of the stand-ins, which is reported beside them.
 """
 
-import itertools
 import json
 import math
 import sys
+import threading
 import time
-from dataclasses import asdict, dataclass, field, replace
+from dataclasses import asdict, dataclass, field
 from pathlib import Path
 
 import defopt
 
-from almondglade.entry.callers import hash_key
-from standin.engine import EngineProfile
-from standin.load import LoadRun, Stream, plan, summarise
+from standin.load import LoadRun, plan, summarise
 
 from .fleet import Fleet
-
-STEP_SECONDS = 0.025
-STEP_PER_SEQUENCE = 0.001
-TOKENS_PER_STEP = 8
-KNEE = 8
-MIN_TOKENS, MAX_TOKENS = 8, 800
-MEAN_TOKENS = (MAX_TOKENS - MIN_TOKENS) / math.log(MAX_TOKENS / MIN_TOKENS)
-# An engine spends whole steps, half of one more than needed on average.
-MEAN_WORK = MEAN_TOKENS + TOKENS_PER_STEP / 2
-MAX_CONCURRENT = 32
-INSTANCES = 3
-TIERS = {"gold": 0, "silver": 1, "basic": 2}
-PLAN_BY_WORKSPACE = {
-    "large-a": "gold",
-    "small-a": "gold",
-    "large-b": "silver",
-    "large-c": "basic",
-    "small-c": "basic",
-}
-# Each workspace's part of its plan's load.
-PART_BY_WORKSPACE = {
-    "large-a": 0.8,
-    "small-a": 0.2,
-    "large-b": 1.0,
-    "large-c": 0.8,
-    "small-c": 0.2,
-}
-ADAPTIVE = ("tiered", "expected-finish", "adaptive")
-
-
-@dataclass(frozen=True)
-class EngineSpec:
-    """A stand-in engine; a speed of 0.25 makes every time four times longer."""
-
-    name: str
-    data_centre: str
-    speed: float = 1.0
-    lag: float = 0.5
-    cold_seconds: float = 0.0
-    cache_tokens: int = 20_000
-
-    @property
-    def profile(self):
-        """The engine's known profile."""
-        return EngineProfile(
-            step=STEP_SECONDS / self.speed,
-            step_per_sequence=STEP_PER_SEQUENCE / self.speed,
-            cache_tokens=self.cache_tokens,
-            tokens_per_step=TOKENS_PER_STEP,
-            prefill_per_token=0.00005 / self.speed,
-            cold_seconds=self.cold_seconds,
-            knee=KNEE,
-        )
-
-    @property
-    def flags(self):
-        """Flags of the stand-in's command."""
-        profile = self.profile
-        values = {
-            "step": profile.step,
-            "step-per-sequence": profile.step_per_sequence,
-            "prefill-per-token": profile.prefill_per_token,
-            "cache-tokens": profile.cache_tokens,
-            "tokens-per-step": profile.tokens_per_step,
-            "knee": profile.knee,
-            "cold-seconds": profile.cold_seconds,
-            "lag": self.lag,
-        }
-        return itertools.chain.from_iterable(
-            (f"--{name}", str(value)) for name, value in values.items()
-        )
-
-    @property
-    def capacity(self):
-        """Output tokens a second at the knee."""
-        profile = self.profile
-        return KNEE * TOKENS_PER_STEP / profile.step_time(KNEE)
-
-
-EQUAL = (
-    EngineSpec("d1", "a"),
-    EngineSpec("d2", "a"),
-    EngineSpec("d3", "b"),
-    EngineSpec("d4", "b"),
-)
-UNLIKE = (
-    EngineSpec("d1", "a", 1.0, 0.5),
-    EngineSpec("d2", "a", 0.25, 5.0),
-    EngineSpec("d3", "b", 1.0, 2.0),
-    EngineSpec("d4", "b", 0.25, 0.5),
+from .ideal import ideal_first_tokens
+from .scenarios import (
+    ADAPTIVE,
+    INSTANCES,
+    MAX_CONCURRENT,
+    SCENARIOS,
+    STEP_SECONDS,
+    TOKENS_PER_STEP,
 )
 
 
-@dataclass(frozen=True)
-class Scenario:
-    """One load on one set of engines.
-
-    Parameters
-    ----------
-    load_by_plan : dict of str to float
-        Offered tokens, as multiples of the capacity.
-    seconds : float
-        Length of the load.
-    warm_seconds : float
-        Start of the load that is not measured.
-    """
+def take_out(fleet, scenario):
+    """Take the last engine's data centre out of service."""
+    fleet.declarations["data_centres"][scenario.engines[-1].data_centre] = {
+        "state": "out"
+    }
+    fleet.publish()
+
+
+def bring_back(fleet, scenario):
+    """Bring the last engine's data centre back."""
+    fleet.declarations["data_centres"][scenario.engines[-1].data_centre] = {}
+    fleet.publish()
+
+
+def restart_engine(fleet, scenario):
+    """Kill the last engine and start it again at the same address."""
+    engine = scenario.engines[-1]
+    fleet.targets_by_id[engine.name].process.kill()
+    fleet.targets_by_id[engine.name].process.wait()
+    fleet.start_target(
+        engine.name,
+        "drafts",
+        engine.data_centre,
+        *engine.flags,
+        max_concurrent=MAX_CONCURRENT,
+    )
 
-    name: str
-    load_by_plan: dict[str, float]
-    engines: tuple[EngineSpec, ...] = EQUAL
-    seconds: float = 20.0
-    warm_seconds: float = 10.0
-    max_wait: float = 3.0
-    prefixes: int = 8
-    prefix_words: int = 20
-    seed: int = 5
-    allowances: dict = field(default_factory=dict)
-    change: str = ""
-
-    @property
-    def capacity(self):
-        """Output tokens a second of all engines at their knees."""
-        return sum(engine.capacity for engine in self.engines)
-
-    def streams(self):
-        """Return the load of each workspace."""
-        return [
-            Stream(
-                workspace,
-                f"key-{workspace}",
-                TIERS[name],
-                share * part * self.capacity / MEAN_WORK,
-                "script-7b",
-                min_tokens=MIN_TOKENS,
-                max_tokens=MAX_TOKENS,
-                prefixes=self.prefixes,
-                prefix_words=self.prefix_words,
-            )
-            for workspace, name in PLAN_BY_WORKSPACE.items()
-            if (share := self.load_by_plan.get(name, 0.0)) > 0
-            for part in [PART_BY_WORKSPACE[workspace]]
-        ]
 
-    def declarations(self):
-        """Return the declared document without targets."""
-        draft = {"concurrent": 1000}
-        return {
-            "plans": {
-                name: {
-                    "tier": tier,
-                    "allowances": {"drafts": draft | self.allowances.get(name, {})},
-                }
-                for name, tier in TIERS.items()
-            },
-            "workspaces": {
-                name: {"plan": held, "keys": [hash_key(f"key-{name}")]}
-                for name, held in PLAN_BY_WORKSPACE.items()
-            },
-            "data_centres": {engine.data_centre: {} for engine in self.engines},
-            "services": {
-                "drafts": {
-                    "kind": "engine",
-                    "models": ["script-7b"],
-                    "max_wait": self.max_wait,
-                }
-            },
-        }
+# Seconds from the start of the load, and what happens then.
+CHANGES = {
+    "data-centre": ((10.0, take_out), (16.0, bring_back)),
+    "restart": ((8.0, restart_engine),),
+}
 
 
 @dataclass
@@ -203,6 +78,7 @@
     good_tokens_by_tier: dict[int, int]
     first_token_p50: float
     first_token_p95: float
+    ideal_first_token_p95: float
     lateness_p99: float
     prefilled: int
     wasted_prefill: int
@@ -240,12 +116,27 @@
         run = LoadRun([i.url for i in fleet.instances_by_id.values()], arrivals)
         worked = time.process_time()
         began = time.monotonic()
+        changes = [
+            threading.Timer(at, change, (fleet, scenario))
+            for at, change in CHANGES.get(scenario.change, ())
+        ]
+        warm: dict = {}
+        changes.append(
+            threading.Timer(scenario.warm_seconds, note_ledgers, (fleet, warm))
+        )
+        for change in changes:
+            change.start()
         samples = run.run()
         worked = (time.process_time() - worked) / (time.monotonic() - began)
-        return measure(scenario, policies, arrivals, samples, fleet, worked)
+        return measure(scenario, policies, arrivals, samples, fleet, worked, warm)
+
+
+def note_ledgers(fleet, ledgers):
+    """Read what the targets have seen so far."""
+    ledgers |= {name: fleet.ledger(name) for name in fleet.targets_by_id}
 
 
-def measure(scenario, policies, arrivals, samples, fleet, worked):
+def measure(scenario, policies, arrivals, samples, fleet, worked, warm):
     """Work the samples into an `Outcome`."""
     report = summarise(samples)
     ledgers = {name: fleet.ledger(name) for name in fleet.targets_by_id}
@@ -281,11 +172,15 @@
         },
         quantile(firsts, 0.5),
         quantile(firsts, 0.95),
+        quantile(sorted(ideal_first_tokens(scenario, arrivals)), 0.95),
         quantile(late, 0.99),
         prefilled,
-        prefilled - needed_prefill(good),
+        wasted_prefill([s for s in measured if s.good]),
         sum(ledger["abandoned_tokens"] for ledger in ledgers.values()),
-        {name: len(ledger["requests"]) for name, ledger in ledgers.items()},
+        {
+            name: len(ledger["requests"]) - len(warm[name]["requests"])
+            for name, ledger in ledgers.items()
+        },
         {name: ledger["peak"] for name, ledger in ledgers.items()},
         {name: ledger["collapsed_steps"] for name, ledger in ledgers.items()},
         report.codes,
@@ -326,17 +221,17 @@
     return ordered[min(len(ordered) - 1, int(part * len(ordered)))]
 
 
-def needed_prefill(good):
-    """Return the prompt tokens that had to be computed once at the least."""
-    longest = {}
+def wasted_prefill(good):
+    """Return the prompt tokens computed again after the first time."""
+    by_prefix: dict = {}
     for sample in good:
         key = (sample.arrival.stream.workspace, sample.arrival.prefix)
-        longest.setdefault(key, []).append(sample)
-    needed = 0
-    for group in longest.values():
-        shared = max(s.cached_tokens for s in group)
-        needed += shared + sum(s.prompt_tokens - shared for s in group)
-    return needed
+        by_prefix.setdefault(key, []).append(sample)
+    return sum(
+        max(s.cached_tokens for s in group) - s.cached_tokens
+        for group in by_prefix.values()
+        for s in sorted(group, key=lambda s: s.started)[1:]
+    )
 
 
 def limits_of(fleet):
@@ -349,33 +244,6 @@
     return {}
 
 
-def overload(times, top=0.5, engines=EQUAL):
-    """Return a scenario of an overload in which the top tier asks a part."""
-    rest = times - top
-    loads = {"gold": top, "silver": rest / 2, "basic": rest / 2}
-    return Scenario(f"overload-{times:g}x", loads, engines)
-
-
-SCENARIOS = {
-    scenario.name: scenario
-    for scenario in (
-        overload(2),
-        overload(5, 0.8),
-        overload(10, 0.8),
-        Scenario("steady-70", {"gold": 0.35, "basic": 0.35}),
-        Scenario("low-10", {"gold": 0.05, "basic": 0.05}),
-        replace(overload(1.5, 0.5, UNLIKE), name="unlike"),
-        Scenario(
-            "prefix",
-            {"gold": 0.35, "basic": 0.35},
-            tuple(replace(engine, cache_tokens=8000) for engine in EQUAL),
-            prefixes=16,
-            prefix_words=100,
-        ),
-    )
-}
-
-
 def print_table(outcomes):
     """Print one line for each outcome."""
     head = "scenario       policies                         goodput top    first95"
--- a/standin/load.py
+++ b/standin/load.py
@@ -1,6 +1,7 @@
 """An open-loop load of callers, seeded, in tiers and of unlike lengths."""
 
 import itertools
+import math
 import threading
 import time
 from collections import Counter
@@ -41,6 +42,8 @@
         Seconds without a byte after which the caller gives up.
     resends : int
         Times that a caller sends a request again at once after a failure.
+    start, stop : float
+        Seconds between which requests arrive.
     """
 
     workspace: str
@@ -57,6 +60,8 @@
     prefix_words: int = WORDS_PER_PREFIX
     patience: float = 60.0
     resends: int = 0
+    start: float = 0.0
+    stop: float = math.inf
 
 
 @dataclass(frozen=True)
@@ -108,8 +113,8 @@
     rng = np.random.default_rng(seed)
     arrivals = []
     for stream in streams:
-        at = 0.0
-        while (at := at + rng.exponential(1 / stream.rate)) < seconds:
+        at, until = stream.start, min(seconds, stream.stop)
+        while (at := at + rng.exponential(1 / stream.rate)) < until:
             span = np.log(stream.max_tokens / stream.min_tokens)
             tokens = stream.min_tokens * np.exp(rng.uniform(0, span))
             prefix = int(rng.integers(stream.prefixes))
--- /dev/null
+++ b/test/test_queues.py
@@ -0,0 +1,71 @@
+"""Order of the queue: tiers, and fair shares within a tier."""
+
+import itertools
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from almondglade.coordinator.queues import Waiting
+from almondglade.messages import Demand
+from almondgladeplug.queues import TieredQueue, cost
+
+SIZES = st.integers(1, 1000)
+
+
+def waiting(number, workspace, tier, tokens, arrived=0.0):
+    demand = Demand(f"r{number}", "drafts", workspace, tier, output_tokens=tokens)
+    return Waiting("e1", demand, arrived, arrived + 10)
+
+
+OPERATIONS = st.lists(
+    st.one_of(
+        st.tuples(st.sampled_from("abc"), st.integers(0, 3), SIZES),
+        st.sampled_from(["pop", "shed"]),
+    ),
+    max_size=60,
+)
+
+
+@given(OPERATIONS)
+def test_a_lower_tier_is_never_served_before_nor_shed_after_a_higher(operations):
+    queue = TieredQueue()
+    numbers = itertools.count()
+    for operation in operations:
+        tiers = [w.demand.tier for w in queue]
+        if operation == "pop" and tiers:
+            expected = queue.peek()
+            assert queue.pop() is expected
+            assert expected.demand.tier == min(tiers)
+        elif operation == "shed" and tiers:
+            victim = queue.victim()
+            assert victim.demand.tier == max(tiers)
+            assert queue.remove(victim.demand.request_id) is victim
+        elif isinstance(operation, tuple):
+            workspace, tier, tokens = operation
+            queue.push(waiting(next(numbers), f"{workspace}{tier}", tier, tokens))
+        assert len(queue) == len(list(queue))
+
+
+@given(
+    st.lists(st.tuples(st.sampled_from("ab"), SIZES), min_size=2, max_size=60),
+)
+def test_workspaces_that_wait_are_served_the_same_tokens(demands):
+    queue = TieredQueue()
+    for number, (workspace, tokens) in enumerate(demands):
+        queue.push(waiting(number, workspace, 0, tokens))
+    largest = {
+        name: max((t for w, t in demands if w == name), default=0) for name in "ab"
+    }
+    served = dict.fromkeys("ab", 0)
+    while {w.demand.workspace for w in queue} == {"a", "b"}:
+        demand = queue.pop().demand
+        served[demand.workspace] += cost(demand)
+        assert abs(served["a"] - served["b"]) <= largest["a"] + largest["b"]
+
+
+def test_the_longest_workspace_is_shed_first():
+    queue = TieredQueue()
+    for number in range(5):
+        queue.push(waiting(number, "large", 0, 100, number))
+    queue.push(waiting(9, "small", 0, 100, 9))
+    assert queue.victim().demand.request_id == "r4"
