--- a/test/test_coordinator_host.py
+++ b/test/test_coordinator_host.py
@@ -53,3 +53,13 @@
     host.configure(without)
     host.configure(declare())
     answer_rejoin(host, inbox)
+
+
+def test_the_declared_gap_between_tokens_reaches_the_limits():
+    coordinator = make_host()[0]
+    document = declare()
+    service = document.services[POOL].model_copy(update={"token_gap": 0.065})
+    coordinator.configure(document.model_copy(update={"services": {POOL: service}}))
+    coordinator.receive("e1", m.Join(POOL))
+    targets = coordinator.by_pool[POOL].targets_by_id
+    assert targets["d1"].limit.token_gap == 0.065
