--- a/almondglade/peers/exchange.py
+++ b/almondglade/peers/exchange.py
@@ -130,6 +130,9 @@
             done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
             for task in done:
                 task.result()
+        except (GRPCError, ProtocolError, StreamTerminatedError) as error:
+            # The library would wait on a stream that has already ended.
+            raise PeerError(f"the link broke: {error}") from error
         finally:
             self.gossip.exchanges.discard(self)
             for task in tasks:
@@ -139,11 +142,14 @@
     async def _write(self, stream):
         while True:
             frame = encode_batch(await self.outbox.take())
-            await asyncio.wait_for(stream.send_message(frame), MAX_SILENCE_SECONDS)
+            # wait_for can swallow a cancellation; a timeout scope cannot.
+            async with asyncio.timeout(MAX_SILENCE_SECONDS):
+                await stream.send_message(frame)
 
     async def receive(self, stream):
         """Return the messages of the next frame, or None at the end."""
-        frame = await asyncio.wait_for(stream.recv_message(), self.silence)
+        async with asyncio.timeout(self.silence):
+            frame = await stream.recv_message()
         return None if frame is None else decode_batch(frame)
 
     def put_ping(self, echo=None):
--- a/almondglade/peers/links.py
+++ b/almondglade/peers/links.py
@@ -62,7 +62,8 @@
         """Connect, then carry messages both ways until the link fails."""
         channel = Channel(self.peer.address, self.peer.port, config=TRANSPORT)
         try:
-            await asyncio.wait_for(channel.__connect__(), CONNECT_SECONDS)
+            async with asyncio.timeout(CONNECT_SECONDS):
+                await channel.__connect__()
             nonce = auth.make_nonce()
             metadata = self.table.metadata(self.peer.name, nonce)
             async with PeersStub(channel).Link.open(metadata=metadata) as stream:
@@ -173,9 +174,10 @@
         for name in names & self.membership.by_name.keys():
             if self._retry_at_by_peer.get(name, 0.0) <= now:
                 self.open(name)
-        for name in self._tasks.keys() - names:
-            if not self.uses(name):
-                self._tasks[name].cancel()
+        for name, task in self._tasks.items():
+            moved = self.membership.by_name.get(name) != self.by_peer[name].peer
+            if moved or not (name in names or self.uses(name)):
+                task.cancel()
         self._lost &= self.membership.by_name.keys()
         for table in (self._failures_by_peer, self._retry_at_by_peer):
             for name in table.keys() - self.membership.by_name.keys():
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -116,7 +116,7 @@
             ports[0],
             "serve",
             *("--instance", name, "--data-centre", data_centre),
-            *("--platform", self.platform.url),
+            *("--platform", f"{self.platform.url}/for/{name}"),
             *("--caller-port", str(ports[0])),
             *("--operator-port", str(ports[1])),
             *("--peer-port", str(ports[2])),
--- /dev/null
+++ b/test/support/__init__.py
@@ -0,0 +1,1 @@
+"""Fakes that several test modules share."""
