--- /dev/null
+++ b/almondglade/entry/keys.py
@@ -0,0 +1,62 @@
+"""Issue idempotency keys to callers, and word refusals of keyed requests."""
+
+import contextlib
+import dataclasses
+
+import orjson
+
+from ..kinds import IDEMPOTENT_METHODS
+from ..outcome import Code, Outcome, RequestError
+
+MAX_KEYS_BODY_BYTES = 1024
+KEY_HEADER = "idempotency-key"
+KEYS_PATH = "/v1/keys"
+KEYS_HEADERS = [("Content-Type", "application/json"), ("Cache-Control", "no-store")]
+
+
+def issue_keys(keyed, workspace, method, body):
+    """Answer ``POST /v1/keys``.
+
+    Parameters
+    ----------
+    keyed : KeyedScheduler
+        Issues the keys.
+    workspace : str
+        Whose keys they are.
+    method : str
+        Method of the request.
+    body : bytes
+        Empty, or a JSON object with a count.
+
+    Raises
+    ------
+    RequestError
+        If the method or the body is not usable.
+    """
+    if method != "POST":
+        raise RequestError(Code.NOT_FOUND, "keys are issued by POST")
+    return orjson.dumps({"keys": keyed.issue(workspace, _count(body))})
+
+
+def _count(body):
+    if not body:
+        return 1
+    try:
+        return orjson.loads(body).get("count", 1)
+    except (ValueError, AttributeError) as error:
+        raise RequestError(Code.BAD_REQUEST, "body is not a JSON object") from error
+
+
+@contextlib.contextmanager
+def before_lookup(method, key):
+    """Word refusals that come before a request's key is looked up.
+
+    An earlier send under the same key may have run, which this instance has
+    not asked about; "not run" would lead the caller to take another key.
+    """
+    try:
+        yield
+    except RequestError as error:
+        if key is None or method in IDEMPOTENT_METHODS:
+            raise
+        raise dataclasses.replace(error, outcome=Outcome.UNKNOWN) from error
--- a/almondglade/node.py
+++ b/almondglade/node.py
@@ -22,6 +22,7 @@
 from .entry.scheduling import Scheduler
 from .errors import SettingsError
 from .httpserver import HttpServer
+from .keys.assembly import assemble_keys
 from .loads import LoadPoller
 from .log import get_logger
 from .metrics import Metrics
@@ -113,7 +114,8 @@
         )
         self.pools = TargetPools()
         self.scheduler = Scheduler(self.broker, self.store, self.pools)
-        self.app = EntryApp(settings, self.incarnation, self.scheduler, self.store)
+        self.keyed, self.forwarded = assemble_keys(self)
+        self.app = EntryApp(settings, self.incarnation, self.keyed, self.store)
         self.platform = PlatformClient(settings.platform)
         self.store.subscribe(self._configured)
 
@@ -199,8 +201,10 @@
             "watch instances",
             lambda: watch(
                 "instances",
-                lambda index, wait: self.platform.read_instances(
-                    settings.service_name, index, wait
+                lambda index, wait: self.keyed.peers.read_list(
+                    lambda: self.platform.read_instances(
+                        settings.service_name, index, wait
+                    )
                 ),
                 self._instances_listed,
             ),
@@ -221,6 +225,11 @@
         yield "heartbeat", lambda: run_heartbeat(self.broker, HEARTBEAT_SECONDS)
         yield "poll loads", LoadPoller(self.host, self.store).run
 
+    @property
+    def busy(self):
+        """Number of requests in progress, those for other instances included."""
+        return self.app.active + self.forwarded.active
+
     def _configured(self, update):
         self.pools.keep_only(
             target.url for target in self.store.declarations.targets.values()
@@ -284,6 +293,7 @@
             "links": self.links.snapshot(),
             "pools": self.broker.snapshot(),
             "coordinators": self.host.snapshot(),
+            "keys": self.keyed.snapshot() | self.forwarded.snapshot(),
             "platform_calls": self.platform.calls,
         }
 
--- a/almondglade/peers/service.py
+++ b/almondglade/peers/service.py
@@ -1,5 +1,7 @@
 """The peers' port: links that other instances have opened to this one."""
 
+from typing import Any
+
 from grpclib.const import Status
 from grpclib.exceptions import GRPCError
 
@@ -33,6 +35,7 @@
         self.incarnation = incarnation
         self.secret = secret
         self.host = host
+        self.calls: Any = None
         self.gossip = gossip
         self.verifier = auth.Verifier(secret, own)
         self.exchange_by_entry: dict[str, Exchange] = {}
@@ -105,11 +108,13 @@
             self.host.heard(exchange.peer, exchange.latest_ping)
 
     async def Forward(self, stream):
-        """Not offered yet."""
-        self.authenticate(stream)
-        raise GRPCError(Status.UNIMPLEMENTED)
+        """Run a request whose idempotency key is held here."""
+        sender = self.authenticate(stream)
+        request = await stream.recv_message()
+        await stream.send_message(await self.calls.forward(sender, request))
 
     async def Claim(self, stream):
-        """Not offered yet."""
-        self.authenticate(stream)
-        raise GRPCError(Status.UNIMPLEMENTED)
+        """Vote on a claim to a caller's own idempotency key."""
+        sender = self.authenticate(stream)
+        request = await stream.recv_message()
+        await stream.send_message(self.calls.claim(sender, request))
--- a/almondglade/stopping.py
+++ b/almondglade/stopping.py
@@ -27,17 +27,17 @@
     int
         Requests that were still in progress at the end.
     """
-    log.info("stopping, requests in progress will end first", active=node.app.active)
+    log.info("stopping, requests in progress will end first", active=node.busy)
     deadline = node.clock() + node.settings.stop_timeout
     node.leave()
     node.callers.end_keep_alive()
     notice_ends = min(deadline, node.clock() + node.settings.stop_notice)
     await _wait(node, lambda: node.clock() >= notice_ends)
     node.app.stopping = True
-    await _wait(node, lambda: not node.app.active or node.clock() >= deadline)
-    if node.app.active:
-        log.warning("cut off requests in progress", cut=node.app.active)
-        return node.app.active
+    await _wait(node, lambda: not node.busy or node.clock() >= deadline)
+    if node.busy:
+        log.warning("cut off requests in progress", cut=node.busy)
+        return node.busy
     flush_ends = min(deadline, node.clock() + FLUSH_SECONDS)
     await _wait(node, lambda: node.clock() >= flush_ends)
     return 0
--- a/almondglade/ui/serve.py
+++ b/almondglade/ui/serve.py
@@ -19,6 +19,8 @@
     reserve_threads: int | None = None,
     stop_timeout: float | None = None,
     stop_notice: float | None = None,
+    own_key_window: float | None = None,
+    list_lag: float | None = None,
     queue_order: str | None = None,
     target_choice: str | None = None,
     limits: str | None = None,
@@ -59,6 +61,10 @@
         Seconds that a graceful stop may take.
     stop_notice
         Seconds of it in which requests that still come are served.
+    own_key_window
+        Seconds for which a caller's own idempotency key is protected.
+    list_lag
+        Seconds after an instance is listed until all can read so.
     queue_order
         Plug-in that orders the queue.
     target_choice
