--- a/almondglade/keys/claims.py
+++ b/almondglade/keys/claims.py
@@ -86,9 +86,8 @@
                     self.counts["refused_full"] += 1
                     return None
                 claim = Claim(claimant, now)
-            elif claim.holder == instead_of or self._yields(claim, claimant):
-                if not claim.used:
-                    claim.holder = claimant
+            elif not claim.used and self._gives_way(claim, claimant, instead_of):
+                claim.holder = claimant
             if claim.holder == claimant:
                 self._renew(slot, claim, now)
             return claim.holder
@@ -128,13 +127,13 @@
         with self._lock:
             return {"claims": len(self.by_slot), **dict(self.counts)}
 
-    def _yields(self, claim, claimant):
-        """Tell whether an unused claim of this process gives way.
+    def _gives_way(self, claim, claimant, instead_of):
+        """Tell whether an unused claim gives way to another.
 
         Of two that claim at once the smaller wins; both know the order.
         """
-        ours = claim.holder == self.own and not claim.used
-        return ours and _order(claimant) < _order(self.own)
+        yields = claim.holder == self.own and _order(claimant) < _order(self.own)
+        return yields or claim.holder == instead_of
 
     def _renew(self, slot, claim, now):
         claim.made_at = now
--- a/test/keyfleet.py
+++ b/test/keyfleet.py
@@ -51,6 +51,7 @@
         self.own = Holder(name, incarnation)
         self.alive, self.frozen_at, self.inbox = True, None, []
         self.view: dict = {name: self.own}
+        self.cut_off = False
         self.listing = Listing(fleet.clock)
         self.claims = ClaimTable(self.own, fleet.clock, WINDOW)
         self.voter = Voter(self.claims, self)
@@ -142,6 +143,8 @@
     def read_list(self, age):
         """Take in the list as it was some seconds ago."""
         asked = self.listing.attempt()
+        if self.cut_off:
+            return
         listed = self.fleet.list_at(age)
         self.view = {self.own.instance: self.own} | listed
         self.listing.confirm(asked, self.own in listed.values())
--- a/test/test_keys_claims.py
+++ b/test/test_keys_claims.py
@@ -4,7 +4,6 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from almondglade.keys.claiming import ClaimOrder
 from almondglade.keys.claims import CLAIM_VALID_SECONDS, MARGIN_SECONDS, ClaimTable
 from almondglade.keys.codec import Holder
 from almondglade.keys.table import Slot
@@ -27,15 +26,20 @@
         return self.now
 
 
-@pytest.fixture
-def fleet():
-    made = Fleet(["e1", "e2", "e3"])
+def made_fleet(*names):
+    """Return a fleet that has been up for long and lets everything pass."""
+    made = Fleet(names)
     made.meanwhile = lambda: None
     made.choose = lambda options: options[0]
     made.advance(UP_SECONDS, 0.0)
     return made
 
 
+@pytest.fixture
+def fleet():
+    return made_fleet("e1", "e2", "e3")
+
+
 def interrupt_once(fleet, act):
     """Let something happen at the next step of any process."""
 
@@ -110,12 +114,12 @@
 
 def test_claims_at_the_same_time_end_in_one_run(fleet):
     for order in (("e1", "e2"), ("e2", "e1"), ("e3", "e1")):
-        SLOT_OF = Slot("partner-b", "-".join(order))
+        slot = Slot("partner-b", "-".join(order))
         first, second = (fleet.by_name[name] for name in order)
-        interrupt_once(fleet, lambda n=second, s=SLOT_OF: fleet.send(n, *s))
+        interrupt_once(fleet, lambda n=second, s=slot: fleet.send(n, *s))
         for node in (first, second, first):
-            fleet.send(node, *SLOT_OF)
-        assert fleet.runs[SLOT_OF] == 1
+            fleet.send(node, *slot)
+        assert fleet.runs[slot] == 1
 
 
 def test_the_record_of_one_survivor_stops_a_second_run(fleet):
@@ -148,9 +152,7 @@
 
 
 def test_a_process_that_woke_with_an_old_list_settles_nothing():
-    fleet = Fleet(["e1"])
-    fleet.meanwhile, fleet.choose = lambda: None, lambda options: options[0]
-    fleet.advance(UP_SECONDS, 0.0)
+    fleet = made_fleet("e1")
     old = fleet.by_name["e1"]
     old.frozen_at = fleet.now
     for name in ("e2", "e3"):
@@ -163,9 +165,7 @@
 
 
 def test_a_process_that_was_paused_off_the_list_is_no_witness():
-    fleet = Fleet(["e1", "e2"])
-    fleet.meanwhile, fleet.choose = lambda: None, lambda options: options[0]
-    fleet.advance(UP_SECONDS, 0.0)
+    fleet = made_fleet("e1", "e2")
     paused = fleet.by_name["e1"]
     paused.frozen_at = fleet.now
     fleet.advance(60.0, 0.0)
@@ -180,8 +180,33 @@
     assert isinstance(error, RequestError) and error.code is Code.KEY_UNSETTLED
 
 
-def test_a_late_claim_takes_over_from_nobody():
-    table = ClaimTable(THIRD, Clock(), WINDOW)
-    assert table.receive(SLOT, FIRST) == FIRST
-    assert table.receive(SLOT, SECOND, instead_of=THIRD) == FIRST
-    assert ClaimOrder(*SLOT, SECOND).instead_of is None
+def test_a_process_cut_off_from_the_list_settles_nothing():
+    fleet = made_fleet("e1")
+    fleet.by_name["e1"].cut_off = True
+    fleet.start("e2")
+    fleet.publish()
+    fleet.advance(UP_SECONDS, 0.0)
+    assert send(fleet, "e1").code is Code.KEY_UNSETTLED
+    assert send(fleet, "e2").code is Code.KEY_UNSETTLED
+
+
+def test_an_instance_that_only_a_peer_knows_must_be_asked_too():
+    fleet = made_fleet("e1", "e2")
+    fleet.start("e3")
+    fleet.publish()
+    fleet.by_name["e2"].read_list(0.0)
+    assert "not yet known here: e3" in send(fleet, "e1").message
+
+
+def test_an_instance_that_a_lagging_list_lacked_is_no_witness_yet():
+    fleet = made_fleet("e1")
+    fleet.start("e2")
+    fleet.publish()
+    fleet.by_name["e2"].read_list(0.0)
+    fleet.now += LIST_LAG - 5
+    fleet.by_name["e1"].read_list(LIST_LAG)
+    assert send(fleet, "e1").head.status == 200
+    fleet.by_name["e1"].alive = False
+    fleet.publish()
+    fleet.advance(WINDOW - 5, 0.0)
+    assert send(fleet, "e2").code is Code.KEY_UNSETTLED
--- a/test/test_keys_fleet.py
+++ b/test/test_keys_fleet.py
@@ -12,6 +12,7 @@
 MAX_DEPTH = 2
 MAX_INTERRUPTIONS = 4
 INTERRUPTIONS = ("send", "send", "kill", "freeze", "replace", "wake", "pass")
+DISTURBANCES = ("kill", "freeze", "wake", "replace", "pass", "publish", "cut off")
 
 
 class KeyedFleet(RuleBasedStateMachine):
@@ -63,6 +64,8 @@
             case "freeze":
                 node = self.anyone()
                 node.frozen_at = node.frozen_at or self.fleet.now
+            case "cut off":
+                self.node().cut_off ^= True
             case "wake":
                 self.fleet.wake(self.anyone())
             case "replace":
@@ -98,7 +101,7 @@
 
     @rule(
         random=st.randoms(use_true_random=False),
-        what=st.sampled_from(("kill", "freeze", "wake", "replace", "pass", "publish")),
+        what=st.sampled_from(DISTURBANCES),
     )
     def disturb(self, random, what):
         """Disturb the fleet between sends."""
