--- a/almondglade/ui/serve.py
+++ b/almondglade/ui/serve.py
@@ -18,6 +18,7 @@
     max_requests: int | None = None,
     reserve_threads: int | None = None,
     stop_timeout: float | None = None,
+    stop_notice: float | None = None,
     own_key_window: float | None = None,
     list_lag: float | None = None,
     queue_order: str | None = None,
@@ -58,6 +59,8 @@
         Threads kept for refusals.
     stop_timeout
         Seconds that a graceful stop may take.
+    stop_notice
+        Seconds of it in which requests that still come are served.
     own_key_window
         Seconds for which a caller's own idempotency key is protected.
     list_lag
