Have the callee of a unary call prove itself

Cause: a reply to a forward or a claim was taken from whoever listens at a listed address. The reply now carries the same proof over the call's nonce as a link's first message.

Not shown by a test: that a reply without a proof is refused.

--- a/almondglade/keys/scheduling.py
+++ b/almondglade/keys/scheduling.py
@@ -224,6 +224,7 @@
 
     def __init__(self, table, slot, run, chunks):
         self.head = run.head
+        self.request = run.request
         self._table = table
         self._slot = slot
         self._run = run
--- a/almondglade/peers/calls.py
+++ b/almondglade/peers/calls.py
@@ -11,6 +11,7 @@
 from ..keys.claiming import ClaimOrder
 from ..keys.listing import Listing
 from ..log import get_logger
+from . import auth
 from .callcodec import (
     decode_answer,
     decode_vote,
@@ -163,10 +164,13 @@
         channel = Channel(peer.address, peer.port, config=CALL_CONFIGURATION)
         try:
             await asyncio.wait_for(channel.__connect__(), CONNECT_SECONDS)
+            nonce = auth.make_nonce()
+            metadata = self.links.metadata(name, nonce)
             call = getattr(PeersStub(channel), method)
-            return await call(
-                message, timeout=seconds, metadata=self.links.metadata(name)
-            )
+            reply = await call(message, timeout=seconds, metadata=metadata)
+            if not auth.is_proof(self.links.secret, name, nonce, reply.proof):
+                raise PeerError("the reply carries no proof of the secret")
+            return reply
         except LINK_ERRORS as error:
             raise PeerError(f"{name}: {error or error!r}") from error
         finally:
--- a/almondglade/peers/service.py
+++ b/almondglade/peers/service.py
@@ -41,16 +41,13 @@
         self.exchange_by_entry: dict[str, Exchange] = {}
 
     def authenticate(self, stream):
-        """Return the calling instance.
+        """Return the credential of the calling instance.
 
         Raises
         ------
         GRPCError
-            If its credential is not genuine.
+            If it is not genuine.
         """
-        return self._credential(stream).sender
-
-    def _credential(self, stream):
         credential = self.verifier.verify(stream.metadata.get(auth.METADATA_KEY))
         if credential is None:
             raise GRPCError(Status.UNAUTHENTICATED, "the credential is not genuine")
@@ -58,7 +55,7 @@
 
     async def Link(self, stream):
         """Carry messages both ways until the link fails."""
-        credential = self._credential(stream)
+        credential = self.authenticate(stream)
         entry = credential.sender
         exchange = Exchange(self.gossip, entry)
         proof = auth.prove(self.secret, self.own, credential.nonce)
@@ -109,12 +106,18 @@
 
     async def Forward(self, stream):
         """Run a request whose idempotency key is held here."""
-        sender = self.authenticate(stream)
+        credential = self.authenticate(stream)
         request = await stream.recv_message()
-        await stream.send_message(await self.calls.forward(sender, request))
+        reply = await self.calls.forward(credential.sender, request)
+        await self._send(stream, credential, reply)
 
     async def Claim(self, stream):
         """Vote on a claim to a caller's own idempotency key."""
-        sender = self.authenticate(stream)
+        credential = self.authenticate(stream)
         request = await stream.recv_message()
-        await stream.send_message(self.calls.claim(sender, request))
+        reply = self.calls.claim(credential.sender, request)
+        await self._send(stream, credential, reply)
+
+    async def _send(self, stream, credential, reply):
+        reply.proof = auth.prove(self.secret, self.own, credential.nonce)
+        await stream.send_message(reply)
