Refuse bad input clearly and keep callers' answers apart

Streams of two workspaces with equal prompts, interleaved and hung up in any order (60 cases), never mix. Truncation is seen by HTTP/1.1 and 1.0 callers, which are reset.

Causes found (the last two by reading the code): an answer to HTTP/1.0 that was cut ended with a plain close, so it looked whole; a head with two lengths waited for its body until the deadline; a prompt nested 300 deep passed the parser and failed the serializer with a 500; a count above 2^32 reached the peers' messages.

--- a/almondglade/httpserver/gate.py
+++ b/almondglade/httpserver/gate.py
@@ -33,8 +33,9 @@
 ACCEPTED_REQUESTS = 1024
 
 HEAD_END = b"\r\n\r\n"
-CONTENT_LENGTH = re.compile(rb"(?i)\r\ncontent-length:[ \t]*([0-9]{1,9})[ \t]*\r\n")
-EXPECT = re.compile(rb"(?i)\r\nexpect:")
+CONTENT_LENGTH = re.compile(rb"(?i)\r\ncontent-length:[ \t]*([0-9]{1,9})[ \t]*(?=\r\n)")
+# With one of these, the body is not waited for: the head decides.
+UNGATED = re.compile(rb"(?i)\r\n(expect|transfer-encoding)[ \t]*:")
 
 
 def bytes_wanted(peeked):
@@ -54,10 +55,10 @@
     if end < 0:
         return 0 if len(peeked) >= MAX_HEAD_BYTES else len(peeked) + 1
     head = peeked[: end + len(HEAD_END)]
-    length = CONTENT_LENGTH.search(head)
-    if length is None or EXPECT.search(head):
+    lengths = CONTENT_LENGTH.findall(head)
+    if len(lengths) != 1 or UNGATED.search(head):
         return len(head)
-    return len(head) + min(int(length[1]), GATED_BODY_BYTES)
+    return len(head) + min(int(lengths[0]), GATED_BODY_BYTES)
 
 
 class GatedConnection(server.HTTPConnection):
--- a/almondglade/httpserver/strict.py
+++ b/almondglade/httpserver/strict.py
@@ -163,10 +163,7 @@
             super().respond()
         except BaseException:
             if self.response_protocol == "HTTP/1.0":
-                # Without chunks only a reset tells that the end is missing.
-                self.conn.socket.setsockopt(
-                    socket.SOL_SOCKET, socket.SO_LINGER, ABORT_ON_CLOSE
-                )
+                self._reset()
             raise
         if self._has_unread_body():
             self._drain()
@@ -206,6 +203,14 @@
         except OSError:
             return
 
+    def _reset(self):
+        """Reset the connection: without chunks, only this tells of a cut."""
+        sock = self.conn.socket
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, ABORT_ON_CLOSE)
+        sock.close()
+        # Keeps the library from closing it again, in the gentle way.
+        self.conn.linger = True
+
     def _has_unread_body(self):
         if self.chunked_read:
             return not getattr(self.rfile, "closed", False)
--- a/almondgladeplug/kinds.py
+++ b/almondgladeplug/kinds.py
@@ -12,6 +12,8 @@
 CHARACTERS_PER_TOKEN = 4
 DEFAULT_OUTPUT_TOKENS = 256
 PREFIX_CHARACTERS = 256
+MAX_OUTPUT_TOKENS = 1_000_000
+MAX_CHOICES = 128
 MAX_EVENT_BYTES = 1 << 16
 
 
@@ -60,11 +62,11 @@
         prompt = document.get("messages", document.get("prompt"))
         if not isinstance(prompt, str | list) or not prompt:
             raise RequestError(Code.BAD_REQUEST, "messages or prompt is missing")
-        tokens = _max_tokens(document)
-        if not isinstance(tokens, int) or isinstance(tokens, bool) or tokens < 1:
-            raise RequestError(
-                Code.BAD_REQUEST, "max_tokens must be a positive integer"
-            )
+        if not isinstance(document.get("stream"), bool | None):
+            raise RequestError(Code.BAD_REQUEST, "stream must be true or false")
+        _prompt_text(document)
+        _check_count("max_tokens", _max_tokens(document), MAX_OUTPUT_TOKENS)
+        _check_count("n", _choices(document), MAX_CHOICES)
 
     def size(self, request):
         """Estimate tokens from the prompt's length and the output limit."""
@@ -73,7 +75,7 @@
         head = f"{request.workspace}\0{prompt[:PREFIX_CHARACTERS]}"
         return Size(
             1 + len(prompt) // CHARACTERS_PER_TOKEN,
-            _max_tokens(document),
+            _max_tokens(document) * _choices(document),
             xxhash.xxh64_intdigest(head.encode()),
         )
 
@@ -137,6 +139,21 @@
     return DEFAULT_OUTPUT_TOKENS if value is None else value
 
 
+def _choices(document):
+    value = document.get("n")
+    return 1 if value is None else value
+
+
+def _check_count(name, value, largest):
+    if type(value) is not int or not 1 <= value <= largest:
+        raise RequestError(
+            Code.BAD_REQUEST, f"{name} must be an integer from 1 to {largest}"
+        )
+
+
 def _prompt_text(document):
     prompt = document.get("messages", document.get("prompt"))
-    return prompt if isinstance(prompt, str) else orjson.dumps(prompt).decode()
+    try:
+        return prompt if isinstance(prompt, str) else orjson.dumps(prompt).decode()
+    except orjson.JSONEncodeError as error:
+        raise RequestError(Code.BAD_REQUEST, f"the prompt: {error}") from error
--- a/test/test_dispatch.py
+++ b/test/test_dispatch.py
@@ -153,8 +153,11 @@
         assert b"X-A: \xc3\xa4 b" in answer.raw_head
 
 
-def trickle(data, seconds):
-    for byte in data:
+def trickle(data, seconds, whole_head=False):
+    head, _, body = data.partition(b"\r\n\r\n")
+    if whole_head:
+        yield head + b"\r\n\r\n"
+    for byte in body if whole_head else data:
         time.sleep(seconds)
         yield bytes([byte])
 
@@ -164,8 +167,8 @@
     [
         ({"first_byte": 0.3}, lambda _: trickle(answer_with(BODY), 0.1)),
         ({"between_bytes": 0.3}, lambda _: stall_after(answer_with(BODY))),
-        ({"total": 0.5}, lambda _: trickle(answer_with(BODY), 0.02)),
-        ({"total": 0.5}, lambda _: trickle(answer_with(BODY, "close"), 0.01)),
+        ({"total": 0.5}, lambda _: trickle(answer_with(BODY), 0.02, True)),
+        ({"total": 0.5}, lambda _: trickle(answer_with(BODY, "close"), 0.02, True)),
         ({"first_byte": 0.3}, lambda _: stall_after(b"H")),
     ],
 )
--- /dev/null
+++ b/test/test_entry.py
@@ -0,0 +1,189 @@
+"""Callers receive whole answers, their own, as the target sent them."""
+
+import socket
+import threading
+import time
+
+import orjson
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from .support.entries import Entry, join_chunks, read_all, read_answer, request_bytes
+from .support.targets import Cut, FakeTarget, answer_with
+
+WORKSPACES = ("partner-a", "partner-b")
+EVENTS = "text/event-stream"
+
+
+def prompt(**more):
+    messages = [{"role": "user", "content": "the same prompt"}]
+    return orjson.dumps({"model": "script-7b", "messages": messages} | more)
+
+
+def exchange(answer, *request, **more):
+    """Return the request that a target saw and the answer of its caller."""
+    with FakeTarget(lambda _: answer) as target, Entry({"b1": target.url}) as entry:
+        return (entry.call(*request, **more), *target.seen)
+
+
+def test_a_request_passes_unchanged_but_for_its_key_and_hop_headers():
+    path = "/slots/%2e%2e/a%2Fb//c;v=1?q=a+b&q=%20&self=1&request_id=2"
+    headers = [
+        "X-Twice: 1",
+        "X-Twice: 2",
+        "X_Under: 3",
+        "Cookie: a=b; c=\xe4",
+        "Connection: X-Hop, keep-alive",
+        "X-Hop: 4",
+        "TE: trailers",
+        "X-Request-Id: forged",
+        "Content-Type: application/octet-stream",
+        "Accept-Encoding: br",
+    ]
+    body = bytes(range(256))
+    answer, seen = exchange(
+        answer_with(b"x"), "PATCH", "/bookings" + path, body, headers=headers
+    )
+    head, _, got = seen.partition(b"\r\n\r\n")
+    lines = head.split(b"\r\n")
+    assert got == body and lines[0] == f"PATCH {path} HTTP/1.1".encode()
+    for kept in (headers[0], headers[1], headers[2], headers[3], *headers[8:]):
+        assert lines.count(kept.encode("latin-1")) == 1
+    lower = head.lower()
+    for gone in (b"authorization", b"x-hop", b"connection", b"te:", b"forged"):
+        assert gone not in lower
+    request_id = answer.headers["x-request-id"]
+    assert f"X-Request-Id: {request_id}".encode() in lines
+
+
+def test_an_answer_passes_unchanged_but_for_its_hop_headers():
+    head = (
+        b"HTTP/1.1 203 Odd\r\nSet-Cookie: a=1\r\nSet-Cookie: b=2\r\n"
+        b"Content-Encoding: gzip\r\nX-Name: \xc3\xa4\r\nConnection: X-Hop\r\n"
+        b"X-Hop: 1\r\nKeep-Alive: 5\r\nX-Almondglade-Outcome: not-run\r\n"
+        b"X-Folded: a\r\n b\r\nContent-Length: 4\r\n\r\n"
+    )
+    answer, _ = exchange(head + b"\x1f\x8b\x00\xff", "GET", "/bookings")
+    assert answer.status == 203 and answer.body == b"\x1f\x8b\x00\xff"
+    lines = answer.raw_head.split(b"\r\n")
+    assert b"Set-Cookie: a=1" in lines and b"Set-Cookie: b=2" in lines
+    assert b"X-Name: \xc3\xa4" in lines and b"Content-Encoding: gzip" in lines
+    assert any(line.startswith(b"X-Folded: a") and line[-1:] == b"b" for line in lines)
+    assert b"x-hop" not in answer.raw_head.lower()
+    assert answer.raw_head.lower().count(b"x-almondglade-outcome") == 1
+    assert answer.outcome == "answered"
+
+
+@pytest.mark.parametrize(
+    ("method", "status"), [("HEAD", b"200 OK"), ("GET", b"304 Same"), ("PUT", b"204 N")]
+)
+def test_an_answer_without_a_body_ends_with_its_head(method, status):
+    head = b"HTTP/1.1 " + status + b"\r\nETag: x\r\nContent-Length: 9\r\n\r\n"
+    with FakeTarget(lambda _: head) as target, Entry({"b1": target.url}) as entry:
+        with entry.connect() as sock:
+            for _ in range(2):
+                sock.sendall(request_bytes(method, "/bookings/"))
+                got = sock.recv(65536)
+                assert got.startswith(b"HTTP/1.1 " + status[:3])
+                assert got.endswith(b"\r\n\r\n") and b"ETag: x" in got
+        assert [c.result.value for c in entry.broker.released] == ["completed"] * 2
+        assert entry.app.active == 0 and target.connections <= 2
+
+
+@pytest.mark.parametrize("framing", ["chunked", "length"])
+@pytest.mark.parametrize("version", ["1.1", "1.0"])
+def test_a_truncated_answer_is_seen_as_such(framing, version):
+    whole = answer_with(b"data: 1\n\n" * 4, framing, EVENTS)
+    cut = Cut(after_written=len(whole) - 25 if framing == "chunked" else len(whole) - 9)
+    with FakeTarget(lambda _: whole, cut) as target, Entry({"d1": target.url}) as entry:
+        data = request_bytes("POST", "/v1/chat/completions", prompt(stream=True))
+        with entry.connect() as sock:
+            sock.sendall(data.replace(b"HTTP/1.1", f"HTTP/{version}".encode()))
+            if version == "1.0":
+                with pytest.raises(ConnectionResetError):
+                    while sock.recv(65536):
+                        continue
+                return
+            data = read_all(sock)
+    assert b"data: 1\n\n" in data
+    if framing == "chunked":
+        body, whole = join_chunks(data.partition(b"\r\n\r\n")[2])
+        event = body.partition(b"event: error\ndata: ")[2]
+        assert not whole and orjson.loads(event)["error"]["outcome"] == "unknown"
+
+
+class Paced:
+    """A stream whose pieces are sent in an order that the test chooses."""
+
+    def __init__(self, request, gates):
+        self.name = request.partition(b"mark-")[2][:6]
+        self.gates = gates
+
+    def __iter__(self):
+        yield b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        for number in range(4):
+            self.gates[self.name].acquire(timeout=5.0)
+            piece = b"%b-%d;" % (self.name, number)
+            yield b"%x\r\n%b\r\n" % (len(piece), piece)
+        yield b"0\r\n\r\n"
+
+    def __getitem__(self, index):
+        return b""
+
+
+@pytest.fixture(scope="module")
+def paced():
+    gates = {}
+    with FakeTarget(lambda request: Paced(request, gates)) as target:
+        with Entry({"d1": target.url}) as entry:
+            yield entry, gates
+
+
+@settings(max_examples=60)
+@given(
+    order=st.permutations(list(range(4)) * 4),
+    cancelled=st.sets(st.integers(0, 3), max_size=3),
+    at=st.integers(0, 15),
+)
+def test_streams_of_two_workspaces_never_mix(paced, order, cancelled, at):
+    """Equal prompts, interleaved in any order, some of them hung up."""
+    entry, gates = paced
+    names = [b"%06d" % (time.monotonic_ns() % 100_000 + n) for n in range(4)]
+    gates.update((name, threading.Semaphore(0)) for name in names)
+    socks = [
+        entry.send(
+            "POST",
+            "/v1/completions",
+            prompt(stream=True),
+            WORKSPACES[number % 2],
+            [f"X-Mark: mark-{name.decode()}"],
+        )
+        for number, name in enumerate(names)
+    ]
+    for step, number in enumerate(order):
+        if step == at:
+            for gone in cancelled:
+                socks[gone].shutdown(socket.SHUT_RDWR)
+        gates[names[number]].release()
+    for number, (name, sock) in enumerate(zip(names, socks, strict=True)):
+        if number not in cancelled:
+            expected = b"".join(b"%b-%d;" % (name, n) for n in range(4))
+            answer = read_answer(sock)
+            assert answer.whole and answer.body == expected
+        sock.close()
+        gates[name].release(8)
+
+
+def test_lists_the_models_and_counts_what_streams_use():
+    usage = {"prompt_tokens": 7, "completion_tokens": 3}
+    events = b"data: {}\n\n" * 2 + b'data: {"usage":%b}\n\n' % orjson.dumps(usage)
+    stream = answer_with(events + b"data: [DONE]\n\n", "chunked", EVENTS)
+    with FakeTarget(lambda _: stream) as target, Entry({"d1": target.url}) as entry:
+        models = orjson.loads(entry.call("GET", "/v1/models").body)
+        assert [model["id"] for model in models["data"]] == ["script-7b"]
+        entry.call("POST", "/v1/completions", prompt(prompt="x", n=2, max_tokens=5))
+        demand = entry.broker.acquired[0].demand
+        assert demand.output_tokens == 10
+        done = entry.broker.released[0]
+        assert (done.input_tokens, done.output_tokens) == (7, 3)
