--- a/almondglade/entry/app.py
+++ b/almondglade/entry/app.py
@@ -20,6 +20,14 @@
 from ..presence import CallerWatch
 from .bodies import BodyReader
 from .callers import CallerTable
+from .keys import (
+    KEY_HEADER,
+    KEYS_HEADERS,
+    KEYS_PATH,
+    MAX_KEYS_BODY_BYTES,
+    before_lookup,
+    issue_keys,
+)
 from .relaying import NOT_FOR_CALLERS, NOT_FOR_TARGETS, RelayedBody, end_to_end
 from .routing import MODELS_PATH, find_route, models_document, service_of_model
 from .serving import EntryRequest, EntryResponse, internal_error
@@ -94,15 +102,20 @@
             self.active -= 1
 
     def _answer(self, request_id, response):
-        self._check_capacity()
         http = cherrypy.serving.request.wsgi_environ[REQUEST_KEY]
         method = http.method.decode("latin-1")
+        with before_lookup(method, header_of(http, KEY_HEADER)):
+            self._check_capacity()
         path, _, query = http.uri.decode("latin-1").partition("?")
         caller = self.callers.authenticate(header_of(http, "authorization"))
         services = self.store.declarations.services
         if path == MODELS_PATH and method in ("GET", "HEAD"):
             response.pairs = [("Content-Type", "application/json")]
             return models_document(services)
+        if path == KEYS_PATH:
+            response.pairs = KEYS_HEADERS
+            body = self._bodies.read(http, MAX_KEYS_BODY_BYTES)
+            return issue_keys(self.scheduler, caller.workspace, method, body)
         route = find_route(services, method, path)
         if route.service is not None:
             self._check_plan(caller, route.service)
@@ -122,7 +135,7 @@
                 (REQUEST_ID_HEADER, request_id),
             ),
             body,
-            header_of(http, "idempotency-key"),
+            header_of(http, KEY_HEADER),
         )
         return self._run(http, request, response)
 
--- a/almondglade/entry/scheduling.py
+++ b/almondglade/entry/scheduling.py
@@ -292,7 +292,7 @@
         return (
             not request.presence.gone
             and self.broker.is_valid(permit)
-            and self.store.declarations.takes_new_work(permit.grant.target)
+            and self.store.takes_new_work(permit.grant.target)
         )
 
     def _release_unused(self, request, permit, result):
--- a/almondglade/httpserver/__init__.py
+++ b/almondglade/httpserver/__init__.py
@@ -73,6 +73,10 @@
     def _serve(self):
         self._server.serve()
 
+    def end_keep_alive(self):
+        """Close each connection after its next answer."""
+        self._server.keep_alive_conn_limit = 0
+
     def stop(self):
         """Stop serving."""
         self._server.stop()
