Do not hold a tier back because it is held back

A shed of the top tier held all lower tiers back; their demands then expired and were shed too, and each of these sheds began the time anew, so the lower tiers never came back.

Conclusion: a shed of a tier that is held back changes nothing.

--- a/almondglade/coordinator/shedding.py
+++ b/almondglade/coordinator/shedding.py
@@ -37,8 +37,14 @@
         return self._shed_tier + int(quiet / RECOVERY_SECONDS)
 
     def shed(self, tier):
-        """Note that a demand was shed; no lower tier is granted for a time."""
-        self._shed_tier = min(tier, self.lowest)
+        """Note that a demand was shed; no lower tier is granted for a time.
+
+        A shed of a tier that is held back already changes nothing: it would
+        hold that tier back for as long as its callers keep coming.
+        """
+        if tier > self.lowest:
+            return
+        self._shed_tier = tier
         self._shed_at = self.clock()
 
 
--- a/test/test_coordinator_tiers.py
+++ b/test/test_coordinator_tiers.py
@@ -6,7 +6,11 @@
 from hypothesis import strategies as st
 
 from almondglade import messages as m
-from almondglade.coordinator.shedding import PREEMPT_LEAD_SECONDS, RECOVERY_SECONDS
+from almondglade.coordinator.shedding import (
+    PREEMPT_LEAD_SECONDS,
+    RECOVERY_SECONDS,
+    AdmissionLevel,
+)
 
 from .coordinating import FakeClock, declare, demand, make_coordinator
 
@@ -145,3 +149,13 @@
         trace.check(trace.coordinator.decide())
     left = {w.demand.request_id for w in trace.coordinator.room.by_request.values()}
     assert left == {arrivals[3].request_id, arrivals[5].request_id}
+
+
+def test_sheds_of_a_tier_that_is_held_back_do_not_hold_it_back_longer():
+    clock = FakeClock()
+    level = AdmissionLevel(clock)
+    level.shed(0)
+    for _ in range(40):
+        clock.now += RECOVERY_SECONDS / 4
+        level.shed(2)
+    assert level.lowest >= 2
