Add the load command; let a target that returns go on at its limit

Cause: a target that came back into service began at a limit of one.

A target that returns is still cold at first, since it may have been restarted, and goes on where it was when a load report shows the same process.

--- a/almondglade/coordinator/core.py
+++ b/almondglade/coordinator/core.py
@@ -107,7 +107,7 @@
             was_serving = record.serving
             record.serving = declarations.takes_new_work(name)
             if record.serving and not was_serving:
-                record.limit.chill()
+                record.limit.rest()
         for name in self.targets_by_id.keys() - declared.keys():
             self.targets_by_id[name].serving = False
 
--- a/almondglade/coordinator/limits.py
+++ b/almondglade/coordinator/limits.py
@@ -72,6 +72,14 @@
             self.chill()
         return restarted
 
+    def rest(self):
+        """Become cold until a report shows that the process is the same.
+
+        A target that returns to service may have been restarted meanwhile. The
+        base forgets what it has learnt.
+        """
+        self.chill()
+
     def chill(self):
         """Fall back to the limit of a cold target."""
         self.limit = COLD_LIMIT
--- a/almondglade/ui/main.py
+++ b/almondglade/ui/main.py
@@ -5,7 +5,7 @@
 import defopt
 
 from ..errors import AlmondgladeError
-from . import check, dump, key, serve, settings, standin
+from . import check, dump, key, load, serve, settings, standin
 
 EXIT_ERROR = 1
 
@@ -14,6 +14,7 @@
     "check": check.check,
     "dump": dump.dump,
     "key": key.key,
+    "load": load.load,
     "settings": settings.settings,
     "standin": standin.COMMANDS,
 }
--- a/almondgladeplug/limits.py
+++ b/almondgladeplug/limits.py
@@ -43,10 +43,28 @@
         self._held_until = 0.0
         self._settled = 0
         self._probing_up = True
+        self._rested: tuple[float, PaceCurve, int] | None = None
+
+    def rest(self):
+        """Become cold until a report shows that the process is the same."""
+        rested = (self.limit, self._curve, self._settled) if self.epoch else None
+        self.chill()
+        self._rested = rested
+
+    def observe_epoch(self, epoch):
+        """Go on from before a rest, or become cold after a restart."""
+        rested = self._rested
+        restarted = super().observe_epoch(epoch)
+        if rested is not None and not restarted:
+            self.limit, self._curve, self._settled = rested
+            self._window = PaceWindow(self.clock())
+        self._rested = None
+        return restarted
 
     def chill(self):
         """Fall back to the limit of a cold target and forget its speed."""
         super().chill()
+        self._rested = None
         self._curve = PaceCurve()
         self._slow_runs = 0
         self._hold_seconds = MIN_HOLD_SECONDS
--- a/bench/policies.py
+++ b/bench/policies.py
@@ -16,7 +16,7 @@
 
 import defopt
 
-from standin.load import LoadRun, plan, summarise
+from standin.load import LoadRun, plan, summarise, wasted_prompt_tokens
 
 from .fleet import Fleet
 from .ideal import ideal_first_tokens
@@ -175,7 +175,7 @@
         quantile(sorted(ideal_first_tokens(scenario, arrivals)), 0.95),
         quantile(late, 0.99),
         prefilled,
-        wasted_prefill([s for s in measured if s.good]),
+        wasted_prompt_tokens(measured),
         sum(ledger["abandoned_tokens"] for ledger in ledgers.values()),
         {
             name: len(ledger["requests"]) - len(warm[name]["requests"])
@@ -221,19 +221,6 @@
     return ordered[min(len(ordered) - 1, int(part * len(ordered)))]
 
 
-def wasted_prefill(good):
-    """Return the prompt tokens computed again after the first time."""
-    by_prefix: dict = {}
-    for sample in good:
-        key = (sample.arrival.stream.workspace, sample.arrival.prefix)
-        by_prefix.setdefault(key, []).append(sample)
-    return sum(
-        max(s.cached_tokens for s in group) - s.cached_tokens
-        for group in by_prefix.values()
-        for s in sorted(group, key=lambda s: s.started)[1:]
-    )
-
-
 def limits_of(fleet):
     """Return the limits learnt by the pool's coordinator."""
     for name in fleet.instances_by_id:
--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -40,8 +40,6 @@
 }
 # A tenth of the tokens that the large basic workspace asks for at a load of 1.
 PLAN_TOKENS_PER_MINUTE = 50_000.0
-# Lets the last long runs of the warm-up end.
-WARM_PAUSE_SECONDS = 3.0
 ADAPTIVE = ("tiered", "expected-finish", "adaptive")
 
 
@@ -120,6 +118,10 @@
         Length of the load.
     warm_seconds : float
         Start of the load that is not measured.
+    warm_load, warm_pause : float
+        Load during the start when it differs, and seconds without load after it.
+    resends : int
+        Times that callers send a failed request again at once.
     """
 
     name: str
@@ -134,6 +136,8 @@
     allowances: dict = field(default_factory=dict)
     change: str = ""
     warm_load: float = 0.0
+    warm_pause: float = 3.0
+    resends: int = 0
 
     @property
     def capacity(self):
@@ -146,7 +150,7 @@
             return self._streams()
         share = self.warm_load / sum(self.load_by_plan.values())
         loads = {name: load * share for name, load in self.load_by_plan.items()}
-        until = self.warm_seconds - WARM_PAUSE_SECONDS
+        until = self.warm_seconds - self.warm_pause
         warm = replace(self, load_by_plan=loads)._streams()
         return [replace(stream, stop=until) for stream in warm] + [
             replace(stream, start=self.warm_seconds) for stream in self._streams()
@@ -164,6 +168,7 @@
                 max_tokens=MAX_TOKENS,
                 prefixes=self.prefixes,
                 prefix_words=self.prefix_words,
+                resends=self.resends,
             )
             for workspace, name in PLAN_BY_WORKSPACE.items()
             if (share := self.load_by_plan.get(name, 0.0)) > 0
@@ -230,6 +235,13 @@
             tuple(replace(engine, cold_seconds=5.0) for engine in EQUAL),
             change="restart",
         ),
+        Scenario(
+            "resends",
+            {"gold": 0.3, "basic": 0.4},
+            warm_load=3.0,
+            warm_pause=0.0,
+            resends=3,
+        ),
         Scenario("plan-without", {"gold": 0.3, "silver": 0.3}),
         Scenario(
             "plan-10x",
--- a/standin/load.py
+++ b/standin/load.py
@@ -253,6 +253,8 @@
         Requests asked and wholly answered.
     codes : dict of str to int
         Errors by code.
+    wasted_prompt_tokens : int
+        Prompt tokens computed again after the first time.
     """
 
     asked_by_tier: dict[int, int]
@@ -264,6 +266,21 @@
     tokens: int
     prompt_tokens: int
     cached_tokens: int
+    wasted_prompt_tokens: int = 0
+
+
+def wasted_prompt_tokens(samples):
+    """Return the prompt tokens of whole answers computed again."""
+    by_prefix: dict = {}
+    for sample in sorted(samples, key=lambda s: s.started):
+        if sample.good:
+            key = (sample.arrival.stream.workspace, sample.arrival.prefix)
+            by_prefix.setdefault(key, []).append(sample.cached_tokens)
+    return sum(
+        max(cached) - again
+        for cached in by_prefix.values()
+        for again in itertools.islice(cached, 1, None)
+    )
 
 
 def summarise(samples):
@@ -282,4 +299,5 @@
         sum(s.tokens for s in samples),
         sum(s.prompt_tokens for s in samples),
         sum(s.cached_tokens for s in samples),
+        wasted_prompt_tokens(samples),
     )
--- a/test/test_limits.py
+++ b/test/test_limits.py
@@ -98,3 +98,14 @@
     engine, limit, _ = learnt()
     limit.complete(Completion("r", "drafts", result), limit.current)
     assert limit.current == 1
+
+
+@pytest.mark.parametrize("epoch", ["1", "2"])
+def test_a_target_that_returns_is_cold_until_its_process_is_known_to_be_the_same(epoch):
+    engine, limit, _ = learnt()
+    limit.observe_epoch("1")
+    settled = limit.current
+    limit.rest()
+    assert limit.current == 1
+    limit.observe_epoch(epoch)
+    assert limit.current == (settled if epoch == "1" else 1)
--- /dev/null
+++ b/test/test_load.py
@@ -0,0 +1,82 @@
+"""The open-loop load and its command."""
+
+import threading
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+
+import orjson
+import pytest
+
+from almondglade.ui.main import main
+from standin.load import Stream, plan
+
+SEED = 3
+
+
+class Answering(BaseHTTPRequestHandler):
+    """Refuses every second request."""
+
+    protocol_version = "HTTP/1.1"
+    seen: list[str] = []
+
+    def do_POST(self):  # noqa: D102, N802
+        self.rfile.read(int(self.headers.get("Content-Length") or 0))
+        self.seen.append(self.command)
+        status = 200 if len(self.seen) % 2 else 503
+        body = b"{}" if status == 200 else b'{"error": {"code": "overloaded"}}'
+        self.send_response(status)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    do_GET = do_POST  # noqa: N815
+
+    def log_message(self, *_):  # noqa: D102
+        pass
+
+
+@pytest.fixture
+def url():
+    Answering.seen = []
+    server = ThreadingHTTPServer(("127.0.0.1", 0), Answering)
+    threading.Thread(target=server.serve_forever, daemon=True).start()
+    yield f"http://127.0.0.1:{server.server_port}"
+    server.shutdown()
+
+
+def test_a_plan_is_the_same_for_the_same_seed_and_a_hundred_times_long():
+    stream = Stream("a", "key", 0, 100.0, "m", start=2.0, stop=8.0)
+    arrivals = plan([stream], 10.0, SEED)
+    assert arrivals == plan([stream], 10.0, SEED)
+    assert arrivals != plan([stream], 10.0, SEED + 1)
+    tokens = [arrival.tokens for arrival in arrivals]
+    assert 4 <= min(tokens) < 8 and 200 < max(tokens) <= 400
+    assert 2.0 <= arrivals[0].at and arrivals[-1].at < 8.0
+    assert 450 < len(arrivals) < 750
+
+
+def run(*arguments):
+    with pytest.raises(SystemExit) as caught:
+        main(["load", *arguments])
+    return caught.value.code
+
+
+def test_the_command_reports_by_tier_and_writes_json_and_a_plot(url, tmp_path, capsys):
+    figures, image = tmp_path / "figures.json", tmp_path / "plot.png"
+    assert not run(
+        *(url, "--caller", "a:0:key-a", "b:2:key-b", "--plain-path", "/x"),
+        *("--plain-rate", "20", "--seconds", "1"),
+        *("--output", str(figures), "--plot", str(image)),
+    )
+    report = orjson.loads(figures.read_bytes())
+    asked = sum(report["asked_by_tier"].values())
+    assert asked == len(Answering.seen)
+    assert set(Answering.seen) == {"GET", "POST"}
+    assert report["codes"] == {"overloaded": asked // 2}
+    assert "tier  asked  good  goodput" in capsys.readouterr().out
+    assert image.stat().st_size > 0
+
+
+@pytest.mark.parametrize("caller", ["a", "a:b:c", ":0:key", "a:0:"])
+def test_a_caller_that_is_not_usable_is_refused(caller, capsys):
+    assert run("http://127.0.0.1:1", "--caller", caller) == 1
+    assert "workspace:tier:key" in capsys.readouterr().err
