Keep a fresh target at one request for a declared warm-up

A cold engine shows how much it bears only by collapsing, so that the learnt limit may be one too high for a moment. Operators who know the time declare it; the default leaves the limit to what is measured.

--- a/almondglade/coordinator/core.py
+++ b/almondglade/coordinator/core.py
@@ -103,6 +103,7 @@
                 self.targets_by_id[name] = record
             record.limit.maximum = target.max_concurrent
             record.limit.token_gap = service.token_gap
+            record.limit.warm_up = service.warm_up
             record.run_limit = service.limits.total
             was_serving = record.serving
             record.serving = declarations.takes_new_work(name)
--- a/almondglade/coordinator/limits.py
+++ b/almondglade/coordinator/limits.py
@@ -32,6 +32,7 @@
         self.limit = COLD_LIMIT
         self.baseline = 0.0
         self.token_gap: float | None = None
+        self.warm_up = 0.0
 
     def pace(self, running):
         """Return the expected seconds per token at a concurrency; 0 if unknown."""
--- a/almondglade/declarations/models.py
+++ b/almondglade/declarations/models.py
@@ -7,6 +7,7 @@
     BaseModel,
     ConfigDict,
     Field,
+    NonNegativeFloat,
     PositiveFloat,
     PositiveInt,
     StringConstraints,
@@ -96,6 +97,9 @@
     token_gap : float or None
         Goal for the seconds between tokens; a target's limit stays below the
         concurrency that would miss it.
+    warm_up : float
+        Seconds after its start, or after a failure, in which a target's limit
+        stays at one.
     """
 
     kind: Name
@@ -103,6 +107,7 @@
     limits: TimeLimits = TimeLimits()
     max_wait: PositiveFloat = 10.0
     token_gap: PositiveFloat | None = None
+    warm_up: NonNegativeFloat = 0.0
     max_body_bytes: PositiveInt = MAX_BODY_BYTES
     queue_length: PositiveInt = 256
     routes: list[Route] = []
--- a/almondgladeplug/limits.py
+++ b/almondgladeplug/limits.py
@@ -68,7 +68,7 @@
         self._curve = PaceCurve()
         self._slow_runs = 0
         self._hold_seconds = MIN_HOLD_SECONDS
-        self._held_until = 0.0
+        self._held_until = self.clock() + self.warm_up
         self._settled = 0
         self._probing_up = True
         self._window = PaceWindow(self.clock())
--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -138,6 +138,7 @@
     warm_load: float = 0.0
     warm_pause: float = 3.0
     resends: int = 0
+    warm_up: float = 0.0
 
     @property
     def capacity(self):
@@ -196,6 +197,7 @@
                     "kind": "engine",
                     "models": ["script-7b"],
                     "max_wait": self.max_wait,
+                    "warm_up": self.warm_up,
                 }
             },
         }
@@ -234,6 +236,7 @@
             {"gold": 0.3, "basic": 0.9},
             tuple(replace(engine, cold_seconds=5.0) for engine in EQUAL),
             change="restart",
+            warm_up=5.0,
         ),
         Scenario(
             "resends",
--- a/test/test_limits.py
+++ b/test/test_limits.py
@@ -109,3 +109,14 @@
     assert limit.current == 1
     limit.observe_epoch(epoch)
     assert limit.current == (settled if epoch == "1" else 1)
+
+
+def test_a_declared_warm_up_keeps_a_fresh_target_at_one():
+    engine, limit, rng = learnt(warm_up=5.0)
+    assert limit.current > 1
+    limit.observe_epoch("1")
+    limit.observe_epoch("2")
+    # What still runs is the old process's, which has ended.
+    engine.batch.clear()
+    assert {limit.current for _ in drive(engine, limit, rng, 4.0)} == {1}
+    assert max(limit.current for _ in drive(engine, limit, rng, 10.0)) > 1
