--- a/almondglade/coordinator/pace.py
+++ b/almondglade/coordinator/pace.py
@@ -23,7 +23,7 @@
     """
     sizes, seconds = np.asarray(sizes, float), np.asarray(seconds, float)
     mean = sizes.mean()
-    ratio = seconds.mean() / mean if mean > 0 else 0.0
+    ratio = float(seconds.mean() / mean) if mean > 0 else 0.0
     spread = sizes - mean
     if len(sizes) < MIN_RUNS_OF_SLOPE or sizes.std() < MIN_SPREAD * mean:
         return ratio
--- a/almondglade/declarations/models.py
+++ b/almondglade/declarations/models.py
@@ -94,6 +94,8 @@
 
     Parameters
     ----------
+    report_lag : float
+        Greatest age of a target's load report, seconds.
     token_gap : float or None
         Goal for the seconds between tokens; a target's limit stays below the
         concurrency that would miss it.
@@ -111,6 +113,7 @@
     max_body_bytes: PositiveInt = MAX_BODY_BYTES
     queue_length: PositiveInt = 256
     routes: list[Route] = []
+    report_lag: PositiveFloat = 1.0
 
 
 class Target(_Model):
