--- a/almondglade/coordinator/limits.py
+++ b/almondglade/coordinator/limits.py
@@ -32,6 +32,7 @@
         self.limit = COLD_LIMIT
         self.baseline = 0.0
         self.token_gap: float | None = None
+        self.warm_up = 0.0
 
     def pace(self, running):
         """Return the expected seconds per token at a concurrency; 0 if unknown."""
@@ -72,6 +73,14 @@
             self.chill()
         return restarted
 
+    def rest(self):
+        """Become cold until a report shows that the process is the same.
+
+        A target that returns to service may have been restarted meanwhile. The
+        base forgets what it has learnt.
+        """
+        self.chill()
+
     def chill(self):
         """Fall back to the limit of a cold target."""
         self.limit = COLD_LIMIT
--- a/almondglade/coordinator/shedding.py
+++ b/almondglade/coordinator/shedding.py
@@ -5,11 +5,13 @@
 from ..messages import Preemption, Refusal, RefusalReason
 from .queues import Waiting
 
-# After a shed, one more tier is admitted again after each such time without.
+# Lower tiers are granted again after such a time without a shed.
 RECOVERY_SECONDS = 1.0
 # A run is cancelled for a waiting demand of a higher tier this long before the
 # demand's deadline, or at half its wait if that is later.
 PREEMPT_LEAD_SECONDS = 1.0
+# Demands remembered as helped before those that have gone are dropped.
+MAX_HELPED = 1024
 
 
 class AdmissionLevel:
@@ -23,29 +25,28 @@
 
     def __init__(self, clock):
         self.clock = clock
-        self._shed_tier = math.inf
-        self._shed_at = -math.inf
+        self._shed_at_by_tier: dict[int, float] = {}
 
     @property
     def lowest(self):
         """Highest tier number that is granted now; infinite when all are."""
-        if self._shed_tier == math.inf:
-            return math.inf
-        quiet = self.clock() - self._shed_at
-        if quiet < RECOVERY_SECONDS:
-            return self._shed_tier
-        return self._shed_tier + int(quiet / RECOVERY_SECONDS)
+        since = self.clock() - RECOVERY_SECONDS
+        return min(
+            (
+                tier
+                for tier, shed_at in self._shed_at_by_tier.items()
+                if shed_at > since
+            ),
+            default=math.inf,
+        )
 
     def shed(self, tier):
         """Note that a demand was shed; no lower tier is granted for a time.
 
-        A shed of a tier that is held back already changes nothing: it would
-        hold that tier back for as long as its callers keep coming.
+        Each tier has its own time: the shedding of a tier that is not granted
+        must not prolong the time of those above it.
         """
-        if tier > self.lowest:
-            return
-        self._shed_tier = tier
-        self._shed_at = self.clock()
+        self._shed_at_by_tier[tier] = self.clock()
 
 
 def remind_at(waiting):
@@ -90,14 +91,24 @@
 
     def __init__(self, pool):
         self.pool = pool
+        self._helped: set[str] = set()
 
     def cancel_lower(self, demand):
-        """Cancel one run of a lower tier for a demand, unless one was before."""
+        """Cancel one run of a lower tier for a demand, unless one was before.
+
+        Returns
+        -------
+        bool
+            True while a cancelled run makes room.
+        """
         if demand.request_id in self.pool.preempting.values():
             return True
+        if demand.request_id in self._helped:
+            return False
         run = run_to_cancel(self.pool.targets_by_id.values(), demand.tier)
         if run is None:
             return False
+        self._note_helped(demand)
         run.preempted = True
         self.pool.preempting[run.demand.request_id] = demand.request_id
         waiting = Waiting(run.entry, run.demand, self.pool.clock(), self.pool.clock())
@@ -106,6 +117,11 @@
         )
         return True
 
+    def _note_helped(self, demand):
+        if len(self._helped) >= MAX_HELPED:
+            self._helped &= self.pool.room.by_request.keys()
+        self._helped.add(demand.request_id)
+
     def shed(self, waiting):
         """Give a demand up; no lower tier is granted for a time."""
         self.pool.level.shed(waiting.demand.tier)
