Read targets' answers with fewer layers and system calls

Cause: each token passed urllib3's response (decoding, caching, an error context) and a poll before each read and write, since a socket with a time limit polls first. The answer is now read from the library below, the deadline thread bounds the gaps, and the kernel bounds a write to a caller (SO_SNDTIMEO).

The limit between bytes now counts only while the target is waited for, not while the caller is slow to read; a test holds a caller for three limits.

--- a/almondglade/dispatch/call.py
+++ b/almondglade/dispatch/call.py
@@ -4,11 +4,11 @@
 import threading
 import time
 from dataclasses import dataclass
-from http.client import HTTPException
+from http.client import HTTPException, IncompleteRead
 from typing import Any
 
 import urllib3
-from urllib3.exceptions import HTTPError, ReadTimeoutError
+from urllib3.exceptions import HTTPError
 from urllib3.util import SKIP_HEADER
 
 from ..deadlines import Deadlines
@@ -98,13 +98,15 @@
         self._expired = False
         self._ended = False
         self._reusable = True
-        self._streaming = False
+        # A gap counts only while this side waits, not while its caller does.
+        self._waiting_since: float | None = None
         self._lock = threading.Lock()
         self._connection: Any = None
         # Kept apart: the connection forgets it when the target will close it.
         self._socket: Any = None
         self._response: Any = None
         self._deadline: Any = None
+        self._gap_deadline: Any = None
 
     def open(self):
         """Send the request and return the head of the answer.
@@ -137,16 +139,20 @@
         BrokenCallError, CallTimeoutError, CallCancelledError
             If the answer is not whole.
         """
+        response = self._response
+        self._waiting_since = self.clock()
         try:
-            chunk = self._response.read1(READ_BYTES, decode_content=False)
+            chunk = response.read1(READ_BYTES)
+            if not chunk and response.length:
+                raise IncompleteRead(b"", response.length)
         except READ_ERRORS as error:
             self.close()
             raise self._translate(error) from error
-        if self._response.closed:
+        if not chunk or response.length == 0:
             self._complete()
-        elif not self._streaming:
-            self._streaming = True
-            self._socket.settimeout(self.limits.between_bytes)
+        elif self._gap_deadline is None:
+            self._watch_gaps()
+        self._waiting_since = None
         return chunk
 
     def cancel(self):
@@ -182,10 +188,11 @@
     def _begin(self):
         self.attempt.begin()
         self.started = self.clock()
-        limit = min(self.limits.first_byte, self.limits.total)
-        self._socket.settimeout(limit)
-        self._connection.timeout = limit
-        self._set_deadline(limit)
+        # The deadlines cut the socket; a time limit of its own would cost one
+        # more system call for each read.
+        self._socket.settimeout(None)
+        self._connection.timeout = None
+        self._set_deadline(min(self.limits.first_byte, self.limits.total))
 
     def _send(self):
         request = self.request
@@ -209,15 +216,33 @@
             self._reusable = False
 
     def _receive_head(self):
-        response = self._connection.getresponse()
+        response = self._connection.read_head()
         check_framing(response, self.request.method)
         with self._lock:
             if self.cancelled or self._expired:
                 raise OSError("the connection was shut down")
+        # The deadline stays: the first byte of the body, too, may take no
+        # longer than the service says, and may take as long.
         self._response = response
+        return AnswerHead(response.status, tuple(response.headers.items()))
+
+    def _watch_gaps(self):
+        """From the first byte of the body on, bound each gap and the total."""
+        self._waiting_since = None
         self._deadline.cancel()
         self._set_deadline(self.limits.total)
-        return AnswerHead(response.status, tuple(response.headers.iteritems()))
+        self._check_gap()
+
+    def _check_gap(self):
+        """Cut a call that is silent for too long; else look again later."""
+        limit = self.limits.between_bytes
+        now = self.clock()
+        since = self._waiting_since
+        if since is not None and now - since >= limit:
+            self._expire()
+        elif not self._ended:
+            due = (now if since is None else since) + limit
+            self._gap_deadline = self.deadlines.call_at(due, self._check_gap)
 
     def _set_deadline(self, seconds):
         self._deadline = self.deadlines.call_at(self.started + seconds, self._expire)
@@ -232,6 +257,7 @@
         """Give the connection back, unless this side cut it short."""
         if not self._end():
             return
+        self._response.close()
         self.whole = not self.cancelled and not self._expired
         if self.whole and self._reusable and self._connection.sock is not None:
             self.pool.put(self._connection)
@@ -244,14 +270,15 @@
         """Make sure that nothing touches the socket from now on."""
         with self._lock:
             first, self._ended = not self._ended, True
-        if self._deadline is not None:
-            self._deadline.cancel()
+        for deadline in (self._deadline, self._gap_deadline):
+            if deadline is not None:
+                deadline.cancel()
         return first
 
     def _translate(self, error):
         if self.cancelled:
             return CallCancelledError("the call was cancelled")
-        if self._expired or isinstance(error, ReadTimeoutError | TimeoutError):
+        if self._expired:
             return CallTimeoutError("the target was silent or busy for too long")
         return BrokenCallError(f"the connection to the target failed: {error}")
 
@@ -266,8 +293,8 @@
     """
     if response.status not in FINAL_STATUSES:
         raise HTTPException(f"the answer has the status {response.status}")
-    codings = response.headers.getlist("transfer-encoding")
-    lengths = set(response.headers.getlist("content-length"))
+    codings = response.headers.get_all("transfer-encoding", [])
+    lengths = set(response.headers.get_all("content-length", []))
     if method == "HEAD":
         return
     if codings and (lengths or [c.lower() for c in codings] != ["chunked"]):
--- a/almondglade/dispatch/connections.py
+++ b/almondglade/dispatch/connections.py
@@ -109,6 +109,14 @@
     opened = 0.0
     released = 0.0
 
+    def read_head(self):
+        """Return the answer without urllib3's wrapping.
+
+        The wrapping decodes and caches; here each chunk passes unchanged, and
+        its layers would cost as much as the rest of the relay.
+        """
+        return http.client.HTTPConnection.getresponse(self)
+
 
 class TargetPool:
     """Connections to one target, the most recently used first.
--- a/almondglade/httpserver/gate.py
+++ b/almondglade/httpserver/gate.py
@@ -8,6 +8,7 @@
 import re
 import resource
 import socket
+import struct
 import time
 
 from cheroot import server, wsgi
@@ -24,8 +25,12 @@
 IDLE_SECONDS = 60
 # A request's head, and the gated part of its body, must arrive within this.
 HEAD_SECONDS = 10.0
-# One read or write may wait this long for the caller.
-SOCKET_TIMEOUT_SECONDS = 10.0
+# One read may wait this long for the caller.
+READ_SECONDS = 10.0
+# One write may wait this long for a caller that does not read. The kernel
+# bounds it, which saves a system call for each write.
+WRITE_SECONDS = 10
+SEND_TIMEOUT = struct.pack("ll", WRITE_SECONDS, 0)
 # The part of a body that must have arrived before a thread is used.
 GATED_BODY_BYTES = 32 << 10
 MAX_CONNECTIONS = 2048
@@ -68,6 +73,7 @@
 
     def __init__(self, server, sock, makefile=MakeFile):
         set_options(sock)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, SEND_TIMEOUT)
         super().__init__(server, sock, makefile)
         self.late = False
         self._wanted = 0
@@ -97,7 +103,7 @@
             self._deadline = None
         if self._wanted:
             self._set_wanted(0)
-        self.socket.settimeout(SOCKET_TIMEOUT_SECONDS)
+        self.socket.settimeout(READ_SECONDS)
 
     def communicate(self):
         """Serve one request; a late one is answered and closed."""
--- a/almondglade/httpserver/strict.py
+++ b/almondglade/httpserver/strict.py
@@ -178,6 +178,8 @@
         """Send the head; close afterwards if a body was left unread."""
         if self._has_unread_body():
             self.close_connection = True
+        # Nothing is read any more; writes are bounded by `SEND_TIMEOUT`.
+        self.conn.socket.settimeout(None)
         super().send_headers()
 
     def simple_response(self, status, msg=""):
--- a/almondgladeplug/kinds.py
+++ b/almondgladeplug/kinds.py
@@ -15,6 +15,8 @@
 MAX_OUTPUT_TOKENS = 1_000_000
 MAX_CHOICES = 128
 MAX_EVENT_BYTES = 1 << 16
+EVENT_START = b"data: {"
+USAGE = b'"usage"'
 
 
 def parse_gauges(text):
@@ -101,16 +103,19 @@
 
     def feed(self, chunk):
         """Take in the next bytes of the answer."""
+        if not self._tail and chunk[-2:] == b"\n\n" and USAGE not in chunk:
+            self.usage.output_tokens += chunk.count(EVENT_START)
+            return
         *lines, self._tail = (self._tail + chunk).split(b"\n")
         self._tail = self._tail[-MAX_EVENT_BYTES:]
         for line in itertools.chain(lines, [self._tail]):
             self._read(line)
 
     def _read(self, line):
-        if line.startswith(b"data: {"):
+        if line.startswith(EVENT_START):
             self.usage.output_tokens += line is not self._tail
             line = line[len(b"data: ") :]
-        if b'"usage"' not in line or not line.endswith(b"}"):
+        if USAGE not in line or not line.endswith(b"}"):
             return
         try:
             reported = orjson.loads(line).get("usage") or {}
--- a/test/support/entries.py
+++ b/test/support/entries.py
@@ -18,6 +18,8 @@
 from bench.fleet import sample_declarations
 
 TIMEOUT_SECONDS = 20.0
+# Beyond this an answer is not parsed until its connection ends.
+LARGE_BYTES = 1 << 20
 
 
 @dataclass
@@ -165,7 +167,7 @@
     """Return what arrives until the connection ends or its answer does."""
     data = bytearray()
     with contextlib.suppress(ConnectionError):
-        while not parse_answer(bytes(data)).whole:
+        while len(data) > LARGE_BYTES or not parse_answer(bytes(data)).whole:
             piece = sock.recv(65536)
             if not piece:
                 break
--- a/test/test_entry.py
+++ b/test/test_entry.py
@@ -175,6 +175,18 @@
         gates[name].release(8)
 
 
+def test_a_caller_that_reads_late_still_gets_all():
+    """The limit between bytes is the target's, not the caller's."""
+    body = bytes(8 << 20)
+    with FakeTarget(lambda _: answer_with(body)) as target:
+        with Entry({"b1": target.url}, {"between_bytes": 0.3}) as entry:
+            lines = ["Connection: close"]
+            with entry.send("GET", "/bookings/", headers=lines) as sock:
+                time.sleep(1.0)
+                answer = read_answer(sock)
+    assert answer.whole and answer.body == body
+
+
 def test_lists_the_models_and_counts_what_streams_use():
     usage = {"prompt_tokens": 7, "completion_tokens": 3}
     events = b"data: {}\n\n" * 2 + b'data: {"usage":%b}\n\n' % orjson.dumps(usage)
