Write a request, and a head with its first piece, in one call

A request went out in two writes, and so did an answer; each is a system call, a wake-up at the other side and a turn for the interpreter's lock. The request is now composed before the mark, so that a fault in composing it is truly 'not run'.

--- a/almondglade/dispatch/call.py
+++ b/almondglade/dispatch/call.py
@@ -122,8 +122,9 @@
         """
         try:
             self._connect()
+            self._compose()
             self._begin()
-            self._send()
+            self._write()
             return self._receive_head()
         except READ_ERRORS as error:
             raise self._translate(error) from error
@@ -182,19 +183,20 @@
         with self._lock:
             self._connection = connection
             self._socket = connection.sock
+            # The deadlines cut the socket; a time limit of its own would cost
+            # one more system call for each read.
+            connection.timeout = None
+            connection.sock.settimeout(None)
             if self.cancelled:
                 raise PermitExpiredError("the call was cancelled before it was sent")
 
     def _begin(self):
         self.attempt.begin()
         self.started = self.clock()
-        # The deadlines cut the socket; a time limit of its own would cost one
-        # more system call for each read.
-        self._socket.settimeout(None)
-        self._connection.timeout = None
         self._set_deadline(min(self.limits.first_byte, self.limits.total))
 
-    def _send(self):
+    def _compose(self):
+        """Prepare the bytes; nothing is written yet."""
         request = self.request
         headers = urllib3.HTTPHeaderDict({"User-Agent": SKIP_HEADER})
         for name, value in request.headers:
@@ -202,15 +204,18 @@
                 headers[name] = value
             else:
                 headers.add(name, value)
+        self._connection.request(
+            request.method,
+            self.pool.prefix + request.target_path,
+            body=request.body or None,
+            headers=headers,
+            preload_content=False,
+            decode_content=False,
+        )
+
+    def _write(self):
         try:
-            self._connection.request(
-                request.method,
-                self.pool.prefix + request.target_path,
-                body=request.body or None,
-                headers=headers,
-                preload_content=False,
-                decode_content=False,
-            )
+            self._connection.flush()
         except (BrokenPipeError, ConnectionResetError):
             # The target may have answered before it read all of the body.
             self._reusable = False
@@ -276,6 +281,8 @@
         return first
 
     def _translate(self, error):
+        if not self.attempt.dispatched:
+            return NotSentError(f"the request cannot be sent: {error}")
         if self.cancelled:
             return CallCancelledError("the call was cancelled")
         if self._expired:
--- a/almondglade/dispatch/connections.py
+++ b/almondglade/dispatch/connections.py
@@ -109,6 +109,20 @@
     opened = 0.0
     released = 0.0
 
+    def __init__(self, *args, **options):
+        super().__init__(*args, **options)
+        self._outgoing = []
+
+    def send(self, data):
+        """Keep a part of the request until `flush`."""
+        self._outgoing.append(data)
+
+    def flush(self):
+        """Write the whole request at once."""
+        request = b"".join(self._outgoing)
+        self._outgoing.clear()
+        self.sock.sendall(request)
+
     def read_head(self):
         """Return the answer without urllib3's wrapping.
 
--- a/almondglade/httpserver/strict.py
+++ b/almondglade/httpserver/strict.py
@@ -1,5 +1,6 @@
 """Read requests strictly and write answers with few copies."""
 
+import io
 import re
 import socket
 import struct
@@ -104,6 +105,7 @@
         super().__init__(server, conn, proxy_mode, strict_mode)
         self.header_reader = StrictHeaderReader()
         self.handed_over = False
+        self._head = b""
 
     @property
     def pairs(self):
@@ -172,15 +174,29 @@
         """Send a piece of the body at once."""
         if self.chunked_write and chunk:
             chunk = b"%x\r\n%b\r\n" % (len(chunk), chunk)
-        self.conn.socket.sendall(chunk)
+        head, self._head = self._head, b""
+        self.conn.socket.sendall(head + chunk if head else chunk)
 
     def send_headers(self):
-        """Send the head; close afterwards if a body was left unread."""
+        """Prepare the head; it leaves with the first piece of the body.
+
+        The connection is closed afterwards if a body was left unread.
+        """
         if self._has_unread_body():
             self.close_connection = True
         # Nothing is read any more; writes are bounded by `SEND_TIMEOUT`.
         self.conn.socket.settimeout(None)
-        super().send_headers()
+        wfile, self.conn.wfile = self.conn.wfile, io.BytesIO()
+        try:
+            super().send_headers()
+            self._head = self.conn.wfile.getvalue()
+        finally:
+            self.conn.wfile = wfile
+
+    def flush_head(self):
+        """Send the head if no piece of a body took it along."""
+        if self._head:
+            self.write(b"")
 
     def simple_response(self, status, msg=""):
         """Answer with the documented JSON error and close."""
@@ -247,5 +263,10 @@
         """Return the WSGI environment with the request."""
         return super().get_environ() | {REQUEST_KEY: self.req}
 
+    def respond(self):
+        """Answer the request."""
+        super().respond()
+        self.req.flush_head()
+
 
 REQUEST_KEY = "almondglade.request"
