Carry draws over a change of the coordinator and divide plans by side

Each side of a partition gives out the part of the plan that its entries are of the published ones. A changed plan changes rate, burst and kind of the bucket at the next request.

--- a/almondglade/coordinator/budgets.py
+++ b/almondglade/coordinator/budgets.py
@@ -121,38 +121,46 @@
         account.accepted = max(0, account.accepted - 1)
         self._draw(account, (used if ran else 0) - reserved, 0 if ran else -1)
 
-    def charge(self, workspace, allowance, tokens, requests):
+    def charge(self, workspace, allowance, fraction, tokens, requests):
         """Count a draw that another coordinator allowed."""
-        self._draw(self._account(workspace, allowance, 1.0), tokens, requests)
+        account = self._account(workspace, allowance, fraction)
+        # A carried draw fades late, so it empties the bucket at most.
+        for bucket, units in ((account.tokens, tokens), (account.requests, requests)):
+            if bucket is not None:
+                bucket.draw(min(units, max(0.0, bucket.refill())))
 
-    def hold(self, workspace, allowance):
+    def hold(self, workspace, allowance, fraction):
         """Count a request in progress that another coordinator admitted."""
-        self._account(workspace, allowance, 1.0).accepted += 1
+        self._account(workspace, allowance, fraction).accepted += 1
 
     def _account(self, workspace, allowance, fraction):
         account = self.by_workspace.get(workspace)
         if account is None:
-            account = Account(
-                allowance.concurrent,
-                0,
-                self._bucket(allowance.tokens_per_minute, allowance),
-                self._bucket(allowance.requests_per_minute, allowance),
-            )
+            account = Account(allowance.concurrent, 0, None, None)
             self.by_workspace[workspace] = account
         account.concurrent = allowance.concurrent
-        for bucket, per_minute in (
-            (account.tokens, allowance.tokens_per_minute),
-            (account.requests, allowance.requests_per_minute),
-        ):
-            if bucket is not None and per_minute is not None:
-                bucket.rate = per_minute / SECONDS_PER_MINUTE * fraction
+        burst = allowance.burst_seconds
+        account.tokens = self._bucket(
+            account.tokens, allowance.tokens_per_minute, burst, fraction
+        )
+        account.requests = self._bucket(
+            account.requests, allowance.requests_per_minute, burst, fraction
+        )
         return account
 
-    def _bucket(self, per_minute, allowance):
+    def _bucket(self, bucket, per_minute, burst_seconds, fraction):
+        """Return a bucket of a rate, going on from the present one."""
         if per_minute is None:
             return None
-        rate = per_minute / SECONDS_PER_MINUTE
-        return TokenBucket(rate, max(1.0, rate * allowance.burst_seconds), self.clock)
+        rate = per_minute / SECONDS_PER_MINUTE * fraction
+        capacity = max(1.0, rate * burst_seconds)
+        if bucket is None:
+            return TokenBucket(rate, capacity, self.clock)
+        if (bucket.rate, bucket.capacity) != (rate, capacity):
+            bucket.refill()
+            bucket.rate, bucket.capacity = rate, capacity
+            bucket.level = min(bucket.level, capacity)
+        return bucket
 
     @staticmethod
     def _draw(account, tokens, requests):
--- a/almondglade/coordinator/core.py
+++ b/almondglade/coordinator/core.py
@@ -119,7 +119,9 @@
             return Refusal(
                 demand.request_id, RefusalReason.NO_TARGET, NO_TARGET_RETRY_SECONDS
             )
-        wait = self.budgets.admit(demand.workspace, allowance, demand.tokens)
+        wait = self.budgets.admit(
+            demand.workspace, allowance, demand.tokens, self.fraction
+        )
         if wait is not None:
             return Refusal(demand.request_id, RefusalReason.PLAN_LIMIT, wait)
         return None
--- a/almondglade/coordinator/pool.py
+++ b/almondglade/coordinator/pool.py
@@ -130,6 +130,11 @@
         targets = tuple(record.state for record in self.targets_by_id.values())
         return PoolState(self.pool, targets, self.suspects.carried())
 
+    @property
+    def fraction(self):
+        """Part of the plans that this coordinator may give out, 0 to 1."""
+        return min(1.0, max(1, len(self.leases.by_entry)) / self.published)
+
     def allowed(self, record):
         """Return how many permits this coordinator may grant at a target."""
         return record.foreign.allowance(
--- a/almondglade/coordinator/takeover.py
+++ b/almondglade/coordinator/takeover.py
@@ -31,7 +31,11 @@
         for spend in join.spends:
             if (allowance := self.pool.allowance(spend.workspace)) is not None:
                 self.pool.budgets.charge(
-                    spend.workspace, allowance, spend.tokens, spend.requests
+                    spend.workspace,
+                    allowance,
+                    self.pool.fraction,
+                    spend.tokens,
+                    spend.requests,
                 )
 
     def _carry(self, entry, carried):
@@ -57,7 +61,7 @@
             ),
         )
         if (allowance := self.pool.allowance(demand.workspace)) is not None:
-            self.pool.budgets.hold(demand.workspace, allowance)
+            self.pool.budgets.hold(demand.workspace, allowance, self.pool.fraction)
 
     def leave(self, entry):
         """Drop an entry; what it has running stays counted for now."""
--- a/almondglade/permits.py
+++ b/almondglade/permits.py
@@ -8,6 +8,7 @@
 from .log import get_logger
 from .outcome import Code, Outcome, RequestError
 from .poolclient import Permit, PoolClient
+from .spends import SpendLedger
 
 log = get_logger("permits")
 
@@ -110,7 +111,9 @@
     def join_all(self, pools):
         """Join the best reachable coordinator of every pool."""
         for pool in pools:
-            client = self.by_pool.setdefault(pool, PoolClient(pool))
+            client = self.by_pool.setdefault(
+                pool, PoolClient(pool, SpendLedger(self.clock))
+            )
             self._choose(client)
         for pool in self.by_pool.keys() - set(pools):
             client = self.by_pool.pop(pool)
@@ -181,6 +184,7 @@
         if client is None:
             return
         client.permits_by_request.pop(permit.demand.request_id, None)
+        client.settle(permit.demand, completion)
         self._send(client, completion)
 
     def _granted(self, grant):
@@ -197,6 +201,7 @@
             )
             return
         demand, future = pending
+        client.spends.add(demand.workspace, demand.tokens, 1)
         permit = Permit(demand, grant, self.clock())
         client.permits_by_request[demand.request_id] = permit
         future.set_result(permit)
@@ -261,7 +266,8 @@
                     for p in client.permits_by_request.values()
                 ),
                 tuple(client.states_by_target.values()),
-                suspects=client.suspects,
+                client.spends.carried(),
+                client.suspects,
             ),
         )
         for demand, _ in list(client.pending_by_request.values()):
--- a/almondglade/poolclient.py
+++ b/almondglade/poolclient.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 from . import messages as m
+from .spends import SpendLedger
 
 
 @dataclass
@@ -31,6 +32,7 @@
     """
 
     pool: str
+    spends: SpendLedger
     coordinator: str = ""
     joined: bool = False
     left_at: float | None = None
@@ -46,3 +48,11 @@
         towards another's share.
         """
         return grant.term.partition("/")[0] == self.coordinator
+
+    def settle(self, demand, completion):
+        """Replace the estimated draw of a permit by what its run used."""
+        if completion.result in (m.Result.UNUSED, m.Result.REFUSED):
+            self.spends.add(demand.workspace, -demand.tokens, -1)
+            return
+        used = completion.input_tokens + completion.output_tokens
+        self.spends.add(demand.workspace, used - demand.tokens, 0)
