--- a/almondglade/peers/calls.py
+++ b/almondglade/peers/calls.py
@@ -79,7 +79,7 @@
     def names(self):
         """Return the other instances that are listed or connected."""
         listed = dict(self.membership.by_name)
-        names = {*listed, *self.service.outbox_by_entry.copy()}
+        names = {*listed, *self.service.exchange_by_entry.copy()}
         names.update(n for n, link in self.links.by_peer.copy().items() if link.up)
         known = listed.get(self.own.name, self.own)
         if (known.address, known.port) == (self.own.address, self.own.port):
@@ -164,7 +164,9 @@
         try:
             await asyncio.wait_for(channel.__connect__(), CONNECT_SECONDS)
             call = getattr(PeersStub(channel), method)
-            return await call(message, timeout=seconds, metadata=self.links.metadata())
+            return await call(
+                message, timeout=seconds, metadata=self.links.metadata(name)
+            )
         except LINK_ERRORS as error:
             raise PeerError(f"{name}: {error or error!r}") from error
         finally:
--- a/almondglade/settings.py
+++ b/almondglade/settings.py
@@ -9,6 +9,7 @@
     BaseModel,
     ConfigDict,
     Field,
+    NonNegativeFloat,
     PositiveFloat,
     PositiveInt,
     ValidationError,
@@ -67,13 +68,16 @@
     stop_timeout: PositiveFloat = Field(
         30.0, description="Seconds that a graceful stop may take."
     )
+    stop_notice: NonNegativeFloat = Field(
+        2.0, description="Seconds of it in which new requests are still served."
+    )
     own_key_window: PositiveFloat = Field(
         900.0,
         description="Seconds for which a caller's own idempotency key is protected.",
     )
     list_lag: PositiveFloat = Field(
         60.0,
-        description="Seconds after its start in which an instance may not be listed yet.",
+        description="Seconds after an instance is listed until all can read so.",
     )
     queue_order: str = Field("tiered", description="Plug-in that orders the queue.")
     target_choice: str = Field(
--- a/test/test_budgets.py
+++ b/test/test_budgets.py
@@ -8,7 +8,7 @@
 
 from almondglade.coordinator.budgets import BudgetTable
 from almondglade.declarations.models import Allowance
-from almondglade.spends import FADE_SECONDS, SpendLedger
+from almondglade.spends import SpendLedger
 
 from .coordinating import FakeClock
 
@@ -54,13 +54,11 @@
         return rate * (self.clock() - 100.0 + self.allowance.burst_seconds)
 
 
-CASES = given(st.integers(0, 10**6), st.integers(5, 100), st.floats(1, FADE_SECONDS))
+CASES = given(st.integers(0, 10**6), st.integers(5, 100), st.floats(1, 30))
 
 
 @CASES
-def test_a_plan_is_kept_to_one_request_for_each_coordinator(
-    seed, rate, burst
-):
+def test_a_plan_is_kept_to_one_request_for_each_coordinator(seed, rate, burst):
     draws = Draws(seed, rate, burst)
     coordinators = 1
     for _ in range(STEPS):
