Give each answer headers of its own

Cause: callers saw 'got more than 100 headers' after about 30 keys had been issued: the headers of that route stood in one list for the whole process, to which each answer added its own.

Ruled out: the server's keep-alive and the faults played meanwhile; it came without them too.

Conclusion: constants that are handed out are tuples.

--- a/almondglade/entry/app.py
+++ b/almondglade/entry/app.py
@@ -113,7 +113,7 @@
             response.pairs = [("Content-Type", "application/json")]
             return models_document(services)
         if path == KEYS_PATH:
-            response.pairs = KEYS_HEADERS
+            response.pairs = list(KEYS_HEADERS)
             body = self._bodies.read(http, MAX_KEYS_BODY_BYTES)
             return issue_keys(self.scheduler, caller.workspace, method, body)
         route = find_route(services, method, path)
--- a/almondglade/entry/keys.py
+++ b/almondglade/entry/keys.py
@@ -11,7 +11,7 @@
 MAX_KEYS_BODY_BYTES = 1024
 KEY_HEADER = "idempotency-key"
 KEYS_PATH = "/v1/keys"
-KEYS_HEADERS = [("Content-Type", "application/json"), ("Cache-Control", "no-store")]
+KEYS_HEADERS = (("Content-Type", "application/json"), ("Cache-Control", "no-store"))
 
 
 def issue_keys(keyed, workspace, method, body):
