Count every header of an answer in its test

Ruled out: comparing values, which differ by request id.

Before: passes with and without the mend. After: fails without it (run on the former module), passes with it; 9 tests pass.

Conclusion: the mend is held.

--- a/test/test_path.py
+++ b/test/test_path.py
@@ -65,4 +65,4 @@
 def test_headers_of_one_answer_do_not_gather_in_the_next(fleet):
     answers = [call(fleet, "e1", "POST", "/v1/keys", {"count": 1}) for _ in range(3)]
     assert {answer.status for answer in answers} == {200}
-    assert len({len(answer.headers) for answer in answers}) == 1
+    assert len({len(list(answer.headers.iteritems())) for answer in answers}) == 1
