Keep each answer's request id to itself

Cause: the answer to POST /v1/keys used one list of headers for all callers, and the request id was appended to it, so each later answer carried the ids of all earlier ones and the list grew. The list of an answer is now always its own.

Tests of the age and number of idle connections with a clock of their own, of a caller that does not read, and of the deadlines.

--- a/almondglade/deadlines.py
+++ b/almondglade/deadlines.py
@@ -9,6 +9,13 @@
 import threading
 import time
 
+from .log import get_logger
+
+log = get_logger("deadlines")
+
+# Cancelled deadlines are swept out when this many, or twice the live ones, wait.
+MIN_SWEEP = 256
+
 
 class Deadline:
     """One callback that is due at a time, unless cancelled before."""
@@ -16,6 +23,11 @@
     def __init__(self, callback):
         self._callback = callback
 
+    @property
+    def cancelled(self):
+        """Whether there is nothing left to call."""
+        return self._callback is None
+
     def cancel(self):
         """Forget the callback; a call that has begun is not waited for."""
         self._callback = None
@@ -42,6 +54,10 @@
         self._numbers = itertools.count()
         self._changed = threading.Condition()
         self._thread = None
+        self._sweep_at = MIN_SWEEP
+
+    def __len__(self):
+        return len(self._heap)
 
     def call_at(self, when, callback):
         """Call a callback, which must not block, at a time.
@@ -53,6 +69,8 @@
         """
         deadline = Deadline(callback)
         with self._changed:
+            if len(self._heap) >= self._sweep_at:
+                self._sweep()
             heapq.heappush(self._heap, (when, next(self._numbers), deadline))
             if self._thread is None:
                 self._thread = threading.Thread(target=self._run, daemon=True)
@@ -61,9 +79,18 @@
                 self._changed.notify()
         return deadline
 
+    def _sweep(self):
+        self._heap = [entry for entry in self._heap if not entry[2].cancelled]
+        heapq.heapify(self._heap)
+        self._sweep_at = max(MIN_SWEEP, 2 * len(self._heap))
+
     def _run(self):
         while True:
-            self._take_next().fire()
+            deadline = self._take_next()
+            try:
+                deadline.fire()
+            except Exception:
+                log.exception("a deadline's callback failed")
 
     def _take_next(self):
         with self._changed:
--- a/almondglade/entry/app.py
+++ b/almondglade/entry/app.py
@@ -84,15 +84,19 @@
             request_id = next(self._ids)
             self.active += 1
         response = cherrypy.serving.response
+        http = cherrypy.serving.request.wsgi_environ[REQUEST_KEY]
         try:
-            return self._answer(request_id, response)
+            return self._answer(http, request_id, response)
         except RequestError as error:
             response.refuse(error, request_id)
         except Exception:
             log.exception("a request failed", request=request_id)
             response.refuse(internal_error(), request_id)
         finally:
-            response.pairs.append((REQUEST_ID_HEADER, request_id))
+            response.pairs = [*response.pairs, (REQUEST_ID_HEADER, request_id)]
+            if self.stopping:
+                # The caller's next request must go to another instance.
+                http.close_connection = True
             if not response.stream:
                 self._leave()
         return response.body
@@ -101,8 +105,7 @@
         with self._lock:
             self.active -= 1
 
-    def _answer(self, request_id, response):
-        http = cherrypy.serving.request.wsgi_environ[REQUEST_KEY]
+    def _answer(self, http, request_id, response):
         method = http.method.decode("latin-1")
         with before_lookup(method, header_of(http, KEY_HEADER)):
             self._check_capacity()
--- a/almondglade/presence.py
+++ b/almondglade/presence.py
@@ -4,6 +4,10 @@
 import select
 import threading
 
+from .log import get_logger
+
+log = get_logger("entry")
+
 HANG_UP = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR
 
 
@@ -71,7 +75,14 @@
             for fd, _ in self._epoll.poll():
                 presence = self._take(fd)
                 if presence is not None:
-                    presence.leave()
+                    self._leave(presence)
+
+    @staticmethod
+    def _leave(presence):
+        try:
+            presence.leave()
+        except Exception:
+            log.exception("a request could not be withdrawn")
 
     def _take(self, fd):
         with self._lock:
--- /dev/null
+++ b/test/test_dispatch_connections.py
@@ -0,0 +1,62 @@
+"""Connections are kept for a bounded time; deadlines come when they are due."""
+
+import socket
+import time
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from almondglade.deadlines import MIN_SWEEP, Deadlines
+from almondglade.dispatch.connections import (
+    IDLE_CONNECTIONS,
+    MAX_AGE_SECONDS,
+    MAX_IDLE_SECONDS,
+    TargetPool,
+)
+
+steps = st.lists(st.floats(0.0, 0.4 * MAX_AGE_SECONDS), min_size=1, max_size=20)
+
+
+@given(steps)
+def test_no_connection_is_used_when_old_or_long_idle(pauses):
+    now = [0.0]
+    with socket.create_server(("127.0.0.1", 0), backlog=64) as server:
+        address = server.getsockname()
+        pool = TargetPool(*address, clock=lambda: now[0])
+        for pause in pauses:
+            connection = pool.take()
+            if connection is not None:
+                assert now[0] - connection.opened <= MAX_AGE_SECONDS
+                assert now[0] - connection.released <= MAX_IDLE_SECONDS
+            pool.put(connection or pool.connect(1.0))
+            now[0] += pause
+        pool.close()
+        assert pool.take() is None
+
+
+def test_the_idle_connections_are_bounded_and_end_with_their_pool():
+    with socket.create_server(("127.0.0.1", 0), backlog=256) as server:
+        pool = TargetPool(*server.getsockname())
+        used = [pool.connect(1.0) for _ in range(IDLE_CONNECTIONS + 9)]
+        for connection in used:
+            pool.put(connection)
+        assert sum(c.sock is not None for c in used) == IDLE_CONNECTIONS
+        late = pool.connect(1.0)
+        pool.close()
+        pool.put(late)
+        assert not any(c.sock for c in (*used, late))
+
+
+def test_deadlines_come_in_order_and_leave_nothing_behind():
+    deadlines = Deadlines()
+    fired = []
+    start = time.monotonic()
+    for number in (3, 1, 2):
+        deadlines.call_at(start + number * 0.02, lambda n=number: fired.append(n))
+    deadlines.call_at(start, lambda: 1 / 0)
+    for _ in range(20 * MIN_SWEEP):
+        deadlines.call_at(start + 3600, lambda: fired.append(0)).cancel()
+    while len(fired) < 3 and time.monotonic() < start + 5:
+        time.sleep(0.01)
+    assert fired == [1, 2, 3]
+    assert len(deadlines) <= MIN_SWEEP
--- a/test/test_entry.py
+++ b/test/test_entry.py
@@ -1,6 +1,7 @@
 """Callers receive whole answers, their own, as the target sent them."""
 
 import socket
+import struct
 import threading
 import time
 
@@ -9,6 +10,10 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from almondglade import messages as m
+from almondglade.entry import app
+from almondglade.httpserver import gate
+
 from .support.entries import Entry, join_chunks, read_all, read_answer, request_bytes
 from .support.targets import Cut, FakeTarget, answer_with
 
@@ -187,6 +192,33 @@
     assert answer.whole and answer.body == body
 
 
+def test_each_answer_carries_its_own_id_only(monkeypatch):
+    monkeypatch.setattr(app, "issue_keys", lambda *_: b"{}")
+    with Entry({}) as entry:
+        for path in ["/v1/keys", "/v1/models", "/nothing"] * 3:
+            answer = entry.call("GET", path)
+            assert answer.raw_head.lower().count(b"x-request-id") == 1
+
+
+def test_a_caller_that_does_not_read_is_cut(monkeypatch):
+    monkeypatch.setattr(gate, "SEND_TIMEOUT", struct.pack("ll", 0, 300_000))
+    with FakeTarget(lambda _: answer_with(bytes(16 << 20))) as target:
+        with Entry({"b1": target.url}) as entry, entry.send("GET", "/bookings/"):
+            for _ in range(500):
+                if entry.broker.released:
+                    break
+                time.sleep(0.01)
+            assert entry.broker.released[0].result is m.Result.CANCELLED
+
+
+def test_a_stopping_instance_refuses_and_closes():
+    with Entry({}) as entry:
+        entry.app.stopping = True
+        answer = entry.call("GET", "/v1/models")
+    assert answer.error["code"] == "stopping" and answer.outcome == "not-run"
+    assert answer.headers["connection"] == "close"
+
+
 def test_lists_the_models_and_counts_what_streams_use():
     usage = {"prompt_tokens": 7, "completion_tokens": 3}
     events = b"data: {}\n\n" * 2 + b'data: {"usage":%b}\n\n' % orjson.dumps(usage)
