--- a/almondglade/coordinator/core.py
+++ b/almondglade/coordinator/core.py
@@ -43,11 +43,13 @@
                 self.targets_by_id[name] = record
             record.limit.maximum = target.max_concurrent
             record.limit.token_gap = service.token_gap
+            record.limit.warm_up = service.warm_up
             record.run_limit = service.limits.total
             was_serving = record.serving
             record.serving = declarations.takes_new_work(name)
             if record.serving and not was_serving:
-                self.chill(record)
+                record.limit.rest()
+                record.chilled = True
         for name in self.targets_by_id.keys() - declared.keys():
             self.targets_by_id[name].serving = False
 
@@ -119,7 +121,9 @@
             return Refusal(
                 demand.request_id, RefusalReason.NO_TARGET, NO_TARGET_RETRY_SECONDS
             )
-        wait = self.budgets.admit(demand.workspace, allowance, demand.tokens)
+        wait = self.budgets.admit(
+            demand.workspace, allowance, demand.tokens, self.fraction
+        )
         if wait is not None:
             return Refusal(demand.request_id, RefusalReason.PLAN_LIMIT, wait)
         return None
--- a/test/test_delay.py
+++ b/test/test_delay.py
@@ -4,6 +4,7 @@
 from dataclasses import replace
 
 import numpy as np
+import orjson
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -51,6 +52,13 @@
     assert 0 < seconds <= 2 * MAX_RETRY_SECONDS
 
 
+def test_retry_after_can_be_written_into_an_answer():
+    estimator, targets = make(pace=np.float64(0.01))
+    queue = filled([("a", 0, 500)] * 40)
+    seconds = estimator.retry_after(queue, waiting(9, "a", 0, 9), targets)
+    assert orjson.loads(orjson.dumps(seconds)) == seconds
+
+
 def test_the_delay_is_the_work_ahead_over_the_speed():
     estimator, targets = make(pace=0.01, limit=10)  # 1000 tokens a second
     queue = filled([("a", 0, 500)] * 4 + [("a", 2, 900)] * 50)
