Make a decision cost little at many targets

Each decision worked out the allowance of every target, full or not, twice for each demand; now only of those below their limit, and lost permits and missing reports are looked at only where there are any. The suspects' test found that a full target was no longer reserved for a suspect; it is again.

--- a/almondglade/coordinator/core.py
+++ b/almondglade/coordinator/core.py
@@ -200,6 +200,11 @@
             else:
                 self.shedder.cancel_lower(waiting.demand)
         for record in self.targets_by_id.values():
-            record.foreign.assume_complete(now, self.leases, self.published)
-            for run in record.overdue(now):
-                self.forget(record, run)
+            if record.foreign.proof is None:
+                record.foreign.assume_complete(now, self.leases, self.published)
+            if record.lost_by_request:
+                self._release_overdue(record, now)
+
+    def _release_overdue(self, record, now):
+        for run in record.overdue(now):
+            self.forget(record, run)
--- a/almondglade/coordinator/granting.py
+++ b/almondglade/coordinator/granting.py
@@ -43,14 +43,14 @@
     def _grant_solo(self, allowed):
         if not self.pool.solo.waiting_by_request:
             return
-        records = [
-            self.pool.targets_by_id[name] for name, room in allowed.items() if room
-        ]
+        records = [r for r in self.pool.targets_by_id.values() if r.serving]
         found = self.pool.solo.next(
             records, lambda demand: self.pool.suspects.targets(demand.fingerprint)
         )
-        if found is not None and self.pool.leases.live(found[0].entry):
-            waiting, record = found
+        if found is None:
+            return
+        waiting, record = found
+        if record.name in allowed and self.pool.leases.live(waiting.entry):
             del self.pool.solo.waiting_by_request[waiting.demand.request_id]
             self._grant(waiting, record)
 
@@ -61,14 +61,17 @@
         return {
             name: allowed
             for name, record in self.pool.targets_by_id.items()
-            if record.serving and (allowed := self.pool.allowed(record)) > 0
+            if record.serving
+            and record.running < record.limit.current
+            and (allowed := self.pool.allowed(record)) > record.running
         }
 
     def _candidates(self, demand, allowed):
         candidates = [
-            self._candidate(record, allowed[name])
-            for name, record in self.pool.targets_by_id.items()
-            if name in allowed and not record.solo and record.running < allowed[name]
+            self._candidate(record, limit)
+            for name, limit in allowed.items()
+            if (record := self.pool.targets_by_id[name]).running < limit
+            and not record.solo
         ]
         if not demand.avoid:
             return candidates
--- a/almondglade/coordinator/solo.py
+++ b/almondglade/coordinator/solo.py
@@ -39,8 +39,6 @@
             self._reserve(records, blamed)
         if self.record is None or self.record.running:
             return None
-        if all(record is not self.record for record in records):
-            return None
         waiting = self.waiting_by_request.get(self.record.solo)
         return None if waiting is None else (waiting, self.record)
 
