--- a/almondglade/httpserver/__init__.py
+++ b/almondglade/httpserver/__init__.py
@@ -75,7 +75,7 @@
 
     def end_keep_alive(self):
         """Close each connection after its next answer."""
-        self._server.keep_alive_conn_limit = 0
+        self._server.keeps_alive = False
 
     def stop(self):
         """Stop serving."""
--- a/almondglade/httpserver/gate.py
+++ b/almondglade/httpserver/gate.py
@@ -167,13 +167,19 @@
         files, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
         self.keep_alive_conn_limit = min(MAX_CONNECTIONS, files // 2)
         self.deadlines = Deadlines()
+        self.keeps_alive = True
+
+    @property
+    def can_add_keepalive_connection(self):
+        """Whether a connection stays open after its answer."""
+        return self.keeps_alive and super().can_add_keepalive_connection
 
     def process_conn(self, conn):
         """Serve a connection that has a request; let the others wait."""
         if conn.has_request():
             conn.open_gate()
             super().process_conn(conn)
-        elif self.can_add_keepalive_connection:
+        elif super().can_add_keepalive_connection:
             self.put_conn(conn)
         else:
             conn.close()
--- /dev/null
+++ b/test/test_node.py
@@ -0,0 +1,139 @@
+"""The life of an instance: start, state on a signal, graceful stop."""
+
+import signal
+import threading
+import time
+
+import orjson
+import pytest
+from urllib3.exceptions import HTTPError
+
+from bench.fleet import Fleet, sample_declarations
+from standin.load import LoadRun, Stream, plan
+
+LOAD_SECONDS = 8.0
+BALANCER_SECONDS = 0.5
+STOP_BOUND_SECONDS = 20.0
+
+
+@pytest.fixture
+def fleet(tmp_path):
+    with Fleet(sample_declarations(), tmp_path) as fleet:
+        fleet.start_target("d1", "drafts", "muc-a")
+        fleet.start_target("b1", "bookings", "muc-a")
+        yield fleet
+
+
+def start(fleet, *names, flags=()):
+    for name in names:
+        fleet.start_instance(name, "muc-a", *flags)
+    fleet.list_instances()
+    fleet.await_ready(fleet.publish())
+
+
+def log_of(fleet, name):
+    return (fleet.log_folder / f"{name}.log").read_text()
+
+
+def balance(fleet, urls, over):
+    """Take instances that are not ready off the list, as a balancer does."""
+    while not over.wait(BALANCER_SECONDS):
+        for member in fleet.instances_by_id.values():
+            try:
+                answer = fleet.http.request("GET", member.operator_url + "/readyz")
+                ready = answer.status == 200
+            except (HTTPError, OSError):
+                ready = False
+            if not ready and member.url in urls and len(urls) > 1:
+                urls.remove(member.url)
+
+
+def test_two_instances_stopped_together_under_load_cut_off_no_request(fleet):
+    start(fleet, "e1", "e2", "e3", "e4")
+    streams = [
+        Stream("partner-a", "key-partner-a", 0, 10, "script-7b", max_tokens=60),
+        Stream("partner-b", "key-partner-b", 2, 10, None, "/bookings/slots/1"),
+    ]
+    urls = [member.url for member in fleet.instances_by_id.values()]
+    load, over = LoadRun(urls, plan(streams, LOAD_SECONDS, seed=5)), threading.Event()
+    balancer = threading.Thread(target=balance, args=(fleet, load.urls, over))
+    runner = threading.Thread(target=load.run)
+    balancer.start()
+    runner.start()
+    time.sleep(2.0)
+    for name in ("e1", "e2"):
+        fleet.instances_by_id[name].process.send_signal(signal.SIGTERM)
+    codes = [
+        fleet.instances_by_id[name].process.wait(STOP_BOUND_SECONDS)
+        for name in ("e1", "e2")
+    ]
+    runner.join()
+    over.set()
+    balancer.join()
+    bad = [(s.status, s.code, s.outcome) for s in load.samples if not s.good]
+    assert codes == [0, 0]
+    assert len(load.samples) == len(load.arrivals)
+    assert bad == []
+    booked = sum(fleet.ledger("b1")["runs"].values())
+    assert booked == sum(s.arrival.stream.model is None for s in load.samples)
+
+
+def draft(fleet, name, tokens):
+    body = {"model": "script-7b", "prompt": "a", "max_tokens": tokens, "stream": True}
+    return fleet.http.request(
+        "POST",
+        fleet.instances_by_id[name].url + "/v1/completions",
+        body=orjson.dumps(body),
+        headers={"Authorization": "Bearer key-partner-a"},
+        preload_content=False,
+    )
+
+
+def book(fleet, name):
+    return fleet.http.request(
+        "POST",
+        fleet.instances_by_id[name].url + "/bookings/slots/1",
+        headers={"Authorization": "Bearer key-partner-a"},
+    )
+
+
+def test_a_stop_serves_then_refuses_then_ends_and_shows_its_state(fleet):
+    start(fleet, "e1", flags=("--stop-notice", "1"))
+    member = fleet.instances_by_id["e1"]
+    member.process.send_signal(signal.SIGUSR1)
+    running = draft(fleet, "e1", 600)
+    member.process.send_signal(signal.SIGTERM)
+    time.sleep(0.3)
+    assert fleet.http.request("GET", member.operator_url + "/readyz").status == 503
+    assert book(fleet, "e1").status == 200
+    time.sleep(1.2)
+    refused = book(fleet, "e1")
+    assert refused.status == 503
+    error = orjson.loads(refused.data)["error"]
+    assert (error["code"], error["outcome"]) == ("stopping", "not-run")
+    assert b"[DONE]" in running.data
+    assert member.process.wait(STOP_BOUND_SECONDS) == 0
+    assert "node: state" in log_of(fleet, "e1")
+
+
+@pytest.mark.parametrize("how", ["second signal", "timeout"])
+def test_a_stop_that_is_cut_short_says_what_was_cut(fleet, how):
+    flags = ("--stop-notice", "0", "--stop-timeout", "1" if how == "timeout" else "30")
+    start(fleet, "e1", flags=flags)
+    process = fleet.instances_by_id["e1"].process
+    running = draft(fleet, "e1", 2000)
+    process.send_signal(signal.SIGTERM)
+    if how == "second signal":
+        time.sleep(0.5)
+        process.send_signal(signal.SIGTERM)
+    assert process.wait(STOP_BOUND_SECONDS) == 3
+    running.close()
+    assert "cut off requests in progress" in log_of(fleet, "e1")
+
+
+def test_a_port_in_use_is_a_clear_error(fleet):
+    start(fleet, "e1")
+    taken = str(fleet.instances_by_id["e1"].port)
+    second = fleet.start_instance("e2", "muc-a", "--caller-port", taken)
+    assert second.process.wait(STOP_BOUND_SECONDS) == 1
+    assert f"port {taken} cannot be bound" in log_of(fleet, "e2")
