--- a/almondglade/loads.py
+++ b/almondglade/loads.py
@@ -18,6 +18,8 @@
 log = get_logger("loads")
 
 POLL_SECONDS = 1.0
+# While a report would let a coordinator grant more.
+URGENT_POLL_SECONDS = 0.25
 MAX_POLL_SECONDS = 8.0
 # Polls are due at a random part of the interval, so that they are spread.
 JITTER = 0.2
@@ -25,7 +27,7 @@
 THREADS = 16
 # Of them, those that targets may hold which failed to report last time.
 SLOW_THREADS = 4
-IDLE_SECONDS = 0.1
+TICK_SECONDS = 0.1
 
 
 @dataclass
@@ -33,9 +35,19 @@
     """When one target is read, and how it went lately."""
 
     due: float
+    ended: float
     failures: int = 0
     reading: bool = False
 
+    def is_due(self, now, urgent):
+        """Tell whether to read the target now."""
+        if self.reading:
+            return False
+        soon = self.ended + URGENT_POLL_SECONDS
+        return now >= (
+            min(self.due, soon) if urgent and not self.failures else self.due
+        )
+
     @property
     def interval(self):
         """Seconds until the next read; longer while the target is silent."""
@@ -73,20 +85,17 @@
     async def run(self):
         """Poll until cancelled."""
         while True:
-            pause = self._start_due()
-            await asyncio.sleep(pause)
+            self._start_due()
+            await asyncio.sleep(TICK_SECONDS)
 
     def _start_due(self):
-        """Start the reads that are due and return seconds until the next."""
         now = self.clock()
         targets = self._targets()
         self._keep_only(targets, now)
         for name, pool in targets.items():
             poll = self.polls_by_target[name]
-            if poll.due <= now and not poll.reading and self._has_thread(poll):
+            if poll.is_due(now, self.host.wants_reports) and self._has_thread(poll):
                 self._start(name, pool, poll)
-        waiting = [p.due - now for p in self.polls_by_target.values() if not p.reading]
-        return max(IDLE_SECONDS, min(waiting, default=POLL_SECONDS))
 
     def _targets(self):
         """Return the pool of each target that is coordinated here, by target."""
@@ -102,7 +111,7 @@
             del self.polls_by_target[name]
         for name in targets.keys() - self.polls_by_target.keys():
             due = now + JITTER * POLL_SECONDS * self.rng.random()
-            self.polls_by_target[name] = Poll(due)
+            self.polls_by_target[name] = Poll(due, now)
 
     def _has_thread(self, poll):
         return not poll.failures or self._slow < SLOW_THREADS
@@ -126,20 +135,22 @@
             poll.reading = False
             self._slow -= was_slow
             spread = 1 + JITTER * (self.rng.random() - 0.5)
-            poll.due = self.clock() + poll.interval * spread
+            poll.ended = self.clock()
+            poll.due = poll.ended + poll.interval * spread
 
     async def _read_target(self, name, pool):
         declarations = self.store.declarations
         target = declarations.targets.get(name)
         if target is None or pool not in declarations.services:
             return
-        kind = find_plugin(ServiceKind, declarations.services[pool].kind)()
+        service = declarations.services[pool]
+        kind = find_plugin(ServiceKind, service.kind)()
         loop = asyncio.get_running_loop()
         load, asked_at = await loop.run_in_executor(
             self._threads, self._read, kind, target.url
         )
         # The target may have taken its report as early as it was asked.
-        age = self.clock() - asked_at
+        age = self.clock() - asked_at + service.report_lag
         self.host.observe(
             pool, LoadReport(name, load.epoch, load.running, load.waiting, age)
         )
--- a/test/test_coordinator_host.py
+++ b/test/test_coordinator_host.py
@@ -31,6 +31,7 @@
     host.receive("e1", demand())
     host.pump()
     assert not any(isinstance(message, m.Grant) for message in inbox)
+    host.observe(POOL, m.LoadReport("d1", "1", 0, 0))
     host.heard("e1", m.Ping(100.0, 100.0, 1))
     host.pump()
     assert isinstance(inbox[-1], m.Grant)
@@ -52,3 +53,13 @@
     host.configure(without)
     host.configure(declare())
     answer_rejoin(host, inbox)
+
+
+def test_the_declared_gap_between_tokens_reaches_the_limits():
+    coordinator = make_host()[0]
+    document = declare()
+    service = document.services[POOL].model_copy(update={"token_gap": 0.065})
+    coordinator.configure(document.model_copy(update={"services": {POOL: service}}))
+    coordinator.receive("e1", m.Join(POOL))
+    targets = coordinator.by_pool[POOL].targets_by_id
+    assert targets["d1"].limit.token_gap == 0.065
--- a/test/test_loads.py
+++ b/test/test_loads.py
@@ -43,7 +43,9 @@
     }
     seen = []
     host = SimpleNamespace(
-        by_pool={"bookings": None}, observe=lambda pool, report: seen.append(report)
+        by_pool={"bookings": None},
+        observe=lambda pool, report: seen.append(report),
+        wants_reports=False,
     )
     store = SimpleNamespace(declarations=Declarations.model_validate(raw))
     poller = LoadPoller(host, store)
