--- a/almondgladeplug/limits.py
+++ b/almondgladeplug/limits.py
@@ -6,10 +6,12 @@
 
 FAILURES = (Result.BROKEN, Result.REFUSED, Result.TIMED_OUT)
 MAX_WINDOW_RUNS = 9
+# Part of a run that must lie after the last change of the limit to count.
+CLEAN_SHARE = 0.7
 MIN_WINDOW_SECONDS = 0.25
 # A limit grows only while at least this part of it is used.
 BUSY_SHARE = 0.75
-GROWTH_SHARE = 0.34
+GROWTH_SHARE = 0.5
 # Steps up and down in turn once a concurrency has been found that was too high.
 PROBE_SHARE = 0.125
 # Another concurrency is better only if its power is this much higher.
@@ -27,9 +29,9 @@
 class AdaptiveLimit(LimitPolicy):
     """Find the knee of a target's throughput by its own completed work.
 
-    The limit starts at one. Each window of runs that began and ended at the
-    same limit gives the pace at its concurrency; the limit goes to the known
-    concurrency of most power, or one step above while that is the highest.
+    The limit starts at one. Each window of runs at one limit gives the pace at
+    its concurrency; the limit goes to the known concurrency of most power, or
+    one step above while that is the highest.
     """
 
     name = "adaptive"
@@ -87,7 +89,7 @@
         if self._has_collapsed(completion, running):
             self.chill()
             return
-        if self.clock() - completion.duration < self._window.opened:
+        if self.clock() - self._window.opened < CLEAN_SHARE * completion.duration:
             return
         self._window.add(completion, running)
         if self._is_window_full():
--- a/bench/policies.py
+++ b/bench/policies.py
@@ -91,6 +91,7 @@
     standin_processor_share: float
     limits: dict[str, float] = field(default_factory=dict)
     requests_by_workspace: dict[str, list[int]] = field(default_factory=dict)
+    drawn_by_workspace: dict[str, int] = field(default_factory=dict)
 
 
 def run_scenario(scenario, policies=ADAPTIVE, log_folder=None):
@@ -195,6 +196,14 @@
             ]
             for w in sorted({s.arrival.stream.workspace for s in samples})
         },
+        {
+            w: sum(
+                s.tokens + s.prompt_tokens
+                for s in samples
+                if s.arrival.stream.workspace == w
+            )
+            for w in sorted({s.arrival.stream.workspace for s in samples})
+        },
     )
 
 
