Play pairs of faults on a whole fleet and check the promises

Ruled out: a simulated cluster; four instances, three engines and two plain services run as separate processes, and what targets saw is read from journals that outlive them.

--- /dev/null
+++ b/bench/faults.py
@@ -0,0 +1,403 @@
+"""A fleet under steady calls while faults are played, and checks of the promises.
+
+Each fault is a function that causes it and returns the function that ends it.
+What targets saw is read from journals that outlive them.
+"""
+
+import itertools
+import signal
+import threading
+import time
+from collections import Counter
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import numpy as np
+import orjson
+import urllib3
+from urllib3.exceptions import HTTPError
+
+from standin.engine import POISON
+from standin.journal import read_journal
+
+from .fleet import Fleet, sample_declarations
+
+# A data centre that was taken out receives no new work after this long.
+NOTICE_SECONDS = 3.0
+# After all faults have ended, callers are served again within this long.
+RECOVERY_SECONDS = 15.0
+LIST_LAG_SECONDS = 0.5
+CALLERS = 6
+PAUSE_SECONDS = 0.05
+MAX_SENDS = 6
+DRAFT_TOKENS = 12
+REQUEST_TIMEOUT = urllib3.Timeout(connect=1.0, read=8.0)
+
+
+@dataclass
+class Answer:
+    """What a caller was told of one send."""
+
+    status: int
+    outcome: str
+    request_id: str
+    body: bytes
+    code: str = ""
+
+
+@dataclass
+class Window:
+    """A time in which a data centre was out, seconds since the epoch."""
+
+    data_centre: str
+    since: float
+    until: float = float("inf")
+
+
+@dataclass
+class Record:
+    """All that the callers were told."""
+
+    answers: list[Answer] = field(default_factory=list)
+    wrong: list[str] = field(default_factory=list)
+    windows: list[Window] = field(default_factory=list)
+    broken_sends: int = 0
+
+
+class FaultFleet:
+    """A fleet of four instances in two data centres, with callers.
+
+    Parameters
+    ----------
+    folder : Path
+        For journals and logs.
+    seed : int
+        Seed of what the callers do and of which member a fault hits.
+    """
+
+    def __init__(self, folder, seed=1):
+        self.folder = Path(folder)
+        self.rng = np.random.default_rng(seed)
+        self.fleet = Fleet(sample_declarations(), self.folder)
+        self.record = Record()
+        self._numbers = itertools.count(1)
+        self._names = (f"e{number}" for number in itertools.count(1))
+        self._calling = threading.Event()
+        self._stopped = threading.Event()
+        self._threads: list[threading.Thread] = []
+
+    def __enter__(self):
+        self.fleet.__enter__()
+        for name, service, centre in (
+            ("d1", "drafts", "muc-a"),
+            ("d2", "drafts", "muc-b"),
+            ("d3", "drafts", "muc-a"),
+            ("b1", "bookings", "muc-a"),
+            ("b2", "bookings", "muc-b"),
+        ):
+            self._start_target(name, service, centre)
+        for _ in range(4):
+            self._start_instance()
+        self.fleet.list_instances()
+        self.fleet.await_ready(self.fleet.publish())
+        for number in range(CALLERS):
+            thread = threading.Thread(target=self._call_on, args=(number,), daemon=True)
+            thread.start()
+            self._threads.append(thread)
+        return self
+
+    def __exit__(self, *exc):
+        self._stopped.set()
+        self._calling.set()
+        for thread in self._threads:
+            thread.join(REQUEST_TIMEOUT.read_timeout)
+        self.fleet.__exit__(*exc)
+
+    # Members
+
+    def _start_target(self, name, service, centre):
+        journal = self.folder / f"{name}.journal"
+        self.fleet.start_target(name, service, centre, "--journal", str(journal))
+
+    def _start_instance(self):
+        return self.fleet.start_instance(next(self._names), "muc-a")
+
+    def _pick(self, members):
+        names = sorted(members)
+        return names[int(self.rng.integers(len(names)))]
+
+    def replace_instance(self, name):
+        """Take a dead instance off the list and list a new one, with a lag."""
+        self.fleet.instances_by_id.pop(name).process.wait()
+        self._start_instance()
+        time.sleep(LIST_LAG_SECONDS)
+        self.fleet.list_instances()
+
+    # Callers
+
+    def _call_on(self, number):
+        rng = np.random.default_rng([number, 1])
+        http = urllib3.PoolManager(retries=False, maxsize=4)
+        operations = (self._draft, self._book, self._book, self._look_up)
+        while not self._stopped.is_set():
+            self._calling.wait()
+            workspace = ("partner-a", "partner-b")[number % 2]
+            operation = operations[int(rng.integers(len(operations)))]
+            operation(http, rng, workspace)
+            time.sleep(PAUSE_SECONDS)
+
+    def send(self, http, rng, method, path, workspace, body=None, key=None):
+        """Send a request through any instance; None if no answer arrived."""
+        members = list(self.fleet.instances_by_id.values())
+        member = members[int(rng.integers(len(members)))]
+        headers = {"Authorization": f"Bearer key-{workspace}"}
+        if key is not None:
+            headers["Idempotency-Key"] = key
+        try:
+            response = http.request(
+                method,
+                member.url + path,
+                body=body,
+                headers=headers,
+                timeout=REQUEST_TIMEOUT,
+            )
+        except (HTTPError, OSError):
+            self.record.broken_sends += 1
+            return None
+        answer = Answer(
+            response.status,
+            response.headers.get("X-Almondglade-Outcome", ""),
+            response.headers.get("X-Request-Id", ""),
+            response.data,
+        )
+        if answer.status >= 400:
+            answer.code = orjson.loads(answer.body)["error"]["code"]
+        self.record.answers.append(answer)
+        return answer
+
+    def _draft(self, http, rng, workspace):
+        body = _draft_body(f"{workspace} asks {next(self._numbers)}")
+        answer = self.send(
+            http, rng, "POST", "/v1/chat/completions", workspace, orjson.dumps(body)
+        )
+        if answer is None or answer.status != 200:
+            return
+        text = answer.body.decode()
+        tokens = [f't{number} "' for number in range(1, DRAFT_TOKENS + 1)]
+        places = [text.find(token) for token in tokens]
+        whole = -1 not in places and places == sorted(places)
+        if not whole or "[DONE]" not in text:
+            self.record.wrong.append(f"draft not whole: {text[-200:]}")
+
+    def _book(self, http, rng, workspace):
+        body = orjson.dumps({"booking": next(self._numbers), "by": workspace})
+        key = None
+        for _ in range(MAX_SENDS):
+            key = key or self._new_key(http, rng, workspace)
+            if key is None:
+                return
+            answer = self.send(
+                http, rng, "POST", "/bookings/reels", workspace, body, key
+            )
+            if answer is not None and answer.status == 200:
+                if orjson.loads(answer.body)["body"] != body.decode():
+                    self.record.wrong.append(f"another's booking: {answer.body!r}")
+                return
+            if answer is not None and answer.code == "key_void":
+                return
+            time.sleep(PAUSE_SECONDS)
+
+    def _new_key(self, http, rng, workspace):
+        answer = self.send(http, rng, "POST", "/v1/keys", workspace, b'{"count": 1}')
+        if answer is None or answer.status != 200:
+            return None
+        return orjson.loads(answer.body)["keys"][0]
+
+    def _look_up(self, http, rng, workspace):
+        number = next(self._numbers)
+        path = f"/bookings/slots/{number}"
+        answer = self.send(http, rng, "GET", path, workspace)
+        if answer is None or answer.status != 200:
+            return
+        if orjson.loads(answer.body)["path"] != f"/slots/{number}":
+            self.record.wrong.append(f"another's slot: {answer.body!r}")
+
+    # Faults
+
+    def kill_instance(self):
+        """Kill an instance; its replacement is listed at the end."""
+        name = self._pick(self.fleet.instances_by_id)
+        self.fleet.instances_by_id[name].process.kill()
+        return lambda: self.replace_instance(name)
+
+    def stop_instance(self):
+        """Stop an instance gracefully; its replacement is listed at the end."""
+        name = self._pick(self.fleet.instances_by_id)
+        self.fleet.list_instances(leaving=[name])
+        self.fleet.instances_by_id[name].process.terminate()
+        return lambda: self.replace_instance(name)
+
+    def freeze_instance(self):
+        """Freeze an instance until the end."""
+        process = self.fleet.instances_by_id[self._pick(self._alive())].process
+        process.send_signal(signal.SIGSTOP)
+        return lambda: process.send_signal(signal.SIGCONT)
+
+    def kill_target(self):
+        """Kill a target; it starts again at the end."""
+        name = self._pick(self.fleet.targets_by_id)
+        member = self.fleet.targets_by_id[name]
+        member.process.kill()
+        return lambda: self._revive(name)
+
+    def crash_engines(self):
+        """Send a request that crashes each engine that runs it, several times."""
+        rng = np.random.default_rng(1)
+        http = urllib3.PoolManager(retries=False)
+        body = orjson.dumps(_draft_body(POISON.decode()))
+        for _ in range(MAX_SENDS):
+            self.send(http, rng, "POST", "/v1/chat/completions", "partner-b", body)
+        return self._revive_all
+
+    def platform_down(self):
+        """Take the platform's service down until the end."""
+        self.fleet.control("state", b'{"down": true}')
+        return lambda: self.fleet.control("state", b'{"down": false}')
+
+    def centre_out(self):
+        """Take a data centre out; it comes back at the end."""
+        centre = self._pick(self.fleet.declarations["data_centres"])
+        self._set_centre(centre, "out")
+        window = Window(centre, time.time())
+        self.record.windows.append(window)
+
+        def bring_back():
+            window.until = time.time()
+            self._set_centre(centre, "in")
+
+        return bring_back
+
+    def wrong_document(self):
+        """Publish a document that is not valid; a good one follows at the end."""
+        self.fleet.publish(b'{"plans": 7}')
+        return self.fleet.publish
+
+    def _alive(self):
+        return [
+            name
+            for name, member in self.fleet.instances_by_id.items()
+            if member.process.poll() is None
+        ]
+
+    def _revive(self, name):
+        member = self.fleet.targets_by_id[name]
+        member.process.wait()
+        service = self.fleet.declarations["targets"][name]["service"]
+        self._start_target(name, service, member.data_centre)
+
+    def _revive_all(self):
+        for name, member in list(self.fleet.targets_by_id.items()):
+            if member.process.poll() is not None:
+                self._revive(name)
+
+    def _set_centre(self, centre, state):
+        self.fleet.declarations["data_centres"][centre]["state"] = state
+        self.fleet.publish()
+
+    # Playing and checking
+
+    def play(self, faults, seconds):
+        """Cause faults together under calls, end them and wait for recovery.
+
+        Parameters
+        ----------
+        faults : list of str
+            Names of the methods that cause them.
+        seconds : float
+            How long they last.
+        """
+        self._calling.set()
+        ends = [getattr(self, name)() for name in faults]
+        time.sleep(seconds)
+        for end in ends:
+            end()
+        self.await_recovery()
+        self._calling.clear()
+
+    def await_recovery(self):
+        """Wait until each instance serves a draft and a lookup again."""
+        deadline = time.monotonic() + RECOVERY_SECONDS
+        for member in list(self.fleet.instances_by_id.values()):
+            while not self._serves(member):
+                if time.monotonic() > deadline:
+                    state = self.fleet.dump(member.name)
+                    raise AssertionError(f"{member.name} does not serve: {state}")
+                time.sleep(PAUSE_SECONDS)
+
+    def _serves(self, member):
+        headers = {"Authorization": "Bearer key-partner-a"}
+        calls = (
+            ("POST", "/v1/chat/completions", orjson.dumps(_draft_body("again"))),
+            ("GET", "/bookings/slots/0", None),
+        )
+        try:
+            return all(
+                self.fleet.http.request(
+                    method,
+                    member.url + path,
+                    body=body,
+                    headers=headers,
+                    timeout=REQUEST_TIMEOUT,
+                ).status
+                == 200
+                for method, path, body in calls
+            )
+        except (HTTPError, OSError):
+            return False
+
+    def violations(self):
+        """Return every promise that was seen broken."""
+        seen = {
+            name: read_journal(self.folder / f"{name}.journal")
+            for name in self.fleet.targets_by_id
+        }
+        lines = list(itertools.chain.from_iterable(seen.values()))
+        return [
+            *self.record.wrong,
+            *_run_twice("request", (line["request_id"] for line in lines)),
+            *_run_twice(
+                "booking", (line["body"] for line in lines if line.get("body"))
+            ),
+            *self._run_though_not_run({line["request_id"] for line in lines}),
+            *self._dispatched_while_out(seen),
+        ]
+
+    def _run_though_not_run(self, request_ids):
+        for answer in self.record.answers:
+            if answer.outcome == "not-run" and answer.request_id in request_ids:
+                yield f"not run was said of {answer.request_id}, which ran"
+
+    def _dispatched_while_out(self, seen):
+        for window in self.record.windows:
+            for name, lines in seen.items():
+                if self.fleet.targets_by_id[name].data_centre != window.data_centre:
+                    continue
+                for line in lines:
+                    late = line["at"] - window.since
+                    if late > NOTICE_SECONDS and line["at"] < window.until:
+                        yield f"{name} got work {late:.1f} s after it was taken out"
+
+
+def _draft_body(content):
+    return {
+        "model": "script-7b",
+        "messages": [{"role": "user", "content": content}],
+        "max_tokens": DRAFT_TOKENS,
+        "stream": True,
+    }
+
+
+def _run_twice(what, names):
+    for name, count in Counter(names).items():
+        if count > 1:
+            yield f"{what} {name!r} ran {count} times"
