Count the usage of long answers that are not streamed

Cause: the meter keeps the last 64 KiB of a line, and the kept end of a longer answer is not JSON, so its tokens were counted as none and the plan was charged none. The usage is now read from the kept end. Red first: (0, 0) for (7, 3).

--- a/almondgladeplug/kinds.py
+++ b/almondgladeplug/kinds.py
@@ -1,6 +1,7 @@
 """Kinds of service."""
 
 import itertools
+import json
 
 import orjson
 import xxhash
@@ -118,17 +119,27 @@
         if USAGE not in line or not line.endswith(b"}"):
             return
         try:
-            reported = orjson.loads(line).get("usage") or {}
+            reported = _reported_usage(line)
             details = reported.get("prompt_tokens_details") or {}
             self.usage = Usage(
                 int(reported.get("prompt_tokens", 0)),
                 int(details.get("cached_tokens", 0)),
                 int(reported.get("completion_tokens", self.usage.output_tokens)),
             )
-        except (orjson.JSONDecodeError, AttributeError, TypeError, ValueError):
+        except (AttributeError, TypeError, ValueError):
             return
 
 
+def _reported_usage(line):
+    """Return the usage in an event or in the kept end of a long answer."""
+    try:
+        return orjson.loads(line).get("usage") or {}
+    except orjson.JSONDecodeError:
+        # Quotes inside of a text are escaped, so this is a name.
+        after = line.rpartition(USAGE)[2].decode("utf-8", "replace")
+        return json.JSONDecoder().raw_decode(after.lstrip(" \t:"))[0] or {}
+
+
 def _document(body):
     try:
         document = orjson.loads(body)
--- a/test/test_entry.py
+++ b/test/test_entry.py
@@ -231,3 +231,18 @@
         assert demand.output_tokens == 10
         done = entry.broker.released[0]
         assert (done.input_tokens, done.output_tokens) == (7, 3)
+
+
+def test_counts_the_usage_of_a_long_answer_that_is_not_streamed():
+    answer = {
+        "choices": [
+            {"message": {"content": 'a "usage": {"prompt_tokens": 1} ' * 9000}}
+        ],
+        "usage": {"prompt_tokens": 7, "completion_tokens": 3},
+        "system_fingerprint": None,
+    }
+    with FakeTarget(lambda _: answer_with(orjson.dumps(answer))) as target:
+        with Entry({"d1": target.url}) as entry:
+            assert entry.call("POST", "/v1/completions", prompt()).whole
+            done = entry.broker.released[0]
+    assert (done.input_tokens, done.output_tokens) == (7, 3)
