Count each request by what its caller was told

Cause: the metrics of requests, dispatches and tokens were named but never counted.

Ruled out: counting in the server, which does not know service, tier or why an answer broke off.

Before: no series. After: one count for each request, refused ones and broken streams included, and one for each usage record; a test compares six series before and after three requests through one instance.

Conclusion: a caller that goes away in the middle is counted as answered, since nothing is told to it.

--- a/almondglade/entry/app.py
+++ b/almondglade/entry/app.py
@@ -10,6 +10,7 @@
 from ..httpserver.strict import REQUEST_KEY
 from ..kinds import IncomingRequest
 from ..log import get_logger
+from ..metrics import Metrics
 from ..outcome import (
     OUTCOME_HEADER,
     REQUEST_ID_HEADER,
@@ -31,6 +32,7 @@
 from .relaying import NOT_FOR_CALLERS, NOT_FOR_TARGETS, RelayedBody, end_to_end
 from .routing import MODELS_PATH, find_route, models_document, service_of_model
 from .serving import EntryRequest, EntryResponse, internal_error
+from .tally import RequestTally
 
 log = get_logger("entry")
 
@@ -53,15 +55,18 @@
         Runs the requests.
     store : ConfigurationStore
         Declared document in force.
+    metrics : Metrics or None
+        Where requests are counted; metrics of its own when None.
     """
 
     request_class = EntryRequest
     response_class = EntryResponse
 
-    def __init__(self, settings, incarnation, scheduler, store):
+    def __init__(self, settings, incarnation, scheduler, store, metrics=None):
         self.settings = settings
         self.scheduler = scheduler
         self.store = store
+        self.metrics = metrics or Metrics()
         self.stopping = False
         self.active = 0
         self._lock = threading.Lock()
@@ -85,13 +90,17 @@
             self.active += 1
         response = cherrypy.serving.response
         http = cherrypy.serving.request.wsgi_environ[REQUEST_KEY]
+        tally = RequestTally(self.metrics)
         try:
-            return self._answer(http, request_id, response)
+            body = self._answer(http, request_id, response, tally)
+            if not response.stream:
+                tally.end()
+            return body
         except RequestError as error:
-            response.refuse(error, request_id)
+            self._refuse(response, error, request_id, tally)
         except Exception:
             log.exception("a request failed", request=request_id)
-            response.refuse(internal_error(), request_id)
+            self._refuse(response, internal_error(), request_id, tally)
         finally:
             response.pairs = [*response.pairs, (REQUEST_ID_HEADER, request_id)]
             if self.stopping:
@@ -101,11 +110,16 @@
                 self._leave()
         return response.body
 
+    @staticmethod
+    def _refuse(response, error, request_id, tally):
+        response.refuse(error, request_id)
+        tally.end(error)
+
     def _leave(self):
         with self._lock:
             self.active -= 1
 
-    def _answer(self, http, request_id, response):
+    def _answer(self, http, request_id, response, tally):
         method = http.method.decode("latin-1")
         with before_lookup(method, header_of(http, KEY_HEADER)):
             self._check_capacity()
@@ -126,6 +140,7 @@
             body = self._bodies.read(http, route.max_body_bytes)
         service = route.service or service_of_model(services, body)
         self._check_plan(caller, service)
+        tally.service, tally.tier = service, caller.tier
         request = IncomingRequest(
             request_id,
             caller.workspace,
@@ -141,9 +156,9 @@
             body,
             header_of(http, KEY_HEADER),
         )
-        return self._run(http, request, response)
+        return self._run(http, request, response, tally)
 
-    def _run(self, http, request, response):
+    def _run(self, http, request, response, tally):
         sock = http.conn.socket
         self._watch.watch(sock, request.presence)
         streaming = False
@@ -154,6 +169,7 @@
             except BaseException:
                 run.close()
                 raise
+            tally.first_byte()
             response.status = run.head.status
             response.pairs = [
                 *end_to_end(run.head.headers, NOT_FOR_CALLERS),
@@ -166,9 +182,10 @@
         finally:
             if not streaming:
                 self._watch.forget(sock)
-        return RelayedBody(run, first, lambda: self._end(sock))
+        return RelayedBody(run, first, lambda error: self._end(sock, tally, error))
 
-    def _end(self, sock):
+    def _end(self, sock, tally, error):
+        tally.end(error)
         self._watch.forget(sock)
         self._leave()
 
--- a/almondglade/entry/relaying.py
+++ b/almondglade/entry/relaying.py
@@ -85,7 +85,8 @@
     first : bytes
         What was read of it already.
     on_end : callable
-        Called once, when the body ends or is closed.
+        Called once, when the body ends or is closed, with the `RequestError`
+        that broke it off or None.
     """
 
     def __init__(self, run, first, on_end):
@@ -94,13 +95,13 @@
         self._events = is_event_stream(run.head)
         self._last = b""
         self._first = first
-        self._failed = False
+        self._error: RequestError | None = None
 
     def __iter__(self):
         return self
 
     def __next__(self):
-        if self._failed:
+        if self._error is not None:
             raise TruncatedAnswerError("the answer is not whole")
         if self._first:
             chunk, self._first = self._first, b""
@@ -117,10 +118,10 @@
         on_end, self._on_end = self._on_end, None
         if on_end is not None:
             self._run.close()
-            on_end()
+            on_end(self._error)
 
     def _fail(self, error):
-        self._failed = True
+        self._error = error
         request_id = self._run.request.request_id
         log.info("an answer broke off", request=request_id, code=error.code.text)
         if self._events and self._last.endswith(EVENT_ENDS):
--- a/almondglade/entry/scheduling.py
+++ b/almondglade/entry/scheduling.py
@@ -135,15 +135,25 @@
         Returns monotonic seconds.
     deadlines : Deadlines or None
         Bounds the calls; own ones when None.
+    usage : UsageLog or None
+        Takes the usage records; logs them when None.
     """
 
-    def __init__(self, broker, store, pools, clock=time.monotonic, deadlines=None):
+    def __init__(
+        self,
+        broker,
+        store,
+        pools,
+        clock=time.monotonic,
+        deadlines=None,
+        usage=None,
+    ):
         self.broker = broker
         self.store = store
         self.pools = pools
         self.clock = clock
         self.deadlines = deadlines or Deadlines(clock)
-        self.usage = UsageLog()
+        self.usage = usage or UsageLog()
 
     def run(self, request):
         """Dispatch a request and return its `Run`.
--- /dev/null
+++ b/almondglade/entry/tally.py
@@ -0,0 +1,78 @@
+"""Count each request once, by what its caller was told."""
+
+import time
+
+from ..outcome import Outcome
+
+# What stands in a label when a request ended before it was known.
+NOT_KNOWN = ""
+
+
+class RequestTally:
+    """The metrics of one request.
+
+    Parameters
+    ----------
+    metrics : Metrics
+        Where it is counted.
+    clock : callable
+        Returns monotonic seconds.
+    """
+
+    def __init__(self, metrics, clock=time.monotonic):
+        self.metrics = metrics
+        self.clock = clock
+        self.service: str = NOT_KNOWN
+        self.tier: int | str = NOT_KNOWN
+        self._started = clock()
+        self._ended = False
+
+    def first_byte(self):
+        """Note that the answer begins."""
+        self._observe("first_byte_seconds")
+
+    def end(self, error=None):
+        """Count the request, the first time only.
+
+        Parameters
+        ----------
+        error : RequestError or None
+            What the caller was told; None for a whole answer.
+        """
+        if self._ended:
+            return
+        self._ended = True
+        outcome = Outcome.ANSWERED if error is None else error.outcome
+        self.metrics.count(
+            "requests_total",
+            service=self.service,
+            tier=self.tier,
+            outcome=outcome.value,
+            code=error.code.text if error is not None else "ok",
+        )
+        if self.service != NOT_KNOWN:
+            self._observe("request_seconds")
+
+    def _observe(self, name):
+        elapsed = self.clock() - self._started
+        self.metrics.observe(name, elapsed, service=self.service, tier=self.tier)
+
+
+def count_usage(metrics, record):
+    """Count the tokens and the end of one dispatch.
+
+    Parameters
+    ----------
+    metrics : Metrics
+        Where it is counted.
+    record : UsageRecord
+        What the dispatch has used.
+    """
+    metrics.count("dispatches_total", service=record.service, result=record.result)
+    for kind, tokens in (
+        ("input", record.input_tokens),
+        ("cached", record.cached_tokens),
+        ("output", record.output_tokens),
+    ):
+        if tokens:
+            metrics.count("tokens_total", tokens, service=record.service, kind=kind)
--- a/almondglade/node.py
+++ b/almondglade/node.py
@@ -20,6 +20,7 @@
 from .dispatch.connections import TargetPools
 from .entry.app import EntryApp
 from .entry.scheduling import Scheduler
+from .entry.tally import count_usage
 from .errors import SettingsError
 from .httpserver import HttpServer
 from .keys.assembly import assemble_keys
@@ -38,6 +39,7 @@
 from .platform.reading import DocumentReader
 from .platform.watch import watch
 from .stopping import drain
+from .usage import UsageLog, log_record
 
 log = get_logger("node")
 
@@ -113,9 +115,13 @@
             self.gossip,
         )
         self.pools = TargetPools()
-        self.scheduler = Scheduler(self.broker, self.store, self.pools)
+        self.scheduler = Scheduler(
+            self.broker, self.store, self.pools, usage=UsageLog(self._used)
+        )
         self.keyed, self.forwarded = assemble_keys(self)
-        self.app = EntryApp(settings, self.incarnation, self.keyed, self.store)
+        self.app = EntryApp(
+            settings, self.incarnation, self.keyed, self.store, self.metrics
+        )
         self.platform = PlatformClient(settings.platform)
         self.store.subscribe(self._configured)
 
@@ -257,6 +263,10 @@
         self.gossip.announce()
         self._join()
 
+    def _used(self, record):
+        log_record(record)
+        count_usage(self.metrics, record)
+
     def is_ready(self):
         """Tell whether the balancer should send callers here."""
         return (
--- a/almondglade/usage.py
+++ b/almondglade/usage.py
@@ -61,7 +61,7 @@
     """
 
     def __init__(self, write=None):
-        self._write = write or _log_record
+        self._write = write or log_record
         self._open_by_request: dict[str, OpenDispatch] = {}
         self._lock = threading.Lock()
         self.records_by_result: Counter = Counter()
@@ -136,5 +136,6 @@
     )
 
 
-def _log_record(record):
+def log_record(record):
+    """Write a record to the log."""
     log.info("used", **asdict(record))
--- a/test/test_path.py
+++ b/test/test_path.py
@@ -66,3 +66,28 @@
     answers = [call(fleet, "e1", "POST", "/v1/keys", {"count": 1}) for _ in range(3)]
     assert {answer.status for answer in answers} == {200}
     assert len({len(list(answer.headers.iteritems())) for answer in answers}) == 1
+
+
+def test_every_request_and_dispatch_is_counted_once(fleet):
+    def counts():
+        url = fleet.instances_by_id["e2"].operator_url + "/metrics"
+        lines = fleet.http.request("GET", url).data.decode().splitlines()
+        series = (line.rpartition(" ") for line in lines if not line.startswith("#"))
+        return {name: float(value) for name, _, value in series}
+
+    before = counts()
+    call(fleet, "e2", "POST", "/v1/chat/completions", PROMPT | {"max_tokens": 4})
+    call(fleet, "e2", "GET", "/bookings/slots/1")
+    call(fleet, "e2", "GET", "/nowhere/1")
+    after = counts()
+    prefix = "almondglade_"
+    for series, change in {
+        'requests_total{code="ok",outcome="answered",service="drafts",tier="0"}': 1,
+        'requests_total{code="ok",outcome="answered",service="bookings",tier="0"}': 1,
+        'requests_total{code="not_found",outcome="not-run",service="",tier=""}': 1,
+        'dispatches_total{result="completed",service="drafts"}': 1,
+        'tokens_total{kind="output",service="drafts"}': 4,
+        'first_byte_seconds_count{service="drafts",tier="0"}': 1,
+    }.items():
+        series = prefix + series
+        assert after[series] - before.get(series, 0) == change, series
