End a cut stop at its timeout and write the records of what it cuts

Cause: after the stop's timeout the callers' server still waited for the threads of the requests that were cut off. Their usage records were written only if the process was left alive so long.

--- a/almondglade/node.py
+++ b/almondglade/node.py
@@ -165,9 +165,12 @@
             ]
             await self.stop_asked.wait()
             cut = await drain(self)
+            self.scheduler.usage.close_all()
             for task in tasks:
                 task.cancel()
-        self.scheduler.usage.close_all()
+            if cut:
+                # The servers' stop waits for the requests that are cut off.
+                stack.pop_all()
         log.info("stopped", instance=settings.instance)
         return cut
 
@@ -336,9 +339,9 @@
     """
 
     async def main():
-        return await Node(settings).run()
+        if await Node(settings).run():
+            # Threads that still serve a cut request would keep the process.
+            sys.stderr.flush()
+            os._exit(EXIT_CUT)
 
-    if asyncio.run(main()):
-        # Threads that still serve a cut request would keep the process.
-        sys.stderr.flush()
-        os._exit(EXIT_CUT)
+    asyncio.run(main())
--- a/test/test_usage.py
+++ b/test/test_usage.py
@@ -14,7 +14,7 @@
 
 from almondglade import messages as m
 from almondglade.usage import UsageLog
-from bench.fleet import STOP_SECONDS, Fleet, sample_declarations
+from bench.fleet import Fleet, sample_declarations
 
 from .support.entries import Entry, read_answer, request_bytes
 from .support.targets import WHOLE, Cut, FakeTarget, answer_with
@@ -24,6 +24,7 @@
     {"model": "script-7b", "messages": [{"role": "user", "content": "brief"}]}
 )
 SENDS = 4
+SLOW_SECONDS = 18
 EVENTS = b'data: {"choices":[]}\n\n' * 20
 
 
@@ -128,7 +129,7 @@
 
 def test_a_stop_that_cuts_requests_off_writes_their_records(tmp_path):
     with Fleet(sample_declarations(), tmp_path) as fleet:
-        fleet.start_target("b1", "bookings", "muc-a", "--delay", "20")
+        fleet.start_target("b1", "bookings", "muc-a", "--delay", str(SLOW_SECONDS))
         flags = ("--log-form", "json", "--stop-timeout", "1", "--stop-notice", "0.1")
         member = fleet.start_instance("e1", "muc-a", *flags)
         fleet.list_instances()
@@ -138,7 +139,7 @@
             send.start()
         wait_for(lambda: fleet.ledger("b1")["runs"])
         member.process.send_signal(signal.SIGTERM)
-        member.process.wait(STOP_SECONDS)
+        member.process.wait(SLOW_SECONDS / 2)
         runs = sum(fleet.ledger("b1")["runs"].values())
     lines = (tmp_path / "e1.log").read_bytes().splitlines()
     records = [orjson.loads(line) for line in lines if b"usage: used" in line]
