--- a/test/test_keys_calls.py
+++ b/test/test_keys_calls.py
@@ -9,6 +9,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from almondglade.entry.keys import before_lookup
 from almondglade.errors import PeerError
 from almondglade.keys.claiming import ClaimOrder
 from almondglade.keys.codec import Holder
@@ -27,8 +28,10 @@
     encode_vote,
 )
 from almondglade.peers.callhandlers import CallHandlers
+from almondglade.peers.calls import PeerCalls
 
 from .keyfleet import Fleet
+from .test_peers_port import SECRET, Peer
 
 STORE = SimpleNamespace(declarations=SimpleNamespace(services={"bookings": None}))
 words = st.sampled_from(["", "e1", "1", "bookings", "POST", "/x", "own"]) | st.text(
@@ -201,3 +204,39 @@
         assert tell("partner-a", key) is Outcome.UNKNOWN
     fleet.now += KEY_LIFETIME_SECONDS + 1
     assert tell("partner-a", unused) is Outcome.UNKNOWN
+
+
+@pytest.mark.parametrize(("secret", "counted"), [(SECRET, {"e2"}), ("forged", set())])
+def test_a_vote_counts_only_with_a_proof_of_the_secret(secret, counted):
+    async def scenario():
+        asker, peer = Peer("e1"), Peer("e2")
+        await asker.start(peer)
+        await peer.start(asker)
+        peer.service.secret = secret
+        peer.service.calls = made_handlers(Fleet(["e2"]).by_name["e2"])
+        loop = asyncio.get_running_loop()
+        calls = PeerCalls(
+            asker.own, loop, asker.membership, asker.links, asker.service, None
+        )
+        order = ClaimOrder("partner-a", "own", Holder("e1", "1"))
+        assert calls.names() == {"e2"}
+        votes = await asyncio.to_thread(calls.claim, ["e2", "e9"], order)
+        await asker.close()
+        await peer.close()
+        return votes.keys()
+
+    assert asyncio.run(scenario()) == counted
+
+
+@pytest.mark.parametrize(
+    ("method", "key", "told"),
+    [
+        ("POST", "own", Outcome.UNKNOWN),
+        ("POST", None, Outcome.NOT_RUN),
+        ("GET", "own", Outcome.NOT_RUN),
+    ],
+)
+def test_a_busy_instance_does_not_say_not_run_of_a_keyed_request(method, key, told):
+    with pytest.raises(RequestError) as raised, before_lookup(method, key):
+        raise RequestError(Code.OVERLOADED, "busy", retry_after=1.0)
+    assert raised.value.outcome is told
