Say of a forwarded replay that it is one

Cause: a replay at the home was sent on to the forwarding instance without Idempotency-Replayed since such resends take no thread. Found by the new feature; test_keys_calls.py asks for the header now.

The check was wrong: another send in progress at the same time, or the fake network's second delivery of one forward, had run it, and the refused send had not. TCP delivers no request twice, so a second delivery now counts as a send. In its place: nothing ran before the refused send began, and a run since is matched by a send that was not refused.

--- a/almondglade/keys/scheduling.py
+++ b/almondglade/keys/scheduling.py
@@ -28,9 +28,8 @@
 
     is_whole = True
 
-    def __init__(self, answer, replayed=False):
-        extra = ((REPLAYED_HEADER, "true"),) if replayed else ()
-        self.head = AnswerHead(answer.head.status, answer.head.headers + extra)
+    def __init__(self, answer):
+        self.head = answer.head
         self._chunks = iter([answer.body] if answer.body else [])
 
     def __iter__(self):
@@ -174,7 +173,7 @@
     def _run_once(self, request, slot, expires_at):
         answer = self.table.begin(slot, fingerprint(request), expires_at)
         if answer is not None:
-            return StoredRun(answer, replayed=True)
+            return StoredRun(mark_replayed(answer))
         try:
             run = self.scheduler.run(request)
         except RequestError as error:
@@ -262,6 +261,12 @@
             record(*arguments)
 
 
+def mark_replayed(answer):
+    """Return an answer with the header that says that it is a replay."""
+    headers = (*answer.head.headers, (REPLAYED_HEADER, "true"))
+    return Answer(AnswerHead(answer.head.status, headers), answer.body)
+
+
 def fingerprint(request):
     """Return a hash that tells another request under the same key."""
     head = "\0".join((request.service, request.method, request.target_path, ""))
--- a/almondglade/peers/callhandlers.py
+++ b/almondglade/peers/callhandlers.py
@@ -9,7 +9,7 @@
 
 from ..errors import PeerError
 from ..keys.codec import clean_key, void
-from ..keys.scheduling import fingerprint
+from ..keys.scheduling import fingerprint, mark_replayed
 from ..keys.table import Answer, Slot
 from ..log import get_logger
 from ..outcome import Code, Outcome, RequestError
@@ -96,7 +96,8 @@
         if incarnation != self.keyed.codec.own.incarnation:
             raise void("the instance that holds the key has been replaced")
         slot = Slot(request.workspace, clean_key(request.key))
-        return self.keyed.table.recall(slot, fingerprint(request))
+        answer = self.keyed.table.recall(slot, fingerprint(request))
+        return None if answer is None else mark_replayed(answer)
 
     def _check_capacity(self, request):
         declarations = self.store.declarations
--- a/test/keyfleet.py
+++ b/test/keyfleet.py
@@ -113,10 +113,14 @@
                 raise void("replaced")
             return node.keyed.run_keyed(request)
 
-        return self.send(holder.instance, serve)
+        return self.send(holder.instance, serve, Slot(request.workspace, request.key))
 
-    def send(self, name, act):
-        """Let a peer act, as the network has it."""
+    def send(self, name, act, forwarded=None):
+        """Let a peer act, as the network has it.
+
+        A forwarded request that arrives twice counts as two sends, for TCP
+        delivers none twice.
+        """
         self.step()
         peer, fate = self.fleet.by_name.get(name), self.fleet.choose(FATES)
         if peer is None or not peer.alive or fate == "drop":
@@ -126,6 +130,7 @@
             raise PeerError("silent")
         reply, error = self.fleet.act(peer, act)
         if fate == "duplicate":
+            self.fleet.open_sends[forwarded] += 1
             self.fleet.act(peer, act)
         self.step()
         if fate == "cut" or (reply is None and error is None):
@@ -201,9 +206,7 @@
 
     def dispatched(self, slot):
         """Count a run at the target; no key may run twice."""
-        issued = slot.key.startswith("agk1:")
-        since = self.now - self.first_sent.get(slot, self.now)
-        if issued or since <= WINDOW:
+        if self._is_protected(slot):
             assert not self.runs[slot], f"{slot} ran twice"
         else:
             # The window has passed: the key may be used afresh.
@@ -217,6 +220,7 @@
             return None
         slot = Slot(workspace, key)
         self.first_sent.setdefault(slot, self.now)
+        ran_before = self.runs[slot] and self._is_protected(slot)
         self.open_sends[slot] += 1
         request = IncomingRequest(
             "r", workspace, 0, "bookings", "POST", "/pickups", "", (), body, key
@@ -228,8 +232,7 @@
             told = error.outcome
             if told is Outcome.NOT_RUN:
                 self.open_sends[slot] -= 1
-                reused = error.code is Code.KEY_REUSED
-                assert reused or not self.runs[slot], f"{slot} ran, told {error}"
+                self._check_not_run(slot, ran_before, error)
             return error
         except (DiedError, KeyError):
             return None
@@ -237,6 +240,15 @@
         assert self.runs[slot], f"{slot} was answered, but did not run"
         return run
 
+    def _is_protected(self, slot):
+        since = self.now - self.first_sent.get(slot, self.now)
+        return slot.key.startswith("agk1:") or since <= WINDOW
+
+    def _check_not_run(self, slot, ran_before, error):
+        """Check that nothing had run, and that what ran since was another send."""
+        assert error.code is Code.KEY_REUSED or not ran_before, f"{slot}, told {error}"
+        assert self.open_sends[slot] or not self.runs[slot], f"{slot}, told {error}"
+
     def advance(self, seconds, age):
         """Let time pass; processes that are not frozen read the list meanwhile."""
         end = self.now + seconds
--- a/test/test_keys_calls.py
+++ b/test/test_keys_calls.py
@@ -185,7 +185,11 @@
             await asyncio.sleep(0.01)
         return await handlers.forward("e3", wire_request(node, key))
 
-    assert asyncio.run(scenario()).status == 200
+    reply = asyncio.run(scenario())
+    assert reply.status == 200
+    assert ("Idempotency-Replayed", "true") in [
+        (h.name, h.value) for h in reply.headers
+    ]
     assert fleet.runs[Slot("partner-a", key)] == 1
 
 
