--- a/almondglade/coordinator/host.py
+++ b/almondglade/coordinator/host.py
@@ -14,7 +14,7 @@
 TICK_SECONDS = 0.05
 IDLE_TICK_SECONDS = 0.25
 # What entries carry to a next coordinator is told this often, if it changed.
-STATE_SECONDS = 0.25
+STATE_SECONDS = 1.0
 # A coordinator that no entry uses is dropped after this long.
 UNUSED_SECONDS = 30.0
 
@@ -45,7 +45,7 @@
         self._send_by_entry: dict[str, Callable[[Any], None]] = {}
         self._unused_since: dict[str, float] = {}
         self._asked_by_pool: dict[str, set[str]] = {}
-        self._told_by_pool: dict[str, dict[str, m.TargetState]] = {}
+        self._told_by_pool: dict[str, m.PoolState] = {}
         self._told_at = 0.0
 
     def attach(self, entry, send):
@@ -154,11 +154,11 @@
             return
         self._told_at = now
         for pool, coordinator in self.by_pool.items():
-            told = self._told_by_pool.setdefault(pool, {})
-            changed = coordinator.state.changed_since(told)
+            state = coordinator.state
+            changed = state.changed_since(self._told_by_pool.get(pool))
             if changed is None:
                 continue
-            told.update((state.target, state) for state in changed.targets)
+            self._told_by_pool[pool] = state
             for entry in coordinator.leases.by_entry:
                 self._send(entry, changed)
 
--- a/almondglade/messages.py
+++ b/almondglade/messages.py
@@ -247,12 +247,20 @@
     suspects: tuple[CarriedSuspect, ...] = ()
 
     def changed_since(self, told):
-        """Return what differs from the states by target told before, or None."""
-        changed = tuple(s for s in self.targets if told.get(s.target) != s)
-        if not changed and not self.suspects:
+        """Return what differs from what was told before, or None.
+
+        Suspects are always sent whole; their ages alone are no difference.
+        """
+        if told is None:
+            return self
+        changed = tuple(set(self.targets) - set(told.targets))
+        if not changed and self._suspected() == told._suspected():
             return None
         return PoolState(self.pool, changed, self.suspects)
 
+    def _suspected(self):
+        return {(s.fingerprint, s.targets) for s in self.suspects}
+
 
 @dataclass(frozen=True)
 class Ping:
--- a/test/test_coordinator_host.py
+++ b/test/test_coordinator_host.py
@@ -53,3 +53,18 @@
     host.configure(without)
     host.configure(declare())
     answer_rejoin(host, inbox)
+
+
+def test_entries_are_told_only_what_changed():
+    told = m.PoolState(
+        POOL,
+        (m.TargetState("d1", "1", 1.0), m.TargetState("d2", "1", 1.0)),
+        (m.CarriedSuspect(1, ("d1",), 0.0),),
+    )
+    older = m.PoolState(POOL, told.targets, (m.CarriedSuspect(1, ("d1",), 9.0),))
+    assert older.changed_since(told) is None
+    busy = m.TargetState("d2", "1", 1.0, running=1)
+    later = m.PoolState(POOL, (told.targets[0], busy), told.suspects)
+    assert later.changed_since(told).targets == (busy,)
+    cleared = m.PoolState(POOL, told.targets)
+    assert cleared.changed_since(told) == m.PoolState(POOL)
