--- a/almondglade/coordinator/pool.py
+++ b/almondglade/coordinator/pool.py
@@ -62,7 +62,7 @@
         self.published = 1
         self.leases = LeaseTable(clock)
         self.budgets = BudgetTable(clock)
-        self.delay = DelayEstimator(clock)
+        self.delay = DelayEstimator(clock, rng)
         self.level = AdmissionLevel(clock)
         self.suspects = SuspectTable(clock)
         self.solo = SoloRuns()
--- a/almondglade/httpserver/gate.py
+++ b/almondglade/httpserver/gate.py
@@ -8,6 +8,7 @@
 import re
 import resource
 import socket
+import struct
 import time
 
 from cheroot import server, wsgi
@@ -24,8 +25,12 @@
 IDLE_SECONDS = 60
 # A request's head, and the gated part of its body, must arrive within this.
 HEAD_SECONDS = 10.0
-# One read or write may wait this long for the caller.
-SOCKET_TIMEOUT_SECONDS = 10.0
+# One read may wait this long for the caller.
+READ_SECONDS = 10.0
+# One write may wait this long for a caller that does not read. The kernel
+# bounds it, which saves a system call for each write.
+WRITE_SECONDS = 10
+SEND_TIMEOUT = struct.pack("ll", WRITE_SECONDS, 0)
 # The part of a body that must have arrived before a thread is used.
 GATED_BODY_BYTES = 32 << 10
 MAX_CONNECTIONS = 2048
@@ -33,8 +38,9 @@
 ACCEPTED_REQUESTS = 1024
 
 HEAD_END = b"\r\n\r\n"
-CONTENT_LENGTH = re.compile(rb"(?i)\r\ncontent-length:[ \t]*([0-9]{1,9})[ \t]*\r\n")
-EXPECT = re.compile(rb"(?i)\r\nexpect:")
+CONTENT_LENGTH = re.compile(rb"(?i)\r\ncontent-length:[ \t]*([0-9]{1,9})[ \t]*(?=\r\n)")
+# With one of these, the body is not waited for: the head decides.
+UNGATED = re.compile(rb"(?i)\r\n(expect|transfer-encoding)[ \t]*:")
 
 
 def bytes_wanted(peeked):
@@ -54,10 +60,10 @@
     if end < 0:
         return 0 if len(peeked) >= MAX_HEAD_BYTES else len(peeked) + 1
     head = peeked[: end + len(HEAD_END)]
-    length = CONTENT_LENGTH.search(head)
-    if length is None or EXPECT.search(head):
+    lengths = CONTENT_LENGTH.findall(head)
+    if len(lengths) != 1 or UNGATED.search(head):
         return len(head)
-    return len(head) + min(int(length[1]), GATED_BODY_BYTES)
+    return len(head) + min(int(lengths[0]), GATED_BODY_BYTES)
 
 
 class GatedConnection(server.HTTPConnection):
@@ -67,6 +73,7 @@
 
     def __init__(self, server, sock, makefile=MakeFile):
         set_options(sock)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, SEND_TIMEOUT)
         super().__init__(server, sock, makefile)
         self.late = False
         self._wanted = 0
@@ -96,7 +103,7 @@
             self._deadline = None
         if self._wanted:
             self._set_wanted(0)
-        self.socket.settimeout(SOCKET_TIMEOUT_SECONDS)
+        self.socket.settimeout(READ_SECONDS)
 
     def communicate(self):
         """Serve one request; a late one is answered and closed."""
@@ -167,13 +174,19 @@
         files, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
         self.keep_alive_conn_limit = min(MAX_CONNECTIONS, files // 2)
         self.deadlines = Deadlines()
+        self.keeps_alive = True
+
+    @property
+    def can_add_keepalive_connection(self):
+        """Whether a connection stays open after its answer."""
+        return self.keeps_alive and super().can_add_keepalive_connection
 
     def process_conn(self, conn):
         """Serve a connection that has a request; let the others wait."""
         if conn.has_request():
             conn.open_gate()
             super().process_conn(conn)
-        elif self.can_add_keepalive_connection:
+        elif super().can_add_keepalive_connection:
             self.put_conn(conn)
         else:
             conn.close()
--- a/standin/load.py
+++ b/standin/load.py
@@ -1,6 +1,7 @@
 """An open-loop load of callers, seeded, in tiers and of unlike lengths."""
 
 import itertools
+import math
 import threading
 import time
 from collections import Counter
@@ -41,6 +42,8 @@
         Seconds without a byte after which the caller gives up.
     resends : int
         Times that a caller sends a request again at once after a failure.
+    start, stop : float
+        Seconds between which requests arrive.
     """
 
     workspace: str
@@ -57,6 +60,8 @@
     prefix_words: int = WORDS_PER_PREFIX
     patience: float = 60.0
     resends: int = 0
+    start: float = 0.0
+    stop: float = math.inf
 
 
 @dataclass(frozen=True)
@@ -108,8 +113,8 @@
     rng = np.random.default_rng(seed)
     arrivals = []
     for stream in streams:
-        at = 0.0
-        while (at := at + rng.exponential(1 / stream.rate)) < seconds:
+        at, until = stream.start, min(seconds, stream.stop)
+        while (at := at + rng.exponential(1 / stream.rate)) < until:
             span = np.log(stream.max_tokens / stream.min_tokens)
             tokens = stream.min_tokens * np.exp(rng.uniform(0, span))
             prefix = int(rng.integers(stream.prefixes))
@@ -248,6 +253,8 @@
         Requests asked and wholly answered.
     codes : dict of str to int
         Errors by code.
+    wasted_prompt_tokens : int
+        Prompt tokens computed again after the first time.
     """
 
     asked_by_tier: dict[int, int]
@@ -259,6 +266,21 @@
     tokens: int
     prompt_tokens: int
     cached_tokens: int
+    wasted_prompt_tokens: int = 0
+
+
+def wasted_prompt_tokens(samples):
+    """Return the prompt tokens of whole answers computed again."""
+    by_prefix: dict = {}
+    for sample in sorted(samples, key=lambda s: s.started):
+        if sample.good:
+            key = (sample.arrival.stream.workspace, sample.arrival.prefix)
+            by_prefix.setdefault(key, []).append(sample.cached_tokens)
+    return sum(
+        max(cached) - again
+        for cached in by_prefix.values()
+        for again in itertools.islice(cached, 1, None)
+    )
 
 
 def summarise(samples):
@@ -277,4 +299,5 @@
         sum(s.tokens for s in samples),
         sum(s.prompt_tokens for s in samples),
         sum(s.cached_tokens for s in samples),
+        wasted_prompt_tokens(samples),
     )
--- a/test/test_coordinator_host.py
+++ b/test/test_coordinator_host.py
@@ -68,3 +68,13 @@
     assert later.changed_since(told).targets == (busy,)
     cleared = m.PoolState(POOL, told.targets)
     assert cleared.changed_since(told) == m.PoolState(POOL)
+
+
+def test_the_declared_gap_between_tokens_reaches_the_limits():
+    coordinator = make_host()[0]
+    document = declare()
+    service = document.services[POOL].model_copy(update={"token_gap": 0.065})
+    coordinator.configure(document.model_copy(update={"services": {POOL: service}}))
+    coordinator.receive("e1", m.Join(POOL))
+    targets = coordinator.by_pool[POOL].targets_by_id
+    assert targets["d1"].limit.token_gap == 0.065
