--- a/test/test_coordinator_limits.py
+++ b/test/test_coordinator_limits.py
@@ -322,3 +322,26 @@
         renew_all(coordinator, ["e2"])
         coordinator.observe(m.LoadReport("d1", "1", running, 0))
         assert len(grants(coordinator, "e2", 1)) == granted
+
+
+def test_an_entry_counts_once_it_has_answered_and_its_former_lease_has_ended():
+    clock = FakeClock()
+    coordinator = make_coordinator(clock, declare())
+
+    def granted():
+        renewed = clock.now if answered else -10.0
+        coordinator.renew("e1", renewed, clock.now)
+        coordinator.observe(m.LoadReport("d1", "1", 0, 0))
+        return len(grants(coordinator, "e1", 1))
+
+    coordinator.join("e1", m.Join("drafts", LEASE_SECONDS))
+    answered = False
+    clock.now += 2 * LEASE_SECONDS
+    assert granted() == 0, "the Join may be old"
+    answered = True
+    assert granted() > 0
+    coordinator.join("e1", m.Join("drafts", LEASE_SECONDS))
+    clock.now += LEASE_SECONDS / 2
+    assert granted() == 0, "its former coordinator may still grant to it"
+    clock.now += LEASE_SECONDS
+    assert granted() > 0
