Let a new coordinator give out whole plans until its entries have joined

The first entry to join a new coordinator was one of nine, so that a ninth of each plan was given out and the demands it brought with it were refused with plan_limit. Red without the change.

--- a/almondglade/coordinator/pool.py
+++ b/almondglade/coordinator/pool.py
@@ -18,6 +18,9 @@
 from .targets import Running, TargetRecord
 from .waiting import WaitingRoom
 
+# Time for the entries to join a new coordinator.
+GATHER_SECONDS = 3.0
+
 
 @dataclass(frozen=True)
 class Policies:
@@ -58,6 +61,7 @@
         self.pool = pool
         self.term = term
         self.clock = clock
+        self.started = clock()
         self.declarations: Any = None
         self.published = 1
         self.leases = LeaseTable(clock)
@@ -132,7 +136,13 @@
 
     @property
     def fraction(self):
-        """Part of the plans that this coordinator may give out, 0 to 1."""
+        """Part of the plans that this coordinator may give out, 0 to 1.
+
+        The whole at first: the entries of a lost coordinator come one by one
+        and bring demands that were within their plans.
+        """
+        if self.clock() - self.started < GATHER_SECONDS:
+            return 1.0
         return min(1.0, max(1, len(self.leases.by_entry)) / self.published)
 
     def allowed(self, record):
--- a/test/test_budgets.py
+++ b/test/test_budgets.py
@@ -6,11 +6,13 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from almondglade import messages as m
 from almondglade.coordinator.budgets import BudgetTable
+from almondglade.coordinator.pool import GATHER_SECONDS
 from almondglade.declarations.models import Allowance
 from almondglade.spends import SpendLedger
 
-from .coordinating import FakeClock
+from .coordinating import FakeClock, declare, demand, make_coordinator, sent
 
 STEPS = 300
 
@@ -99,3 +101,20 @@
     assert wait == pytest.approx(100.0)
     clock.now += wait
     assert table.admit("w", plan, 1000) is None
+
+
+def test_a_new_coordinator_gives_out_whole_plans_until_its_entries_have_come():
+    clock = FakeClock()
+    coordinator = make_coordinator(clock, declare(concurrent=9), published=9)
+    coordinator.join("e1", m.Join("drafts"))
+
+    def refused():
+        for _ in range(9):
+            coordinator.submit("e1", demand())
+        return len(sent(coordinator, m.Refusal))
+
+    assert refused() == 0
+    clock.now += GATHER_SECONDS
+    for waiting in coordinator.room.of_entry("e1"):
+        coordinator.withdraw("e1", m.Withdrawal(waiting.demand.request_id, "drafts"))
+    assert refused() == 8, "one of nine entries gives out a ninth"
