Free a permit whose end was lost with a link

An entry that joined again before its former link was seen to end left permits that it no longer held counted for good: the former link's end was then taken for the new one's and dropped nothing. What a Join does not bring is now counted as lost, until a later report shows it gone or the run limit passes. Found by reading; the test is red without the change.

--- a/almondglade/coordinator/takeover.py
+++ b/almondglade/coordinator/takeover.py
@@ -26,6 +26,8 @@
             if not record.chilled:
                 record.limit.adopt(state)
         self.pool.suspects.adopt(join.suspects)
+        # What it does not bring may have ended unseen, on a link that broke.
+        self._lose_permits(entry)
         for carried in join.permits:
             self._carry(entry, carried)
         for spend in join.spends:
@@ -68,6 +70,9 @@
         self.pool.leases.drop(entry)
         for waiting in self.pool.room.of_entry(entry):
             self.pool.drop(waiting)
+        self._lose_permits(entry)
+
+    def _lose_permits(self, entry):
         now = self.pool.clock()
         for run in self.pool.running_by_request.values():
             if run.entry == entry and run.lost_at is None:
--- a/test/test_coordinator_host.py
+++ b/test/test_coordinator_host.py
@@ -6,7 +6,7 @@
 from almondglade.coordinator.core import Policies
 from almondglade.coordinator.host import CoordinatorHost
 
-from .coordinating import POOL, FakeClock, declare, demand
+from .coordinating import POOL, FakeClock, declare, demand, make_coordinator
 
 
 def make_host():
@@ -78,3 +78,23 @@
     coordinator.receive("e1", m.Join(POOL))
     targets = coordinator.by_pool[POOL].targets_by_id
     assert targets["d1"].limit.token_gap == 0.065
+
+
+def test_a_permit_whose_end_was_lost_with_a_link_is_freed_by_a_report():
+    clock = FakeClock()
+    coordinator = make_coordinator(clock, declare(max_concurrent=2))
+    coordinator.observe(m.LoadReport("d1", "1", 0, 0))
+    coordinator.join("e1", m.Join(POOL))
+    coordinator.renew("e1", clock(), clock())
+    kept, ended = demand(), demand()
+    coordinator.submit("e1", kept)
+    coordinator.submit("e1", ended)
+    coordinator.decide()
+    clock.now += 1.0
+    coordinator.join("e1", m.Join(POOL, 0.0, (m.CarriedPermit(kept, "d1", 1.0),)))
+    for _ in range(3):
+        clock.now += 4.0
+        coordinator.renew("e1", clock(), clock())
+        coordinator.observe(m.LoadReport("d1", "1", 1, 0))
+    assert list(coordinator.running_by_request) == [kept.request_id]
+    assert coordinator.running_by_request[kept.request_id].lost_at is None
