--- a/test/test_coordinator_host.py
+++ b/test/test_coordinator_host.py
@@ -6,7 +6,7 @@
 from almondglade.coordinator.core import Policies
 from almondglade.coordinator.host import CoordinatorHost
 
-from .coordinating import POOL, FakeClock, declare, demand
+from .coordinating import POOL, FakeClock, declare, demand, make_coordinator
 
 
 def make_host():
@@ -55,6 +55,21 @@
     answer_rejoin(host, inbox)
 
 
+def test_entries_are_told_only_what_changed():
+    told = m.PoolState(
+        POOL,
+        (m.TargetState("d1", "1", 1.0), m.TargetState("d2", "1", 1.0)),
+        (m.CarriedSuspect(1, ("d1",), 0.0),),
+    )
+    older = m.PoolState(POOL, told.targets, (m.CarriedSuspect(1, ("d1",), 9.0),))
+    assert older.changed_since(told) is None
+    busy = m.TargetState("d2", "1", 1.0, running=1)
+    later = m.PoolState(POOL, (told.targets[0], busy), told.suspects)
+    assert later.changed_since(told).targets == (busy,)
+    cleared = m.PoolState(POOL, told.targets)
+    assert cleared.changed_since(told) == m.PoolState(POOL)
+
+
 def test_the_declared_gap_between_tokens_reaches_the_limits():
     coordinator = make_host()[0]
     document = declare()
@@ -63,3 +78,23 @@
     coordinator.receive("e1", m.Join(POOL))
     targets = coordinator.by_pool[POOL].targets_by_id
     assert targets["d1"].limit.token_gap == 0.065
+
+
+def test_a_permit_whose_end_was_lost_with_a_link_is_freed_by_a_report():
+    clock = FakeClock()
+    coordinator = make_coordinator(clock, declare(max_concurrent=2))
+    coordinator.observe(m.LoadReport("d1", "1", 0, 0))
+    coordinator.join("e1", m.Join(POOL))
+    coordinator.renew("e1", clock(), clock())
+    kept, ended = demand(), demand()
+    coordinator.submit("e1", kept)
+    coordinator.submit("e1", ended)
+    coordinator.decide()
+    clock.now += 1.0
+    coordinator.join("e1", m.Join(POOL, 0.0, (m.CarriedPermit(kept, "d1", 1.0),)))
+    for _ in range(3):
+        clock.now += 4.0
+        coordinator.renew("e1", clock(), clock())
+        coordinator.observe(m.LoadReport("d1", "1", 1, 0))
+    assert list(coordinator.running_by_request) == [kept.request_id]
+    assert coordinator.running_by_request[kept.request_id].lost_at is None
