--- a/almondglade/coordinator/delay.py
+++ b/almondglade/coordinator/delay.py
@@ -78,7 +78,8 @@
         demand = waiting.demand
         excess = self._wait(queue, demand, targets) - demand.max_wait / 2
         seconds = min(MAX_RETRY_SECONDS, max(MIN_RETRY_SECONDS, excess))
-        return seconds * (1 + JITTER_SHARE * self.rng.random())
+        # Written into answers, where a number of NumPy has no form.
+        return float(seconds * (1 + JITTER_SHARE * self.rng.random()))
 
     def _wait(self, queue, demand, targets):
         speed = sum(speed_of(record) for record in targets if record.serving)
--- a/almondgladeplug/limits.py
+++ b/almondgladeplug/limits.py
@@ -6,10 +6,12 @@
 
 FAILURES = (Result.BROKEN, Result.REFUSED, Result.TIMED_OUT)
 MAX_WINDOW_RUNS = 9
+# Part of a run that must lie after the last change of the limit to count.
+CLEAN_SHARE = 0.7
 MIN_WINDOW_SECONDS = 0.25
 # A limit grows only while at least this part of it is used.
 BUSY_SHARE = 0.75
-GROWTH_SHARE = 0.34
+GROWTH_SHARE = 0.5
 # Steps up and down in turn once a concurrency has been found that was too high.
 PROBE_SHARE = 0.125
 # Another concurrency is better only if its power is this much higher.
@@ -27,9 +29,9 @@
 class AdaptiveLimit(LimitPolicy):
     """Find the knee of a target's throughput by its own completed work.
 
-    The limit starts at one. Each window of runs that began and ended at the
-    same limit gives the pace at its concurrency; the limit goes to the known
-    concurrency of most power, or one step above while that is the highest.
+    The limit starts at one. Each window of runs at one limit gives the pace at
+    its concurrency; the limit goes to the known concurrency of most power, or
+    one step above while that is the highest.
     """
 
     name = "adaptive"
@@ -43,14 +45,32 @@
         self._held_until = 0.0
         self._settled = 0
         self._probing_up = True
+        self._rested: tuple[float, PaceCurve, int] | None = None
+
+    def rest(self):
+        """Become cold until a report shows that the process is the same."""
+        rested = (self.limit, self._curve, self._settled) if self.epoch else None
+        self.chill()
+        self._rested = rested
+
+    def observe_epoch(self, epoch):
+        """Go on from before a rest, or become cold after a restart."""
+        rested = self._rested
+        restarted = super().observe_epoch(epoch)
+        if rested is not None and not restarted:
+            self.limit, self._curve, self._settled = rested
+            self._window = PaceWindow(self.clock())
+        self._rested = None
+        return restarted
 
     def chill(self):
         """Fall back to the limit of a cold target and forget its speed."""
         super().chill()
+        self._rested = None
         self._curve = PaceCurve()
         self._slow_runs = 0
         self._hold_seconds = MIN_HOLD_SECONDS
-        self._held_until = 0.0
+        self._held_until = self.clock() + self.warm_up
         self._settled = 0
         self._probing_up = True
         self._window = PaceWindow(self.clock())
@@ -69,7 +89,7 @@
         if self._has_collapsed(completion, running):
             self.chill()
             return
-        if self.clock() - completion.duration < self._window.opened:
+        if self.clock() - self._window.opened < CLEAN_SHARE * completion.duration:
             return
         self._window.add(completion, running)
         if self._is_window_full():
--- a/bench/policies.py
+++ b/bench/policies.py
@@ -16,7 +16,7 @@
 
 import defopt
 
-from standin.load import LoadRun, plan, summarise
+from standin.load import LoadRun, plan, summarise, wasted_prompt_tokens
 
 from .fleet import Fleet
 from .ideal import ideal_first_tokens
@@ -91,6 +91,7 @@
     standin_processor_share: float
     limits: dict[str, float] = field(default_factory=dict)
     requests_by_workspace: dict[str, list[int]] = field(default_factory=dict)
+    drawn_by_workspace: dict[str, int] = field(default_factory=dict)
 
 
 def run_scenario(scenario, policies=ADAPTIVE, log_folder=None):
@@ -175,7 +176,7 @@
         quantile(sorted(ideal_first_tokens(scenario, arrivals)), 0.95),
         quantile(late, 0.99),
         prefilled,
-        wasted_prefill([s for s in measured if s.good]),
+        wasted_prompt_tokens(measured),
         sum(ledger["abandoned_tokens"] for ledger in ledgers.values()),
         {
             name: len(ledger["requests"]) - len(warm[name]["requests"])
@@ -195,6 +196,14 @@
             ]
             for w in sorted({s.arrival.stream.workspace for s in samples})
         },
+        {
+            w: sum(
+                s.tokens + s.prompt_tokens
+                for s in samples
+                if s.arrival.stream.workspace == w
+            )
+            for w in sorted({s.arrival.stream.workspace for s in samples})
+        },
     )
 
 
@@ -221,19 +230,6 @@
     return ordered[min(len(ordered) - 1, int(part * len(ordered)))]
 
 
-def wasted_prefill(good):
-    """Return the prompt tokens computed again after the first time."""
-    by_prefix: dict = {}
-    for sample in good:
-        key = (sample.arrival.stream.workspace, sample.arrival.prefix)
-        by_prefix.setdefault(key, []).append(sample)
-    return sum(
-        max(s.cached_tokens for s in group) - s.cached_tokens
-        for group in by_prefix.values()
-        for s in sorted(group, key=lambda s: s.started)[1:]
-    )
-
-
 def limits_of(fleet):
     """Return the limits learnt by the pool's coordinator."""
     for name in fleet.instances_by_id:
@@ -247,14 +243,15 @@
 def print_table(outcomes):
     """Print one line for each outcome."""
     head = "scenario       policies                         goodput top    first95"
-    print(f"{head}  waste   late99 targets")
+    print(f"{head}  ideal   waste  late99 targets")
     for o in outcomes:
         asked = max(1, o.asked_tokens_by_tier.get(0, 0))
         top = o.good_tokens_by_tier.get(0, 0) / asked
         used = sum(count > 0 for count in o.requests_by_target.values())
         print(
             f"{o.scenario:14} {'/'.join(o.policies):32} {o.goodput:7.3f} {top:6.3f} "
-            f"{o.first_token_p95:7.3f} {o.wasted_prefill:7d} {o.lateness_p99:7.3f} "
+            f"{o.first_token_p95:7.3f} {o.ideal_first_token_p95:7.3f} "
+            f"{o.wasted_prefill:7d} {o.lateness_p99:7.3f} "
             f"{used:3d}"
         )
 
@@ -263,6 +260,7 @@
     *scenarios: str,
     policies: str = "/".join(ADAPTIVE),
     output: str = "bench-policies.json",
+    plot: str | None = None,
 ):
     """Run scenarios under sets of policies and print a table.
 
@@ -275,6 +273,8 @@
         are joined by commas.
     output
         File for the figures as JSON.
+    plot
+        Image file for the goodput by second; needs matplotlib.
     """
     outcomes = []
     for name in scenarios or SCENARIOS:
@@ -283,6 +283,21 @@
             print(json.dumps(asdict(outcomes[-1])), file=sys.stderr)
     print_table(outcomes)
     Path(output).write_text(json.dumps([asdict(o) for o in outcomes], indent=1))
+    if plot:
+        draw(outcomes, plot)
+
+
+def draw(outcomes, file):
+    """Plot the goodput of each second."""
+    from matplotlib.figure import Figure
+
+    axes = Figure(figsize=(8, 5)).subplots()
+    for outcome in outcomes:
+        label = f"{outcome.scenario} {'/'.join(outcome.policies)}"
+        axes.plot(outcome.goodput_by_second, label=label)
+    axes.set(xlabel="seconds", ylabel="goodput, part of the capacity")
+    axes.legend(fontsize="small")
+    axes.figure.savefig(file)
 
 
 if __name__ == "__main__":
