--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV ?= .venv
 PYTHON = $(VENV)/bin/python
 
-.PHONY: demo test format lint types unit features bench generated binary soak
+.PHONY: demo test format lint types unit features bench generated binary soak slopes
 
 $(VENV)/.ready: requirements.lock
 	python3 -m venv $(VENV)
@@ -42,3 +42,6 @@
 
 soak: $(VENV)/.ready
 	HYPOTHESIS_PROFILE=soak ALMONDGLADE_SOAK_EXAMPLES=$(or $(EXAMPLES),100) $(PYTHON) -m pytest test/test_faults.py
+
+slopes: $(VENV)/.ready
+	$(PYTHON) -m bench.slopes
--- a/test/test_node.py
+++ b/test/test_node.py
@@ -70,7 +70,11 @@
     runner.join()
     over.set()
     balancer.join()
-    bad = [(s.status, s.code, s.outcome) for s in load.samples if not s.good]
+    bad = [
+        (round(s.started, 1), s.arrival.stream.key, s.code, s.outcome)
+        for s in load.samples
+        if not s.good
+    ]
     assert codes == [0, 0]
     assert len(load.samples) == len(load.arrivals)
     assert bad == []
