--- a/test/test_coordinator_suspects.py
+++ b/test/test_coordinator_suspects.py
@@ -83,6 +83,8 @@
         self.crashed.append(target)
         self.epochs[target] += 1
         broken = [(r, d) for r, (d, where) in self.running.items() if where == target]
+        suspicion = self.coordinator.suspects.suspicion(CRASHER)
+        assert suspicion is Suspicion.NONE or len(broken) == 1, "it ran alone"
         for request_id, _ in broken:
             self.end(request_id, m.Result.BROKEN)
         for _, made in broken:
@@ -98,7 +100,9 @@
     crashes.rng.shuffle(fingerprints)
     for fingerprint in fingerprints:
         crashes.ask(fingerprint)
-    for step in range(80):
+    for step in range(120):
+        for number in range(crashes.rng.randint(0, 2)):
+            crashes.ask(1000 + 10 * step + number)
         if replaced and step == 20:
             for request_id in sorted(crashes.running):
                 crashes.end(request_id, m.Result.CANCELLED)
