Let a target that refuses connections rest

A killed engine ends each permit at once, so it was the only one with room, and each demand used up its attempts on it.

A target that refused is skipped for 0.2 s, doubled up to 2 s, while another is open.

--- a/almondglade/coordinator/core.py
+++ b/almondglade/coordinator/core.py
@@ -147,6 +147,7 @@
         self.budgets.settle(run.demand.workspace, run.demand.tokens, used, ran)
         self._learn_suspicion(record, run, completion.result)
         before = record.limit.limit
+        record.limit.note_end(completion.result)
         record.limit.complete(completion, running)
         record.chilled |= record.limit.limit < before
         self.delay.complete(record, run.demand, completion)
--- a/almondglade/coordinator/pool.py
+++ b/almondglade/coordinator/pool.py
@@ -137,10 +137,18 @@
 
     def allowed(self, record):
         """Return how many permits this coordinator may grant at a target."""
+        if not record.limit.is_open and self._has_open_target():
+            return 0
         return record.foreign.allowance(
             record.limit.current, self.leases, self.published
         )
 
+    def _has_open_target(self):
+        return any(
+            other.serving and other.limit.is_open
+            for other in self.targets_by_id.values()
+        )
+
     @property
     def wants_reports(self):
         """Whether a load report would let more be granted now."""
--- a/test/test_limits.py
+++ b/test/test_limits.py
@@ -5,9 +5,10 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from almondglade.messages import Completion, Result
+from almondglade.messages import Completion, Grant, Join, LoadReport, Result
 from almondgladeplug.limits import AdaptiveLimit
 
+from .coordinating import declare, demand, make_coordinator
 from .modelled import FakeClock, ModelEngine, drive
 
 MAXIMUM = 64
@@ -136,3 +137,26 @@
         limit.complete(run, 2)
     # The load had proved six, from which the limit grew by a half.
     assert limit.current == 7
+
+
+def test_a_target_that_refuses_does_not_draw_in_what_waits():
+    clock = FakeClock()
+    coordinator = make_coordinator(clock, declare(("d1", "d2")), limits="adaptive")
+    coordinator.join("e1", Join("drafts"))
+    coordinator.renew("e1", clock(), clock())
+    for target in ("d1", "d2"):
+        coordinator.observe(LoadReport(target, "1", 0, 0))
+    refused = 0
+    for _ in range(100):
+        clock.now += 0.01
+        coordinator.renew("e1", clock(), clock())
+        made = demand(0, max_wait=3.0)
+        coordinator.submit("e1", made)
+        for addressed in coordinator.decide():
+            message = addressed.message
+            if isinstance(message, Grant) and message.target == "d1":
+                refused += 1
+                end = Completion(message.request_id, "drafts", Result.REFUSED)
+                coordinator.finish("e1", end)
+    # At 0, 0.2 and 0.6 s, and one more that was on its way.
+    assert 1 <= refused <= 4
