Part the checks of the promises from the faults

Cause: one module of 403 lines held the faults, the callers and the checks. Ruled out: leaving the checks as methods; they need only what was recorded. Conclusion: the checks can be used on other records.

--- a/bench/faults.py
+++ b/bench/faults.py
@@ -8,8 +8,6 @@
 import signal
 import threading
 import time
-from collections import Counter
-from dataclasses import dataclass, field
 from pathlib import Path
 
 import numpy as np
@@ -21,9 +19,8 @@
 from standin.journal import read_journal
 
 from .fleet import Fleet, sample_declarations
+from .promises import Answer, Record, Window, violations
 
-# A data centre that was taken out receives no new work after this long.
-NOTICE_SECONDS = 3.0
 # After all faults have ended, callers are served again within this long.
 RECOVERY_SECONDS = 15.0
 LIST_LAG_SECONDS = 0.5
@@ -34,36 +31,6 @@
 REQUEST_TIMEOUT = urllib3.Timeout(connect=1.0, read=8.0)
 
 
-@dataclass
-class Answer:
-    """What a caller was told of one send."""
-
-    status: int
-    outcome: str
-    request_id: str
-    body: bytes
-    code: str = ""
-
-
-@dataclass
-class Window:
-    """A time in which a data centre was out, seconds since the epoch."""
-
-    data_centre: str
-    since: float
-    until: float = float("inf")
-
-
-@dataclass
-class Record:
-    """All that the callers were told."""
-
-    answers: list[Answer] = field(default_factory=list)
-    wrong: list[str] = field(default_factory=list)
-    windows: list[Window] = field(default_factory=list)
-    broken_sends: int = 0
-
-
 class FaultFleet:
     """A fleet of four instances in two data centres, with callers.
 
@@ -357,35 +324,12 @@
 
     def violations(self):
         """Return every promise that was seen broken."""
-        seen = {
-            name: read_journal(self.folder / f"{name}.journal")
-            for name in self.fleet.targets_by_id
+        targets = self.fleet.targets_by_id
+        journals = {
+            name: read_journal(self.folder / f"{name}.journal") for name in targets
         }
-        lines = list(itertools.chain.from_iterable(seen.values()))
-        return [
-            *self.record.wrong,
-            *_run_twice("request", (line["request_id"] for line in lines)),
-            *_run_twice(
-                "booking", (line["body"] for line in lines if line.get("body"))
-            ),
-            *self._run_though_not_run({line["request_id"] for line in lines}),
-            *self._dispatched_while_out(seen),
-        ]
-
-    def _run_though_not_run(self, request_ids):
-        for answer in self.record.answers:
-            if answer.outcome == "not-run" and answer.request_id in request_ids:
-                yield f"not run was said of {answer.request_id}, which ran"
-
-    def _dispatched_while_out(self, seen):
-        for window in self.record.windows:
-            for name, lines in seen.items():
-                if self.fleet.targets_by_id[name].data_centre != window.data_centre:
-                    continue
-                for line in lines:
-                    late = line["at"] - window.since
-                    if late > NOTICE_SECONDS and line["at"] < window.until:
-                        yield f"{name} got work {late:.1f} s after it was taken out"
+        centres = {name: member.data_centre for name, member in targets.items()}
+        return violations(self.record, journals, centres)
 
 
 def _draft_body(content):
@@ -395,9 +339,3 @@
         "max_tokens": DRAFT_TOKENS,
         "stream": True,
     }
-
-
-def _run_twice(what, names):
-    for name, count in Counter(names).items():
-        if count > 1:
-            yield f"{what} {name!r} ran {count} times"
