Settle a caller's own key on one version of the list only

Cause: an instance that another had replaced on the list, and that had not read so yet, asked by its old list a process started since, and was its own witness: a key ran twice.

All votes must now rest on one list version, each voter must have been seen listed for the list's lag, and the time listed ends with the latest answer.

--- a/almondglade/keys/claiming.py
+++ b/almondglade/keys/claiming.py
@@ -39,12 +39,15 @@
         Seconds for which it has been listed without a break.
     known : frozenset of str
         Instances that are listed or connected at the voter.
+    list_version : int
+        Version of the list that the voter has read.
     """
 
     voter: Holder
     holder: Holder | None
     listed_for: float
     known: frozenset[str]
+    list_version: int
 
 
 @dataclass(frozen=True)
@@ -81,9 +84,14 @@
     def vote(self, slot, order):
         """Record a claim if it can be accepted and return the `ClaimVote`."""
         holder = self.claims.receive(slot, order.claimant, order.instead_of)
-        listed_for = self.peers.listing.listed_for()
-        known = frozenset(self.peers.names())
-        return ClaimVote(self.claims.own, holder, listed_for, known)
+        listing = self.peers.listing
+        return ClaimVote(
+            self.claims.own,
+            holder,
+            listing.listed_for(),
+            frozenset(self.peers.names()),
+            listing.version,
+        )
 
 
 class Claimant:
@@ -181,6 +189,11 @@
         unknown.discard(self.claims.own.instance)
         if unknown:
             raise unsettled(f"not yet known here: {', '.join(sorted(unknown))}")
+        if len({vote.list_version for vote in votes}) > 1:
+            raise unsettled("the instances have read different lists")
+        # A younger one may have read a list from before its start.
+        if min(vote.listed_for for vote in votes) < self.list_lag:
+            raise unsettled("an instance has started lately")
         oldest = max(vote.listed_for for vote in votes)
         if oldest < self.witness_age:
             raise unsettled(
--- a/almondglade/keys/listing.py
+++ b/almondglade/keys/listing.py
@@ -18,6 +18,7 @@
         self._attempted_at = clock()
         self._confirmed_at = None
         self._listed_since = None
+        self.version = 0
 
     def attempt(self):
         """Note that the list is about to be read, and return the time."""
@@ -28,7 +29,7 @@
         self._attempted_at = now
         return now
 
-    def confirm(self, attempted_at, listed):
+    def confirm(self, attempted_at, listed, version):
         """Take in an answer.
 
         Parameters
@@ -38,12 +39,15 @@
             process is as old as its question.
         listed : bool
             Whether the list held this instance.
+        version : int
+            The list's version.
         """
+        self.version = version
         self._confirmed_at = attempted_at
         if not listed:
             self._listed_since = None
         elif self._listed_since is None:
-            self._listed_since = self.clock()
+            self._listed_since = attempted_at
 
     def is_fresh(self):
         """Tell whether the list was confirmed lately."""
@@ -54,11 +58,14 @@
         )
 
     def listed_for(self):
-        """Return for how many seconds this instance has been listed, unpaused."""
-        now, since = self.clock(), self._listed_since
-        if since is None or self._was_paused(now):
+        """Return for how many seconds this instance was seen listed, unpaused.
+
+        They end with the latest answer: what was published since is not known.
+        """
+        since, confirmed_at = self._listed_since, self._confirmed_at
+        if since is None or self._was_paused(self.clock()):
             return 0.0
-        return now - since
+        return confirmed_at - since
 
     def _was_paused(self, now):
         return now - self._attempted_at > MAX_VIEW_AGE_SECONDS
--- a/almondglade/peers/callcodec.py
+++ b/almondglade/peers/callcodec.py
@@ -159,6 +159,7 @@
         incarnation=vote.voter.incarnation,
         listed_for_ms=round(vote.listed_for * MILLISECONDS),
         known=sorted(vote.known),
+        list_version=vote.list_version,
     )
     if vote.holder is not None:
         wire.holder = vote.holder.instance
@@ -175,6 +176,7 @@
         _holder(wire.holder, wire.holder_incarnation),
         wire.listed_for_ms / MILLISECONDS,
         frozenset(wire.known),
+        wire.list_version,
     )
 
 
--- a/test/test_keys_claims.py
+++ b/test/test_keys_claims.py
@@ -210,3 +210,14 @@
     fleet.publish()
     fleet.advance(WINDOW - 5, 0.0)
     assert send(fleet, "e2").code is Code.KEY_UNSETTLED
+
+
+def test_an_instance_replaced_unawares_runs_no_key_that_others_have_used():
+    fleet = made_fleet("e1", "e2")
+    replaced = fleet.by_name["e2"]
+    fleet.start("e2")
+    fleet.publish()
+    send(fleet, "e1")
+    fleet.start("e1")
+    fleet.publish()
+    assert fleet.send(replaced, *SLOT).code is Code.KEY_UNSETTLED
