--- a/almondgladeplug/limits.py
+++ b/almondgladeplug/limits.py
@@ -6,10 +6,12 @@
 
 FAILURES = (Result.BROKEN, Result.REFUSED, Result.TIMED_OUT)
 MAX_WINDOW_RUNS = 9
+# Part of a run that must lie after the last change of the limit to count.
+CLEAN_SHARE = 0.7
 MIN_WINDOW_SECONDS = 0.25
 # A limit grows only while at least this part of it is used.
-BUSY_SHARE = 0.75
-GROWTH_SHARE = 0.34
+BUSY_SHARE = 0.9
+GROWTH_SHARE = 0.5
 # Steps up and down in turn once a concurrency has been found that was too high.
 PROBE_SHARE = 0.125
 # Another concurrency is better only if its power is this much higher.
@@ -27,9 +29,9 @@
 class AdaptiveLimit(LimitPolicy):
     """Find the knee of a target's throughput by its own completed work.
 
-    The limit starts at one. Each window of runs that began and ended at the
-    same limit gives the pace at its concurrency; the limit goes to the known
-    concurrency of most power, or one step above while that is the highest.
+    The limit starts at one. Each window of runs at one limit gives the pace at
+    its concurrency; the limit goes to the known concurrency of most power, or
+    one step above while that is the highest.
     """
 
     name = "adaptive"
@@ -43,6 +45,7 @@
         self._held_until = 0.0
         self._settled = 0
         self._probing_up = True
+        self._grown_from = 0
         self._rested: tuple[float, PaceCurve, int] | None = None
 
     def rest(self):
@@ -71,6 +74,7 @@
         self._held_until = self.clock() + self.warm_up
         self._settled = 0
         self._probing_up = True
+        self._grown_from = 0
         self._window = PaceWindow(self.clock())
 
     def pace(self, running):
@@ -87,7 +91,7 @@
         if self._has_collapsed(completion, running):
             self.chill()
             return
-        if self.clock() - completion.duration < self._window.opened:
+        if self.clock() - self._window.opened < CLEAN_SHARE * completion.duration:
             return
         self._window.add(completion, running)
         if self._is_window_full():
@@ -123,10 +127,21 @@
         busy = level >= BUSY_SHARE * self.limit
         if best != level and (busy or self._curve.misses(level, self.token_gap)):
             self._settle(best)
-        elif busy and self.clock() >= self._held_until:
+        elif not busy:
+            self._withdraw_growth()
+        elif self.clock() >= self._held_until:
             self._probe(level)
 
+    def _withdraw_growth(self):
+        """Keep one step of a growth that the load did not last to prove.
+
+        Else a later burst would be the first to try the whole of it.
+        """
+        if self._grown_from and self.limit > self._grown_from + 1:
+            self._set(self._grown_from + 1)
+
     def _settle(self, level):
+        self._grown_from = 0
         repeated = self._settled == level
         self._hold_seconds = min(
             self._hold_seconds * 2 if repeated else MIN_HOLD_SECONDS, MAX_HOLD_SECONDS
@@ -136,6 +151,7 @@
         self._set(level)
 
     def _probe(self, level):
+        self._grown_from = level
         if not self._settled:
             self._set(max(self.current, level + max(1, int(level * GROWTH_SHARE))))
             return
