--- a/test/test_peers_leaving.py
+++ b/test/test_peers_leaving.py
@@ -191,6 +191,21 @@
     fleet.await_ready()
 
 
+def test_a_target_marked_as_leaving_gets_no_new_work(fleet):
+    target = fleet.declarations["targets"]["b2"]
+    with load(fleet):
+        await_true(lambda: dispatches_after(fleet, "b2", time.time() - 0.5))
+        target["state"] = "leaving"
+        fleet.publish()
+        changed = time.time()
+        time.sleep(FAULT_SECONDS)
+        late = dispatches_after(fleet, "b2", changed)
+        target["state"] = "serving"
+        fleet.publish()
+        assert max(late, default=0.0) <= PROMISE_SECONDS
+        await_true(lambda: dispatches_after(fleet, "b2", time.time() - 0.5))
+
+
 def test_woken_instances_that_see_only_each_other_hold_back(fleet):
     """Two of three relays asleep are a majority of ignorant ones when woken."""
     with load(fleet):
