Let a target's limit grow while three quarters of it are used

The share is three quarters again, of the mean without rounding, and growth is by a third again: growth by a half tried 13 at all four targets, beyond the knee of 8.

--- a/almondglade/coordinator/pace.py
+++ b/almondglade/coordinator/pace.py
@@ -53,9 +53,14 @@
         return len(self.outputs)
 
     @property
-    def level(self):
+    def mean_running(self):
         """Mean concurrency."""
-        return max(1, round(float(np.average(self.levels, weights=self.outputs))))
+        return float(np.average(self.levels, weights=self.outputs))
+
+    @property
+    def level(self):
+        """Mean concurrency as a whole number."""
+        return max(1, round(self.mean_running))
 
 
 @dataclass
--- a/almondgladeplug/limits.py
+++ b/almondgladeplug/limits.py
@@ -10,8 +10,8 @@
 CLEAN_SHARE = 0.7
 MIN_WINDOW_SECONDS = 0.25
 # A limit grows only while at least this part of it is used.
-BUSY_SHARE = 0.9
-GROWTH_SHARE = 0.5
+BUSY_SHARE = 0.75
+GROWTH_SHARE = 0.34
 # Steps up and down in turn once a concurrency has been found that was too high.
 PROBE_SHARE = 0.125
 # Another concurrency is better only if its power is this much higher.
@@ -119,12 +119,11 @@
             self._settled = 0
             self._set(self.current // 2)
             return
-        self._adjust(window.level)
+        self._adjust(window.level, window.mean_running >= BUSY_SHARE * self.limit)
 
-    def _adjust(self, level):
+    def _adjust(self, level, busy):
         margin = SETTLED_MARGIN if self._settled else RAMP_MARGIN
         best = self._curve.best_level(level, self.token_gap, margin)
-        busy = level >= BUSY_SHARE * self.limit
         if best != level and (busy or self._curve.misses(level, self.token_gap)):
             self._settle(best)
         elif not busy:
