Say in the feature what bringing a data centre back must do

Cause: the feature expected that one-at-a-time lookups reach the data centre that came back; the target choice fills the fewest warm targets that meet the delay goal, so they all went to the other one. The feature was wrong: which of two targets gets such work is not promised. The time of reading a document was taken over one large read, which a garbage collection can triple.

--- a/features/operators.feature
+++ b/features/operators.feature
@@ -12,9 +12,12 @@
   Scenario: A data centre that is brought back receives work again
     When data centre muc-b is taken out
     And data centre muc-b is brought back
+    And data centre muc-a is taken out
     And 4 seconds pass
     And partner-a looks up 5 slots through each instance
-    Then target b1 has received something since
+    Then every lookup was answered
+    And target b1 has received something since
+    And target b2 has received nothing since
 
   Scenario: A document that is not valid is never in force
     When a document that is not valid is published
--- a/features/steps/operating.py
+++ b/features/steps/operating.py
@@ -52,6 +52,11 @@
     assert bool(times) == (what == "something"), times
 
 
+@then("every lookup was answered")
+def step_answered(context):
+    assert [answer.status for answer in context.answers] == [200] * 10
+
+
 @when("a document that is not valid is published")
 def step_invalid(context):
     context.rejected = context.fleet.publish(b'{"plans": 7}')
--- a/test/test_configuration.py
+++ b/test/test_configuration.py
@@ -1,6 +1,7 @@
 """A configuration never goes back, and only valid ones are in force."""
 
 import asyncio
+import gc
 import itertools
 import time
 
@@ -78,9 +79,14 @@
         raw = sample_declarations()
         raw["workspaces"] = {f"ws-{n}": {"plan": "gold"} for n in range(count)}
         text = form(raw)
-        started = time.process_time()
-        parse_declarations(text)
-        return time.process_time() - started
-
-    small, large = min(seconds(500) for _ in range(5)), seconds(8_000)
+        gc.collect()
+        gc.disable()
+        try:
+            started = time.process_time()
+            parse_declarations(text)
+            return time.process_time() - started
+        finally:
+            gc.enable()
+
+    small, large = (min(seconds(n) for _ in range(5)) for n in (500, 8_000))
     assert large < 16 * 3 * small
