--- a/standin/load.py
+++ b/standin/load.py
@@ -270,14 +270,19 @@
 
 
 def wasted_prompt_tokens(samples):
-    """Return the prompt tokens of whole answers computed again."""
+    """Return the prompt tokens of whole answers computed again.
+
+    What prompts of one prefix share is the most that any answer took from a
+    cache; a prefix that was never found again counts as wasted in full.
+    """
+    good = sorted((s for s in samples if s.good), key=lambda s: s.started)
+    shared = max((sample.cached_tokens for sample in good), default=0)
     by_prefix: dict = {}
-    for sample in sorted(samples, key=lambda s: s.started):
-        if sample.good:
-            key = (sample.arrival.stream.workspace, sample.arrival.prefix)
-            by_prefix.setdefault(key, []).append(sample.cached_tokens)
+    for sample in good:
+        key = (sample.arrival.stream.workspace, sample.arrival.prefix)
+        by_prefix.setdefault(key, []).append(sample.cached_tokens)
     return sum(
-        max(cached) - again
+        max(0, shared - again)
         for cached in by_prefix.values()
         for again in itertools.islice(cached, 1, None)
     )
