--- a/almondglade/node.py
+++ b/almondglade/node.py
@@ -38,13 +38,13 @@
 from .platform.client import PlatformClient
 from .platform.reading import DocumentReader
 from .platform.watch import watch
+from .state import snapshot_of
 from .stopping import drain
 from .usage import UsageLog, log_record
 
 log = get_logger("node")
 
 OPERATOR_THREADS = 4
-SNAPSHOT_SECONDS = 2.0
 EXIT_CUT = 3
 INCARNATION_BYTES = 4
 RESTART_SECONDS = 1.0
@@ -68,7 +68,7 @@
         self.cut_asked = asyncio.Event()
         self.stopping = False
         self.rng = np.random.default_rng()
-        self._loop_thread = threading.get_ident()
+        self.loop_thread = threading.get_ident()
         own = Instance(
             settings.instance,
             settings.address,
@@ -140,27 +140,8 @@
         """
         settings = self.settings
         self._handle_signals()
-        self.callers = HttpServer(
-            settings.address,
-            settings.caller_port,
-            self.app,
-            settings.max_requests + settings.reserve_threads,
-        )
-        operators = HttpServer(
-            settings.address,
-            settings.operator_port,
-            OperatorApp(self),
-            OPERATOR_THREADS,
-        )
-        peers = Server([self.peers], config=TRANSPORT)
         async with contextlib.AsyncExitStack() as stack:
-            with _port_errors(settings.peer_port):
-                await peers.start(settings.address, settings.peer_port)
-            stack.callback(peers.close)
-            for server in (self.callers, operators):
-                with _port_errors(server.port):
-                    server.start()
-                stack.push_async_callback(asyncio.to_thread, server.stop)
+            await self._open_ports(stack)
             stack.push_async_callback(self.links.close)
             log.info(
                 "started", instance=settings.instance, incarnation=self.incarnation
@@ -180,6 +161,30 @@
         log.info("stopped", instance=settings.instance)
         return cut
 
+    async def _open_ports(self, stack):
+        settings = self.settings
+        threads = settings.max_requests + settings.reserve_threads
+        self.callers = HttpServer(
+            settings.address, settings.caller_port, self.app, threads
+        )
+        operators = HttpServer(
+            settings.address,
+            settings.operator_port,
+            OperatorApp(self),
+            OPERATOR_THREADS,
+            settings.operator_port,
+            OperatorApp(self),
+            OPERATOR_THREADS,
+        )
+        peers = Server([self.peers], config=TRANSPORT)
+        with _port_errors(settings.peer_port):
+            await peers.start(settings.address, settings.peer_port)
+        stack.callback(peers.close)
+        for server in (self.callers, operators):
+            with _port_errors(server.port):
+                server.start()
+            stack.push_async_callback(asyncio.to_thread, server.stop)
+
     def _handle_signals(self):
         for number in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(number, self._stop)
@@ -191,7 +196,7 @@
         self.stop_asked.set()
 
     def _log_state(self):
-        log.info("state", state=orjson.dumps(self.snapshot()).decode())
+        log.info("state", state=orjson.dumps(snapshot_of(self)).decode())
 
     def _jobs(self):
         settings = self.settings
@@ -279,39 +284,6 @@
             and self.currency.is_current()
         )
 
-    def snapshot(self):
-        """Return the state of the whole process, without secrets.
-
-        It is taken on the loop thread, which alone changes it.
-        """
-        if threading.get_ident() == self._loop_thread:
-            return self._snapshot()
-
-        async def take():
-            return self._snapshot()
-
-        future = asyncio.run_coroutine_threadsafe(take(), self.loop)
-        return future.result(SNAPSHOT_SECONDS)
-
-    def _snapshot(self):
-        return {
-            "instance": self.settings.instance,
-            "incarnation": self.incarnation,
-            "ready": self.is_ready(),
-            "stopping": self.stopping,
-            "active_requests": self.app.active,
-            "configuration": self.store.snapshot(),
-            "currency": self.currency.snapshot(),
-            "published": self.membership.published,
-            "suspects": sorted(self.membership.suspects),
-            "links": self.links.snapshot(),
-            "pools": self.broker.snapshot(),
-            "coordinators": self.host.snapshot(),
-            "usage": self.scheduler.usage.snapshot(),
-            "keys": self.keyed.snapshot() | self.forwarded.snapshot(),
-            "platform_calls": self.platform.calls,
-        }
-
 
 async def keep_running(name, job):
     """Run a job until cancelled, again after a failure.
--- a/almondglade/operators.py
+++ b/almondglade/operators.py
@@ -4,6 +4,7 @@
 import orjson
 
 from .metrics import set_gauges
+from .state import snapshot_of
 
 
 class OperatorApp:
@@ -44,4 +45,4 @@
     def dump(self):
         """Return the state of the whole process as JSON."""
         cherrypy.response.headers["Content-Type"] = "application/json"
-        return orjson.dumps(self.node.snapshot(), option=orjson.OPT_INDENT_2)
+        return orjson.dumps(snapshot_of(self.node), option=orjson.OPT_INDENT_2)
--- /dev/null
+++ b/almondglade/state.py
@@ -0,0 +1,46 @@
+"""The dump: the state of a whole process, without secrets."""
+
+import asyncio
+import threading
+
+SNAPSHOT_SECONDS = 2.0
+
+
+def snapshot_of(node):
+    """Return the state of an instance as plain values.
+
+    It is taken on the loop thread, which alone changes it.
+
+    Parameters
+    ----------
+    node : Node
+        The running instance.
+    """
+    if threading.get_ident() == node.loop_thread:
+        return _take(node)
+
+    async def take():
+        return _take(node)
+
+    future = asyncio.run_coroutine_threadsafe(take(), node.loop)
+    return future.result(SNAPSHOT_SECONDS)
+
+
+def _take(node):
+    return {
+        "instance": node.settings.instance,
+        "incarnation": node.incarnation,
+        "ready": node.is_ready(),
+        "stopping": node.stopping,
+        "active_requests": node.app.active,
+        "configuration": node.store.snapshot(),
+        "currency": node.currency.snapshot(),
+        "published": node.membership.published,
+        "suspects": sorted(node.membership.suspects),
+        "links": node.links.snapshot(),
+        "pools": node.broker.snapshot(),
+        "coordinators": node.host.snapshot(),
+        "usage": node.scheduler.usage.snapshot(),
+        "keys": node.keyed.snapshot() | node.forwarded.snapshot(),
+        "platform_calls": node.platform.calls,
+    }
--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Load, demo and measurements on one machine with the stand-ins."""
+"""Load, demo and measurements on loopback with the stand-ins."""
--- a/bench/latency.py
+++ b/bench/latency.py
@@ -1,7 +1,7 @@
 """Measure the latency that the whole path adds to a small answer when idle.
 
 Each round sends one request to the target alone and one through an instance,
-one after the other, so that both meet the same machine.
+one after the other, so that both meet the same conditions.
 """
 
 import json
