Name the operators' port once

Ruled out: nothing else had changed. Before: the path's tests fail at the start. After: 15 tests of the life and the path pass.

--- a/almondglade/node.py
+++ b/almondglade/node.py
@@ -172,9 +172,6 @@
             settings.operator_port,
             OperatorApp(self),
             OPERATOR_THREADS,
-            settings.operator_port,
-            OperatorApp(self),
-            OPERATOR_THREADS,
         )
         peers = Server([self.peers], config=TRANSPORT)
         with _port_errors(settings.peer_port):
