Find the generator's plugin without the PATH

Ruled out: a missing package; the plugin is installed beside the interpreter.

Before: exit 2 in four of four clones. After: exit 0, and 1 with a changed generated file, both without the environment on the PATH.

--- a/bench/generated.py
+++ b/bench/generated.py
@@ -1,13 +1,20 @@
 """Check that the committed generated code matches its definitions."""
 
 import sys
+import sysconfig
 import tempfile
 from pathlib import Path
 
 PACKAGE = "almondglade/peers"
+PLUGIN = "protoc-gen-grpclib_python"
 SUFFIXES = ("_pb2.py", "_pb2.pyi", "_grpc.py")
 
 
+def _script(name):
+    """Return the path of an installed script, which need not be on the PATH."""
+    return Path(sysconfig.get_path("scripts"), name)
+
+
 def differing_files():
     """Return the generated files that differ from the committed ones."""
     from grpc_tools import protoc
@@ -15,6 +22,7 @@
     with tempfile.TemporaryDirectory() as folder:
         outputs = ("python_out", "pyi_out", "grpclib_python_out")
         flags = [f"--{output}={folder}" for output in outputs]
+        flags.append(f"--plugin={PLUGIN}={_script(PLUGIN)}")
         if protoc.main(["protoc", "-I.", *flags, f"{PACKAGE}/link.proto"]):
             raise SystemExit("the definitions cannot be compiled")
         return [
