Say twice-said refusals of the permit broker once

Cause: the refusal without a coordinator stood twice, and a parameter was not used. Ruled out: a change of what callers are told. Before: two copies. After: one function, a named bound of the dump; lint and types clean, the path's and the entry's tests pass. Conclusion: none beyond.

--- a/almondglade/permits.py
+++ b/almondglade/permits.py
@@ -18,6 +18,8 @@
 NO_COORDINATOR_RETRY_SECONDS = 1.0
 # Grace for a refusal to arrive after a demand's wait has ended.
 ANSWER_GRACE_SECONDS = 0.5
+# Permits of one pool that the dump shows.
+MAX_DUMPED_PERMITS = 1000
 
 _CODE_BY_REASON = {
     m.RefusalReason.OVERLOADED: Code.OVERLOADED,
@@ -89,13 +91,8 @@
         try:
             return future.result(demand.max_wait + ANSWER_GRACE_SECONDS)
         except TimeoutError:
-            self.loop.call_soon_threadsafe(self._abandon, demand, future)
-            raise RequestError(
-                Code.NO_COORDINATOR,
-                "no coordinator answered in time",
-                Outcome.NOT_RUN,
-                NO_COORDINATOR_RETRY_SECONDS,
-            ) from None
+            self.loop.call_soon_threadsafe(self._abandon, demand)
+            raise _no_coordinator("no coordinator answered in time") from None
 
     def withdraw(self, demand):
         """Give up a demand; its `acquire` then fails."""
@@ -160,19 +157,12 @@
     def _submit(self, demand, future):
         client = self.by_pool.get(demand.pool)
         if client is None or not client.coordinator:
-            future.set_exception(
-                RequestError(
-                    Code.NO_COORDINATOR,
-                    "no coordinator can be reached",
-                    Outcome.NOT_RUN,
-                    NO_COORDINATOR_RETRY_SECONDS,
-                )
-            )
+            future.set_exception(_no_coordinator("no coordinator can be reached"))
             return
         client.pending_by_request[demand.request_id] = (demand, future)
         self._send(client, demand)
 
-    def _abandon(self, demand, future):
+    def _abandon(self, demand):
         client = self.by_pool.get(demand.pool)
         if client is None:
             return
@@ -187,7 +177,7 @@
         client = self.by_pool.get(demand.pool)
         pending = client and client.pending_by_request.get(demand.request_id)
         if pending:
-            self._abandon(demand, pending[1])
+            self._abandon(demand)
             pending[1].set_exception(
                 RequestError(Code.CALLER_GONE, "the caller has gone away")
             )
@@ -313,7 +303,9 @@
                 "permits": {
                     request_id: permit.grant.target
                     for request_id, permit in sorted(
-                        itertools.islice(client.permits_by_request.items(), 1000)
+                        itertools.islice(
+                            client.permits_by_request.items(), MAX_DUMPED_PERMITS
+                        )
                     )
                 },
             }
@@ -321,6 +313,15 @@
         }
 
 
+def _no_coordinator(message):
+    return RequestError(
+        Code.NO_COORDINATOR,
+        message,
+        Outcome.NOT_RUN,
+        NO_COORDINATOR_RETRY_SECONDS,
+    )
+
+
 def _refusal_error(refusal):
     return RequestError(
         _CODE_BY_REASON[refusal.reason],
