Name the program in its own help

Ruled out: a demo command, which would start other processes.

Before: __main__.py. After: almondglade; the command line's tests pass.

Conclusion: none beyond these.

--- a/almondglade/ui/main.py
+++ b/almondglade/ui/main.py
@@ -23,7 +23,13 @@
 def main(arguments=None):
     """Run one command and exit with its status."""
     try:
-        sys.exit(defopt.run(COMMANDS, argv=arguments, cli_options="has_default"))
+        status = defopt.run(
+            COMMANDS,
+            argv=arguments,
+            cli_options="has_default",
+            argparse_kwargs={"prog": "almondglade"},
+        )
     except AlmondgladeError as error:
         print(f"almondglade: {error}", file=sys.stderr)
-        sys.exit(EXIT_ERROR)
+        status = EXIT_ERROR
+    sys.exit(status)
