Let the demo's list of instances follow what happens to them

Cause: the demo stopped one of four instances and killed another but left both on the list, so the two that remained had no majority and gave out half of each plan: 88 requests were refused with plan_limit.

Ruled out: a fault of the plans; the share of a side without a majority is meant.

--- a/bench/demo.py
+++ b/bench/demo.py
@@ -24,6 +24,8 @@
 INSTANCES = 4
 LOAD_SECONDS = 20.0
 OUT_AT, STOP_AT, KILL_AT, BACK_AT = 4.0, 8.0, 11.0, 13.0
+# The list of instances tells of a killed one this much later.
+LIST_LAG_SECONDS = 1.5
 # After a change is published, dispatches are allowed for this long.
 NOTICE_SECONDS = 3.0
 SEED = 7
@@ -102,14 +104,21 @@
     print(f"stopping {names[-1]} gracefully")
     stopped = fleet.instances_by_id[names[-1]]
     load.urls.remove(stopped.url)
+    fleet.list_instances(leaving=[stopped.name])
     stopped.process.terminate()
     at(KILL_AT)
+    del fleet.instances_by_id[stopped.name]
     print(f"killing {names[-2]}")
     killed = fleet.instances_by_id[names[-2]]
     killed.process.kill()
     load.urls.remove(killed.url)
+    at(KILL_AT + LIST_LAG_SECONDS)
+    del fleet.instances_by_id[killed.name]
+    fleet.list_instances()
     at(BACK_AT)
     moments.back = _set_centre(fleet, "in")
+    for member in (stopped, killed):
+        member.process.wait(LOAD_SECONDS)
 
 
 def _set_centre(fleet, state):
