--- a/almondglade/dispatch/call.py
+++ b/almondglade/dispatch/call.py
@@ -17,6 +17,9 @@
 from .connections import Attempt, PermitExpiredError
 
 READ_BYTES = 1 << 16
+# Answers to earlier requests that are skipped on a connection, and their size.
+MAX_FOREIGN_ANSWERS = 3
+MAX_FOREIGN_BYTES = 1 << 20
 FINAL_STATUSES = range(200, 600)
 LENGTH = re.compile(r"[0-9]{1,18}")
 READ_ERRORS = (HTTPError, HTTPException, OSError, ValueError)
@@ -66,6 +69,9 @@
     fresh : bool
         Whether to use a new connection, which the target cannot have closed
         as idle while the request was on its way.
+    answers : callable or None
+        Takes an `AnswerHead` and tells whether it answers this request; one
+        that answers another, left on the connection, is skipped.
 
     Attributes
     ----------
@@ -84,6 +90,7 @@
         deadlines: Deadlines,
         clock=time.monotonic,
         fresh=False,
+        answers=None,
     ):
         self.pool = pool
         self.request = request
@@ -92,6 +99,7 @@
         self.deadlines = deadlines
         self.clock = clock
         self.fresh = fresh
+        self.answers = answers
         self.started = clock()
         self.cancelled = False
         self.whole = False
@@ -221,15 +229,30 @@
             self._reusable = False
 
     def _receive_head(self):
-        response = self._connection.read_head()
-        check_framing(response, self.request.method)
+        response, head = self._read_head()
+        for _ in range(MAX_FOREIGN_ANSWERS):
+            if self.answers is None or self.answers(head):
+                break
+            # Belongs to an earlier request; must end for the next to be read.
+            response.read(MAX_FOREIGN_BYTES)
+            if not response.isclosed():
+                raise HTTPException("an answer to another request does not end")
+            response, head = self._read_head()
+        else:
+            raise HTTPException("the answers belong to other requests")
         with self._lock:
             if self.cancelled or self._expired:
                 raise OSError("the connection was shut down")
         # The deadline stays: the first byte of the body, too, may take no
         # longer than the service says, and may take as long.
         self._response = response
-        return AnswerHead(response.status, tuple(response.headers.items()))
+        self._connection.note_keep_alive(response.headers.get("keep-alive", ""))
+        return head
+
+    def _read_head(self):
+        response = self._connection.read_head()
+        check_framing(response, self.request.method)
+        return response, AnswerHead(response.status, tuple(response.headers.items()))
 
     def _watch_gaps(self):
         """From the first byte of the body on, bound each gap and the total."""
--- a/almondglade/dispatch/connections.py
+++ b/almondglade/dispatch/connections.py
@@ -2,6 +2,7 @@
 
 import http.client
 import logging
+import re
 import threading
 import time
 from collections import deque
@@ -17,6 +18,9 @@
 IDLE_CONNECTIONS = 64
 MAX_IDLE_SECONDS = 15.0
 MAX_AGE_SECONDS = 300.0
+# A connection is not used in the last part of the time that its target grants.
+IDLE_RESERVE_SECONDS = 1.0
+KEEP_ALIVE_TIMEOUT = re.compile(r"(?i)(?:^|[,\s])timeout=([0-9]{1,6})")
 
 # A malformed head is judged and logged here.
 logging.getLogger("urllib3").setLevel(logging.ERROR)
@@ -108,6 +112,7 @@
     response_class = WholeHeadResponse
     opened = 0.0
     released = 0.0
+    max_idle = MAX_IDLE_SECONDS
 
     def __init__(self, *args, **options):
         super().__init__(*args, **options)
@@ -123,6 +128,19 @@
         self._outgoing.clear()
         self.sock.sendall(request)
 
+    def note_keep_alive(self, value):
+        """Take in how long the target keeps idle connections.
+
+        Parameters
+        ----------
+        value : str
+            The ``Keep-Alive`` header of an answer; empty when there is none.
+        """
+        match = KEEP_ALIVE_TIMEOUT.search(value)
+        if match:
+            granted = int(match[1]) - IDLE_RESERVE_SECONDS
+            self.max_idle = min(MAX_IDLE_SECONDS, max(0.0, granted))
+
     def read_head(self):
         """Return the answer without urllib3's wrapping.
 
@@ -219,7 +237,7 @@
     def _is_usable(self, connection):
         now = self.clock()
         return (
-            now - connection.released <= MAX_IDLE_SECONDS
+            now - connection.released <= connection.max_idle
             and now - connection.opened <= MAX_AGE_SECONDS
             # Readable means closed by the target, or bytes nobody asked for.
             and connection.is_connected
--- a/almondglade/entry/app.py
+++ b/almondglade/entry/app.py
@@ -42,54 +42,51 @@
 NO_BODY_STATUSES = frozenset({204, 205, 304})
 
 
-class EntryApp:
-    """Answers callers' requests.
+class FrontApp:
+    """Counts, answers and refuses requests, whatever callers speak.
 
     Parameters
     ----------
-    settings : Settings
-        Settings of this instance.
-    incarnation : str
-        Changes with each start.
-    scheduler : Scheduler
-        Runs the requests.
-    store : ConfigurationStore
-        Declared document in force.
-    metrics : Metrics or None
-        Where requests are counted; metrics of its own when None.
+    instance, incarnation : str
+        Make the ids of requests unique.
+    scheduler : object
+        Its ``run`` takes an `IncomingRequest` and returns the run.
+    metrics : Metrics
+        Where requests are counted.
+    max_requests : int
+        Requests served at once.
     """
 
     request_class = EntryRequest
     response_class = EntryResponse
+    # Whether a stream that breaks off ends with an event that says so.
+    announces_errors = True
 
-    def __init__(self, settings, incarnation, scheduler, store, metrics=None):
-        self.settings = settings
+    def __init__(self, instance, incarnation, scheduler, metrics, max_requests):
         self.scheduler = scheduler
-        self.store = store
-        self.metrics = metrics or Metrics()
+        self.metrics = metrics
+        self.max_requests = max_requests
         self.stopping = False
         self.active = 0
         self._lock = threading.Lock()
         self._ids = (
-            f"{settings.instance}-{incarnation}-{number}"
-            for number in itertools.count(1)
+            f"{instance}-{incarnation}-{number}" for number in itertools.count(1)
         )
         self._watch = CallerWatch()
-        places = max(1, settings.max_requests // ARRIVING_SHARE)
+        places = max(1, max_requests // ARRIVING_SHARE)
         self._bodies = BodyReader(Deadlines(), places)
-        self.callers: Any = None
-        store.subscribe(self._configured)
 
-    def _configured(self, update):
-        self.callers = CallerTable(self.store.declarations)
+    def request_id(self, http):
+        """Return the id of a request; one of this instance's own."""
+        return next(self._ids)
 
     def answer(self):
         """Answer any request."""
-        with self._lock:
-            request_id = next(self._ids)
-            self.active += 1
         response = cherrypy.serving.response
         http = cherrypy.serving.request.wsgi_environ[REQUEST_KEY]
+        with self._lock:
+            request_id = self.request_id(http)
+            self.active += 1
         tally = RequestTally(self.metrics)
         try:
             body = self._answer(http, request_id, response, tally)
@@ -119,45 +116,6 @@
         with self._lock:
             self.active -= 1
 
-    def _answer(self, http, request_id, response, tally):
-        method = http.method.decode("latin-1")
-        with before_lookup(method, header_of(http, KEY_HEADER)):
-            self._check_capacity()
-        path, _, query = http.uri.decode("latin-1").partition("?")
-        caller = self.callers.authenticate(header_of(http, "authorization"))
-        services = self.store.declarations.services
-        if path == MODELS_PATH and method in ("GET", "HEAD"):
-            response.pairs = [("Content-Type", "application/json")]
-            return models_document(services)
-        if path == KEYS_PATH:
-            response.pairs = list(KEYS_HEADERS)
-            body = self._bodies.read(http, MAX_KEYS_BODY_BYTES)
-            return issue_keys(self.scheduler, caller.workspace, method, body)
-        route = find_route(services, method, path)
-        if route.service is not None:
-            self._check_plan(caller, route.service)
-        with before_lookup(method, header_of(http, KEY_HEADER)):
-            body = self._bodies.read(http, route.max_body_bytes)
-        service = route.service or service_of_model(services, body)
-        self._check_plan(caller, service)
-        tally.service, tally.tier = service, caller.tier
-        request = IncomingRequest(
-            request_id,
-            caller.workspace,
-            caller.tier,
-            service,
-            method,
-            route.path,
-            query,
-            (
-                *end_to_end(http.pairs, NOT_FOR_TARGETS),
-                (REQUEST_ID_HEADER, request_id),
-            ),
-            body,
-            header_of(http, KEY_HEADER),
-        )
-        return self._run(http, request, response, tally)
-
     def _run(self, http, request, response, tally):
         sock = http.conn.socket
         self._watch.watch(sock, request.presence)
@@ -182,7 +140,12 @@
         finally:
             if not streaming:
                 self._watch.forget(sock)
-        return RelayedBody(run, first, lambda error: self._end(sock, tally, error))
+        return RelayedBody(
+            run,
+            first,
+            lambda error: self._end(sock, tally, error),
+            self.announces_errors,
+        )
 
     def _end(self, sock, tally, error):
         tally.end(error)
@@ -198,22 +161,18 @@
             pair for pair in response.pairs if pair[0].lower() != "content-length"
         ]
 
-    def _check_plan(self, caller, service):
-        if self.store.declarations.allowance(caller.workspace, service) is None:
-            raise RequestError(Code.FORBIDDEN, f"the plan does not include {service}")
-
     def _check_capacity(self):
         if self.stopping:
             raise RequestError(
                 Code.STOPPING, "this instance is stopping", retry_after=0.0
             )
-        if self.callers is None:
+        if not self.is_configured():
             raise RequestError(
                 Code.NO_COORDINATOR,
                 "no configuration yet",
                 retry_after=BUSY_RETRY_SECONDS,
             )
-        if self.active > self.settings.max_requests:
+        if self.active > self.max_requests:
             raise RequestError(
                 Code.OVERLOADED,
                 "this instance has too many requests in progress",
@@ -221,6 +180,87 @@
             )
 
 
+class EntryApp(FrontApp):
+    """Answers callers' requests in the product's own protocol.
+
+    Parameters
+    ----------
+    settings : Settings
+        Settings of this instance.
+    incarnation : str
+        Changes with each start.
+    scheduler : Scheduler
+        Runs the requests.
+    store : ConfigurationStore
+        Declared document in force.
+    metrics : Metrics or None
+        Where requests are counted; metrics of its own when None.
+    """
+
+    def __init__(self, settings, incarnation, scheduler, store, metrics=None):
+        super().__init__(
+            settings.instance,
+            incarnation,
+            scheduler,
+            metrics or Metrics(),
+            settings.max_requests,
+        )
+        self.settings = settings
+        self.store = store
+        self.callers: Any = None
+        store.subscribe(self._configured)
+
+    def _configured(self, update):
+        self.callers = CallerTable(self.store.declarations)
+
+    def is_configured(self):
+        """Tell whether a declared document is in force."""
+        return self.callers is not None
+
+    def _answer(self, http, request_id, response, tally):
+        method = http.method.decode("latin-1")
+        with before_lookup(method, header_of(http, KEY_HEADER)):
+            self._check_capacity()
+        path, _, query = http.uri.decode("latin-1").partition("?")
+        caller = self.callers.authenticate(header_of(http, "authorization"))
+        services = self.store.declarations.services
+        if path == MODELS_PATH and method in ("GET", "HEAD"):
+            response.pairs = [("Content-Type", "application/json")]
+            return models_document(services)
+        if path == KEYS_PATH:
+            response.pairs = list(KEYS_HEADERS)
+            body = self._bodies.read(http, MAX_KEYS_BODY_BYTES)
+            return issue_keys(self.scheduler, caller.workspace, method, body)
+        route = find_route(services, method, path)
+        if route.service is not None:
+            self._check_plan(caller, route.service)
+        with before_lookup(method, header_of(http, KEY_HEADER)):
+            body = self._bodies.read(http, route.max_body_bytes)
+        service = route.service or service_of_model(services, body)
+        self._check_plan(caller, service)
+        tally.service, tally.tier = service, caller.tier
+        request = IncomingRequest(
+            request_id,
+            caller.workspace,
+            caller.tier,
+            service,
+            method,
+            route.path,
+            query,
+            (
+                *end_to_end(http.pairs, NOT_FOR_TARGETS),
+                (REQUEST_ID_HEADER, request_id),
+            ),
+            body,
+            header_of(http, KEY_HEADER),
+        )
+        return self._run(http, request, response, tally)
+
+    def _check_plan(self, caller, service):
+        if self.store.declarations.allowance(caller.workspace, service) is None:
+            raise RequestError(Code.FORBIDDEN, f"the plan does not include {service}")
+
+
 def header_of(http, name):
     """Return a header that occurs once at most, or None."""
     return next((value for key, value in http.pairs if key.lower() == name), None)
--- a/almondglade/entry/relaying.py
+++ b/almondglade/entry/relaying.py
@@ -87,12 +87,14 @@
     on_end : callable
         Called once, when the body ends or is closed, with the `RequestError`
         that broke it off or None.
+    announces_errors : bool
+        Whether a stream that breaks off ends with an ``error`` event.
     """
 
-    def __init__(self, run, first, on_end):
+    def __init__(self, run, first, on_end, announces_errors=True):
         self._run = run
         self._on_end = on_end
-        self._events = is_event_stream(run.head)
+        self._events = announces_errors and is_event_stream(run.head)
         self._last = b""
         self._first = first
         self._error: RequestError | None = None
--- /dev/null
+++ b/almondglade/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Serve callers on a platform without a coordinator: each instance decides."""
--- /dev/null
+++ b/almondglade/gateway/app.py
@@ -0,0 +1,136 @@
+"""The callers' port of a gateway."""
+
+import random
+import re
+import time
+
+from ..entry.app import BUSY_RETRY_SECONDS, FrontApp
+from ..log import get_logger
+from ..outcome import Code, RequestError
+from ..platform.front import read_caller
+from .requests import GatewayRequest
+
+log = get_logger("gateway")
+
+# Time for a caller that states none.
+DEFAULT_TIME_SECONDS = 30.0
+REQUEST_ID = re.compile(r"[\x21-\x7e]{1,128}")
+
+
+class GatewayApp(FrontApp):
+    """Answers callers by the routes and keys that the platform publishes.
+
+    Parameters
+    ----------
+    registry : Registry
+        Catalogue in force.
+    accepts_keys : callable
+        Tells whether the catalogue is surely current enough for API keys.
+    """
+
+    announces_errors = False
+
+    def __init__(
+        self,
+        instance,
+        incarnation,
+        scheduler,
+        metrics,
+        max_requests,
+        registry,
+        accepts_keys,
+    ):
+        super().__init__(instance, incarnation, scheduler, metrics, max_requests)
+        self.registry = registry
+        self.accepts_keys = accepts_keys
+
+    def request_id(self, http):
+        """Return the id that the caller gave its request."""
+        given = read_caller(http.pairs).request_id
+        if given is not None and REQUEST_ID.fullmatch(given):
+            return given
+        return super().request_id(http)
+
+    def is_configured(self):
+        """Tell whether a catalogue is in force."""
+        return self.registry.catalogue is not None
+
+    def _answer(self, http, request_id, response, tally):
+        arrived = time.monotonic()
+        self._check_capacity()
+        facts = read_caller(http.pairs)
+        catalogue = self.registry.catalogue
+        path = http.uri.decode("latin-1")
+        route = self._find_route(catalogue, facts, path)
+        workspace = self._authenticate(catalogue, route, facts)
+        limit = catalogue.limits.max_body_bytes
+        time_limit = min(facts.time_limit or DEFAULT_TIME_SECONDS, route.timeout)
+        body = self._bodies.read(http, limit)
+        request = GatewayRequest(
+            request_id,
+            route,
+            choose_service(route),
+            workspace,
+            facts,
+            http.method.decode("latin-1"),
+            path,
+            tuple(http.pairs),
+            body,
+            arrived,
+            arrived + time_limit,
+        )
+        tally.service, tally.tier = request.service, route.tier
+        return self._run(http, request, response, tally)
+
+    @staticmethod
+    def _find_route(catalogue, facts, path):
+        route = catalogue.find_route(facts.host, path.partition("?")[0])
+        if route is None:
+            log.info(
+                "refused without a route",
+                request=facts.request_id,
+                version=catalogue.version,
+            )
+            raise RequestError(Code.NOT_FOUND, "no route for this host and path")
+        return route
+
+    def _authenticate(self, catalogue, route, facts):
+        """Return the workspace of a request, or None if the route is public."""
+        if route.public or not catalogue.requires_keys:
+            return None
+        if not self.accepts_keys():
+            log.info(
+                "refused with an old configuration",
+                request=facts.request_id,
+                version=catalogue.version,
+            )
+            raise RequestError(
+                Code.NO_COORDINATOR,
+                "the configuration may be out of date",
+                retry_after=BUSY_RETRY_SECONDS,
+            )
+        workspace = catalogue.workspace_by_key.get(facts.api_key or "")
+        if workspace is None:
+            log.info(
+                "refused an unknown key",
+                request=facts.request_id,
+                version=catalogue.version,
+            )
+            raise RequestError(Code.UNAUTHENTICATED, "the API key is not known")
+        return workspace
+
+    def _refuse(self, response, error, request_id, tally):
+        super()._refuse(response, error, request_id, tally)
+        if error.retry_after is not None:
+            # Callers of the platform read fractions of a second.
+            response.pairs = [
+                pair for pair in response.pairs if pair[0] != "Retry-After"
+            ] + [("Retry-After", f"{error.retry_after:.2f}")]
+
+
+def choose_service(route):
+    """Return a service of a route, at random by their weights."""
+    weights = route.weight_by_service
+    if len(weights) == 1:
+        return next(iter(weights))
+    return random.choices(list(weights), list(weights.values()))[0]
--- /dev/null
+++ b/almondglade/gateway/node.py
@@ -0,0 +1,338 @@
+"""Assemble one gateway and run it until it is told to stop."""
+
+import asyncio
+import contextlib
+import os
+import random
+import signal
+import threading
+import time
+
+import cherrypy
+import orjson
+
+from ..dispatch.connections import TargetPools
+from ..gossip.fleet import Fleet
+from ..gossip.messages import Report, WaitingHere
+from ..httpserver import HttpServer
+from ..log import get_logger
+from ..metrics import Metrics
+from ..placement.allowance import SharedAllowances
+from ..placement.cold import ColdPace
+from ..placement.freshness import Freshness
+from ..placement.pool import PeerLoad, Pools, Waiters
+from ..placement.resends import ResendBudget
+from ..platform.store import StoreClient
+from .app import GatewayApp
+from .discovery import Discovery, Registry
+from .scheduling import GatewayScheduler
+
+log = get_logger("gateway")
+
+# Threads of the callers' port: at the start, and at most.
+FIRST_THREADS = 16
+MAX_THREADS = 400
+# Requests in progress; the threads above this refuse.
+MAX_REQUESTS = 360
+OPERATOR_THREADS = 2
+METRICS_PORT = 9464
+# Pause between looks at what time changes: paced targets, waits that expire.
+TICK_SECONDS = 0.02
+IDLE_TICK_SECONDS = 0.1
+# Share of the grace time in which requests in progress may end.
+DRAIN_SHARE = 0.9
+# Time in which the balancer learns that an instance is not ready: two questions.
+NOTICE_SECONDS = 2.2
+POLL_SECONDS = 0.05
+
+
+def awake_clock():
+    """Return seconds that also count while the machine is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class GatewayNode:
+    """One gateway.
+
+    Parameters
+    ----------
+    settings : GatewaySettings
+    """
+
+    def __init__(self, settings):
+        self.settings = settings
+        self.clock = time.monotonic
+        self.incarnation = time.time_ns() // 1_000_000
+        self.loop = asyncio.get_running_loop()
+        self.lock = threading.Lock()
+        self.stop_asked = asyncio.Event()
+        self.stopping = False
+        bounds = settings.bounds
+        rng = random.Random()
+        self.metrics = Metrics()
+        self.freshness = Freshness(bounds.revoke)
+        self.pools = Pools(
+            settings.data_centre,
+            ColdPace(settings.instance, bounds.cold_overage, bounds.cold_slack),
+        )
+        self.allowances = SharedAllowances(settings.first_start)
+        self.resends = ResendBudget(
+            bounds.retry_ratio, bounds.retry_slack, bounds.retry_window
+        )
+        self.connections = TargetPools()
+        self.fleet = Fleet(
+            settings.instance,
+            settings.address,
+            settings.peer_port,
+            settings.seed_addresses,
+            self._make_report,
+            self._take_report,
+            self.clock,
+            rng,
+        )
+        self.scheduler = GatewayScheduler(
+            self.pools,
+            self.allowances,
+            self.resends,
+            self.connections,
+            self.lock,
+            lambda: self.fleet.most_seen,
+            self.fleet.changed,
+            self.clock,
+        )
+        self.registry = Registry(self.clock, self._published)
+        self.store = StoreClient(settings.store_address, awake_clock, self.clock)
+        self.discovery = Discovery(self.store, self.registry, self._confirm, rng)
+        self.app = GatewayApp(
+            settings.instance,
+            f"{self.incarnation:x}",
+            self.scheduler,
+            self.metrics,
+            MAX_REQUESTS,
+            self.registry,
+            self._accepts_keys,
+        )
+
+    async def run(self):
+        """Serve until a signal asks to stop, then let requests end."""
+        settings = self.settings
+        for number in (signal.SIGTERM, signal.SIGINT):
+            self.loop.add_signal_handler(number, self.stop_asked.set)
+        self.loop.add_signal_handler(signal.SIGHUP, self._reload)
+        operators = GatewayOperatorApp(self)
+        callers = HttpServer(
+            settings.address,
+            settings.caller_port,
+            self.app,
+            MAX_THREADS,
+            FIRST_THREADS,
+        )
+        servers = [
+            callers,
+            HttpServer(
+                settings.address, settings.ready_port, operators, OPERATOR_THREADS
+            ),
+            HttpServer(settings.address, METRICS_PORT, operators, OPERATOR_THREADS),
+        ]
+        if settings.operator_port is not None:
+            servers.append(
+                HttpServer(
+                    settings.address,
+                    settings.operator_port,
+                    operators,
+                    OPERATOR_THREADS,
+                )
+            )
+        for server in servers:
+            server.start()
+        self.discovery.start()
+        tasks = [
+            asyncio.create_task(self.fleet.run()),
+            asyncio.create_task(self._tick()),
+        ]
+        log.info(
+            "started",
+            instance=settings.instance,
+            data_centre=settings.data_centre,
+            incarnation=self.incarnation,
+            first_start=settings.first_start,
+            seeds=settings.seed_addresses,
+        )
+        await self.stop_asked.wait()
+        await self._drain(callers)
+        for task in tasks:
+            task.cancel()
+        log.info("stopped", instance=settings.instance, cut=self.app.active)
+
+    async def _drain(self, callers):
+        """Take no new callers and end the requests in progress."""
+        log.info("stopping", active=self.app.active)
+        self.stopping = True
+        self.fleet.changed()
+        callers.end_keep_alive()
+        begun = self.clock()
+        ends = begun + DRAIN_SHARE * self.settings.bounds.grace
+        notice_ends = begun + NOTICE_SECONDS
+        while self.clock() < notice_ends or (
+            self.app.active and self.clock() < ends
+        ):
+            await asyncio.sleep(POLL_SECONDS)
+
+    def _reload(self):
+        log.info("reload asked; the settings of a gateway change with its restart")
+
+    async def _tick(self):
+        while True:
+            with self.lock:
+                waiting = any(self.pools.tickets_by_service.values())
+                if waiting:
+                    self.scheduler.match()
+            self.registry.expire()
+            await asyncio.sleep(TICK_SECONDS if waiting else IDLE_TICK_SECONDS)
+
+    def _published(self):
+        """Take over what the platform publishes."""
+        registry = self.registry
+        catalogue = registry.catalogue
+        now = self.clock()
+        records = list(registry.record_by_target.values())
+        with self.lock:
+            self.pools.set_targets(records)
+            self.pools.out_data_centres = frozenset(registry.out_data_centres)
+            if catalogue is not None:
+                self.freshness.hold(registry.catalogue_revision)
+                self.pools.cold_rate_by_service = {
+                    name: terms.cold_rate
+                    for name, terms in catalogue.service_by_name.items()
+                }
+                self.allowances.prepare(catalogue.workspace_by_key.values(), now)
+            self.scheduler.match()
+        self.connections.keep_only(
+            f"http://{record.host}:{record.port}" for record in records
+        )
+
+    def _confirm(self, as_of):
+        with self.lock:
+            self.freshness.confirm(self.registry.catalogue_revision, as_of)
+
+    def _accepts_keys(self):
+        with self.lock:
+            return self.freshness.accepts_keys(awake_clock())
+
+    def _make_report(self, number):
+        now = self.clock()
+        with self.lock:
+            return Report(
+                self.settings.instance,
+                self.incarnation,
+                number,
+                self.stopping,
+                self.freshness.revision,
+                self.freshness.age(awake_clock()),
+                self.pools.running_here(),
+                tuple(
+                    WaitingHere(service, tier, count, now - oldest)
+                    for service, tier, count, oldest in self.pools.waiting_here()
+                ),
+                self.allowances.drawn_here(),
+            )
+
+    def _take_report(self, report):
+        now = self.clock()
+        load = PeerLoad(
+            now,
+            report.running_by_target,
+            tuple(
+                Waiters(part.service, part.tier, part.count, now - part.age)
+                for part in report.waiting
+            ),
+        )
+        with self.lock:
+            self.pools.load_by_peer[report.instance] = load
+            self.pools.instances = sorted(
+                {self.settings.instance}
+                | {peer.instance for peer in self.fleet.live_peers()}
+            )
+            self.allowances.take_peer(
+                report.instance, report.incarnation, report.drawn_by_workspace
+            )
+            self.freshness.confirm(
+                report.revision, awake_clock() - report.evidence_age
+            )
+            self.scheduler.match()
+
+    def is_ready(self):
+        """Tell whether the balancer should send callers here."""
+        return not self.stopping and self.app.is_configured() and self._accepts_keys()
+
+
+class GatewayOperatorApp:
+    """Answers the balancer and operators.
+
+    Parameters
+    ----------
+    node : GatewayNode
+    """
+
+    def __init__(self, node):
+        self.node = node
+        self.api = self
+
+    @cherrypy.expose
+    def ready(self):
+        """Tell whether the balancer should send callers here."""
+        if not self.node.is_ready():
+            cherrypy.response.status = 503
+            return b"not ready\n"
+        return b"ready\n"
+
+    @cherrypy.expose
+    def metrics(self):
+        """Serve the metrics in Prometheus' text form."""
+        accepts = cherrypy.request.headers.get("Accept", "").split(",")
+        body, content_type = self.node.metrics.render(accepts)
+        cherrypy.response.headers["Content-Type"] = content_type
+        return body
+
+    @cherrypy.expose
+    def dump(self):
+        """Return the state of the whole process as JSON."""
+        cherrypy.response.headers["Content-Type"] = "application/json"
+        return orjson.dumps(self._state(), option=orjson.OPT_INDENT_2)
+
+    def _state(self):
+        node = self.node
+        now = node.clock()
+        with node.lock:
+            return {
+                "instance": node.settings.instance,
+                "incarnation": node.incarnation,
+                "ready": not node.stopping,
+                "revision": node.freshness.revision,
+                "evidence_age": node.freshness.age(awake_clock()),
+                "active": node.app.active,
+                "peers": [peer.instance for peer in node.fleet.live_peers()],
+                "targets": {
+                    name: {
+                        "running_here": slot.running_here,
+                        "limit": slot.limit(now),
+                        "paused": slot.health.is_paused(now),
+                        "failures": slot.health.failure_share(now),
+                        "slowness": slot.health.slowness,
+                    }
+                    for name, slot in node.pools.slot_by_target.items()
+                },
+                "drawn": node.allowances.drawn_here(),
+            }
+
+
+def run_gateway(settings):
+    """Run one gateway in this process until it stops."""
+    with contextlib.suppress(KeyboardInterrupt):
+        asyncio.run(_run(settings))
+    # Threads that still serve a cut request would keep the process.
+    os._exit(0)
+
+
+async def _run(settings):
+    await GatewayNode(settings).run()
--- /dev/null
+++ b/almondglade/gossip/__init__.py
@@ -0,0 +1,1 @@
+"""Datagrams between instances: who is there, what runs, what waits."""
--- /dev/null
+++ b/almondglade/gossip/fleet.py
@@ -0,0 +1,214 @@
+"""Know the other instances and exchange reports with them."""
+
+import asyncio
+from dataclasses import dataclass
+
+from ..errors import PeerError
+from ..log import get_logger
+from .messages import Report, Roster, decode, encode
+
+log = get_logger("fleet")
+
+# Datagrams that one instance sends a second at most; bounds the cost of
+# control and sets the pause between reports for the size of the fleet.
+MAX_DATAGRAMS_PER_SECOND = 400
+# Longest pause between reports while nothing changes, seconds.
+IDLE_REPORT_SECONDS = 0.25
+# Pause between rosters; a new instance is known everywhere after two.
+ROSTER_SECONDS = 0.5
+# Peers that each roster goes to, besides the seeds.
+ROSTER_FANOUT = 2
+# A peer that has been silent for this long is lost, and forgotten later.
+LOST_SECONDS = 1.5
+FORGOTTEN_SECONDS = 30.0
+
+
+@dataclass
+class Peer:
+    """Another instance.
+
+    Attributes
+    ----------
+    heard_at : float
+        Monotonic time of its last message.
+    """
+
+    address: str
+    heard_at: float
+    instance: str = ""
+    incarnation: int = 0
+    number: int = -1
+    leaving: bool = False
+    lost: bool = False
+
+
+class Fleet(asyncio.DatagramProtocol):
+    """The peers of one instance.
+
+    Parameters
+    ----------
+    instance, address : str
+        This instance and its IP number.
+    port : int
+        UDP port, the same at all instances.
+    seeds : iterable of str
+        IP numbers to begin with; some may be stale.
+    make_report : callable
+        Returns the present `Report`, without its number.
+    on_report : callable
+        Takes each peer's newer `Report`.
+    clock : callable
+        Returns monotonic seconds.
+    rng : random.Random
+        Chooses the receivers of rosters.
+    """
+
+    def __init__(
+        self, instance, address, port, seeds, make_report, on_report, clock, rng
+    ):
+        self.instance = instance
+        self.address = address
+        self.port = port
+        self.seeds = tuple(seed for seed in seeds if seed != address)
+        self.make_report = make_report
+        self.on_report = on_report
+        self.clock = clock
+        self.rng = rng
+        self.peer_by_address: dict[str, Peer] = {}
+        self.most_seen = 1
+        self._transport = None
+        self._changed = asyncio.Event()
+        self._loop = asyncio.get_running_loop()
+
+    async def run(self):
+        """Send reports and rosters until cancelled."""
+        await self._loop.create_datagram_endpoint(
+            lambda: self, local_addr=(self.address, self.port)
+        )
+        try:
+            await asyncio.gather(self._send_reports(), self._send_rosters())
+        finally:
+            self._transport.close()
+
+    def changed(self):
+        """Let the next report go out soon; safe from any thread."""
+        self._loop.call_soon_threadsafe(self._changed.set)
+
+    def live_peers(self):
+        """Return the peers that have been heard lately."""
+        now = self.clock()
+        return [
+            peer
+            for peer in self.peer_by_address.values()
+            if peer.instance and now - peer.heard_at <= LOST_SECONDS
+        ]
+
+    def connection_made(self, transport):
+        """Keep the transport."""
+        self._transport = transport
+
+    def error_received(self, exc):
+        """Note that a peer could not be reached; silence tells the rest."""
+        log.debug("a datagram was not delivered", cause=str(exc))
+
+    def datagram_received(self, data, addr):
+        """Take in one message."""
+        try:
+            message = decode(data)
+        except PeerError as error:
+            log.warning("a datagram was dropped", peer=addr[0], cause=str(error))
+            return
+        peer = self._meet(addr[0])
+        if isinstance(message, Roster):
+            for address in message.addresses:
+                if address not in self.peer_by_address:
+                    self._learn(address)
+            return
+        self._take_report(peer, message)
+
+    def _take_report(self, peer, report):
+        newer = (report.incarnation, report.number) > (peer.incarnation, peer.number)
+        if not newer:
+            return
+        if peer.incarnation != report.incarnation or peer.lost:
+            log.info(
+                "peer found",
+                peer=report.instance,
+                incarnation=report.incarnation,
+                peers=len(self.live_peers()),
+            )
+        peer.lost = False
+        peer.instance = report.instance
+        peer.incarnation = report.incarnation
+        peer.number = report.number
+        peer.leaving = report.leaving
+        self.most_seen = max(self.most_seen, 1 + len(self.live_peers()))
+        self.on_report(report)
+
+    def _meet(self, address):
+        peer = self.peer_by_address.get(address)
+        if peer is None:
+            peer = self.peer_by_address[address] = Peer(address, 0.0)
+            self._changed.set()
+        peer.heard_at = self.clock()
+        return peer
+
+    def _learn(self, address):
+        """Note an address that another instance knows, and greet it."""
+        if address != self.address:
+            self.peer_by_address[address] = Peer(address, self.clock())
+            self._send(Roster(self.instance, (self.address,)), [address])
+
+    async def _send_reports(self):
+        number = 0
+        while True:
+            addresses = [peer.address for peer in self._reachable()]
+            number += 1
+            self._send(self.make_report(number), addresses)
+            gap = len(addresses) / MAX_DATAGRAMS_PER_SECOND
+            await asyncio.sleep(gap)
+            try:
+                async with asyncio.timeout(max(IDLE_REPORT_SECONDS - gap, 0.0)):
+                    await self._changed.wait()
+            except TimeoutError:
+                pass
+            self._changed.clear()
+
+    async def _send_rosters(self):
+        while True:
+            self._forget()
+            live = [peer.address for peer in self.live_peers()]
+            chosen = self.rng.sample(live, min(ROSTER_FANOUT, len(live)))
+            missing = [seed for seed in self.seeds if seed not in live]
+            self._send(
+                Roster(self.instance, (self.address, *live)), {*chosen, *missing}
+            )
+            await asyncio.sleep(ROSTER_SECONDS * self.rng.uniform(0.8, 1.2))
+
+    def _reachable(self):
+        now = self.clock()
+        return [
+            peer
+            for peer in self.peer_by_address.values()
+            if now - peer.heard_at <= FORGOTTEN_SECONDS
+        ]
+
+    def _forget(self):
+        now = self.clock()
+        for address, peer in list(self.peer_by_address.items()):
+            silent = now - peer.heard_at
+            if silent > LOST_SECONDS and peer.instance and not peer.lost:
+                peer.lost = True
+                log.info("peer lost", peer=peer.instance, silent=round(silent, 2))
+            if silent > FORGOTTEN_SECONDS:
+                del self.peer_by_address[address]
+
+    def _send(self, message, addresses):
+        if self._transport is None:
+            return
+        data = encode(message)
+        for address in addresses:
+            self._transport.sendto(data, (address, self.port))
+
+
+__all__ = ["Fleet", "Peer", "Report", "Roster"]
--- a/almondglade/httpserver/__init__.py
+++ b/almondglade/httpserver/__init__.py
@@ -41,9 +41,11 @@
         ``request_class`` and ``response_class``, CherryPy uses these.
     threads : int
         Number of threads, and so of requests at once.
+    first_threads : int or None
+        Threads that are started at once; all when None.
     """
 
-    def __init__(self, address, port, root, threads):
+    def __init__(self, address, port, root, threads, first_threads=None):
         app = cherrypy.Application(root, "", APP_CONFIG)
         app.request_class = getattr(root, "request_class", app.request_class)
         app.response_class = getattr(root, "response_class", app.response_class)
@@ -51,7 +53,9 @@
         # redirects inside the server or writes an access log.
         app.wsgiapp.pipeline.clear()
         app.log.access = no_access_log
-        self._server = GatedServer((address, port), app, threads, STOP_SECONDS)
+        self._server = GatedServer(
+            (address, port), app, threads, first_threads or threads, STOP_SECONDS
+        )
         self._thread = threading.Thread(target=self._serve, daemon=True)
 
     def start(self):
--- a/almondglade/httpserver/gate.py
+++ b/almondglade/httpserver/gate.py
@@ -13,6 +13,7 @@
 
 from cheroot import server, wsgi
 from cheroot.makefile import MakeFile
+from cheroot.workers.threadpool import ThreadPool
 
 from ..deadlines import Deadlines
 from ..log import get_logger
@@ -139,6 +140,17 @@
         shut_down(self.socket, socket.SHUT_RD)
 
 
+class GrowingThreadPool(ThreadPool):
+    """Begins with a few threads and adds one when none is idle."""
+
+    def put(self, obj):
+        """Pass a connection to a thread."""
+        if self.idle <= self._queue.qsize() and len(self._threads) < self.max:
+            # The library's own way waits until the thread runs.
+            self._threads.append(self._spawn_worker())
+        super().put(obj)
+
+
 class GatedServer(wsgi.Server):
     """A server whose threads are not held by callers that send slowly.
 
@@ -150,22 +162,29 @@
         WSGI application.
     threads : int
         Requests served at once.
+    first_threads : int
+        Threads that are started at once; others come when they are needed.
     stop_seconds : float
         Time for the threads to end at a stop.
     """
 
     ConnectionClass = GatedConnection
 
-    def __init__(self, bind_address, app, threads, stop_seconds):
+    def __init__(self, bind_address, app, threads, first_threads, stop_seconds):
         super().__init__(
             bind_address,
             app,
-            numthreads=threads,
+            numthreads=first_threads,
             max=threads,
             server_name="almondglade",
             request_queue_size=BACKLOG,
             timeout=IDLE_SECONDS,
             shutdown_timeout=stop_seconds,
+        )
+        self.requests = GrowingThreadPool(
+            self,
+            min=first_threads,
+            max=threads,
             accepted_queue_size=ACCEPTED_REQUESTS,
             accepted_queue_timeout=0,
         )
--- a/almondglade/log.py
+++ b/almondglade/log.py
@@ -6,7 +6,7 @@
 import structlog
 
 
-def configure_logs(level="info", form="console"):
+def configure_logs(level="info", form="console", to_output=False):
     """Set up structlog for the whole process.
 
     Parameters
@@ -15,6 +15,8 @@
         Lowest level written.
     form : {"console", "json"}
         Form of each line.
+    to_output : bool
+        Whether lines go to standard output; to standard error otherwise.
     """
     renderer = (
         structlog.processors.JSONRenderer()
@@ -32,7 +34,9 @@
         wrapper_class=structlog.make_filtering_bound_logger(
             getattr(logging, level.upper())
         ),
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        logger_factory=structlog.PrintLoggerFactory(
+            sys.stdout if to_output else sys.stderr
+        ),
         cache_logger_on_first_use=False,
     )
 
--- /dev/null
+++ b/almondglade/placement/allowance.py
@@ -0,0 +1,108 @@
+"""Hold workspaces to their allowances over all instances.
+
+Load pattern: one workspace sends many times its usual, spread over all
+instances; together they must serve its allowance and no more.
+"""
+
+from dataclasses import dataclass
+
+
+@dataclass
+class _Bucket:
+    level: float
+    at: float
+    drawn_here: float = 0.0
+
+
+class SharedAllowances:
+    """A token bucket for each workspace, kept alike by all instances.
+
+    Each instance takes its own draws from its copy at once, and those of the
+    others as their counters arrive.
+
+    Parameters
+    ----------
+    starts_full : bool
+        Whether a workspace not seen before may draw its burst. After a restart
+        the draws of the last seconds are not known, so it may not.
+    """
+
+    def __init__(self, starts_full=True):
+        self.starts_full = starts_full
+        self._bucket_by_workspace: dict[str, _Bucket] = {}
+        self._drawn_by_peer: dict[tuple[str, int], dict[str, float]] = {}
+
+    def draw(self, terms, amount, now):
+        """Take an amount if the allowance holds it.
+
+        Parameters
+        ----------
+        terms : WorkspaceTerms
+            Workspace and its allowance.
+        amount : float
+            Tokens or requests.
+
+        Returns
+        -------
+        float
+            0 if it was taken, else the seconds until it could be.
+        """
+        if terms.rate <= 0.0:
+            return 0.0
+        bucket = self._refill(terms, now)
+        # A request larger than the whole burst passes when the bucket is full.
+        needed = min(amount, terms.burst)
+        if bucket.level < needed:
+            return (needed - bucket.level) / terms.rate
+        bucket.level -= amount
+        bucket.drawn_here += amount
+        return 0.0
+
+    def give_back(self, terms, amount):
+        """Return what a request drew that did not run."""
+        bucket = self._bucket_by_workspace.get(terms.name)
+        if bucket is not None and terms.rate > 0.0:
+            bucket.level = min(terms.burst, bucket.level + amount)
+            bucket.drawn_here -= amount
+
+    def take_peer(self, peer, incarnation, drawn_by_workspace):
+        """Take in the draws that a peer has counted since its start.
+
+        Parameters
+        ----------
+        drawn_by_workspace : dict of str to float
+            Its counters.
+        """
+        known = self._drawn_by_peer.get((peer, incarnation))
+        self._drawn_by_peer[peer, incarnation] = dict(drawn_by_workspace)
+        if known is None:
+            # What a peer drew before it was first heard of is long refilled.
+            return
+        for workspace, drawn in drawn_by_workspace.items():
+            bucket = self._bucket_by_workspace.get(workspace)
+            if bucket is not None:
+                bucket.level -= drawn - known.get(workspace, 0.0)
+
+    def drawn_here(self):
+        """Return this instance's counters by workspace."""
+        return {
+            name: bucket.drawn_here
+            for name, bucket in self._bucket_by_workspace.items()
+            if bucket.drawn_here
+        }
+
+    def prepare(self, workspaces, now):
+        """Begin the buckets of workspaces, so that peers' draws count."""
+        for terms in workspaces:
+            if terms.rate > 0.0:
+                self._refill(terms, now)
+
+    def _refill(self, terms, now):
+        bucket = self._bucket_by_workspace.get(terms.name)
+        if bucket is None:
+            level = terms.burst if self.starts_full else 0.0
+            bucket = self._bucket_by_workspace[terms.name] = _Bucket(level, now)
+        elapsed = max(0.0, now - bucket.at)
+        bucket.level = min(terms.burst, bucket.level + elapsed * terms.rate)
+        bucket.at = now
+        return bucket
--- /dev/null
+++ b/almondglade/platform/wire.py
@@ -0,0 +1,222 @@
+"""Decode what the platform's store publishes; its names stop here."""
+
+import base64
+import binascii
+from types import MappingProxyType
+
+import orjson
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from ..catalogue import (
+    CallerLimits,
+    Catalogue,
+    Route,
+    ServiceTerms,
+    TargetRecord,
+    WorkspaceTerms,
+)
+from ..errors import PlatformError
+
+CONFIGURATION_PREFIX = "op/"
+CONFIGURATION_KEY = "op/config"
+EVACUATION_PREFIX = "op/evacuate/"
+TARGET_PREFIX = "servers/"
+
+STREAMING = "streaming"
+IDEMPOTENT = "idempotent"
+TOKENS = "tokens"
+READY = "ready"
+DRAINING = "draining"
+MILLISECONDS = 1000.0
+# A route without a timeout of its own still ends.
+DEFAULT_TIMEOUT_MS = 30_000.0
+
+
+class _Wire(BaseModel):
+    model_config = ConfigDict(extra="ignore", frozen=True)
+
+
+class _Share(_Wire):
+    service: str
+    weight: float
+
+
+class _Route(_Wire):
+    name: str = ""
+    host: str
+    path_prefix: str = Field(alias="pathPrefix")
+    kind: str = Field(alias="routeType")
+    timeout_ms: float = Field(DEFAULT_TIMEOUT_MS, alias="timeoutMs")
+    objective_ms: float = Field(1000.0, alias="targetLatencyMs")
+    gap_ms: float = Field(1000.0, alias="gapTargetMs")
+    priority: int = 0
+    service: str | None = None
+    split: list[_Share] | None = Field(None, alias="trafficSplit")
+    max_attempts: int = Field(1, alias="maxAttempts")
+    public: bool = Field(False, alias="publicAccess")
+    resumable: bool = Field(False, alias="streamResume")
+
+    def decode(self):
+        """Return the `Route`."""
+        weights = {share.service: share.weight for share in self.split or ()}
+        if self.service is not None:
+            weights = {self.service: 1.0}
+        streaming = self.kind == STREAMING
+        return Route(
+            self.name,
+            self.host.lower(),
+            self.path_prefix,
+            MappingProxyType(weights),
+            idempotent=self.kind == IDEMPOTENT,
+            streaming=streaming,
+            resumable=streaming and self.resumable,
+            timeout=self.timeout_ms / MILLISECONDS,
+            latency_objective=self.objective_ms / MILLISECONDS,
+            gap_objective=self.gap_ms / MILLISECONDS,
+            max_attempts=max(1, self.max_attempts),
+            tier=self.priority,
+            public=self.public,
+        )
+
+
+class _Service(_Wire):
+    name: str
+    max_connections: int = Field(64, alias="maxConnections")
+    cold_rate: float = Field(0.0, alias="coldPerS")
+    engine: dict | None = None
+
+    def decode(self):
+        """Return the `ServiceTerms`."""
+        return ServiceTerms(
+            self.name, self.engine is not None, self.max_connections, self.cold_rate
+        )
+
+
+class _Tenant(_Wire):
+    name: str
+    keys: list[str] = Field([], alias="apiKeys")
+    priority: int | None = None
+    rate: float = Field(0.0, alias="ratePerS")
+    burst: float = 0.0
+    unit: str = ""
+    plain_tokens: float = Field(1.0, alias="plainTokens")
+
+    def decode(self):
+        """Return the `WorkspaceTerms`."""
+        return WorkspaceTerms(
+            self.name,
+            self.priority,
+            self.rate,
+            self.burst,
+            self.unit == TOKENS,
+            self.plain_tokens,
+        )
+
+
+class _Limits(_Wire):
+    max_body_bytes: int = Field(1 << 22, alias="maxBodyBytes")
+
+
+class _Document(_Wire):
+    version: int
+    routes: list[_Route]
+    services: list[_Service] = []
+    limits: _Limits = _Limits()
+    tenants: list[_Tenant] | None = None
+
+
+class _Target(_Wire):
+    service: str = Field(min_length=1, strict=True)
+    address: str = Field(pattern=r"^[0-9.]+:[0-9]{1,5}$", strict=True)
+    zone: str = Field(strict=True)
+    slots: int = Field(ge=1, strict=True)
+    state: str = Field(pattern=f"^({READY}|{DRAINING})$", strict=True)
+    cold_ms: float = Field(0.0, alias="coldRemainingMs")
+    sequence: int = Field(0, strict=True)
+    born: int = Field(0, strict=True)
+
+
+def decode_catalogue(document):
+    """Return the `Catalogue` in a published document.
+
+    Parameters
+    ----------
+    document : bytes
+        JSON as the operator wrote it.
+
+    Raises
+    ------
+    PlatformError
+        If it is not a valid document.
+    """
+    try:
+        wire = _Document.model_validate(orjson.loads(document))
+    except (orjson.JSONDecodeError, ValidationError) as error:
+        raise PlatformError(f"the document is not valid: {error}") from error
+    routes_by_host: dict[str, dict[str, Route]] = {}
+    for route in (entry.decode() for entry in wire.routes):
+        routes_by_host.setdefault(route.host, {})[route.path_prefix] = route
+    workspace_by_key = {
+        key: workspace
+        for entry in wire.tenants or ()
+        for workspace in (entry.decode(),)
+        for key in entry.keys
+    }
+    return Catalogue(
+        wire.version,
+        routes_by_host,
+        {entry.name: entry.decode() for entry in wire.services},
+        workspace_by_key,
+        wire.tenants is not None,
+        CallerLimits(wire.limits.max_body_bytes),
+    )
+
+
+def decode_target(key, document, now):
+    """Return the `TargetRecord` in a published entry.
+
+    Parameters
+    ----------
+    key : str
+        Key of the entry in the store.
+    document : bytes
+        Its value.
+    now : float
+        Monotonic seconds of its arrival.
+
+    Raises
+    ------
+    PlatformError
+        If the entry names no usable target.
+    """
+    try:
+        wire = _Target.model_validate(orjson.loads(document))
+    except (orjson.JSONDecodeError, ValidationError) as error:
+        raise PlatformError(f"the entry {key} is not valid: {error}") from error
+    host, _, port = wire.address.rpartition(":")
+    return TargetRecord(
+        key.removeprefix(TARGET_PREFIX),
+        wire.service,
+        host,
+        int(port),
+        wire.zone,
+        wire.slots,
+        wire.state == DRAINING,
+        now + wire.cold_ms / MILLISECONDS,
+        wire.born,
+        wire.sequence,
+    )
+
+
+def decode_value(item):
+    """Return the bytes of an item's value.
+
+    Raises
+    ------
+    PlatformError
+        If it is not base64.
+    """
+    try:
+        return base64.b64decode(item["value"], validate=True)
+    except (KeyError, TypeError, ValueError, binascii.Error) as error:
+        raise PlatformError("an item's value is not usable") from error
--- a/almondglade/ui/main.py
+++ b/almondglade/ui/main.py
@@ -5,12 +5,13 @@
 import defopt
 
 from ..errors import AlmondgladeError
-from . import check, dump, key, load, serve, settings, standin
+from . import check, dump, gateway, key, load, serve, settings, standin
 
 EXIT_ERROR = 1
 
 COMMANDS = {
     "serve": serve.serve,
+    "gateway": gateway.gateway,
     "check": check.check,
     "dump": dump.dump,
     "key": key.key,
