--- a/almondglade/placement/cold.py
+++ b/almondglade/placement/cold.py
@@ -55,7 +55,8 @@
         # Each sharer may use its burst and its rate in one second.
         sharers = max(1, min(len(instances), math.floor(bound / (2 * BURST))))
         chosen = sorted(
-            instances, key=lambda name: xxhash.xxh64_intdigest(f"{name}\0{target}")
+            instances,
+            key=lambda name: xxhash.xxh64_intdigest(f"{name}\0{target}".encode()),
         )[:sharers]
         return bound / sharers - BURST if self.instance in chosen else 0.0
 
