Let one instance of the fleet give out the places of a service

Cause: with reports alone, instances filled a free place at the same time; engines held 7.3 requests on 6 slots and top-tier work queued there.

--- a/almondglade/gateway/node.py
+++ b/almondglade/gateway/node.py
@@ -13,14 +13,14 @@
 
 from ..dispatch.connections import TargetPools
 from ..gossip.fleet import Fleet
-from ..gossip.messages import Report, WaitingHere
+from ..gossip.messages import Grant, Grants, Report, WaitingHere
 from ..httpserver import HttpServer
 from ..log import get_logger
 from ..metrics import Metrics
 from ..placement.allowance import SharedAllowances
 from ..placement.cold import ColdPace
 from ..placement.freshness import Freshness
-from ..placement.pool import PeerLoad, Pools, Waiters
+from ..placement.pool import PeerLoad, Pools, Ticket
 from ..placement.resends import ResendBudget
 from ..platform.store import StoreClient
 from .app import GatewayApp
@@ -44,6 +44,8 @@
 # Time in which the balancer learns that an instance is not ready: two questions.
 NOTICE_SECONDS = 2.2
 POLL_SECONDS = 0.05
+# Keeps the numbers of grants above those of an earlier start.
+GRANTS_PER_MILLISECOND = 100
 
 
 def awake_clock():
@@ -74,6 +76,7 @@
         self.pools = Pools(
             settings.data_centre,
             ColdPace(settings.instance, bounds.cold_overage, bounds.cold_slack),
+            self.incarnation * GRANTS_PER_MILLISECOND,
         )
         self.allowances = SharedAllowances(settings.first_start)
         self.resends = ResendBudget(
@@ -87,6 +90,8 @@
             settings.seed_addresses,
             self._make_report,
             self._take_report,
+            self._take_grants,
+            self._coordinators,
             self.clock,
             rng,
         )
@@ -98,6 +103,7 @@
             self.lock,
             lambda: self.fleet.most_seen,
             self.fleet.changed,
+            self._send_grants,
             self.clock,
         )
         self.registry = Registry(self.clock, self._published)
@@ -170,12 +176,11 @@
         self.stopping = True
         self.fleet.changed()
         callers.end_keep_alive()
-        begun = self.clock()
-        ends = begun + DRAIN_SHARE * self.settings.bounds.grace
-        notice_ends = begun + NOTICE_SECONDS
-        while self.clock() < notice_ends or (
-            self.app.active and self.clock() < ends
-        ):
+        ends = self.clock() + DRAIN_SHARE * self.settings.bounds.grace
+        await asyncio.sleep(NOTICE_SECONDS)
+        # Callers that still hold connections here are sent elsewhere at once.
+        self.app.stopping = True
+        while self.app.active and self.clock() < ends:
             await asyncio.sleep(POLL_SECONDS)
 
     def _reload(self):
@@ -185,8 +190,13 @@
         while True:
             with self.lock:
                 waiting = any(self.pools.tickets_by_service.values())
+                silent = self.pools.review_coordinators(self.clock())
                 if waiting:
                     self.scheduler.match()
+            for name in silent:
+                log.warning("coordinator silent", coordinator=name)
+            if silent:
+                self.fleet.changed()
             self.registry.expire()
             await asyncio.sleep(TICK_SECONDS if waiting else IDLE_TICK_SECONDS)
 
@@ -224,6 +234,7 @@
         with self.lock:
             return Report(
                 self.settings.instance,
+                self.settings.data_centre,
                 self.incarnation,
                 number,
                 self.stopping,
@@ -231,27 +242,61 @@
                 self.freshness.age(awake_clock()),
                 self.pools.running_here(),
                 tuple(
-                    WaitingHere(service, tier, count, now - oldest)
-                    for service, tier, count, oldest in self.pools.waiting_here()
+                    WaitingHere(
+                        ticket.number,
+                        ticket.service,
+                        ticket.tier,
+                        now - ticket.arrived,
+                        tuple(ticket.avoid),
+                        ticket.coordinator,
+                    )
+                    for ticket in self.pools.waiting_here()
                 ),
                 self.allowances.drawn_here(),
+                dict(self.pools.grant_by_coordinator),
             )
 
+    def _coordinators(self):
+        """Return the coordinators of all services, and whether work waits."""
+        now = self.clock()
+        with self.lock:
+            services = {
+                slot.record.service for slot in self.pools.slot_by_target.values()
+            }
+            waiting = self.pools.waiting_here()
+            names = {self.pools.coordinator_of(service, now) for service in services}
+            names |= {ticket.coordinator for ticket in waiting}
+        return names - {self.settings.instance}, bool(waiting)
+
     def _take_report(self, report):
         now = self.clock()
         load = PeerLoad(
             now,
             report.running_by_target,
             tuple(
-                Waiters(part.service, part.tier, part.count, now - part.age)
-                for part in report.waiting
+                Ticket(
+                    entry.service,
+                    entry.tier,
+                    now - entry.age,
+                    frozenset(entry.avoid),
+                    owner=report.instance,
+                    data_centre=report.data_centre,
+                    number=entry.number,
+                    coordinator=entry.coordinator,
+                )
+                for entry in report.waiting
             ),
+            report.grant_by_coordinator.get(self.settings.instance, 0),
         )
         with self.lock:
             self.pools.load_by_peer[report.instance] = load
             self.pools.instances = sorted(
                 {self.settings.instance}
-                | {peer.instance for peer in self.fleet.live_peers()}
+                | {
+                    peer.instance
+                    for peer in self.fleet.live_peers()
+                    if not peer.leaving
+                }
             )
             self.allowances.take_peer(
                 report.instance, report.incarnation, report.drawn_by_workspace
@@ -259,7 +304,40 @@
             self.freshness.confirm(
                 report.revision, awake_clock() - report.evidence_age
             )
+            again = self.pools.given_to(report.instance)
             self.scheduler.match()
+            asked = any(
+                entry.coordinator == self.settings.instance
+                for entry in report.waiting
+            )
+            if asked:
+                # Also says that the request is known here.
+                self._send_grants(report.instance, again)
+
+    def _send_grants(self, peer, grants):
+        """Send grants to a peer; safe from any thread."""
+        message = Grants(
+            self.settings.instance, tuple(Grant(*grant) for grant in grants)
+        )
+        self.loop.call_soon_threadsafe(
+            lambda: self.fleet.send_to({peer}, lambda: message)
+        )
+
+    def _take_grants(self, message):
+        now = self.clock()
+        with self.lock:
+            self.pools.heard_from(message.instance, now)
+            granted = [
+                self.pools.take_grant(
+                    message.instance, grant.number, grant.request, grant.target
+                )
+                for grant in message.grants
+            ]
+        for ticket in granted:
+            if ticket is not None:
+                ticket.granted()
+        if message.grants:
+            self.fleet.changed()
 
     def is_ready(self):
         """Tell whether the balancer should send callers here."""
--- a/almondglade/gateway/scheduling.py
+++ b/almondglade/gateway/scheduling.py
@@ -62,6 +62,9 @@
         Returns the number of instances in the fleet.
     on_change : callable
         Called after what runs or waits here has changed.
+    send_grants : callable
+        Takes the name of a peer and its new grants, as (number, request,
+        target).
     clock : callable
         Returns monotonic seconds.
     """
@@ -75,6 +78,7 @@
         lock,
         instances,
         on_change,
+        send_grants,
         clock,
     ):
         self.pools = pools
@@ -84,6 +88,7 @@
         self.lock = lock
         self.instances = instances
         self.on_change = on_change
+        self.send_grants = send_grants
         self.clock = clock
         self.deadlines = Deadlines(clock)
 
@@ -150,10 +155,11 @@
         with self.lock:
             expected = self.pools.expected_wait(request.service, request.tier, now)
             if expected <= patience or request.targets:
-                self.pools.ask(ticket)
+                self.pools.ask(ticket, now)
                 self.match()
         if expected > patience and not request.targets:
             raise self._refusal(request, expected, "too much work waits")
+        self.on_change()
         request.presence.on_gone(ready.set)
         try:
             ready.wait(patience)
@@ -205,8 +211,15 @@
 
     def match(self):
         """Give free places to waiting requests; the lock must be held."""
-        for ticket in self.pools.match(self.clock()):
-            ticket.granted()
+        grants_by_peer: dict[str, list[tuple[int, int, str]]] = {}
+        for ticket, number in self.pools.match(self.clock()):
+            if number:
+                grant = (number, ticket.number, ticket.target)
+                grants_by_peer.setdefault(ticket.owner, []).append(grant)
+            else:
+                ticket.granted()
+        for peer, grants in grants_by_peer.items():
+            self.send_grants(peer, grants)
 
     def may_repeat(self, request):
         """Tell whether a request may be sent once more, and count it."""
@@ -372,6 +385,9 @@
                 return self._dispatch()
             except (NotSentError, PermitExpiredError) as error:
                 target = self.ticket.target
+                self._release(None)
+                if request.presence.gone:
+                    raise self._gone() from error
                 self.scheduler.judge(
                     target, lambda health, now: health.unreachable(now)
                 )
@@ -381,9 +397,6 @@
                     target=target,
                     cause=str(error),
                 )
-                self._release(None)
-                if request.presence.gone:
-                    raise self._gone() from error
         raise self._no_target()
 
     def _no_target(self):
--- a/almondglade/gossip/fleet.py
+++ b/almondglade/gossip/fleet.py
@@ -5,15 +5,18 @@
 
 from ..errors import PeerError
 from ..log import get_logger
-from .messages import Report, Roster, decode, encode
+from .messages import Grants, Roster, decode, encode
 
 log = get_logger("fleet")
 
-# Datagrams that one instance sends a second at most; bounds the cost of
-# control and sets the pause between reports for the size of the fleet.
-MAX_DATAGRAMS_PER_SECOND = 400
-# Longest pause between reports while nothing changes, seconds.
+# Reports that one instance sends to the whole fleet a second at most, counted
+# by receiver; sets the pause between them for the size of the fleet.
+MAX_REPORTS_PER_SECOND = 120
+# Shortest and longest pause between reports to the whole fleet, seconds.
+MIN_REPORT_SECONDS = 0.08
 IDLE_REPORT_SECONDS = 0.25
+# A coordinator is asked again after this while requests wait, seconds.
+ASK_AGAIN_SECONDS = 0.025
 # Pause between rosters; a new instance is known everywhere after two.
 ROSTER_SECONDS = 0.5
 # Peers that each roster goes to, besides the seeds.
@@ -57,6 +60,10 @@
         Returns the present `Report`, without its number.
     on_report : callable
         Takes each peer's newer `Report`.
+    on_grants : callable
+        Takes each `Grants`.
+    coordinators : callable
+        Returns the names of the instances that must know of each change.
     clock : callable
         Returns monotonic seconds.
     rng : random.Random
@@ -64,7 +71,17 @@
     """
 
     def __init__(
-        self, instance, address, port, seeds, make_report, on_report, clock, rng
+        self,
+        instance,
+        address,
+        port,
+        seeds,
+        make_report,
+        on_report,
+        on_grants,
+        coordinators,
+        clock,
+        rng,
     ):
         self.instance = instance
         self.address = address
@@ -72,12 +89,16 @@
         self.seeds = tuple(seed for seed in seeds if seed != address)
         self.make_report = make_report
         self.on_report = on_report
+        self.on_grants = on_grants
+        self.coordinators = coordinators
         self.clock = clock
         self.rng = rng
         self.peer_by_address: dict[str, Peer] = {}
         self.most_seen = 1
         self._transport = None
         self._changed = asyncio.Event()
+        self._number = 0
+        self._changes = 0
         self._loop = asyncio.get_running_loop()
 
     async def run(self):
@@ -86,7 +107,9 @@
             lambda: self, local_addr=(self.address, self.port)
         )
         try:
-            await asyncio.gather(self._send_reports(), self._send_rosters())
+            await asyncio.gather(
+                self._send_reports(), self._ask(), self._send_rosters()
+            )
         finally:
             self._transport.close()
 
@@ -119,6 +142,9 @@
             log.warning("a datagram was dropped", peer=addr[0], cause=str(error))
             return
         peer = self._meet(addr[0])
+        if isinstance(message, Grants):
+            self.on_grants(message)
+            return
         if isinstance(message, Roster):
             for address in message.addresses:
                 if address not in self.peer_by_address:
@@ -160,19 +186,51 @@
             self._send(Roster(self.instance, (self.address,)), [address])
 
     async def _send_reports(self):
-        number = 0
+        """Tell the whole fleet what runs here, now and then."""
         while True:
             addresses = [peer.address for peer in self._reachable()]
-            number += 1
-            self._send(self.make_report(number), addresses)
-            gap = len(addresses) / MAX_DATAGRAMS_PER_SECOND
+            changes = self._changes
+            self._send(self._report(), addresses)
+            gap = max(MIN_REPORT_SECONDS, len(addresses) / MAX_REPORTS_PER_SECOND)
             await asyncio.sleep(gap)
+            idle = self.clock() + IDLE_REPORT_SECONDS - gap
+            while changes == self._changes and self.clock() < idle:
+                await asyncio.sleep(MIN_REPORT_SECONDS)
+
+    async def _ask(self):
+        """Tell the coordinators of each change at once, and while work waits."""
+        while True:
+            names, waiting = self.coordinators()
+            self.send_to(names, self._report)
             try:
-                async with asyncio.timeout(max(IDLE_REPORT_SECONDS - gap, 0.0)):
+                async with asyncio.timeout(
+                    ASK_AGAIN_SECONDS if waiting else IDLE_REPORT_SECONDS
+                ):
                     await self._changed.wait()
             except TimeoutError:
                 pass
             self._changed.clear()
+            self._changes += 1
+
+    def _report(self):
+        self._number += 1
+        return self.make_report(self._number)
+
+    def send_to(self, names, make_message):
+        """Send a message to peers by name.
+
+        Parameters
+        ----------
+        make_message : callable
+            Returns the message; called if one of them is known.
+        """
+        addresses = [
+            peer.address
+            for peer in self.peer_by_address.values()
+            if peer.instance in names
+        ]
+        if addresses:
+            self._send(make_message(), addresses)
 
     async def _send_rosters(self):
         while True:
@@ -209,6 +267,3 @@
         data = encode(message)
         for address in addresses:
             self._transport.sendto(data, (address, self.port))
-
-
-__all__ = ["Fleet", "Peer", "Report", "Roster"]
--- a/almondglade/gossip/messages.py
+++ b/almondglade/gossip/messages.py
@@ -5,6 +5,7 @@
 """
 
 from dataclasses import dataclass, field
+from functools import singledispatch
 
 import msgpack
 
@@ -13,24 +14,38 @@
 FORMAT = 1
 REPORT = 0
 ROSTER = 1
+GRANTS = 2
 MILLISECONDS = 1000.0
-MAX_BYTES = 60_000
+# Evidence older than this is as good as none; keeps the number small.
+MAX_AGE_SECONDS = 1e6
 
 
 @dataclass(frozen=True)
 class WaitingHere:
-    """Requests of one tier that wait at the sender.
+    """A request that waits at the sender for a place.
 
     Parameters
     ----------
+    number : int
+        Number of the request at the sender.
+    service : str
+        Service that it waits for.
+    tier : tuple of int
+        Its rank.
     age : float
-        Seconds for which the first of them has waited.
+        Seconds since it arrived.
+    avoid : tuple of str
+        Targets that it was sent to already.
+    coordinator : str
+        Instance that is asked for the place.
     """
 
+    number: int
     service: str
     tier: tuple[int, ...]
-    count: int
     age: float
+    avoid: tuple[str, ...] = ()
+    coordinator: str = ""
 
 
 @dataclass(frozen=True)
@@ -39,8 +54,8 @@
 
     Parameters
     ----------
-    instance : str
-        Sender.
+    instance, data_centre : str
+        Sender, and where it runs.
     incarnation : int
         Unix milliseconds of its start.
     number : int
@@ -53,9 +68,12 @@
         Seconds since that was surely the newest.
     drawn_by_workspace : dict of str to float
         Draws on allowances since its start.
+    grant_by_coordinator : dict of str to int
+        Newest grant that it has received from each coordinator.
     """
 
     instance: str
+    data_centre: str
     incarnation: int
     number: int
     leaving: bool = False
@@ -64,6 +82,34 @@
     running_by_target: dict[str, int] = field(default_factory=dict)
     waiting: tuple[WaitingHere, ...] = ()
     drawn_by_workspace: dict[str, float] = field(default_factory=dict)
+    grant_by_coordinator: dict[str, int] = field(default_factory=dict)
+
+
+@dataclass(frozen=True)
+class Grant:
+    """A place for a request that waits at the receiver.
+
+    Parameters
+    ----------
+    number : int
+        Number of the grant; rises with each grant of a coordinator.
+    request : int
+        Number of the request at the receiver.
+    target : str
+        Where it may run.
+    """
+
+    number: int
+    request: int
+    target: str
+
+
+@dataclass(frozen=True)
+class Grants:
+    """A coordinator's answer to a report; it may grant nothing yet."""
+
+    instance: str
+    grants: tuple[Grant, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -74,32 +120,56 @@
     addresses: tuple[str, ...]
 
 
+@singledispatch
 def encode(message):
-    """Return the bytes of a `Report` or `Roster`."""
-    if isinstance(message, Roster):
-        return msgpack.packb([FORMAT, ROSTER, message.instance, message.addresses])
+    """Return the bytes of a message."""
+    raise TypeError(f"no such message: {message!r}")
+
+
+@encode.register
+def _(message: Roster):
+    return msgpack.packb([FORMAT, ROSTER, message.instance, message.addresses])
+
+
+@encode.register
+def _(message: Grants):
+    grants = [[grant.number, grant.request, grant.target] for grant in message.grants]
+    return msgpack.packb([FORMAT, GRANTS, message.instance, grants])
+
+
+@encode.register
+def _(message: Report):
     return msgpack.packb(
         [
             FORMAT,
             REPORT,
             message.instance,
+            message.data_centre,
             message.incarnation,
             message.number,
             message.leaving,
             message.revision,
-            round(min(message.evidence_age, 1e6) * MILLISECONDS),
+            round(min(message.evidence_age, MAX_AGE_SECONDS) * MILLISECONDS),
             message.running_by_target,
             [
-                [part.service, part.tier, part.count, round(part.age * MILLISECONDS)]
-                for part in message.waiting
+                [
+                    entry.number,
+                    entry.service,
+                    entry.tier,
+                    round(entry.age * MILLISECONDS),
+                    entry.avoid,
+                    entry.coordinator,
+                ]
+                for entry in message.waiting
             ],
             {name: round(drawn) for name, drawn in message.drawn_by_workspace.items()},
+            message.grant_by_coordinator,
         ]
     )
 
 
 def decode(data):
-    """Return the `Report` or `Roster` in a datagram.
+    """Return the message in a datagram.
 
     Raises
     ------
@@ -108,24 +178,57 @@
     """
     try:
         form, kind, instance, *rest = msgpack.unpackb(data)
-        if form != FORMAT or kind not in (REPORT, ROSTER):
+        if form != FORMAT or kind not in DECODERS:
             raise PeerError(f"a message of form {form} and kind {kind}")
-        if kind == ROSTER:
-            return Roster(instance, tuple(rest[0]))
-        incarnation, number, leaving, revision, age, running, waiting, drawn = rest
-        return Report(
-            instance,
-            incarnation,
-            number,
-            leaving,
-            revision,
-            age / MILLISECONDS,
-            running,
-            tuple(
-                WaitingHere(service, tuple(tier), count, waited / MILLISECONDS)
-                for service, tier, count, waited in waiting
-            ),
-            drawn,
-        )
+        return DECODERS[kind](instance, *rest)
     except (ValueError, TypeError, msgpack.UnpackException) as error:
         raise PeerError(f"a message that cannot be read: {error}") from error
+
+
+def _decode_report(
+    instance,
+    data_centre,
+    incarnation,
+    number,
+    leaving,
+    revision,
+    age,
+    running,
+    waiting,
+    drawn,
+    got,
+):
+    return Report(
+        instance,
+        data_centre,
+        incarnation,
+        number,
+        leaving,
+        revision,
+        age / MILLISECONDS,
+        running,
+        tuple(
+            WaitingHere(
+                request,
+                service,
+                tuple(tier),
+                waited / MILLISECONDS,
+                tuple(avoid),
+                coordinator,
+            )
+            for request, service, tier, waited, avoid, coordinator in waiting
+        ),
+        drawn,
+        got,
+    )
+
+
+def _decode_roster(instance, addresses):
+    return Roster(instance, tuple(addresses))
+
+
+def _decode_grants(instance, grants):
+    return Grants(instance, tuple(Grant(*entry) for entry in grants))
+
+
+DECODERS = {REPORT: _decode_report, ROSTER: _decode_roster, GRANTS: _decode_grants}
