Share places among kinds of request, workspaces first within a share

Cause: by the rank of the workspace alone, long answers of the first workspaces (2 s a place) held most places, and the short, urgent requests of the others were refused: 150 of the top kind.

--- a/almondglade/gateway/scheduling.py
+++ b/almondglade/gateway/scheduling.py
@@ -36,6 +36,9 @@
 # Bounds of the time after which a refused caller is told to come back, seconds.
 MIN_RETRY_SECONDS = 0.25
 MAX_RETRY_SECONDS = 4.0
+# A caller that comes back before the overload has passed is refused again, so
+# it is told to wait for at least this many of its latency objectives.
+RETRY_OBJECTIVES = 2.0
 # Relative cost of a request: a constant and a share for each prompt token.
 BASE_SECONDS = 0.05
 PROMPT_TOKEN_SECONDS = 25e-6
@@ -187,7 +190,8 @@
         return max(0.0, min(due - now, left))
 
     def _refusal(self, request, expected, cause):
-        retry_after = min(max(MIN_RETRY_SECONDS, expected), MAX_RETRY_SECONDS)
+        room = max(expected, RETRY_OBJECTIVES * request.route.latency_objective)
+        retry_after = min(max(MIN_RETRY_SECONDS, room), MAX_RETRY_SECONDS)
         log.info(
             "refused for want of a place",
             request=request.request_id,
@@ -292,11 +296,13 @@
         while True:
             try:
                 head = self._send()
+                facts = read_target(head)
+                if head.status < 300 and not facts.sealed:
+                    raise TargetError("the target's success bears no seal")
             except TargetError as error:
                 if self._may_send_again(error):
                     continue
                 raise self._fail(error) from error
-            facts = read_target(head)
             if facts.not_run:
                 self._take_refusal(head, facts)
                 continue
--- a/almondglade/gossip/messages.py
+++ b/almondglade/gossip/messages.py
@@ -66,6 +66,8 @@
         Revision of its configuration.
     evidence_age : float
         Seconds since that was surely the newest.
+    running_by_target : dict of str to dict of int to int
+        Requests of the sender, by target and kind.
     drawn_by_workspace : dict of str to float
         Draws on allowances since its start.
     grant_by_coordinator : dict of str to int
@@ -79,7 +81,7 @@
     leaving: bool = False
     revision: int = 0
     evidence_age: float = 0.0
-    running_by_target: dict[str, int] = field(default_factory=dict)
+    running_by_target: dict[str, dict[int, int]] = field(default_factory=dict)
     waiting: tuple[WaitingHere, ...] = ()
     drawn_by_workspace: dict[str, float] = field(default_factory=dict)
     grant_by_coordinator: dict[str, int] = field(default_factory=dict)
@@ -177,7 +179,7 @@
         If it cannot be read.
     """
     try:
-        form, kind, instance, *rest = msgpack.unpackb(data)
+        form, kind, instance, *rest = msgpack.unpackb(data, strict_map_key=False)
         if form != FORMAT or kind not in DECODERS:
             raise PeerError(f"a message of form {form} and kind {kind}")
         return DECODERS[kind](instance, *rest)
--- a/almondglade/placement/pool.py
+++ b/almondglade/placement/pool.py
@@ -9,10 +9,12 @@
 """
 
 import itertools
+from collections import Counter
 from dataclasses import dataclass, field
 
 import xxhash
 
+from .fairness import FairOrder
 from .health import Health
 
 # Without a coordinator, a free place that the instance with the better request
@@ -44,7 +46,8 @@
     Parameters
     ----------
     tier : tuple of int
-        Rank; the lowest is served first.
+        Rank of the workspace and of the kind of request; the lowest is served
+        first.
     arrived : float
         Monotonic time at which it arrived.
     avoid : frozenset of str
@@ -77,6 +80,11 @@
     asked_at: float = 0.0
     passed_over_at: float | None = None
 
+    @property
+    def kind(self):
+        """Rank of the kind of request alone."""
+        return self.tier[-1]
+
     @property
     def rank(self):
         """Order among the waiting."""
@@ -95,7 +103,12 @@
 
     record: object
     health: Health = field(default_factory=Health)
-    running_here: int = 0
+    running_by_kind: Counter = field(default_factory=Counter)
+
+    @property
+    def running_here(self):
+        """Requests of this instance that run there."""
+        return self.running_by_kind.total()
 
     def limit(self, now):
         """Return the requests that all instances together may run there."""
@@ -110,7 +123,8 @@
     ----------
     heard_at : float
         Monotonic time of its arrival here.
-    running_by_target : dict of str to int
+    running_by_target : dict of str to dict of int to int
+        Its requests by target and kind.
     tickets : tuple of Ticket
         Its waiting requests; times are of the clock here.
     confirmed : int
@@ -118,7 +132,7 @@
     """
 
     heard_at: float
-    running_by_target: dict[str, int]
+    running_by_target: dict[str, dict[int, int]]
     tickets: tuple[Ticket, ...] = ()
     confirmed: int = 0
 
@@ -129,6 +143,7 @@
 
     number: int
     target: str
+    kind: int
     at: float
 
 
@@ -225,7 +240,7 @@
             for ticket in tickets:
                 if ticket.number == request and slot is not None:
                     tickets.remove(ticket)
-                    slot.running_here += 1
+                    slot.running_by_kind[ticket.kind] += 1
                     ticket.target = target
                     return ticket
         return None
@@ -269,7 +284,8 @@
         """
         slot = self.slot_by_target.get(ticket.target)
         if slot is not None:
-            slot.running_here = max(0, slot.running_here - 1)
+            slot.running_by_kind[ticket.kind] -= 1
+            slot.running_by_kind = +slot.running_by_kind
         if held is not None:
             mean = self.hold_by_service.get(ticket.service, FIRST_HOLD_SECONDS)
             mean += HOLD_WEIGHT * (held - mean)
@@ -318,7 +334,11 @@
         if not asked and not mine:
             return
         running = self._running_elsewhere(now)
-        for ticket in sorted((*asked, *mine), key=lambda entry: entry.rank):
+        order = FairOrder(
+            self._running_by_kind(service, running, now),
+            sum(slot.limit(now) for slot in self._usable(service, now)),
+        )
+        for ticket in order.sort((*asked, *mine)):
             free = self._free(service, running, now)
             if free <= 0:
                 break
@@ -329,8 +349,16 @@
             slot = self._choose(ticket, running, now)
             if slot is None:
                 continue
+            order.started(ticket.kind)
             yield ticket, self._give(ticket, slot, running, now)
 
+    def _running_by_kind(self, service, running_elsewhere, now):
+        running: Counter = Counter()
+        for slot in self._usable(service, now):
+            running.update(slot.running_by_kind)
+            running.update(running_elsewhere.get(slot.record.id, ()))
+        return running
+
     def _is_decided_here(self, ticket, now):
         """Tell whether an own request is placed by this instance."""
         if ticket.coordinator == self.instance:
@@ -355,11 +383,13 @@
             self.pace.sent(target, rate, self.instances, now)
         if ticket.owner == self.instance:
             self.tickets_by_service[ticket.service].remove(ticket)
-            slot.running_here += 1
+            slot.running_by_kind[ticket.kind] += 1
             return 0
         number = next(self._grant_numbers)
-        self._given[ticket.owner, ticket.number] = GivenPlace(number, target, now)
-        running[target] = running.get(target, 0) + 1
+        self._given[ticket.owner, ticket.number] = GivenPlace(
+            number, target, ticket.kind, now
+        )
+        running.setdefault(target, Counter())[ticket.kind] += 1
         return number
 
     def _forget_given(self, now):
@@ -382,13 +412,13 @@
         ]
 
     def _running_elsewhere(self, now):
-        running: dict[str, int] = {}
+        running: dict[str, Counter] = {}
         counts = itertools.chain(
             *(load.running_by_target.items() for load in self._loads(now)),
-            ((place.target, 1) for place in self._given.values()),
+            ((place.target, {place.kind: 1}) for place in self._given.values()),
         )
-        for target, count in counts:
-            running[target] = running.get(target, 0) + count
+        for target, count_by_kind in counts:
+            running.setdefault(target, Counter()).update(count_by_kind)
         return running
 
     def _free(self, service, running_elsewhere, now):
@@ -399,7 +429,8 @@
 
     @staticmethod
     def _load(slot, running_elsewhere):
-        return slot.running_here + running_elsewhere.get(slot.record.id, 0)
+        elsewhere = running_elsewhere.get(slot.record.id)
+        return slot.running_here + (elsewhere.total() if elsewhere else 0)
 
     def _usable(self, service, now):
         return [
@@ -450,26 +481,31 @@
         places = sum(slot.limit(now) for slot in slots)
         if not places:
             return float("inf")
-        running_elsewhere = self._running_elsewhere(now)
-        if self._free(service, running_elsewhere, now) > 0:
+        running = self._running_elsewhere(now)
+        if self._free(service, running, now) > 0:
             return 0.0
+        newest = Ticket(service, tier, now, owner=self.instance)
         waiting = itertools.chain(
             self.tickets_by_service.get(service, ()),
             *(load.tickets for load in self._loads(now)),
         )
-        ahead = sum(
-            ticket.service == service and ticket.tier <= tier for ticket in waiting
+        order = FairOrder(self._running_by_kind(service, running, now), places)
+        ahead = itertools.takewhile(
+            lambda ticket: ticket is not newest,
+            order.sort(
+                [newest, *(ticket for ticket in waiting if ticket.service == service)]
+            ),
         )
-        return (ahead + 1) * self.hold(service) / places
+        return (sum(1 for _ in ahead) + 1) * self.hold(service) / places
 
     def hold(self, service):
         """Return the mean seconds for which a place is held."""
         return self.hold_by_service.get(service, FIRST_HOLD_SECONDS)
 
     def running_here(self):
-        """Return the requests of this instance by target."""
+        """Return the requests of this instance by target and kind."""
         return {
-            name: slot.running_here
+            name: dict(slot.running_by_kind)
             for name, slot in self.slot_by_target.items()
             if slot.running_here
         }
--- a/almondglade/platform/front.py
+++ b/almondglade/platform/front.py
@@ -14,6 +14,7 @@
 TOKENS = "x-token-usage"
 NOT_RUN = "x-not-executed"
 LOAD = "x-server-load"
+SEAL = "x-response-seal"
 MISDIRECTED_STATUS = 421
 # Set by this system alone, whatever a caller sent.
 NOT_FOR_TARGETS = frozenset(
@@ -124,11 +125,14 @@
         Whether the target states that it did not run the request.
     misdirected : bool
         Whether another target than the expected one has the address.
+    sealed : bool
+        Whether it bears the target's seal, without which no success is whole.
     """
 
     request_id: str | None
     not_run: bool
     misdirected: bool
+    sealed: bool
 
 
 def read_target(head):
@@ -139,6 +143,7 @@
         by_name.get(REQUEST_ID.lower()),
         misdirected or NOT_RUN in by_name,
         misdirected,
+        SEAL in by_name,
     )
 
 
