Keep long streams off targets that cannot end them in time

Ruled out: the allowance (same charge for all). Also: peers tell which targets they pause, the callers' own data centre is preferred by two places, messages split by topic.

--- a/almondglade/catalogue.py
+++ b/almondglade/catalogue.py
@@ -80,12 +80,15 @@
         Connections that one target accepts from all callers together.
     cold_rate : float
         Requests a second that a target bears while it is cold; 0 is no limit.
+    tokens_per_event : float
+        Tokens in one event of a stream.
     """
 
     name: str
     is_engine: bool = False
     max_connections: int = 64
     cold_rate: float = 0.0
+    tokens_per_event: float = 1.0
 
 
 @dataclass(frozen=True)
--- a/almondglade/entry/app.py
+++ b/almondglade/entry/app.py
@@ -1,5 +1,6 @@
 """The callers' port: a CherryPy application."""
 
+import abc
 import itertools
 import threading
 from typing import Any
@@ -42,7 +43,7 @@
 NO_BODY_STATUSES = frozenset({204, 205, 304})
 
 
-class FrontApp:
+class FrontApp(abc.ABC):
     """Counts, answers and refuses requests, whatever callers speak.
 
     Parameters
@@ -76,6 +77,14 @@
         places = max(1, max_requests // ARRIVING_SHARE)
         self._bodies = BodyReader(Deadlines(), places)
 
+    @abc.abstractmethod
+    def is_configured(self):
+        """Tell whether a declared document is in force."""
+
+    @abc.abstractmethod
+    def _answer(self, http, request_id, response, tally):
+        """Return the body of the answer; set its status and headers."""
+
     def request_id(self, http):
         """Return the id of a request; one of this instance's own."""
         return next(self._ids)
@@ -107,8 +116,7 @@
                 self._leave()
         return response.body
 
-    @staticmethod
-    def _refuse(response, error, request_id, tally):
+    def _refuse(self, response, error, request_id, tally):
         response.refuse(error, request_id)
         tally.end(error)
 
--- a/almondglade/gateway/app.py
+++ b/almondglade/gateway/app.py
@@ -4,6 +4,7 @@
 import re
 import time
 
+from ..catalogue import ServiceTerms
 from ..entry.app import BUSY_RETRY_SECONDS, FrontApp
 from ..log import get_logger
 from ..outcome import Code, RequestError
@@ -66,10 +67,12 @@
         limit = catalogue.limits.max_body_bytes
         time_limit = min(facts.time_limit or DEFAULT_TIME_SECONDS, route.timeout)
         body = self._bodies.read(http, limit)
+        service = choose_service(route)
+        terms = catalogue.service_by_name.get(service, ServiceTerms(service))
         request = GatewayRequest(
             request_id,
             route,
-            choose_service(route),
+            service,
             workspace,
             facts,
             http.method.decode("latin-1"),
@@ -78,6 +81,7 @@
             body,
             arrived,
             arrived + time_limit,
+            terms.tokens_per_event,
         )
         tally.service, tally.tier = request.service, route.tier
         return self._run(http, request, response, tally)
--- /dev/null
+++ b/almondglade/gateway/clocks.py
@@ -0,0 +1,8 @@
+"""Clocks of a gateway."""
+
+import time
+
+
+def awake_clock():
+    """Return seconds that also count while the machine is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/almondglade/gateway/discovery.py
+++ b/almondglade/gateway/discovery.py
@@ -101,8 +101,10 @@
         if update.revision <= known:
             return
         self._revision_by_data_centre[update.data_centre] = update.revision
-        change = self.out_data_centres.add if update.is_out else (
-            self.out_data_centres.discard
+        change = (
+            self.out_data_centres.add
+            if update.is_out
+            else (self.out_data_centres.discard)
         )
         change(update.data_centre)
         log.info(
--- a/almondglade/gateway/events.py
+++ b/almondglade/gateway/events.py
@@ -6,6 +6,11 @@
 EVENT_ID = re.compile(rb"(?m)^id:[ ]?([^\r\n]*)")
 
 
+def count_events(chunk):
+    """Return how many events end in a chunk."""
+    return sum(1 for _ in EVENT_END.finditer(chunk))
+
+
 class EventStream:
     """Passes whole events on and keeps what is not whole yet.
 
--- a/almondglade/gateway/node.py
+++ b/almondglade/gateway/node.py
@@ -8,23 +8,22 @@
 import threading
 import time
 
-import cherrypy
-import orjson
-
 from ..dispatch.connections import TargetPools
 from ..gossip.fleet import Fleet
-from ..gossip.messages import Grant, Grants, Report, WaitingHere
 from ..httpserver import HttpServer
 from ..log import get_logger
 from ..metrics import Metrics
 from ..placement.allowance import SharedAllowances
 from ..placement.cold import ColdPace
 from ..placement.freshness import Freshness
-from ..placement.pool import PeerLoad, Pools, Ticket
+from ..placement.pool import Pools
 from ..placement.resends import ResendBudget
 from ..platform.store import StoreClient
 from .app import GatewayApp
+from .clocks import awake_clock
 from .discovery import Discovery, Registry
+from .exchange import Exchange
+from .operators import GatewayOperatorApp
 from .scheduling import GatewayScheduler
 
 log = get_logger("gateway")
@@ -48,11 +47,6 @@
 GRANTS_PER_MILLISECOND = 100
 
 
-def awake_clock():
-    """Return seconds that also count while the machine is suspended."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 class GatewayNode:
     """One gateway.
 
@@ -83,18 +77,17 @@
             bounds.retry_ratio, bounds.retry_slack, bounds.retry_window
         )
         self.connections = TargetPools()
-        self.fleet = Fleet(
-            settings.instance,
-            settings.address,
-            settings.peer_port,
-            settings.seed_addresses,
-            self._make_report,
-            self._take_report,
-            self._take_grants,
-            self._coordinators,
+        self.exchange = Exchange(
+            settings,
+            self.incarnation,
+            self.lock,
+            self.pools,
+            self.allowances,
+            self.freshness,
             self.clock,
-            rng,
         )
+        self.fleet = Fleet(settings, self.exchange, self.clock, rng)
+        self.exchange.fleet = self.fleet
         self.scheduler = GatewayScheduler(
             self.pools,
             self.allowances,
@@ -103,9 +96,10 @@
             self.lock,
             lambda: self.fleet.most_seen,
             self.fleet.changed,
-            self._send_grants,
+            self.exchange.send_grants,
             self.clock,
         )
+        self.exchange.match = self.scheduler.match
         self.registry = Registry(self.clock, self._published)
         self.store = StoreClient(settings.store_address, awake_clock, self.clock)
         self.discovery = Discovery(self.store, self.registry, self._confirm, rng)
@@ -173,7 +167,7 @@
     async def _drain(self, callers):
         """Take no new callers and end the requests in progress."""
         log.info("stopping", active=self.app.active)
-        self.stopping = True
+        self.stopping = self.exchange.leaving = True
         self.fleet.changed()
         callers.end_keep_alive()
         ends = self.clock() + DRAIN_SHARE * self.settings.bounds.grace
@@ -229,181 +223,11 @@
         with self.lock:
             return self.freshness.accepts_keys(awake_clock())
 
-    def _make_report(self, number):
-        now = self.clock()
-        with self.lock:
-            return Report(
-                self.settings.instance,
-                self.settings.data_centre,
-                self.incarnation,
-                number,
-                self.stopping,
-                self.freshness.revision,
-                self.freshness.age(awake_clock()),
-                self.pools.running_here(),
-                tuple(
-                    WaitingHere(
-                        ticket.number,
-                        ticket.service,
-                        ticket.tier,
-                        now - ticket.arrived,
-                        tuple(ticket.avoid),
-                        ticket.coordinator,
-                    )
-                    for ticket in self.pools.waiting_here()
-                ),
-                self.allowances.drawn_here(),
-                dict(self.pools.grant_by_coordinator),
-            )
-
-    def _coordinators(self):
-        """Return the coordinators of all services, and whether work waits."""
-        now = self.clock()
-        with self.lock:
-            services = {
-                slot.record.service for slot in self.pools.slot_by_target.values()
-            }
-            waiting = self.pools.waiting_here()
-            names = {self.pools.coordinator_of(service, now) for service in services}
-            names |= {ticket.coordinator for ticket in waiting}
-        return names - {self.settings.instance}, bool(waiting)
-
-    def _take_report(self, report):
-        now = self.clock()
-        load = PeerLoad(
-            now,
-            report.running_by_target,
-            tuple(
-                Ticket(
-                    entry.service,
-                    entry.tier,
-                    now - entry.age,
-                    frozenset(entry.avoid),
-                    owner=report.instance,
-                    data_centre=report.data_centre,
-                    number=entry.number,
-                    coordinator=entry.coordinator,
-                )
-                for entry in report.waiting
-            ),
-            report.grant_by_coordinator.get(self.settings.instance, 0),
-        )
-        with self.lock:
-            self.pools.load_by_peer[report.instance] = load
-            self.pools.instances = sorted(
-                {self.settings.instance}
-                | {
-                    peer.instance
-                    for peer in self.fleet.live_peers()
-                    if not peer.leaving
-                }
-            )
-            self.allowances.take_peer(
-                report.instance, report.incarnation, report.drawn_by_workspace
-            )
-            self.freshness.confirm(
-                report.revision, awake_clock() - report.evidence_age
-            )
-            again = self.pools.given_to(report.instance)
-            self.scheduler.match()
-            asked = any(
-                entry.coordinator == self.settings.instance
-                for entry in report.waiting
-            )
-            if asked:
-                # Also says that the request is known here.
-                self._send_grants(report.instance, again)
-
-    def _send_grants(self, peer, grants):
-        """Send grants to a peer; safe from any thread."""
-        message = Grants(
-            self.settings.instance, tuple(Grant(*grant) for grant in grants)
-        )
-        self.loop.call_soon_threadsafe(
-            lambda: self.fleet.send_to({peer}, lambda: message)
-        )
-
-    def _take_grants(self, message):
-        now = self.clock()
-        with self.lock:
-            self.pools.heard_from(message.instance, now)
-            granted = [
-                self.pools.take_grant(
-                    message.instance, grant.number, grant.request, grant.target
-                )
-                for grant in message.grants
-            ]
-        for ticket in granted:
-            if ticket is not None:
-                ticket.granted()
-        if message.grants:
-            self.fleet.changed()
-
     def is_ready(self):
         """Tell whether the balancer should send callers here."""
         return not self.stopping and self.app.is_configured() and self._accepts_keys()
 
 
-class GatewayOperatorApp:
-    """Answers the balancer and operators.
-
-    Parameters
-    ----------
-    node : GatewayNode
-    """
-
-    def __init__(self, node):
-        self.node = node
-        self.api = self
-
-    @cherrypy.expose
-    def ready(self):
-        """Tell whether the balancer should send callers here."""
-        if not self.node.is_ready():
-            cherrypy.response.status = 503
-            return b"not ready\n"
-        return b"ready\n"
-
-    @cherrypy.expose
-    def metrics(self):
-        """Serve the metrics in Prometheus' text form."""
-        accepts = cherrypy.request.headers.get("Accept", "").split(",")
-        body, content_type = self.node.metrics.render(accepts)
-        cherrypy.response.headers["Content-Type"] = content_type
-        return body
-
-    @cherrypy.expose
-    def dump(self):
-        """Return the state of the whole process as JSON."""
-        cherrypy.response.headers["Content-Type"] = "application/json"
-        return orjson.dumps(self._state(), option=orjson.OPT_INDENT_2)
-
-    def _state(self):
-        node = self.node
-        now = node.clock()
-        with node.lock:
-            return {
-                "instance": node.settings.instance,
-                "incarnation": node.incarnation,
-                "ready": not node.stopping,
-                "revision": node.freshness.revision,
-                "evidence_age": node.freshness.age(awake_clock()),
-                "active": node.app.active,
-                "peers": [peer.instance for peer in node.fleet.live_peers()],
-                "targets": {
-                    name: {
-                        "running_here": slot.running_here,
-                        "limit": slot.limit(now),
-                        "paused": slot.health.is_paused(now),
-                        "failures": slot.health.failure_share(now),
-                        "slowness": slot.health.slowness,
-                    }
-                    for name, slot in node.pools.slot_by_target.items()
-                },
-                "drawn": node.allowances.drawn_here(),
-            }
-
-
 def run_gateway(settings):
     """Run one gateway in this process until it stops."""
     with contextlib.suppress(KeyboardInterrupt):
--- /dev/null
+++ b/almondglade/gateway/operators.py
@@ -0,0 +1,66 @@
+"""What the balancer and operators ask of a gateway."""
+
+import cherrypy
+import orjson
+
+from .clocks import awake_clock
+
+
+class GatewayOperatorApp:
+    """Answers the balancer and operators.
+
+    Parameters
+    ----------
+    node : GatewayNode
+    """
+
+    def __init__(self, node):
+        self.node = node
+        self.api = self
+
+    @cherrypy.expose
+    def ready(self):
+        """Tell whether the balancer should send callers here."""
+        if not self.node.is_ready():
+            cherrypy.response.status = 503
+            return b"not ready\n"
+        return b"ready\n"
+
+    @cherrypy.expose
+    def metrics(self):
+        """Serve the metrics in Prometheus' text form."""
+        accepts = cherrypy.request.headers.get("Accept", "").split(",")
+        body, content_type = self.node.metrics.render(accepts)
+        cherrypy.response.headers["Content-Type"] = content_type
+        return body
+
+    @cherrypy.expose
+    def dump(self):
+        """Return the state of the whole process as JSON."""
+        cherrypy.response.headers["Content-Type"] = "application/json"
+        return orjson.dumps(self._state(), option=orjson.OPT_INDENT_2)
+
+    def _state(self):
+        node = self.node
+        now = node.clock()
+        with node.lock:
+            return {
+                "instance": node.settings.instance,
+                "incarnation": node.incarnation,
+                "ready": not node.stopping,
+                "revision": node.freshness.revision,
+                "evidence_age": node.freshness.age(awake_clock()),
+                "active": node.app.active,
+                "peers": [peer.instance for peer in node.fleet.live_peers()],
+                "targets": {
+                    name: {
+                        "running_here": slot.running_here,
+                        "limit": slot.limit(now),
+                        "paused": slot.health.is_paused(now),
+                        "failures": slot.health.failure_share(now),
+                        "slowness": slot.health.slowness,
+                    }
+                    for name, slot in node.pools.slot_by_target.items()
+                },
+                "drawn": node.allowances.drawn_here(),
+            }
--- a/almondglade/gateway/requests.py
+++ b/almondglade/gateway/requests.py
@@ -17,6 +17,8 @@
         Monotonic seconds of its arrival and of the end of its time.
     service : str
         Service that it goes to.
+    tokens_per_event : float
+        Tokens in one event of its stream.
     path : str
         Path and query as the caller sent them.
     pairs : tuple of (str, str)
@@ -43,6 +45,7 @@
     body: bytes
     arrived: float
     deadline: float
+    tokens_per_event: float = 1.0
     presence: Presence = field(default_factory=Presence, repr=False)
     targets: list[str] = field(default_factory=list)
     may_have_run: bool = False
@@ -54,17 +57,26 @@
             return (self.route.tier, self.route.tier)
         return (self.workspace.tier, self.route.tier)
 
+    @property
+    def events(self):
+        """Expected events of the stream; 0 if they are not known."""
+        if not self.route.streaming or self.facts.expected_tokens is None:
+            return 0.0
+        return self.facts.expected_tokens / self.tokens_per_event
+
     @property
     def size(self):
         """Tokens that the request may use, or None if it states none."""
         facts = self.facts
         if facts.input_tokens is None:
             return None
-        return facts.input_tokens + facts.output_tokens
+        return facts.input_tokens + (facts.output_tokens or 0)
 
     @property
     def charge(self):
         """What the request draws on its workspace's allowance."""
+        if self.workspace is None:
+            return 0.0
         if not self.workspace.counts_tokens:
             return 1.0
         return self.workspace.plain_tokens if self.size is None else self.size
--- a/almondglade/gossip/fleet.py
+++ b/almondglade/gossip/fleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from dataclasses import dataclass
+from typing import Any
 
 from ..errors import PeerError
 from ..log import get_logger
@@ -13,10 +14,10 @@
 # by receiver; sets the pause between them for the size of the fleet.
 MAX_REPORTS_PER_SECOND = 120
 # Shortest and longest pause between reports to the whole fleet, seconds.
-MIN_REPORT_SECONDS = 0.08
-IDLE_REPORT_SECONDS = 0.25
+MIN_REPORT_SECONDS = 0.25
+IDLE_REPORT_SECONDS = 0.5
 # A coordinator is asked again after this while requests wait, seconds.
-ASK_AGAIN_SECONDS = 0.025
+ASK_AGAIN_SECONDS = 0.04
 # Pause between rosters; a new instance is known everywhere after two.
 ROSTER_SECONDS = 0.5
 # Peers that each roster goes to, besides the seeds.
@@ -50,52 +51,30 @@
 
     Parameters
     ----------
-    instance, address : str
-        This instance and its IP number.
-    port : int
-        UDP port, the same at all instances.
-    seeds : iterable of str
-        IP numbers to begin with; some may be stale.
-    make_report : callable
-        Returns the present `Report`, without its number.
-    on_report : callable
-        Takes each peer's newer `Report`.
-    on_grants : callable
-        Takes each `Grants`.
-    coordinators : callable
-        Returns the names of the instances that must know of each change.
+    settings : GatewaySettings
+        This instance, its port, and the addresses to begin with, some of which
+        may be stale.
+    exchange : Exchange
+        Makes reports and takes in what peers say.
     clock : callable
         Returns monotonic seconds.
     rng : random.Random
         Chooses the receivers of rosters.
     """
 
-    def __init__(
-        self,
-        instance,
-        address,
-        port,
-        seeds,
-        make_report,
-        on_report,
-        on_grants,
-        coordinators,
-        clock,
-        rng,
-    ):
-        self.instance = instance
-        self.address = address
-        self.port = port
-        self.seeds = tuple(seed for seed in seeds if seed != address)
-        self.make_report = make_report
-        self.on_report = on_report
-        self.on_grants = on_grants
-        self.coordinators = coordinators
+    def __init__(self, settings, exchange, clock, rng):
+        self.instance = settings.instance
+        self.address = settings.address
+        self.port = settings.peer_port
+        self.seeds = tuple(
+            seed for seed in settings.seed_addresses if seed != settings.address
+        )
+        self.exchange = exchange
         self.clock = clock
         self.rng = rng
         self.peer_by_address: dict[str, Peer] = {}
         self.most_seen = 1
-        self._transport = None
+        self._transport: Any = None
         self._changed = asyncio.Event()
         self._number = 0
         self._changes = 0
@@ -117,6 +96,10 @@
         """Let the next report go out soon; safe from any thread."""
         self._loop.call_soon_threadsafe(self._changed.set)
 
+    def send_soon(self, names, message):
+        """Send a message to peers by name; safe from any thread."""
+        self._loop.call_soon_threadsafe(self.send_to, names, lambda: message)
+
     def live_peers(self):
         """Return the peers that have been heard lately."""
         now = self.clock()
@@ -143,7 +126,7 @@
             return
         peer = self._meet(addr[0])
         if isinstance(message, Grants):
-            self.on_grants(message)
+            self.exchange.take_grants(message)
             return
         if isinstance(message, Roster):
             for address in message.addresses:
@@ -169,7 +152,7 @@
         peer.number = report.number
         peer.leaving = report.leaving
         self.most_seen = max(self.most_seen, 1 + len(self.live_peers()))
-        self.on_report(report)
+        self.exchange.take_report(report)
 
     def _meet(self, address):
         peer = self.peer_by_address.get(address)
@@ -200,7 +183,7 @@
     async def _ask(self):
         """Tell the coordinators of each change at once, and while work waits."""
         while True:
-            names, waiting = self.coordinators()
+            names, waiting = self.exchange.coordinators()
             self.send_to(names, self._report)
             try:
                 async with asyncio.timeout(
@@ -214,7 +197,7 @@
 
     def _report(self):
         self._number += 1
-        return self.make_report(self._number)
+        return self.exchange.make_report(self._number)
 
     def send_to(self, names, make_message):
         """Send a message to peers by name.
--- a/almondglade/gossip/messages.py
+++ b/almondglade/gossip/messages.py
@@ -4,6 +4,7 @@
 that instances of the next version can tell what they cannot read.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from functools import singledispatch
 
@@ -38,6 +39,10 @@
         Targets that it was sent to already.
     coordinator : str
         Instance that is asked for the place.
+    events : float
+        Expected length of its stream.
+    time_left : float
+        Seconds until its answer must be whole.
     """
 
     number: int
@@ -46,6 +51,8 @@
     age: float
     avoid: tuple[str, ...] = ()
     coordinator: str = ""
+    events: float = 0.0
+    time_left: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -72,6 +79,10 @@
         Draws on allowances since its start.
     grant_by_coordinator : dict of str to int
         Newest grant that it has received from each coordinator.
+    paused : tuple of str
+        Targets that the sender does not use for now.
+    event_seconds_by_target : dict of str to float
+        Pace of the streams that the sender has seen.
     """
 
     instance: str
@@ -85,6 +96,8 @@
     waiting: tuple[WaitingHere, ...] = ()
     drawn_by_workspace: dict[str, float] = field(default_factory=dict)
     grant_by_coordinator: dict[str, int] = field(default_factory=dict)
+    paused: tuple[str, ...] = ()
+    event_seconds_by_target: dict[str, float] = field(default_factory=dict)
 
 
 @dataclass(frozen=True)
@@ -161,11 +174,18 @@
                     round(entry.age * MILLISECONDS),
                     entry.avoid,
                     entry.coordinator,
+                    round(entry.events),
+                    round(entry.time_left * MILLISECONDS),
                 ]
                 for entry in message.waiting
             ],
             {name: round(drawn) for name, drawn in message.drawn_by_workspace.items()},
             message.grant_by_coordinator,
+            message.paused,
+            {
+                target: round(seconds * MILLISECONDS, 1)
+                for target, seconds in message.event_seconds_by_target.items()
+            },
         ]
     )
 
@@ -198,7 +218,9 @@
     running,
     waiting,
     drawn,
-    got,
+    grants,
+    paused,
+    paces,
 ):
     return Report(
         instance,
@@ -217,11 +239,17 @@
                 waited / MILLISECONDS,
                 tuple(avoid),
                 coordinator,
+                events,
+                left / MILLISECONDS,
+            )
+            for request, service, tier, waited, avoid, coordinator, events, left in (
+                waiting
             )
-            for request, service, tier, waited, avoid, coordinator in waiting
         ),
         drawn,
-        got,
+        grants,
+        tuple(paused),
+        {target: pace / MILLISECONDS for target, pace in paces.items()},
     )
 
 
@@ -233,4 +261,8 @@
     return Grants(instance, tuple(Grant(*entry) for entry in grants))
 
 
-DECODERS = {REPORT: _decode_report, ROSTER: _decode_roster, GRANTS: _decode_grants}
+DECODERS: dict[int, Callable] = {
+    REPORT: _decode_report,
+    ROSTER: _decode_roster,
+    GRANTS: _decode_grants,
+}
--- a/almondglade/httpserver/gate.py
+++ b/almondglade/httpserver/gate.py
@@ -5,11 +5,14 @@
 """
 
 import logging
+import queue
 import re
 import resource
 import socket
 import struct
+import threading
 import time
+from collections.abc import Callable
 
 from cheroot import server, wsgi
 from cheroot.makefile import MakeFile
@@ -143,6 +146,10 @@
 class GrowingThreadPool(ThreadPool):
     """Begins with a few threads and adds one when none is idle."""
 
+    _queue: queue.Queue
+    _threads: list
+    _spawn_worker: Callable[[], threading.Thread]
+
     def put(self, obj):
         """Pass a connection to a thread."""
         if self.idle <= self._queue.qsize() and len(self._threads) < self.max:
--- a/almondglade/placement/health.py
+++ b/almondglade/placement/health.py
@@ -30,8 +30,10 @@
     ----------
     paused_until : float
         Monotonic time before which it gets nothing.
-    seconds_per_objective : float
-        Smoothed time to the first answer, as a share of the objective.
+    slowness : float
+        Smoothed time to the first answer over what is expected of its size.
+    event_seconds : float
+        Smoothed time from one event of a stream to the next; 0 is not known.
     """
 
     paused_until: float = 0.0
@@ -39,6 +41,7 @@
     failures: float = 0.0
     judged_at: float = 0.0
     slowness: float = 0.0
+    event_seconds: float = 0.0
 
     def is_paused(self, now):
         """Tell whether the target gets nothing for now."""
@@ -80,3 +83,8 @@
         if slowness is not None:
             weight = SPEED_WEIGHT if self.slowness else 1.0
             self.slowness += weight * (slowness - self.slowness)
+
+    def streamed(self, event_seconds):
+        """Note the pace of a stream that ended well."""
+        weight = SPEED_WEIGHT if self.event_seconds else 1.0
+        self.event_seconds += weight * (event_seconds - self.event_seconds)
--- /dev/null
+++ b/almondglade/placement/places.py
@@ -0,0 +1,128 @@
+"""Requests that wait, targets' places, and what peers say of both."""
+
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from ..catalogue import TargetRecord
+from .health import Health
+
+
+@dataclass(eq=False)
+class Ticket:
+    """A request that wants a place at a target of a service.
+
+    Parameters
+    ----------
+    tier : tuple of int
+        Rank of the workspace and of the kind of request; the lowest is served
+        first.
+    arrived : float
+        Monotonic time at which it arrived.
+    avoid : frozenset of str
+        Targets that it was sent to already.
+    granted : callable
+        Called without arguments when it gets a place.
+    owner, data_centre : str
+        Instance at which it waits, and where that runs.
+    events : float
+        Expected length of its stream; 0 is not known.
+    deadline : float
+        Monotonic time at which its answer must be whole.
+
+    Attributes
+    ----------
+    target : str or None
+        The target whose place it has got.
+    coordinator : str
+        Instance that is asked for the place.
+    asked_at : float
+        Monotonic time since which that instance is asked.
+    """
+
+    service: str
+    tier: tuple[int, ...]
+    arrived: float
+    avoid: frozenset[str] = frozenset()
+    granted: Callable[[], object] = lambda: None
+    owner: str = ""
+    data_centre: str = ""
+    events: float = 0.0
+    deadline: float = float("inf")
+    number: int = 0
+    target: str | None = None
+    coordinator: str = ""
+    asked_at: float = 0.0
+    passed_over_at: float | None = None
+
+    @property
+    def kind(self):
+        """Rank of the kind of request alone."""
+        return self.tier[-1]
+
+    @property
+    def rank(self):
+        """Order among the waiting."""
+        return (self.tier, self.arrived, self.owner, self.number)
+
+
+@dataclass
+class Slot:
+    """A target and what is known to run there.
+
+    Parameters
+    ----------
+    record : TargetRecord
+        As listed.
+    """
+
+    record: TargetRecord
+    health: Health = field(default_factory=Health)
+    running_by_kind: Counter = field(default_factory=Counter)
+
+    @property
+    def running_here(self):
+        """Requests of this instance that run there."""
+        return self.running_by_kind.total()
+
+    def limit(self, now):
+        """Return the requests that all instances together may run there."""
+        return 1 if self.health.is_sick(now) else self.record.slots
+
+
+@dataclass(frozen=True)
+class PeerLoad:
+    """What one peer says that it runs and holds back.
+
+    Parameters
+    ----------
+    heard_at : float
+        Monotonic time of its arrival here.
+    running_by_target : dict of str to dict of int to int
+        Its requests by target and kind.
+    tickets : tuple of Ticket
+        Its waiting requests; times are of the clock here.
+    confirmed : int
+        Newest grant from here that it has received.
+    paused : frozenset of str
+        Targets that it does not use for now.
+    event_seconds_by_target : dict of str to float
+        Pace of streams that it has seen.
+    """
+
+    heard_at: float
+    running_by_target: dict[str, dict[int, int]]
+    tickets: tuple[Ticket, ...] = ()
+    confirmed: int = 0
+    paused: frozenset[str] = frozenset()
+    event_seconds_by_target: dict[str, float] = field(default_factory=dict)
+
+
+@dataclass(frozen=True)
+class GivenPlace:
+    """A place that was granted to a peer and is not confirmed yet."""
+
+    number: int
+    target: str
+    kind: int
+    at: float
--- a/almondglade/placement/pool.py
+++ b/almondglade/placement/pool.py
@@ -9,144 +9,34 @@
 """
 
 import itertools
+import statistics
 from collections import Counter
-from dataclasses import dataclass, field
-
-import xxhash
 
+from .coordination import Coordinators
 from .fairness import FairOrder
-from .health import Health
+from .places import GivenPlace, PeerLoad, Slot, Ticket
 
 # Without a coordinator, a free place that the instance with the better request
 # leaves unused for this long is taken by the next; a few one-way delays.
 YIELD_SECONDS = 0.05
-# A coordinator that has not answered for this long is passed over; some round
-# trips and a pause of its interpreter.
-SILENT_SECONDS = 0.08
-# It is asked again after this.
-SUSPECT_SECONDS = 1.0
 # A request that no coordinator has answered for this long is placed here.
 ALONE_SECONDS = 0.16
 # A grant that the peer has not confirmed counts as running for this long.
 GRANT_SECONDS = 0.5
 # A peer that has been silent for this long no longer counts; seconds.
 PEER_SECONDS = 1.5
+# Peers that must pause a target before others leave it too.
+AGREED_PAUSES = 2
 # What another data centre adds to a target's load, in places: a tie-breaker.
-REMOTE_PLACES = 0.5
+REMOTE_PLACES = 2.0
+# Share of its time that a stream may be expected to take at a target.
+TIME_SHARE = 0.85
 # Weight of the newest time that a place was held.
 HOLD_WEIGHT = 0.05
 # Assumed time that a place is held before any was seen, seconds.
 FIRST_HOLD_SECONDS = 0.5
 
 
-@dataclass(eq=False)
-class Ticket:
-    """A request that wants a place at a target of a service.
-
-    Parameters
-    ----------
-    tier : tuple of int
-        Rank of the workspace and of the kind of request; the lowest is served
-        first.
-    arrived : float
-        Monotonic time at which it arrived.
-    avoid : frozenset of str
-        Targets that it was sent to already.
-    granted : callable
-        Called without arguments when it gets a place.
-    owner, data_centre : str
-        Instance at which it waits, and where that runs.
-
-    Attributes
-    ----------
-    target : str or None
-        The target whose place it has got.
-    coordinator : str
-        Instance that is asked for the place.
-    asked_at : float
-        Monotonic time since which that instance is asked.
-    """
-
-    service: str
-    tier: tuple[int, ...]
-    arrived: float
-    avoid: frozenset[str] = frozenset()
-    granted: object = lambda: None
-    owner: str = ""
-    data_centre: str = ""
-    number: int = 0
-    target: str | None = None
-    coordinator: str = ""
-    asked_at: float = 0.0
-    passed_over_at: float | None = None
-
-    @property
-    def kind(self):
-        """Rank of the kind of request alone."""
-        return self.tier[-1]
-
-    @property
-    def rank(self):
-        """Order among the waiting."""
-        return (self.tier, self.arrived, self.owner, self.number)
-
-
-@dataclass
-class Slot:
-    """A target and what is known to run there.
-
-    Parameters
-    ----------
-    record : TargetRecord
-        As listed.
-    """
-
-    record: object
-    health: Health = field(default_factory=Health)
-    running_by_kind: Counter = field(default_factory=Counter)
-
-    @property
-    def running_here(self):
-        """Requests of this instance that run there."""
-        return self.running_by_kind.total()
-
-    def limit(self, now):
-        """Return the requests that all instances together may run there."""
-        return 1 if self.health.is_sick(now) else self.record.slots
-
-
-@dataclass(frozen=True)
-class PeerLoad:
-    """What one peer says that it runs and holds back.
-
-    Parameters
-    ----------
-    heard_at : float
-        Monotonic time of its arrival here.
-    running_by_target : dict of str to dict of int to int
-        Its requests by target and kind.
-    tickets : tuple of Ticket
-        Its waiting requests; times are of the clock here.
-    confirmed : int
-        Newest grant from here that it has received.
-    """
-
-    heard_at: float
-    running_by_target: dict[str, dict[int, int]]
-    tickets: tuple[Ticket, ...] = ()
-    confirmed: int = 0
-
-
-@dataclass(frozen=True)
-class GivenPlace:
-    """A place that was granted to a peer and is not confirmed yet."""
-
-    number: int
-    target: str
-    kind: int
-    at: float
-
-
 class Pools:
     """Places of all targets and the requests that wait for them.
 
@@ -168,13 +58,11 @@
         self.instance = pace.instance
         self.slot_by_target: dict[str, Slot] = {}
         self.load_by_peer: dict[str, PeerLoad] = {}
-        self.instances: list[str] = [self.instance]
+        self.coordinators = Coordinators(self.instance)
         self.cold_rate_by_service: dict[str, float] = {}
         self.out_data_centres: frozenset[str] = frozenset()
         self.tickets_by_service: dict[str, list[Ticket]] = {}
         self.hold_by_service: dict[str, float] = {}
-        self.heard_by_coordinator: dict[str, float] = {}
-        self.suspect_until: dict[str, float] = {}
         self.grant_by_coordinator: dict[str, int] = {}
         self._given: dict[tuple[str, int], GivenPlace] = {}
         self._numbers = itertools.count(1)
@@ -197,34 +85,17 @@
         self.slot_by_target = slots
         self.pace.forget(slots)
 
-    def coordinator_of(self, service, now):
-        """Return the instance that gives the places of a service."""
-        candidates = [
-            name
-            for name in self.instances
-            if name == self.instance or now >= self.suspect_until.get(name, 0.0)
-        ]
-        return min(
-            candidates,
-            key=lambda name: xxhash.xxh64_intdigest(f"{service}\0{name}".encode()),
-        )
-
     def ask(self, ticket, now):
         """Let a request wait for a place."""
         ticket.number = next(self._numbers)
         ticket.owner = self.instance
         ticket.data_centre = self.data_centre
-        ticket.coordinator = self.coordinator_of(ticket.service, now)
+        ticket.coordinator = self.coordinators.choose(ticket.service, now)
         ticket.asked_at = now
         tickets = self.tickets_by_service.setdefault(ticket.service, [])
         tickets.append(ticket)
         tickets.sort(key=lambda entry: entry.rank)
 
-    def heard_from(self, coordinator, now):
-        """Note that a coordinator has answered."""
-        self.heard_by_coordinator[coordinator] = now
-        self.suspect_until.pop(coordinator, None)
-
     def take_grant(self, coordinator, number, request, target):
         """Take a place that a coordinator has granted.
 
@@ -253,15 +124,16 @@
         list of str
             Coordinators that are passed over from now on.
         """
-        silent = set()
-        for ticket in itertools.chain.from_iterable(self.tickets_by_service.values()):
-            name = ticket.coordinator
-            heard = max(ticket.asked_at, self.heard_by_coordinator.get(name, 0.0))
-            if name != self.instance and now - heard > SILENT_SECONDS:
-                silent.add(name)
-                self.suspect_until[name] = now + SUSPECT_SECONDS
-        for ticket in itertools.chain.from_iterable(self.tickets_by_service.values()):
-            chosen = self.coordinator_of(ticket.service, now)
+        tickets = self.waiting_here()
+        silent = {
+            ticket.coordinator
+            for ticket in tickets
+            if self.coordinators.is_silent(ticket.coordinator, ticket.asked_at, now)
+        }
+        for name in silent:
+            self.coordinators.pass_over(name, now)
+        for ticket in tickets:
+            chosen = self.coordinators.choose(ticket.service, now)
             if chosen != ticket.coordinator:
                 ticket.coordinator, ticket.asked_at = chosen, now
         return sorted(silent)
@@ -363,7 +235,7 @@
         """Tell whether an own request is placed by this instance."""
         if ticket.coordinator == self.instance:
             return True
-        heard = self.heard_by_coordinator.get(ticket.coordinator, 0.0)
+        heard = self.coordinators.heard_at(ticket.coordinator)
         return now - max(ticket.arrived, heard) > ALONE_SECONDS
 
     @staticmethod
@@ -380,7 +252,7 @@
         target = ticket.target = slot.record.id
         if self._is_cold(slot, now):
             rate = self.cold_rate_by_service[ticket.service]
-            self.pace.sent(target, rate, self.instances, now)
+            self.pace.sent(target, rate, self.coordinators.instances, now)
         if ticket.owner == self.instance:
             self.tickets_by_service[ticket.service].remove(ticket)
             slot.running_by_kind[ticket.kind] += 1
@@ -433,6 +305,9 @@
         return slot.running_here + (elsewhere.total() if elsewhere else 0)
 
     def _usable(self, service, now):
+        paused_by_peers = Counter(
+            itertools.chain.from_iterable(load.paused for load in self._loads(now))
+        )
         return [
             slot
             for slot in self.slot_by_target.values()
@@ -440,6 +315,15 @@
             and not slot.record.leaving
             and slot.record.data_centre not in self.out_data_centres
             and not slot.health.is_paused(now)
+            and paused_by_peers[slot.record.id] < AGREED_PAUSES
+        ]
+
+    def paused_here(self, now):
+        """Return the targets that this instance does not use for now."""
+        return [
+            name
+            for name, slot in self.slot_by_target.items()
+            if slot.health.is_paused(now)
         ]
 
     def _is_cold(self, slot, now):
@@ -449,15 +333,18 @@
     def _choose(self, ticket, running_elsewhere, now):
         """Return the slot where the request is expected to be answered first."""
         candidates = []
+        too_slow = self._too_slow_for(ticket, now)
+        told = self.load_by_peer.get(ticket.owner)
+        avoid = ticket.avoid | told.paused if told else ticket.avoid
         for slot in self._usable(ticket.service, now):
             record = slot.record
             load = self._load(slot, running_elsewhere)
-            if load >= slot.limit(now) or record.id in ticket.avoid:
+            if load >= slot.limit(now) or record.id in avoid | too_slow:
                 continue
             if self._is_cold(slot, now) and not self.pace.may_send(
                 record.id,
                 self.cold_rate_by_service[record.service],
-                self.instances,
+                self.coordinators.instances,
                 now,
             ):
                 continue
@@ -469,6 +356,38 @@
             candidates.append((cost, record.id, slot))
         return min(candidates)[2] if candidates else None
 
+    def event_seconds(self, now):
+        """Return the pace of streams by target, as all instances have seen it."""
+        seen: dict[str, list[float]] = {}
+        paces = itertools.chain(
+            self.event_seconds_here().items(),
+            *(load.event_seconds_by_target.items() for load in self._loads(now)),
+        )
+        for target, seconds in paces:
+            seen.setdefault(target, []).append(seconds)
+        return {target: statistics.median(values) for target, values in seen.items()}
+
+    def event_seconds_here(self):
+        """Return the pace of streams by target, as seen here."""
+        return {
+            name: slot.health.event_seconds
+            for name, slot in self.slot_by_target.items()
+            if slot.health.event_seconds
+        }
+
+    def _too_slow_for(self, ticket, now):
+        """Return the targets that cannot end a long stream in time.
+
+        None are, if there is no target that can.
+        """
+        if not ticket.events:
+            return frozenset()
+        left = TIME_SHARE * (ticket.deadline - now)
+        pace = self.event_seconds(now)
+        usable = [slot.record.id for slot in self._usable(ticket.service, now)]
+        slow = {name for name in usable if ticket.events * pace.get(name, 0.0) > left}
+        return frozenset(slow) if len(slow) < len(usable) else frozenset()
+
     def expected_wait(self, service, tier, now):
         """Return the seconds that a new request is expected to wait.
 
--- a/almondglade/platform/front.py
+++ b/almondglade/platform/front.py
@@ -12,6 +12,7 @@
 EXPECTED_TARGET = "X-Expect-Instance"
 LAST_EVENT = "Last-Event-Id"
 TOKENS = "x-token-usage"
+LENGTH_HINT = "x-length-hint"
 NOT_RUN = "x-not-executed"
 LOAD = "x-server-load"
 SEAL = "x-response-seal"
@@ -53,6 +54,8 @@
         Size of the prompt and the most that may be generated.
     last_event : str or None
         Id after which a stream goes on.
+    expected_tokens : int or None
+        Caller's estimate of the tokens that will be generated.
     """
 
     request_id: str | None
@@ -62,6 +65,7 @@
     input_tokens: int | None
     output_tokens: int | None
     last_event: str | None
+    expected_tokens: int | None = None
 
 
 def read_caller(pairs):
@@ -81,6 +85,7 @@
         int(tokens[1]) if tokens else None,
         int(tokens[2]) if tokens else None,
         by_name.get(LAST_EVENT.lower()),
+        _count(by_name.get(LENGTH_HINT)),
     )
 
 
@@ -147,6 +152,10 @@
     )
 
 
+def _count(text):
+    return int(text) if text is not None and text.isdigit() else None
+
+
 def _seconds(text):
     if text is None or not text.isdigit():
         return None
--- a/almondglade/platform/settings.py
+++ b/almondglade/platform/settings.py
@@ -56,7 +56,7 @@
     first_start: bool = Field(False, alias="bootstrap")
     listen: _Listen
     limits: _Limits
-    bounds: _Bounds = _Bounds()
+    bounds: _Bounds = Field(default_factory=lambda: _Bounds.model_validate({}))
     platform: _Store
 
 
--- a/almondglade/platform/store.py
+++ b/almondglade/platform/store.py
@@ -53,9 +53,8 @@
         self.steady = steady
         self.calls = 0
         self._lock = threading.Lock()
-        self._pool = urllib3.HTTPConnectionPool(
-            *_host_and_port(address), maxsize=1, retries=False
-        )
+        host, port = _host_and_port(address)
+        self._pool = urllib3.HTTPConnectionPool(host, port, maxsize=1, retries=False)
         self._pool.ConnectionCls.default_socket_options = TCP_OPTIONS
 
     def read_all(self):
@@ -109,7 +108,10 @@
         # The store held an empty answer back for the whole time.
         as_of = asked_at if events else asked_at + wait
         return Batch(
-            self._decode(events), max(revision, answer["at"]), False, min(as_of, self.clock())
+            self._decode(events),
+            max(revision, answer["at"]),
+            False,
+            min(as_of, self.clock()),
         )
 
     def _get(self, path, query, timeout):
--- a/almondglade/platform/wire.py
+++ b/almondglade/platform/wire.py
@@ -79,16 +79,25 @@
         )
 
 
+class _Engine(_Wire):
+    # Tokens in one event of a stream.
+    stride: float = Field(1.0, gt=0.0)
+
+
 class _Service(_Wire):
     name: str
     max_connections: int = Field(64, alias="maxConnections")
     cold_rate: float = Field(0.0, alias="coldPerS")
-    engine: dict | None = None
+    engine: _Engine | None = None
 
     def decode(self):
         """Return the `ServiceTerms`."""
         return ServiceTerms(
-            self.name, self.engine is not None, self.max_connections, self.cold_rate
+            self.name,
+            self.engine is not None,
+            self.max_connections,
+            self.cold_rate,
+            self.engine.stride if self.engine else 1.0,
         )
 
 
@@ -121,7 +130,7 @@
     version: int
     routes: list[_Route]
     services: list[_Service] = []
-    limits: _Limits = _Limits()
+    limits: _Limits = Field(default_factory=lambda: _Limits.model_validate({}))
     tenants: list[_Tenant] | None = None
 
 
