--- a/almondglade/gateway/clocks.py
+++ b/almondglade/clocks.py
@@ -1,4 +1,4 @@
-"""Clocks of a gateway."""
+"""Clocks beside the steady one."""
 
 import time
 
--- a/almondglade/gateway/exchange.py
+++ b/almondglade/gateway/exchange.py
@@ -2,10 +2,10 @@
 
 from typing import Any
 
+from ..clocks import awake_clock
 from ..gossip.messages import Grant, Grants, Report, WaitingHere
 from ..log import get_logger
 from ..placement.places import PeerLoad, Ticket
-from .clocks import awake_clock
 
 log = get_logger("exchange")
 
@@ -88,9 +88,7 @@
         """Return the coordinators of all services, and whether work waits."""
         now = self.clock()
         with self.lock:
-            services = {
-                slot.record.service for slot in self.pools.slot_by_target.values()
-            }
+            services = self.pools.services()
             waiting = self.pools.waiting_here()
             choose = self.pools.coordinators.choose
             names = {choose(service, now) for service in services}
--- a/almondglade/gateway/node.py
+++ b/almondglade/gateway/node.py
@@ -8,10 +8,11 @@
 import threading
 import time
 
+from ..clocks import awake_clock
 from ..dispatch.connections import TargetPools
 from ..gossip.fleet import Fleet
 from ..httpserver import HttpServer
-from ..log import get_logger
+from ..log import flush_logs, get_logger
 from ..metrics import Metrics
 from ..placement.allowance import SharedAllowances
 from ..placement.cold import ColdPace
@@ -20,7 +21,6 @@
 from ..placement.resends import ResendBudget
 from ..platform.store import StoreClient
 from .app import GatewayApp
-from .clocks import awake_clock
 from .discovery import Discovery, Registry
 from .exchange import Exchange
 from .operators import GatewayOperatorApp
@@ -43,6 +43,8 @@
 # Time in which the balancer learns that an instance is not ready: two questions.
 NOTICE_SECONDS = 2.2
 POLL_SECONDS = 0.05
+# Time for the last lines of the log.
+LAST_LINES_SECONDS = 0.3
 # Keeps the numbers of grants above those of an earlier start.
 GRANTS_PER_MILLISECOND = 100
 
@@ -97,6 +99,7 @@
             lambda: self.fleet.most_seen,
             self.fleet.changed,
             self.exchange.send_grants,
+            self.metrics,
             self.clock,
         )
         self.exchange.match = self.scheduler.match
@@ -232,6 +235,7 @@
     """Run one gateway in this process until it stops."""
     with contextlib.suppress(KeyboardInterrupt):
         asyncio.run(_run(settings))
+    flush_logs(LAST_LINES_SECONDS)
     # Threads that still serve a cut request would keep the process.
     os._exit(0)
 
--- a/almondglade/gateway/operators.py
+++ b/almondglade/gateway/operators.py
@@ -3,7 +3,8 @@
 import cherrypy
 import orjson
 
-from .clocks import awake_clock
+from ..clocks import awake_clock
+from ..metrics import set_gateway_gauges
 
 
 class GatewayOperatorApp:
@@ -29,6 +30,7 @@
     @cherrypy.expose
     def metrics(self):
         """Serve the metrics in Prometheus' text form."""
+        set_gateway_gauges(self.node.metrics, self.node)
         accepts = cherrypy.request.headers.get("Accept", "").split(",")
         body, content_type = self.node.metrics.render(accepts)
         cherrypy.response.headers["Content-Type"] = content_type
--- a/almondglade/gateway/run.py
+++ b/almondglade/gateway/run.py
@@ -368,6 +368,9 @@
         self.request.presence.on_gone(None)
         held = self.clock() - self.sent_at if result == "completed" else None
         self._release(held)
+        self.scheduler.metrics.count(
+            "dispatches_total", service=self.request.service, result=result
+        )
         log.info(
             "request ended",
             request=self.request.request_id,
--- a/almondglade/gateway/scheduling.py
+++ b/almondglade/gateway/scheduling.py
@@ -45,6 +45,8 @@
     send_grants : callable
         Takes the name of a peer and its new grants, as (number, request,
         target).
+    metrics : Metrics
+        Where decisions are counted.
     clock : callable
         Returns monotonic seconds.
     """
@@ -59,6 +61,7 @@
         instances,
         on_change,
         send_grants,
+        metrics,
         clock,
     ):
         self.pools = pools
@@ -69,6 +72,7 @@
         self.instances = instances
         self.on_change = on_change
         self.send_grants = send_grants
+        self.metrics = metrics
         self.clock = clock
         self.deadlines = Deadlines(clock)
 
@@ -85,6 +89,7 @@
             self.resends.count_request(request.service, now)
             wait = self._draw(request, now)
         if wait > 0.0:
+            self._count_refusal(request, Code.PLAN_LIMIT)
             log.info(
                 "refused over the allowance",
                 request=request.request_id,
@@ -159,6 +164,12 @@
             raise RequestError(Code.CALLER_GONE, "the caller has gone away")
         if waiting:
             raise self._refusal(request, expected, "no place became free in time")
+        self.metrics.observe(
+            "wait_seconds",
+            self.clock() - now,
+            service=request.service,
+            tier=request.route.tier,
+        )
         return ticket
 
     def _patience(self, request, now):
@@ -171,6 +182,7 @@
     def _refusal(self, request, expected, cause):
         room = max(expected, RETRY_OBJECTIVES * request.route.latency_objective)
         retry_after = min(max(MIN_RETRY_SECONDS, room), MAX_RETRY_SECONDS)
+        self._count_refusal(request, Code.OVERLOADED)
         log.info(
             "refused for want of a place",
             request=request.request_id,
@@ -185,6 +197,9 @@
             return RequestError(Code.TARGET_FAILED, cause, Outcome.UNKNOWN)
         return RequestError(Code.OVERLOADED, cause, retry_after=retry_after)
 
+    def _count_refusal(self, request, code):
+        self.metrics.count("refusals_total", service=request.service, code=code.text)
+
     def release(self, ticket, held):
         """Return a place and give it to the next request."""
         with self.lock:
@@ -209,7 +224,22 @@
         if len(request.targets) >= request.route.max_attempts:
             return False
         with self.lock:
-            return self.resends.spend(request.service, self.instances(), self.clock())
+            granted = self.resends.spend(
+                request.service, self.instances(), self.clock()
+            )
+        self.metrics.count(
+            "resends_total",
+            service=request.service,
+            result="sent" if granted else "over budget",
+        )
+        if not granted:
+            log.warning(
+                "not sent again: the budget of repeats is used up",
+                request=request.request_id,
+                service=request.service,
+                instances=self.instances(),
+            )
+        return granted
 
     def judge(self, target, judgement):
         """Change what is believed of a target.
@@ -226,6 +256,9 @@
                 judgement(slot.health, self.clock())
                 after = slot.health.is_paused(self.clock())
                 if after and not before:
+                    self.metrics.count(
+                        "target_pauses_total", service=slot.record.service
+                    )
                     log.info(
                         "target paused",
                         target=target,
--- a/almondglade/metrics.py
+++ b/almondglade/metrics.py
@@ -5,11 +5,17 @@
 """
 
 import threading
+from collections import Counter
 
 import aioprometheus
 
+from .clocks import awake_clock
+from .log import lines_left_out
+
 SECONDS_BUCKETS = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8, 25.6]
 PREFIX = "almondglade_"
+# Shown for evidence that there never was.
+MAX_AGE_SECONDS = 1e6
 
 # Name, labels and meaning of each metric; the page on metrics is made from it.
 COUNTERS = {
@@ -21,6 +27,18 @@
         ("service", "result"),
         "Dispatches to targets, by how they ended.",
     ),
+    "resends_total": (
+        ("service", "result"),
+        "Requests that could go on at another target, by whether they did.",
+    ),
+    "refusals_total": (
+        ("service", "code"),
+        "Requests that a gateway refused without sending them, by why.",
+    ),
+    "target_pauses_total": (
+        ("service",),
+        "Times that a gateway ceased to use a target for a while.",
+    ),
     "tokens_total": (
         ("service", "kind"),
         "Tokens by kind: input, cached (part of input) and output.",
@@ -31,6 +49,10 @@
         ("service", "tier"),
         "Seconds from a request's arrival to the first byte of its answer.",
     ),
+    "wait_seconds": (
+        ("service", "tier"),
+        "Seconds from a request's arrival at a gateway to its place at a target.",
+    ),
     "request_seconds": (
         ("service", "tier"),
         "Seconds from a request's arrival to its end.",
@@ -53,6 +75,17 @@
     ),
     "target_limit": (("target",), "Concurrency limit of a target, when coordinated."),
     "target_running": (("target",), "Permits counted against a target."),
+    "requests_waiting": (("service",), "Requests that wait at this gateway."),
+    "places_free": (("service",), "Free places of a service, as seen here."),
+    "targets_paused": ((), "Targets that this gateway does not use for now."),
+    "evidence_age_seconds": (
+        (),
+        "Seconds since the configuration was surely the newest; API keys are "
+        "refused when it is too old.",
+    ),
+    "store_reachable": ((), "Whether the last call to the platform succeeded."),
+    "peers_heard": ((), "Other gateways that were heard lately."),
+    "log_lines_left_out": ((), "Log lines left out since the start."),
 }
 
 
@@ -116,6 +149,39 @@
     return {name: str(value) for name, value in labels.items()}
 
 
+def set_gateway_gauges(metrics, node):
+    """Set the gauges from the present state of a gateway.
+
+    Parameters
+    ----------
+    metrics : Metrics
+        Where to set them.
+    node : GatewayNode
+        The running gateway.
+    """
+    now = node.clock()
+    with node.lock:
+        pools = node.pools
+        waiting = Counter(ticket.service for ticket in pools.waiting_here())
+        free = {name: pools.free_places(name, now) for name in pools.services()}
+        paused = len(pools.paused_here(now))
+        evidence_age = node.freshness.age(awake_clock())
+    catalogue = node.registry.catalogue
+    metrics.set("active_requests", node.app.active)
+    metrics.set("configuration_version", catalogue.version if catalogue else 0)
+    metrics.set("platform_calls", node.store.calls)
+    metrics.set("store_reachable", int(bool(node.discovery.reachable)))
+    metrics.set("peers_heard", len(node.fleet.live_peers()))
+    metrics.set("targets_paused", paused)
+    metrics.set("evidence_age_seconds", min(evidence_age, MAX_AGE_SECONDS))
+    metrics.set("log_lines_left_out", lines_left_out())
+    for name in ("requests_waiting", "places_free"):
+        metrics.clear(name)
+    for service, places in free.items():
+        metrics.set("places_free", places, service=service)
+        metrics.set("requests_waiting", waiting[service], service=service)
+
+
 def set_gauges(metrics, node):
     """Set the gauges from the present state of an instance.
 
--- a/almondglade/placement/pool.py
+++ b/almondglade/placement/pool.py
@@ -318,6 +318,14 @@
             and paused_by_peers[slot.record.id] < AGREED_PAUSES
         ]
 
+    def services(self):
+        """Return the services that have targets."""
+        return sorted({slot.record.service for slot in self.slot_by_target.values()})
+
+    def free_places(self, service, now):
+        """Return the free places of a service, as known here."""
+        return self._free(service, self._running_elsewhere(now), now)
+
     def paused_here(self, now):
         """Return the targets that this instance does not use for now."""
         return [
