--- a/almondglade/gateway/run.py
+++ b/almondglade/gateway/run.py
@@ -80,6 +80,8 @@
                 facts = read_target(head)
                 if head.status < 300 and not facts.sealed:
                     raise TargetError("the target's success bears no seal")
+                if self._is_resumed_wrongly(head, facts):
+                    raise TargetError(f"the stream went on with status {head.status}")
             except TargetError as error:
                 if self._may_send_again(error):
                     continue
@@ -106,6 +108,12 @@
                 self.events = None
         return self
 
+    def _is_resumed_wrongly(self, head, facts):
+        """Tell whether a later answer cannot go on where the first broke off."""
+        if self.head is None or facts.not_run:
+            return False
+        return head.status != self.head.status
+
     def _is_worth_repeating(self, head):
         if head.status < 500:
             return False
@@ -214,10 +222,9 @@
 
     def _dispatch(self):
         request, scheduler = self.request, self.scheduler
-        slot = scheduler.pools.slot_by_target.get(self.ticket.target)
-        if slot is None:
-            raise NotSentError("the target is no longer listed")
-        record = slot.record
+        record = scheduler.record_for(self.ticket.target)
+        if record is None:
+            raise NotSentError("the target takes no new work")
         now = self.clock()
         left = request.deadline - now
         if left <= 0.0:
--- a/almondglade/gateway/scheduling.py
+++ b/almondglade/gateway/scheduling.py
@@ -241,6 +241,13 @@
             )
         return granted
 
+    def record_for(self, target):
+        """Return the record of a target that may get work, or None."""
+        with self.lock:
+            if not self.pools.takes_new_work(target):
+                return None
+            return self.pools.slot_by_target[target].record
+
     def judge(self, target, judgement):
         """Change what is believed of a target.
 
--- a/almondglade/placement/pool.py
+++ b/almondglade/placement/pool.py
@@ -107,9 +107,12 @@
         newest = self.grant_by_coordinator.get(coordinator, 0)
         self.grant_by_coordinator[coordinator] = max(newest, number)
         slot = self.slot_by_target.get(target)
+        if slot is None or not self._takes_new_work(slot):
+            # The coordinator has not heard yet; the request goes on waiting.
+            return None
         for tickets in self.tickets_by_service.values():
             for ticket in tickets:
-                if ticket.number == request and slot is not None:
+                if ticket.number == request:
                     tickets.remove(ticket)
                     slot.running_by_kind[ticket.kind] += 1
                     ticket.target = target
@@ -312,12 +315,23 @@
             slot
             for slot in self.slot_by_target.values()
             if slot.record.service == service
-            and not slot.record.leaving
-            and slot.record.data_centre not in self.out_data_centres
+            and self._takes_new_work(slot)
             and not slot.health.is_paused(now)
             and paused_by_peers[slot.record.id] < AGREED_PAUSES
         ]
 
+    def _takes_new_work(self, slot):
+        """Tell whether operators and the target itself let it get work."""
+        return (
+            not slot.record.leaving
+            and slot.record.data_centre not in self.out_data_centres
+        )
+
+    def takes_new_work(self, target):
+        """Tell whether a target is listed and may get work."""
+        slot = self.slot_by_target.get(target)
+        return slot is not None and self._takes_new_work(slot)
+
     def services(self):
         """Return the services that have targets."""
         return sorted({slot.record.service for slot in self.slot_by_target.values()})
@@ -331,7 +345,7 @@
         return [
             name
             for name, slot in self.slot_by_target.items()
-            if slot.health.is_paused(now)
+            if slot.health.is_paused(now) or not self._takes_new_work(slot)
         ]
 
     def _is_cold(self, slot, now):
