Speak the store's protocol everywhere and test gateways as processes

One connection to the store serves the product's client and the gateways'; the stand-in platform speaks the store's protocol. test_gateway_path.py drives real gateways against stand-ins. Found by it: an answer to another request on a kept connection was never skipped, since the library refuses a second answer and drops what its reader holds (failed first, mended).

--- a/almondglade/dispatch/call.py
+++ b/almondglade/dispatch/call.py
@@ -229,15 +229,15 @@
             self._reusable = False
 
     def _receive_head(self):
-        response, head = self._read_head()
+        response = self._connection.read_head()
+        head = self._check_head(response)
         for _ in range(MAX_FOREIGN_ANSWERS):
             if self.answers is None or self.answers(head):
                 break
-            # Belongs to an earlier request; must end for the next to be read.
-            response.read(MAX_FOREIGN_BYTES)
-            if not response.isclosed():
-                raise HTTPException("an answer to another request does not end")
-            response, head = self._read_head()
+            # What follows on the connection must not be used for others.
+            self._reusable = False
+            response = self._connection.read_head_after(response, MAX_FOREIGN_BYTES)
+            head = self._check_head(response)
         else:
             raise HTTPException("the answers belong to other requests")
         with self._lock:
@@ -249,10 +249,9 @@
         self._connection.note_keep_alive(response.headers.get("keep-alive", ""))
         return head
 
-    def _read_head(self):
-        response = self._connection.read_head()
+    def _check_head(self, response):
         check_framing(response, self.request.method)
-        return response, AnswerHead(response.status, tuple(response.headers.items()))
+        return AnswerHead(response.status, tuple(response.headers.items()))
 
     def _watch_gaps(self):
         """From the first byte of the body on, bound each gap and the total."""
--- a/almondglade/dispatch/connections.py
+++ b/almondglade/dispatch/connections.py
@@ -80,6 +80,22 @@
         self._fp.close()
 
 
+class KeptReader:
+    """A reader that stays open when the answer that it is read for ends.
+
+    The bytes that it holds already may belong to the next answer.
+    """
+
+    def __init__(self, fp):
+        self._fp = fp
+
+    def __getattr__(self, name):
+        return getattr(self._fp, name)
+
+    def close(self):
+        """Keep the reader open."""
+
+
 class WholeHeadResponse(http.client.HTTPResponse):
     """An answer whose head must be whole.
 
@@ -149,6 +165,34 @@
         """
         return http.client.HTTPConnection.getresponse(self)
 
+    def read_head_after(self, response, max_bytes):
+        """Skip the rest of an answer and return the next one on the connection.
+
+        Parameters
+        ----------
+        response : WholeHeadResponse
+            An answer of which only the head was read.
+        max_bytes : int
+            Longest body that is skipped.
+
+        Raises
+        ------
+        HTTPException
+            If the answer is longer, or no other can follow it.
+        """
+        if response.will_close:
+            raise http.client.HTTPException("no answer can follow on the connection")
+        reader = response.fp
+        response.fp = KeptReader(reader)
+        response.read(max_bytes)
+        if not response.isclosed():
+            raise http.client.HTTPException("an answer to another request is too long")
+        following: Any = self.response_class(self.sock, method=response._method)
+        following.fp.close()
+        following.fp = reader
+        following.begin()
+        return following
+
 
 class TargetPool:
     """Connections to one target, the most recently used first.
--- a/almondglade/gateway/discovery.py
+++ b/almondglade/gateway/discovery.py
@@ -6,7 +6,7 @@
 from ..errors import PlatformError
 from ..feed import CatalogueUpdate, EvacuationUpdate, TargetUpdate
 from ..log import get_logger
-from ..platform.store import HistoryLostError
+from ..platform.connection import HistoryLostError
 
 log = get_logger("discovery")
 
--- a/almondglade/gateway/node.py
+++ b/almondglade/gateway/node.py
@@ -34,7 +34,6 @@
 # Requests in progress; the threads above this refuse.
 MAX_REQUESTS = 360
 OPERATOR_THREADS = 2
-METRICS_PORT = 9464
 # Pause between looks at what time changes: paced targets, waits that expire.
 TICK_SECONDS = 0.02
 IDLE_TICK_SECONDS = 0.1
@@ -135,7 +134,9 @@
             HttpServer(
                 settings.address, settings.ready_port, operators, OPERATOR_THREADS
             ),
-            HttpServer(settings.address, METRICS_PORT, operators, OPERATOR_THREADS),
+            HttpServer(
+                settings.address, settings.metrics_port, operators, OPERATOR_THREADS
+            ),
         ]
         if settings.operator_port is not None:
             servers.append(
--- a/almondglade/gateway/settings.py
+++ b/almondglade/gateway/settings.py
@@ -2,6 +2,9 @@
 
 from dataclasses import dataclass
 
+# The port that the deploy file names for metrics.
+METRICS_PORT = 9464
+
 
 @dataclass(frozen=True)
 class Bounds:
@@ -61,6 +64,7 @@
     peer_port: int
     seed_addresses: tuple[str, ...]
     store_address: str
+    metrics_port: int = METRICS_PORT
     first_start: bool = True
     memory_bytes: int = 150 << 20
     max_files: int = 4096
--- a/almondglade/platform/client.py
+++ b/almondglade/platform/client.py
@@ -1,25 +1,15 @@
-"""A read-only client of the platform, by Consul's HTTP interface.
+"""Read the declared document and the list of instances from the store."""
 
-Blocking queries (``index`` and ``wait``) watch for a change; an answer carries
-its version in ``X-Consul-Index``.
-"""
-
-import base64
-import binascii
 from dataclasses import dataclass
 
 import orjson
-import urllib3
-from urllib3.exceptions import HTTPError
 
 from ..errors import PlatformError
 from ..peers.membership import Instance
+from .connection import HistoryLostError, StoreConnection
+from .wire import decode_value
 
-# Added to a blocking query's wait before the call is given up.
-ANSWER_SECONDS = 2.0
-CONNECT_SECONDS = 1.0
-MAX_VALUE_BYTES = 1 << 20
-MAX_CONTACT_AGE_MS = 500
+INSTANCES_PREFIX = "instances/"
 
 
 @dataclass(frozen=True)
@@ -33,8 +23,7 @@
     value : object
         The value, or None when it is not published.
     fresh : bool
-        False if the server that answered says that it is cut off from the
-        service's leader.
+        False if the store that answered is behind what was read before.
     """
 
     index: int
@@ -48,13 +37,17 @@
     Parameters
     ----------
     url : str
-        Base URL of the platform's service.
+        Base URL of the platform's store.
     """
 
     def __init__(self, url):
-        self.url = url.rstrip("/")
-        self.calls = 0
-        self._pool = urllib3.PoolManager(retries=False, maxsize=4)
+        self.connection = StoreConnection(url)
+        self._last_by_key: dict[str, Versioned] = {}
+
+    @property
+    def calls(self):
+        """Calls to the store since the start."""
+        return self.connection.calls
 
     def read_document(self, key, index=0, wait=0.0):
         """Return the value of a key, as bytes, once it is newer than `index`.
@@ -62,7 +55,7 @@
         Parameters
         ----------
         key : str
-            Path of the key.
+            Key of the document.
         index : int
             Version already known.
         wait : float
@@ -71,67 +64,56 @@
         Raises
         ------
         PlatformError
-            If the service does not give a usable answer.
+            If the store does not give a usable answer.
         """
-        answer = self._get(f"/v1/kv/{key}", index, wait)
-        if answer.value is None:
-            return answer
-        try:
-            item = answer.value[0]
-            document = base64.b64decode(item["Value"], validate=True)
-            return Versioned(int(item["ModifyIndex"]), document, answer.fresh)
-        except (KeyError, IndexError, TypeError, ValueError, binascii.Error) as error:
-            raise PlatformError(f"the key's value is not usable: {error}") from error
+        last = self._last_by_key.get(key)
+        if index and wait and last is not None:
+            newest = self._watch(key, index, wait, last)
+        else:
+            newest = self._read(key)
+        self._last_by_key[key] = newest
+        return newest
 
     def read_instances(self, service, index=0, wait=0.0):
         """Return the listed instances once the list is newer than `index`."""
-        answer = self._get(f"/v1/health/service/{service}", index, wait)
+        answer = self.read_document(INSTANCES_PREFIX + service, index, wait)
+        if answer.value is None:
+            return Versioned(answer.index, [])
         try:
-            instances = [_instance(item["Service"]) for item in answer.value or []]
+            listed = orjson.loads(answer.value)
+            return Versioned(answer.index, [_instance(entry) for entry in listed])
         except (KeyError, TypeError, ValueError) as error:
             raise PlatformError(f"the list is not usable: {error}") from error
-        return Versioned(answer.index, instances)
 
-    def _get(self, path, index, wait):
-        self.calls += 1
-        query = f"?index={index}&wait={wait:g}s" if wait else ""
-        timeout = urllib3.Timeout(connect=CONNECT_SECONDS, read=wait + ANSWER_SECONDS)
-        try:
-            response = self._pool.request(
-                "GET", self.url + path + query, timeout=timeout
-            )
-        except (HTTPError, OSError) as error:
-            raise PlatformError(f"the platform cannot be read: {error}") from error
-        if response.status == 404:
-            return Versioned(_index(response), None)
-        if response.status != 200 or len(response.data) > 2 * MAX_VALUE_BYTES:
-            raise PlatformError(f"the platform answered {response.status}")
-        try:
-            value = orjson.loads(response.data)
-            return Versioned(_index(response), value, _is_fresh(response))
-        except orjson.JSONDecodeError as error:
-            raise PlatformError("the platform's answer is not JSON") from error
+    def _read(self, key):
+        item = self.connection.read_item(key)
+        if item is None:
+            return Versioned(1, None)
+        return Versioned(item["revision"], decode_value(item))
 
-
-def _index(response):
-    try:
-        return int(response.headers["X-Consul-Index"])
-    except (KeyError, ValueError) as error:
-        raise PlatformError("the platform's answer has no version") from error
-
-
-def _is_fresh(response):
-    known = response.headers.get("X-Consul-KnownLeader", "true")
-    contact = response.headers.get("X-Consul-LastContact", "0")
-    return known == "true" and contact.isdigit() and int(contact) <= MAX_CONTACT_AGE_MS
-
-
-def _instance(service):
-    meta = service.get("Meta") or {}
+    def _watch(self, key, index, wait, last):
+        try:
+            answer = self.connection.watch(key, index, wait)
+        except HistoryLostError:
+            return self._read(key)
+        if answer["at"] < index:
+            # A store that was set back: what it holds now decides.
+            return self._read(key)
+        changes = [event for event in answer["events"] if event["key"] == key]
+        if not changes:
+            return Versioned(max(index, last.index), last.value)
+        newest = changes[-1]
+        if newest.get("deleted"):
+            return Versioned(newest["revision"], None)
+        return Versioned(newest["revision"], decode_value(newest))
+
+
+def _instance(entry):
+    meta = entry.get("Meta") or {}
     return Instance(
-        str(service["ID"]),
-        str(service["Address"]),
-        int(service["Port"]),
+        str(entry["ID"]),
+        str(entry["Address"]),
+        int(entry["Port"]),
         str(meta.get("data_centre", "")),
         meta.get("state", "live") == "leaving",
     )
--- a/almondglade/platform/settings.py
+++ b/almondglade/platform/settings.py
@@ -6,7 +6,7 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
 from ..errors import SettingsError
-from ..gateway.settings import Bounds, GatewaySettings
+from ..gateway.settings import METRICS_PORT, Bounds, GatewaySettings
 
 SETTINGS_VARIABLE = "ALMONDGLADE_CONFIG"
 MILLISECONDS = 1000.0
@@ -60,11 +60,13 @@
     platform: _Store
 
 
-def load_gateway_settings(environment=None):
+def load_gateway_settings(metrics_port=METRICS_PORT, environment=None):
     """Return the `GatewaySettings` of this process.
 
     Parameters
     ----------
+    metrics_port : int
+        Where metrics are served; the platform's file does not say.
     environment : dict or None
         Variables; the process's own when None.
 
@@ -93,6 +95,7 @@
         peer_port=wire.internal_ports[0],
         seed_addresses=tuple(seed.rpartition(":")[0] for seed in wire.seeds),
         store_address=wire.platform.address,
+        metrics_port=metrics_port,
         first_start=wire.first_start,
         memory_bytes=wire.limits.memory_mb << 20,
         max_files=wire.limits.max_files,
--- a/almondglade/platform/store.py
+++ b/almondglade/platform/store.py
@@ -3,16 +3,10 @@
 The store keeps items under keys with a revision each, and can only be read.
 """
 
-import threading
-
-import orjson
-import urllib3
-from urllib3.exceptions import HTTPError
-
 from ..errors import PlatformError
 from ..feed import Batch, CatalogueUpdate, EvacuationUpdate, TargetUpdate
 from ..log import get_logger
-from ..sockets import TCP_OPTIONS
+from .connection import StoreConnection
 from .wire import (
     CONFIGURATION_KEY,
     EVACUATION_PREFIX,
@@ -24,15 +18,6 @@
 
 log = get_logger("platform")
 
-# An answer takes milliseconds; this bounds a silent connection.
-ANSWER_SECONDS = 1.0
-CONNECT_SECONDS = 0.5
-GONE_STATUS = 410
-
-
-class HistoryLostError(PlatformError):
-    """The store no longer knows the changes since a revision."""
-
 
 class StoreClient:
     """Reads all that the platform publishes.
@@ -48,14 +33,14 @@
     """
 
     def __init__(self, address, clock, steady):
-        self.address = address
         self.clock = clock
         self.steady = steady
-        self.calls = 0
-        self._lock = threading.Lock()
-        host, port = _host_and_port(address)
-        self._pool = urllib3.HTTPConnectionPool(host, port, maxsize=1, retries=False)
-        self._pool.ConnectionCls.default_socket_options = TCP_OPTIONS
+        self.connection = StoreConnection(f"http://{address}")
+
+    @property
+    def calls(self):
+        """Calls to the store since the start."""
+        return self.connection.calls
 
     def read_all(self):
         """Return a whole `Batch`.
@@ -70,8 +55,7 @@
         revision = None
         after = ""
         while True:
-            query = {"pathPrefix": ""} | ({"after": after} if after else {})
-            answer = self._get("/api/kv-range", query, ANSWER_SECONDS)
+            answer = self.connection.read_range("", after)
             if revision is None:
                 revision = answer["at"]
             items += answer["items"]
@@ -98,12 +82,7 @@
             If the store gives no usable answer.
         """
         asked_at = self.clock()
-        query = {
-            "pathPrefix": "",
-            "after": str(revision),
-            "waitMs": str(round(wait * 1000)),
-        }
-        answer = self._get("/api/kv-watch", query, wait + ANSWER_SECONDS)
+        answer = self.connection.watch("", revision, wait)
         events = answer["events"]
         # The store held an empty answer back for the whole time.
         as_of = asked_at if events else asked_at + wait
@@ -114,29 +93,6 @@
             min(as_of, self.clock()),
         )
 
-    def _get(self, path, query, timeout):
-        self.calls += 1
-        try:
-            response = self._pool.request(
-                "GET",
-                path,
-                fields=query,
-                timeout=urllib3.Timeout(connect=CONNECT_SECONDS, read=timeout),
-            )
-        except (HTTPError, OSError) as error:
-            raise PlatformError(f"the store cannot be read: {error}") from error
-        if response.status == GONE_STATUS:
-            raise HistoryLostError("the store has dropped its history")
-        if response.status != 200:
-            raise PlatformError(f"the store answered {response.status}")
-        try:
-            answer = orjson.loads(response.data)
-        except orjson.JSONDecodeError as error:
-            raise PlatformError("the store's answer is not JSON") from error
-        if not isinstance(answer, dict) or not isinstance(answer.get("at"), int):
-            raise PlatformError("the store's answer has no revision")
-        return answer
-
     def _decode(self, items):
         items = sorted(items, key=lambda item: item["revision"])
         updates = (self._decode_item(item) for item in items)
@@ -164,8 +120,3 @@
                 "an entry is not usable", key=key, revision=revision, cause=str(error)
             )
         return None
-
-
-def _host_and_port(address):
-    host, _, port = address.rpartition(":")
-    return host, int(port)
--- a/standin/platform.py
+++ b/standin/platform.py
@@ -1,4 +1,4 @@
-"""The platform's configuration service and list of instances."""
+"""The platform's store, with the declared document and the list of instances."""
 
 import base64
 import threading
@@ -9,7 +9,9 @@
 import cherrypy
 import orjson
 
-MAX_WAIT_SECONDS = 60.0
+MAX_WAIT_SECONDS = 30.0
+DOCUMENT_KEY = "almondglade/declarations"
+INSTANCES_KEY = "instances/almondglade"
 
 
 @dataclass(frozen=True)
@@ -20,6 +22,30 @@
     document_index: int = 0
     services: list[dict] = field(default_factory=list)
     services_index: int = 1
+    other_by_key: dict[str, tuple[bytes, int]] = field(default_factory=dict)
+
+    @property
+    def revision(self):
+        """Revision of the newest change."""
+        others = (revision for _, revision in self.other_by_key.values())
+        return max(self.document_index, self.services_index, *others)
+
+    def items(self):
+        """Return what is published as the store's items."""
+        published = [(INSTANCES_KEY, orjson.dumps(self.services), self.services_index)]
+        if self.document_index:
+            published.append((DOCUMENT_KEY, self.document, self.document_index))
+        published += [(key, *entry) for key, entry in self.other_by_key.items()]
+        return [
+            {
+                "key": key,
+                "value": base64.b64encode(value).decode(),
+                "revision": revision,
+                "createdAt": 1,
+                "lease": 0,
+            }
+            for key, value, revision in published
+        ]
 
 
 @dataclass(frozen=True)
@@ -42,7 +68,7 @@
 
 
 class PlatformApp:
-    """Serves Consul's read interface; a POST under /standin changes it.
+    """Serves the store's read interface; a POST under /standin changes it.
 
     A caller that reads below ``/for/NAME`` can be treated apart.
     """
@@ -56,25 +82,60 @@
         self._changed = threading.Condition()
 
     @cherrypy.expose
-    def default(self, *parts, index="0", wait="0s", **query):
+    def default(self, *parts, **query):
         """Answer reads and the controls of the stand-in."""
         if parts[:1] == ("standin",):
-            return self._control(parts[1])
+            return self._control(parts[1], query)
         caller = ""
         if parts[:1] == ("for",):
             caller, parts = parts[1], parts[2:]
         self.calls_by_caller[caller] += 1
         time.sleep(self._state(caller).delay)
-        known, seconds = int(index), min(float(wait.rstrip("s")), MAX_WAIT_SECONDS)
-        name = "document_index" if parts[:2] == ("v1", "kv") else "services_index"
         with self._changed:
-            if known and not self._state(caller).down:
-                self._changed.wait_for(
-                    lambda: getattr(self._seen(caller), name) != known, seconds
-                )
-            if self._state(caller).down:
-                raise cherrypy.HTTPError(503)
-            return self._render(name, self._seen(caller))
+            cherrypy.response.headers["Content-Type"] = "application/json"
+            match parts:
+                case ("api", "kv-key"):
+                    return self._read_item(caller, query["key"])
+                case ("api", "kv-range"):
+                    return self._read_range(caller, query["pathPrefix"])
+                case ("api", "kv-watch"):
+                    return self._watch(caller, **query)
+        raise cherrypy.NotFound()
+
+    def _read_item(self, caller, key):
+        self._check_up(caller)
+        items = [item for item in self._seen(caller).items() if item["key"] == key]
+        if not items:
+            cherrypy.response.status = 404
+            return b""
+        return orjson.dumps(items[0] | {"at": self._seen(caller).revision})
+
+    def _read_range(self, caller, prefix):
+        self._check_up(caller)
+        seen = self._seen(caller)
+        items = [item for item in seen.items() if item["key"].startswith(prefix)]
+        return orjson.dumps({"items": items, "hasMore": False, "at": seen.revision})
+
+    def _watch(self, caller, pathPrefix, after, waitMs):  # noqa: N803
+        def changes():
+            return [
+                item
+                for item in self._seen(caller).items()
+                if item["key"].startswith(pathPrefix) and item["revision"] > int(after)
+            ]
+
+        seconds = min(int(waitMs) / 1000, MAX_WAIT_SECONDS)
+        self._check_up(caller)
+        self._changed.wait_for(lambda: changes() or self._is_down(caller), seconds)
+        self._check_up(caller)
+        return orjson.dumps({"events": changes(), "at": self._seen(caller).revision})
+
+    def _is_down(self, caller):
+        return self._state(caller).down
+
+    def _check_up(self, caller):
+        if self._is_down(caller):
+            raise cherrypy.HTTPError(503)
 
     def _state(self, caller):
         return self.state_by_caller.get(caller, self.state)
@@ -82,20 +143,7 @@
     def _seen(self, caller):
         return self._state(caller).stale or self.published
 
-    @staticmethod
-    def _render(name, seen):
-        headers = cherrypy.response.headers
-        headers["X-Consul-Index"] = str(max(1, getattr(seen, name)))
-        headers["Content-Type"] = "application/json"
-        if name == "services_index":
-            return orjson.dumps([{"Service": service} for service in seen.services])
-        if not seen.document_index:
-            cherrypy.response.status = 404
-            return b""
-        value = base64.b64encode(seen.document).decode()
-        return orjson.dumps([{"Value": value, "ModifyIndex": seen.document_index}])
-
-    def _control(self, what):
+    def _control(self, what, query):
         length = int(cherrypy.request.headers.get("Content-Length") or 0)
         body = cherrypy.request.rfile.read(length) if length else b""
         with self._changed:
@@ -111,6 +159,12 @@
                         services=orjson.loads(body),
                         services_index=self.index,
                     )
+                case "item":
+                    self.published = replace(
+                        self.published,
+                        other_by_key=self.published.other_by_key
+                        | {query["key"]: (body, self.index)},
+                    )
                 case "state":
                     self._set_state(**orjson.loads(body))
                 case "calls":
--- /dev/null
+++ b/test/gatewayfleet.py
@@ -0,0 +1,231 @@
+"""Gateways as separate processes, before a stand-in store and fake targets."""
+
+import contextlib
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from dataclasses import dataclass, field
+
+import orjson
+import urllib3
+
+from almondglade.httpserver import HttpServer
+from standin.platform import PlatformApp
+
+HOST = "callers.example"
+START_SECONDS = 20.0
+STORE_THREADS = 24
+KEY = "key-of-w1"
+SEAL = "X-Response-Seal: s1\r\n"
+
+
+def free_ports(count, address="127.0.0.1"):
+    """Return ports that were free a moment ago."""
+    with contextlib.ExitStack() as stack:
+        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for sock in sockets:
+            sock.bind((address, 0))
+        return [sock.getsockname()[1] for sock in sockets]
+
+
+def answer(body=b"done", status="200 OK", headers=SEAL, request=b""):
+    """Return a target's answer to a request, whose id it repeats."""
+    ids = [
+        line
+        for line in request.split(b"\r\n")
+        if line.lower().startswith(b"x-request-id:")
+    ]
+    head = f"HTTP/1.1 {status}\r\n{headers}Content-Length: {len(body)}\r\n".encode()
+    return head + b"".join(line + b"\r\n" for line in ids) + b"\r\n" + body
+
+
+def route(prefix, kind, service, **terms):
+    """Return a route as the operator writes it."""
+    return {
+        "name": prefix.strip("/"),
+        "host": HOST,
+        "pathPrefix": prefix,
+        "routeType": kind,
+        "timeoutMs": 5000,
+        "targetLatencyMs": 500,
+        "priority": 0,
+        "service": service,
+        "maxAttempts": 2,
+        "publicAccess": False,
+    } | terms
+
+
+@dataclass
+class GatewayFleet:
+    """A store, some targets and some gateways on loopback addresses.
+
+    Parameters
+    ----------
+    folder : Path
+        Where settings and logs go.
+    count : int
+        Gateways.
+    bounds : dict
+        Bounds that differ from the usual.
+    """
+
+    folder: object
+    count: int = 1
+    bounds: dict = field(default_factory=dict)
+
+    def __enter__(self):
+        self.stack = contextlib.ExitStack()
+        self.app = PlatformApp()
+        self.store = HttpServer("127.0.0.1", 0, self.app, STORE_THREADS)
+        self.store.start()
+        self.stack.callback(self.store.stop)
+        self.http = urllib3.PoolManager(retries=False, timeout=10.0)
+        self.sequence = 0
+        self.ports = free_ports(5)
+        self.addresses = [f"127.0.0.{number + 1}" for number in range(self.count)]
+        self.processes = []
+        self.configure()
+        return self
+
+    def __exit__(self, *exc):
+        for process in self.processes:
+            process.kill()
+            process.wait()
+        self.stack.close()
+
+    def put(self, key, value):
+        """Write an item of the store, as operators and targets do."""
+        url = f"http://127.0.0.1:{self.store.port}/standin/item"
+        self.http.request("POST", url, fields=None, body=orjson.dumps(value)) if (
+            False
+        ) else self.http.request("POST", f"{url}?key={key}", body=orjson.dumps(value))
+
+    def set_state(self, **state):
+        """Change how the store behaves."""
+        url = f"http://127.0.0.1:{self.store.port}/standin/state"
+        self.http.request("POST", url, body=orjson.dumps(state))
+
+    def configure(self, version=1, keys=(KEY,), routes=None, **workspace):
+        """Write the operator's document."""
+        usual = [
+            route("/book/", "non_idempotent", "plain", maxAttempts=1),
+            route("/look/", "idempotent", "plain"),
+            route("/stream/", "streaming", "plain", streamResume=True),
+        ]
+        tenant = {"name": "w1", "apiKeys": list(keys), "priority": 0} | workspace
+        self.put(
+            "op/config",
+            {
+                "version": version,
+                "routes": routes or usual,
+                "services": [{"name": "plain", "maxConnections": 64}],
+                "limits": {"maxBodyBytes": 1 << 20},
+                "tenants": [tenant],
+            },
+        )
+
+    def list_target(self, name, target, **changes):
+        """Write a target's entry."""
+        self.sequence += 1
+        self.put(
+            f"servers/{name}",
+            {
+                "service": "plain",
+                "address": target.url.removeprefix("http://"),
+                "zone": "north",
+                "slots": 4,
+                "state": "ready",
+                "coldRemainingMs": 0,
+                "sequence": self.sequence,
+                "born": 1,
+            }
+            | changes,
+        )
+
+    def start(self):
+        """Start all gateways and wait until they are ready."""
+        for address in self.addresses:
+            self.processes.append(self._start(address))
+        end = time.monotonic() + START_SECONDS
+        while not all(self.is_ready(address) for address in self.addresses):
+            assert time.monotonic() < end, self.log()
+            time.sleep(0.05)
+
+    def _start(self, address):
+        front, ready, control, peer, metrics = self.ports
+        path = self.folder / f"{address}.toml"
+        bounds = {"revokeMs": 5000, "revokeFailClosed": True, "graceS": 4}
+        path.write_text(
+            settings_text(
+                address,
+                {"front": front, "ready": ready, "control": control},
+                peer,
+                [f"{seed}:{control}" for seed in self.addresses[:3]],
+                f"127.0.0.1:{self.store.port}",
+                bounds | self.bounds,
+            )
+        )
+        log = self.stack.enter_context(open(self.folder / f"{address}.log", "wb"))
+        command = [sys.executable, "-m", "almondglade", "gateway"]
+        return subprocess.Popen(
+            [*command, "--metrics-port", str(metrics)],
+            env=os.environ | {"ALMONDGLADE_CONFIG": str(path)},
+            stdout=log,
+            stderr=log,
+        )
+
+    def log(self, address="127.0.0.1"):
+        """Return what a gateway has written."""
+        return (self.folder / f"{address}.log").read_text()
+
+    def is_ready(self, address="127.0.0.1"):
+        """Tell whether a gateway says that it is ready."""
+        url = f"http://{address}:{self.ports[1]}/api/ready"
+        try:
+            return self.http.request("GET", url).status == 200
+        except urllib3.exceptions.HTTPError:
+            return False
+
+    def call(self, path, address="127.0.0.1", method="GET", key=KEY, **headers):
+        """Send a caller's request."""
+        sent = {
+            "Host": HOST,
+            "X-Request-Id": f"r{time.monotonic_ns()}",
+            "X-Deadline-Ms": "3000",
+            "X-Credential": key,
+        } | {name.replace("_", "-"): value for name, value in headers.items()}
+        url = f"http://{address}:{self.ports[0]}{path}"
+        return self.http.request(method, url, headers=sent)
+
+    def stop(self, index=0):
+        """Ask a gateway to stop."""
+        self.processes[index].send_signal(signal.SIGTERM)
+
+
+def settings_text(address, listen, peer_port, seeds, store, bounds):
+    """Return the settings file that the platform writes."""
+    values = "\n".join(
+        f"{name} = {orjson.dumps(value).decode()}" for name, value in bounds.items()
+    )
+    ports = "\n".join(f'{name} = "{address}:{port}"' for name, port in listen.items())
+    return f"""
+nodeName = "e-{address}"
+zone = "north"
+ip = "{address}"
+internalPorts = [{peer_port}, {peer_port}]
+seedNodes = {orjson.dumps(seeds).decode()}
+bootstrap = true
+unknownField = 7
+[listen]
+{ports}
+[limits]
+memoryMb = 150
+maxFds = 4100
+[bounds]
+{values}
+[platform]
+address = "{store}"
+"""
--- /dev/null
+++ b/test/test_gateway_path.py
@@ -0,0 +1,242 @@
+"""The whole path of a gateway, as a separate process."""
+
+import time
+
+import pytest
+import urllib3
+
+from .gatewayfleet import GatewayFleet, answer
+from .support.targets import FakeTarget
+
+WAIT_SECONDS = 5.0
+
+
+def eventually(check):
+    end = time.monotonic() + WAIT_SECONDS
+    while not check():
+        assert time.monotonic() < end
+        time.sleep(0.05)
+
+
+def headers_of(request):
+    head = request.partition(b"\r\n\r\n")[0].decode()
+    pairs = (line.partition(": ") for line in head.split("\r\n")[1:])
+    return {name.lower(): value for name, _, value in pairs}
+
+
+class Scripted:
+    """Answers each request by the next entry of a script, then by the last."""
+
+    def __init__(self, *script):
+        self.script = list(script)
+
+    def __call__(self, request):
+        step = self.script.pop(0) if len(self.script) > 1 else self.script[0]
+        return step(request) if callable(step) else step
+
+
+def well(request):
+    return answer(request=request)
+
+
+def stream_of(events, end=True):
+    """Return a stream; one without its end is cut in the middle of an event."""
+    body = b"".join(b"id: %d\ndata: x\n\n" % number for number in events)
+    last = b"0\r\n\r\n" if end else b"5\r\nid: "
+    return b"".join(
+        (
+            b"HTTP/1.1 200 OK\r\nX-Response-Seal: s1\r\n",
+            b"Content-Type: text/event-stream\r\n",
+            b"" if end else b"Connection: close\r\n",
+            b"Transfer-Encoding: chunked\r\n\r\n",
+            b"%x\r\n%b\r\n" % (len(body), body),
+            last,
+        )
+    )
+
+
+@pytest.fixture
+def one(tmp_path):
+    target = FakeTarget(Scripted(well))
+    with GatewayFleet(tmp_path) as fleet, target:
+        fleet.list_target("t1", target)
+        fleet.start()
+        yield fleet, target
+
+
+def test_a_request_reaches_its_target_and_nobody_elses_headers_do(one):
+    fleet, target = one
+    got = fleet.call(
+        "/look/7?a=%20b", X_Tenant_Id="w2", X_Pin_Ms="9", Kv_Fetch="10.0.0.1:1"
+    )
+    assert (got.status, got.data) == (200, b"done")
+    assert got.headers["X-Response-Seal"] == "s1"
+    sent = headers_of(target.seen[-1])
+    assert target.seen[-1].startswith(b"GET /look/7?a=%20b HTTP/1.1\r\n")
+    assert sent["x-tenant-id"] == "w1"
+    assert sent["x-expect-instance"] == "t1"
+    assert 0 < int(sent["x-deadline-ms"]) <= 3000
+    assert not {"x-credential", "x-pin-ms", "kv-fetch"} & sent.keys()
+
+
+@pytest.mark.parametrize(
+    ("path", "key", "status"),
+    [("/look/1", "other", 401), ("/none/1", "key-of-w1", 404)],
+)
+def test_what_no_configuration_allows_is_refused(one, path, key, status):
+    fleet, target = one
+    assert fleet.call(path, key=key).status == status
+    assert target.seen == []
+
+
+def test_a_revoked_key_stops_working(one):
+    fleet, _ = one
+    assert fleet.call("/look/1").status == 200
+    fleet.configure(version=2, keys=("other",))
+    eventually(lambda: fleet.call("/look/1").status == 401)
+    fleet.configure(version=1)
+    time.sleep(0.5)
+    assert fleet.call("/look/1").status == 401
+
+
+def test_a_success_without_the_targets_seal_is_none(one):
+    # Seen when a target crashed after the head of its answer.
+    fleet, target = one
+    target.answer = Scripted(lambda request: answer(headers="", request=request))
+    assert fleet.call("/book/1", method="POST").status == 502
+    assert len(target.seen) == 1
+
+
+@pytest.mark.parametrize("status", ["503 Busy", "429 Slow", "408 Late", "421 Other"])
+def test_not_run_is_only_said_when_the_target_says_so(one, status):
+    fleet, target = one
+    target.answer = Scripted(lambda request: answer(status=status, request=request))
+    got = fleet.call("/book/1", method="POST")
+    assert got.status == (503 if status.startswith("421") else 502)
+    target.answer = Scripted(
+        lambda request: answer(
+            status=status, headers="X-Not-Executed: 1\r\n", request=request
+        )
+    )
+    got = fleet.call("/book/1", method="POST")
+    assert got.status == 503
+    assert float(got.headers["Retry-After"]) > 0
+
+
+def test_an_answer_to_another_request_is_skipped(one):
+    fleet, target = one
+    extra = answer(b"not yours", headers="X-Request-Id: r0\r\nX-Response-Seal: s0\r\n")
+    target.answer = Scripted(lambda request: extra + answer(request=request))
+    assert fleet.call("/book/1", method="POST").data == b"done"
+
+
+def test_a_workspace_over_its_allowance_is_told_when_to_come_back(one):
+    fleet, _ = one
+    fleet.configure(version=2, ratePerS=1.0, burst=1.0)
+    eventually(lambda: fleet.call("/look/1").status == 429)
+    assert 0 < float(fleet.call("/look/1").headers["Retry-After"]) <= 1.0
+
+
+def test_without_the_store_keys_are_refused_before_their_bound(tmp_path):
+    target = FakeTarget(Scripted(well))
+    bounds = {"revokeMs": 4000}
+    with GatewayFleet(tmp_path, bounds=bounds) as fleet, target:
+        fleet.list_target("t1", target)
+        fleet.start()
+        assert fleet.call("/look/1").status == 200
+        fleet.set_state(down=True)
+        time.sleep(3.2)
+        assert fleet.call("/look/1").status == 503
+        assert not fleet.is_ready()
+        fleet.set_state(down=False)
+        eventually(fleet.is_ready)
+        assert fleet.call("/look/1").status == 200
+        assert "discovery: store lost" in fleet.log()
+
+
+@pytest.fixture
+def pair(tmp_path):
+    targets = [FakeTarget(Scripted(well)) for _ in range(2)]
+    with GatewayFleet(tmp_path) as fleet, targets[0], targets[1]:
+        for number, target in enumerate(targets):
+            fleet.list_target(f"t{number}", target)
+        fleet.start()
+        yield fleet, targets
+
+
+def test_a_broken_stream_goes_on_at_another_target(pair):
+    fleet, targets = pair
+
+    def script(request):
+        if headers_of(request).get("last-event-id"):
+            return stream_of((3, 4))
+        return stream_of((1, 2), end=False)
+
+    for target in targets:
+        target.answer = script
+    got = fleet.call("/stream/1", method="POST")
+    ids = [line for line in got.data.split(b"\n") if line.startswith(b"id:")]
+    assert ids == [b"id: 1", b"id: 2", b"id: 3", b"id: 4"]
+    sent = [headers_of(request) for target in targets for request in target.seen]
+    assert sorted(headers.get("last-event-id", "") for headers in sent) == ["", "2"]
+
+
+def test_a_stream_that_goes_on_with_an_error_does_not_look_whole(pair):
+    # Seen when the second target failed the resumed run.
+    fleet, targets = pair
+
+    def script(request):
+        if headers_of(request).get("last-event-id"):
+            return answer(status="500 Failed", request=request)
+        return stream_of((1, 2), end=False)
+
+    for target in targets:
+        target.answer = script
+    with pytest.raises(urllib3.exceptions.HTTPError):
+        fleet.call("/stream/1", method="POST")
+    assert sum(len(target.seen) for target in targets) == 2
+
+
+def test_a_target_that_leaves_gets_nothing_new(pair):
+    fleet, targets = pair
+    fleet.list_target("t0", targets[0], state="draining")
+    time.sleep(0.5)
+    before = len(targets[0].seen)
+    assert all(fleet.call("/look/1").status == 200 for _ in range(20))
+    assert len(targets[0].seen) == before
+
+
+def test_an_entry_that_cannot_be_read_names_no_target(pair):
+    fleet, targets = pair
+    fleet.put("servers/t9", {"service": 7, "address": targets[0].url})
+    fleet.put("servers/t8", ["no", "entry"])
+    time.sleep(0.3)
+    assert fleet.call("/look/1").status == 200
+    assert "an entry is not usable" in fleet.log()
+
+
+def test_instances_find_each_other_and_a_stop_cuts_nothing_off(tmp_path):
+    def slow(request):
+        time.sleep(1.0)
+        return answer(request=request)
+
+    target = FakeTarget(Scripted(well))
+    with GatewayFleet(tmp_path, count=3) as fleet, target:
+        fleet.list_target("t1", target)
+        fleet.start()
+        eventually(
+            lambda: all(
+                "peer found" in fleet.log(address) for address in fleet.addresses
+            )
+        )
+        statuses = [
+            fleet.call("/look/1", address=address).status
+            for address in fleet.addresses * 5
+        ]
+        assert statuses == [200] * 15
+        target.answer = Scripted(slow)
+        fleet.stop(0)
+        assert fleet.call("/look/1").status == 200
+        eventually(lambda: not fleet.is_ready())
+        assert fleet.processes[0].wait(8.0) == 0
+        assert '"cut": 0' in fleet.log()
