--- a/almondglade/gateway/exchange.py
+++ b/almondglade/gateway/exchange.py
@@ -111,13 +111,13 @@
             peer.instance for peer in self.fleet.live_peers() if not peer.leaving
         }
         with self.lock:
-            self.pools.load_by_peer[report.instance] = load
+            self.pools.fleet.take(report.instance, load)
             self.pools.coordinators.instances = sorted(instances)
             self.allowances.take_peer(
                 report.instance, report.incarnation, report.drawn_by_workspace
             )
             self.freshness.confirm(report.revision, awake_clock() - report.evidence_age)
-            again = self.pools.given_to(report.instance)
+            again = self.pools.fleet.given_to(report.instance)
             self.match()
             if any(entry.coordinator == own for entry in report.waiting):
                 # Also says that the requests are known here.
--- a/almondglade/gateway/node.py
+++ b/almondglade/gateway/node.py
@@ -69,8 +69,9 @@
         self.metrics = Metrics()
         self.freshness = Freshness(bounds.revoke)
         self.pools = Pools(
+            settings.instance,
             settings.data_centre,
-            ColdPace(settings.instance, bounds.cold_overage, bounds.cold_slack),
+            ColdPace(bounds.cold_overage, bounds.cold_slack),
             self.incarnation * GRANTS_PER_MILLISECOND,
         )
         self.allowances = SharedAllowances(settings.first_start)
--- a/almondglade/gateway/operators.py
+++ b/almondglade/gateway/operators.py
@@ -61,6 +61,7 @@
                         "paused": slot.health.is_paused(now),
                         "failures": slot.health.failure_share(now),
                         "slowness": slot.health.slowness,
+                        "event_seconds": slot.health.event_seconds,
                     }
                     for name, slot in node.pools.slot_by_target.items()
                 },
--- a/almondglade/placement/fairness.py
+++ b/almondglade/placement/fairness.py
@@ -18,15 +18,17 @@
 
     Parameters
     ----------
-    running_by_kind : Counter
-        Requests that run, by the rank of their kind.
+    count_running : callable
+        Returns a Counter of the requests that run, by the rank of their kind;
+        called if there is more than one request to order.
     places : int
         Requests that may run at once.
     """
 
-    def __init__(self, running_by_kind, places):
-        self.running_by_kind = Counter(running_by_kind)
+    def __init__(self, count_running, places):
+        self.count_running = count_running
         self.places = places
+        self.running_by_kind: Counter = Counter()
 
     def started(self, kind):
         """Count a request that got a place."""
@@ -37,8 +39,12 @@
 
         Parameters
         ----------
-        tickets : iterable of Ticket
+        tickets : sequence of Ticket
         """
+        if len(tickets) == 1:
+            yield from tickets
+            return
+        self.running_by_kind = Counter(self.count_running())
         waiting_by_kind: dict[int, list] = {}
         for ticket in sorted(tickets, key=lambda entry: entry.rank, reverse=True):
             waiting_by_kind.setdefault(ticket.kind, []).append(ticket)
--- /dev/null
+++ b/almondglade/placement/fleetload.py
@@ -0,0 +1,155 @@
+"""What the other instances run, hold back and avoid, summed over the fleet.
+
+Load pattern: hundreds of decisions a second before dozens of instances and
+targets; sums are kept up to date with each report, not made for each decision.
+"""
+
+import statistics
+from collections import Counter
+
+from .places import GivenPlace, PeerLoad, Ticket
+
+# A peer that has been silent for this long no longer counts; seconds.
+PEER_SECONDS = 1.5
+# A grant that the peer has not confirmed counts as running for this long.
+GRANT_SECONDS = 0.5
+# The pace of targets changes slowly; it is summed up again after this.
+PACE_SECONDS = 0.5
+
+
+class FleetLoad:
+    """Sums of the peers' loads, and of the places granted to them.
+
+    Attributes
+    ----------
+    running_by_target : dict of str to Counter
+        Requests by target and kind.
+    total_by_target : dict of str to int
+        The same over all kinds.
+    paused_by_target : Counter
+        Number of peers that do not use a target.
+    """
+
+    def __init__(self):
+        self.running_by_target: dict[str, Counter] = {}
+        self.total_by_target: dict[str, int] = {}
+        self.paused_by_target: Counter = Counter()
+        self._load_by_peer: dict[str, PeerLoad] = {}
+        self._tickets_by_service: dict[str, dict[tuple[str, int], Ticket]] = {}
+        self._given: dict[tuple[str, int], GivenPlace] = {}
+        self._pace_by_target: dict[str, float] = {}
+        self._pace_at = float("-inf")
+
+    def take(self, peer, load):
+        """Replace what a peer says.
+
+        Parameters
+        ----------
+        load : PeerLoad
+        """
+        self.forget(peer)
+        self._load_by_peer[peer] = load
+        for target, count_by_kind in load.running_by_target.items():
+            self._count(target, count_by_kind)
+        self.paused_by_target.update(load.paused)
+        for ticket in load.tickets:
+            tickets = self._tickets_by_service.setdefault(ticket.service, {})
+            tickets[peer, ticket.number] = ticket
+        for key, place in list(self._given.items()):
+            if key[0] == peer and place.number <= load.confirmed:
+                self._drop_given(key)
+
+    def forget(self, peer):
+        """Drop what a peer says."""
+        load = self._load_by_peer.pop(peer, None)
+        if load is None:
+            return
+        for target, count_by_kind in load.running_by_target.items():
+            self._count(target, {kind: -n for kind, n in count_by_kind.items()})
+        self.paused_by_target.subtract(load.paused)
+        for ticket in load.tickets:
+            self._tickets_by_service[ticket.service].pop((peer, ticket.number), None)
+
+    def expire(self, now):
+        """Drop silent peers and grants that nobody took."""
+        silent = [
+            peer
+            for peer, load in self._load_by_peer.items()
+            if now - load.heard_at > PEER_SECONDS
+        ]
+        for peer in silent:
+            self.forget(peer)
+        self.expire_grants(now)
+
+    def expire_grants(self, now):
+        """Drop grants that nobody took."""
+        for key, place in list(self._given.items()):
+            if now - place.at > GRANT_SECONDS:
+                self._drop_given(key)
+
+    def give(self, ticket, number, now):
+        """Count a place that was granted to a peer's request."""
+        place = GivenPlace(number, ticket.target, ticket.kind, now)
+        self._given[ticket.owner, ticket.number] = place
+        self._count(place.target, {place.kind: 1})
+
+    def given_to(self, owner):
+        """Return the grants that a peer has not confirmed, for repetition."""
+        return [
+            (place.number, request, place.target)
+            for (name, request), place in self._given.items()
+            if name == owner
+        ]
+
+    def tickets(self, service):
+        """Return the peers' requests that wait and have no grant yet."""
+        return [
+            ticket
+            for key, ticket in self._tickets_by_service.get(service, {}).items()
+            if key not in self._given
+        ]
+
+    def services(self):
+        """Return the services that peers wait for."""
+        return {name for name, tickets in self._tickets_by_service.items() if tickets}
+
+    def avoided_by(self, peer):
+        """Return the targets that a peer does not use."""
+        load = self._load_by_peer.get(peer)
+        return load.paused if load else frozenset()
+
+    def event_seconds(self, own, now):
+        """Return the pace of streams by target, as all instances have seen it.
+
+        Parameters
+        ----------
+        own : dict of str to float
+            As this instance has seen it.
+        """
+        if now - self._pace_at > PACE_SECONDS:
+            self._pace_at = now
+            seen: dict[str, list[float]] = {}
+            for paces in (
+                own,
+                *(load.event_seconds_by_target for load in self._load_by_peer.values()),
+            ):
+                for target, seconds in paces.items():
+                    seen.setdefault(target, []).append(seconds)
+            self._pace_by_target = {
+                target: statistics.median(values) for target, values in seen.items()
+            }
+        return self._pace_by_target
+
+    def _drop_given(self, key):
+        place = self._given.pop(key)
+        self._count(place.target, {place.kind: -1})
+
+    def _count(self, target, count_by_kind):
+        running = self.running_by_target.setdefault(target, Counter())
+        total = self.total_by_target.get(target, 0)
+        for kind, count in count_by_kind.items():
+            running[kind] += count
+            total += count
+        self.total_by_target[target] = total
+        if not total:
+            del self.running_by_target[target], self.total_by_target[target]
--- a/almondglade/placement/places.py
+++ b/almondglade/placement/places.py
@@ -74,16 +74,30 @@
     ----------
     record : TargetRecord
         As listed.
+
+    Attributes
+    ----------
+    running_here : int
+        Requests of this instance that run there.
+    running_by_kind : Counter
+        The same by the rank of their kind.
     """
 
     record: TargetRecord
     health: Health = field(default_factory=Health)
+    running_here: int = 0
     running_by_kind: Counter = field(default_factory=Counter)
 
-    @property
-    def running_here(self):
-        """Requests of this instance that run there."""
-        return self.running_by_kind.total()
+    def started(self, kind):
+        """Count a request of this instance that got a place."""
+        self.running_by_kind[kind] += 1
+        self.running_here += 1
+
+    def ended(self, kind):
+        """Return the place of a request of this instance."""
+        if self.running_by_kind[kind] > 0:
+            self.running_by_kind[kind] -= 1
+            self.running_here -= 1
 
     def limit(self, now):
         """Return the requests that all instances together may run there."""
--- a/almondglade/placement/pool.py
+++ b/almondglade/placement/pool.py
@@ -9,22 +9,18 @@
 """
 
 import itertools
-import statistics
 from collections import Counter
 
 from .coordination import Coordinators
 from .fairness import FairOrder
-from .places import GivenPlace, PeerLoad, Slot, Ticket
+from .fleetload import FleetLoad
+from .places import Slot, Ticket
 
 # Without a coordinator, a free place that the instance with the better request
 # leaves unused for this long is taken by the next; a few one-way delays.
 YIELD_SECONDS = 0.05
 # A request that no coordinator has answered for this long is placed here.
 ALONE_SECONDS = 0.16
-# A grant that the peer has not confirmed counts as running for this long.
-GRANT_SECONDS = 0.5
-# A peer that has been silent for this long no longer counts; seconds.
-PEER_SECONDS = 1.5
 # Peers that must pause a target before others leave it too.
 AGREED_PAUSES = 2
 # What another data centre adds to a target's load, in places: a tie-breaker.
@@ -44,27 +40,27 @@
 
     Parameters
     ----------
-    data_centre : str
-        Where this instance runs.
+    instance, data_centre : str
+        This instance, and where it runs.
     pace : ColdPace
         Bounds requests to cold targets.
     first_grant : int
         Number of the first grant; higher after each restart.
     """
 
-    def __init__(self, data_centre, pace, first_grant=0):
+    def __init__(self, instance, data_centre, pace, first_grant=0):
         self.data_centre = data_centre
         self.pace = pace
-        self.instance = pace.instance
+        self.instance = instance
         self.slot_by_target: dict[str, Slot] = {}
-        self.load_by_peer: dict[str, PeerLoad] = {}
+        self.fleet = FleetLoad()
         self.coordinators = Coordinators(self.instance)
         self.cold_rate_by_service: dict[str, float] = {}
         self.out_data_centres: frozenset[str] = frozenset()
         self.tickets_by_service: dict[str, list[Ticket]] = {}
         self.hold_by_service: dict[str, float] = {}
         self.grant_by_coordinator: dict[str, int] = {}
-        self._given: dict[tuple[str, int], GivenPlace] = {}
+        self._slots_by_service: dict[str, list[Slot]] = {}
         self._numbers = itertools.count(1)
         self._grant_numbers = itertools.count(first_grant + 1)
 
@@ -83,6 +79,9 @@
             slot.record = record
             slots[record.id] = slot
         self.slot_by_target = slots
+        self._slots_by_service = {}
+        for slot in slots.values():
+            self._slots_by_service.setdefault(slot.record.service, []).append(slot)
         self.pace.forget(slots)
 
     def ask(self, ticket, now):
@@ -114,7 +113,7 @@
             for ticket in tickets:
                 if ticket.number == request:
                     tickets.remove(ticket)
-                    slot.running_by_kind[ticket.kind] += 1
+                    slot.started(ticket.kind)
                     ticket.target = target
                     return ticket
         return None
@@ -127,6 +126,7 @@
         list of str
             Coordinators that are passed over from now on.
         """
+        self.fleet.expire(now)
         tickets = self.waiting_here()
         silent = {
             ticket.coordinator
@@ -159,8 +159,7 @@
         """
         slot = self.slot_by_target.get(ticket.target)
         if slot is not None:
-            slot.running_by_kind[ticket.kind] -= 1
-            slot.running_by_kind = +slot.running_by_kind
+            slot.ended(ticket.kind)
         if held is not None:
             mean = self.hold_by_service.get(ticket.service, FIRST_HOLD_SECONDS)
             mean += HOLD_WEIGHT * (held - mean)
@@ -175,63 +174,53 @@
             Requests that got a place; those of peers with the number of the
             grant, own ones with 0.
         """
-        self._forget_given(now)
-        return list(
-            itertools.chain.from_iterable(
-                self._match_service(service, now) for service in self._services(now)
-            )
-        )
-
-    def _services(self, now):
-        foreign = {
-            ticket.service for load in self._loads(now) for ticket in load.tickets
-        }
-        return sorted(foreign | self.tickets_by_service.keys())
-
-    def _loads(self, now):
+        self.fleet.expire_grants(now)
+        services = sorted(self.fleet.services() | self.tickets_by_service.keys())
         return [
-            load
-            for load in self.load_by_peer.values()
-            if now - load.heard_at <= PEER_SECONDS
+            grant for service in services for grant in self._match_service(service, now)
         ]
 
     def _match_service(self, service, now):
-        own = self.tickets_by_service.get(service, [])
-        foreign = [
+        foreign = self.fleet.tickets(service)
+        asked = [ticket for ticket in foreign if ticket.coordinator == self.instance]
+        mine = [
             ticket
-            for load in self._loads(now)
-            for ticket in load.tickets
-            if ticket.service == service
-            and (ticket.owner, ticket.number) not in self._given
+            for ticket in self.tickets_by_service.get(service, ())
+            if self._is_decided_here(ticket, now)
         ]
-        asked = [ticket for ticket in foreign if ticket.coordinator == self.instance]
-        mine = [ticket for ticket in own if self._is_decided_here(ticket, now)]
         if not asked and not mine:
             return
-        running = self._running_elsewhere(now)
-        order = FairOrder(
-            self._running_by_kind(service, running, now),
-            sum(slot.limit(now) for slot in self._usable(service, now)),
-        )
+        slots = self._usable(service, now)
+        free = self._free(slots, now)
+        if free <= 0:
+            return
+        order = self._order(slots, now)
         for ticket in order.sort((*asked, *mine)):
-            free = self._free(service, running, now)
-            if free <= 0:
-                break
             if ticket.coordinator != self.instance and self._yields(
                 ticket, foreign, free, now
             ):
                 continue
-            slot = self._choose(ticket, running, now)
+            slot = self._choose(ticket, slots, now)
             if slot is None:
                 continue
             order.started(ticket.kind)
-            yield ticket, self._give(ticket, slot, running, now)
+            yield ticket, self._give(ticket, slot, now)
+            free -= 1
+            if free <= 0:
+                return
+
+    def _order(self, slots, now):
+        """Return the order of the requests for some slots."""
+        return FairOrder(
+            lambda: self._running_by_kind(slots),
+            sum(slot.limit(now) for slot in slots),
+        )
 
-    def _running_by_kind(self, service, running_elsewhere, now):
+    def _running_by_kind(self, slots):
         running: Counter = Counter()
-        for slot in self._usable(service, now):
+        for slot in slots:
             running.update(slot.running_by_kind)
-            running.update(running_elsewhere.get(slot.record.id, ()))
+            running.update(self.fleet.running_by_target.get(slot.record.id, ()))
         return running
 
     def _is_decided_here(self, ticket, now):
@@ -250,74 +239,33 @@
             ticket.passed_over_at = now
         return now - ticket.passed_over_at < YIELD_SECONDS
 
-    def _give(self, ticket, slot, running, now):
+    def _give(self, ticket, slot, now):
         """Take a place for a request; return the number of the grant."""
         target = ticket.target = slot.record.id
         if self._is_cold(slot, now):
             rate = self.cold_rate_by_service[ticket.service]
-            self.pace.sent(target, rate, self.coordinators.instances, now)
+            self.pace.sent(target, rate, now)
         if ticket.owner == self.instance:
             self.tickets_by_service[ticket.service].remove(ticket)
-            slot.running_by_kind[ticket.kind] += 1
+            slot.started(ticket.kind)
             return 0
         number = next(self._grant_numbers)
-        self._given[ticket.owner, ticket.number] = GivenPlace(
-            number, target, ticket.kind, now
-        )
-        running.setdefault(target, Counter())[ticket.kind] += 1
+        self.fleet.give(ticket, number, now)
         return number
 
-    def _forget_given(self, now):
-        """Drop the grants that peers have confirmed, or let pass."""
-        for (owner, request), place in list(self._given.items()):
-            load = self.load_by_peer.get(owner)
-            if (
-                load is None
-                or load.confirmed >= place.number
-                or now - place.at > GRANT_SECONDS
-            ):
-                del self._given[owner, request]
+    def _free(self, slots, now):
+        return sum(max(0, slot.limit(now) - self._load(slot)) for slot in slots)
 
-    def given_to(self, owner):
-        """Return the grants that a peer has not confirmed, for repetition."""
-        return [
-            (place.number, request, place.target)
-            for (name, request), place in self._given.items()
-            if name == owner
-        ]
-
-    def _running_elsewhere(self, now):
-        running: dict[str, Counter] = {}
-        counts = itertools.chain(
-            *(load.running_by_target.items() for load in self._loads(now)),
-            ((place.target, {place.kind: 1}) for place in self._given.values()),
-        )
-        for target, count_by_kind in counts:
-            running.setdefault(target, Counter()).update(count_by_kind)
-        return running
-
-    def _free(self, service, running_elsewhere, now):
-        return sum(
-            max(0, slot.limit(now) - self._load(slot, running_elsewhere))
-            for slot in self._usable(service, now)
-        )
-
-    @staticmethod
-    def _load(slot, running_elsewhere):
-        elsewhere = running_elsewhere.get(slot.record.id)
-        return slot.running_here + (elsewhere.total() if elsewhere else 0)
+    def _load(self, slot):
+        return slot.running_here + self.fleet.total_by_target.get(slot.record.id, 0)
 
     def _usable(self, service, now):
-        paused_by_peers = Counter(
-            itertools.chain.from_iterable(load.paused for load in self._loads(now))
-        )
         return [
             slot
-            for slot in self.slot_by_target.values()
-            if slot.record.service == service
-            and self._takes_new_work(slot)
+            for slot in self._slots_by_service.get(service, ())
+            if self._takes_new_work(slot)
             and not slot.health.is_paused(now)
-            and paused_by_peers[slot.record.id] < AGREED_PAUSES
+            and self.fleet.paused_by_target[slot.record.id] < AGREED_PAUSES
         ]
 
     def _takes_new_work(self, slot):
@@ -334,11 +282,11 @@
 
     def services(self):
         """Return the services that have targets."""
-        return sorted({slot.record.service for slot in self.slot_by_target.values()})
+        return sorted(self._slots_by_service)
 
     def free_places(self, service, now):
         """Return the free places of a service, as known here."""
-        return self._free(service, self._running_elsewhere(now), now)
+        return self._free(self._usable(service, now), now)
 
     def paused_here(self, now):
         """Return the targets that this instance does not use for now."""
@@ -352,23 +300,27 @@
         rate = self.cold_rate_by_service.get(slot.record.service, 0.0)
         return rate > 0.0 and now < slot.record.cold_until
 
-    def _choose(self, ticket, running_elsewhere, now):
+    def _may_warm(self, ticket, slot, now):
+        """Tell whether a cold target may get a request; coordinators alone decide."""
+        rate = self.cold_rate_by_service[ticket.service]
+        return ticket.coordinator == self.instance and self.pace.may_send(
+            slot.record.id, rate, now
+        )
+
+    def _choose(self, ticket, slots, now):
         """Return the slot where the request is expected to be answered first."""
         candidates = []
-        too_slow = self._too_slow_for(ticket, now)
-        told = self.load_by_peer.get(ticket.owner)
-        avoid = ticket.avoid | told.paused if told else ticket.avoid
-        for slot in self._usable(ticket.service, now):
+        avoid = (
+            ticket.avoid
+            | self.fleet.avoided_by(ticket.owner)
+            | self._too_slow_for(ticket, slots, now)
+        )
+        for slot in slots:
             record = slot.record
-            load = self._load(slot, running_elsewhere)
-            if load >= slot.limit(now) or record.id in avoid | too_slow:
+            load = self._load(slot)
+            if load >= slot.limit(now) or record.id in avoid:
                 continue
-            if self._is_cold(slot, now) and not self.pace.may_send(
-                record.id,
-                self.cold_rate_by_service[record.service],
-                self.coordinators.instances,
-                now,
-            ):
+            if self._is_cold(slot, now) and not self._may_warm(ticket, slot, now):
                 continue
             remote = record.data_centre != ticket.data_centre
             cost = (load + 1 + REMOTE_PLACES * remote) / record.slots
@@ -378,17 +330,6 @@
             candidates.append((cost, record.id, slot))
         return min(candidates)[2] if candidates else None
 
-    def event_seconds(self, now):
-        """Return the pace of streams by target, as all instances have seen it."""
-        seen: dict[str, list[float]] = {}
-        paces = itertools.chain(
-            self.event_seconds_here().items(),
-            *(load.event_seconds_by_target.items() for load in self._loads(now)),
-        )
-        for target, seconds in paces:
-            seen.setdefault(target, []).append(seconds)
-        return {target: statistics.median(values) for target, values in seen.items()}
-
     def event_seconds_here(self):
         """Return the pace of streams by target, as seen here."""
         return {
@@ -397,7 +338,7 @@
             if slot.health.event_seconds
         }
 
-    def _too_slow_for(self, ticket, now):
+    def _too_slow_for(self, ticket, slots, now):
         """Return the targets that cannot end a long stream in time.
 
         None are, if there is no target that can.
@@ -405,10 +346,13 @@
         if not ticket.events:
             return frozenset()
         left = TIME_SHARE * (ticket.deadline - now)
-        pace = self.event_seconds(now)
-        usable = [slot.record.id for slot in self._usable(ticket.service, now)]
-        slow = {name for name in usable if ticket.events * pace.get(name, 0.0) > left}
-        return frozenset(slow) if len(slow) < len(usable) else frozenset()
+        pace = self.fleet.event_seconds(self.event_seconds_here(), now)
+        slow = {
+            slot.record.id
+            for slot in slots
+            if ticket.events * pace.get(slot.record.id, 0.0) > left
+        }
+        return frozenset(slow) if len(slow) < len(slots) else frozenset()
 
     def expected_wait(self, service, tier, now):
         """Return the seconds that a new request is expected to wait.
@@ -422,20 +366,16 @@
         places = sum(slot.limit(now) for slot in slots)
         if not places:
             return float("inf")
-        running = self._running_elsewhere(now)
-        if self._free(service, running, now) > 0:
+        if self._free(slots, now) > 0:
             return 0.0
         newest = Ticket(service, tier, now, owner=self.instance)
-        waiting = itertools.chain(
-            self.tickets_by_service.get(service, ()),
-            *(load.tickets for load in self._loads(now)),
+        waiting = (
+            *self.tickets_by_service.get(service, ()),
+            *self.fleet.tickets(service),
         )
-        order = FairOrder(self._running_by_kind(service, running, now), places)
         ahead = itertools.takewhile(
             lambda ticket: ticket is not newest,
-            order.sort(
-                [newest, *(ticket for ticket in waiting if ticket.service == service)]
-            ),
+            self._order(slots, now).sort([newest, *waiting]),
         )
         return (sum(1 for _ in ahead) + 1) * self.hold(service) / places
 
@@ -446,7 +386,7 @@
     def running_here(self):
         """Return the requests of this instance by target and kind."""
         return {
-            name: dict(slot.running_by_kind)
+            name: dict(+slot.running_by_kind)
             for name, slot in self.slot_by_target.items()
             if slot.running_here
         }
--- /dev/null
+++ b/bench/gateway.py
@@ -0,0 +1,84 @@
+"""Measure what one decision of a gateway costs, by the size of its fleet."""
+
+import time
+
+from almondglade.catalogue import TargetRecord
+from almondglade.gossip.messages import Report, WaitingHere, decode, encode
+from almondglade.placement.cold import ColdPace
+from almondglade.placement.places import PeerLoad, Ticket
+from almondglade.placement.pool import Pools
+
+ROUNDS = 200
+SLOTS = 6
+RUNNING_SHARE = 0.8
+
+
+def decision_seconds(targets, instances):
+    """Return the seconds of one request: asked, granted and released.
+
+    Parameters
+    ----------
+    targets : int
+        Targets of the service.
+    instances : int
+        Instances that report what they run.
+    """
+    pools = Pools("e0", "north", ColdPace(1.5, 5.0))
+    pools.set_targets(
+        TargetRecord(f"t{number}", "drafts", "10.0.0.1", 80, "north", SLOTS)
+        for number in range(targets)
+    )
+    running = int(RUNNING_SHARE * SLOTS * targets / max(1, instances - 1))
+    for index in range(1, instances):
+        names = [
+            f"t{(index * running + number) % targets}" for number in range(running)
+        ]
+        load = {name: {0: 1} for name in names}
+        pools.fleet.take(f"e{index}", PeerLoad(0.0, load))
+    begun = time.perf_counter()
+    for _ in range(ROUNDS):
+        ticket = Ticket("drafts", (0, 0), 0.0)
+        pools.expected_wait("drafts", (0, 0), 0.0)
+        pools.ask(ticket, 0.0)
+        pools.match(0.0)
+        pools.release(ticket, 0.5, 0.0)
+    return (time.perf_counter() - begun) / ROUNDS
+
+
+def report_cost(running, waiting):
+    """Return the bytes of a report and the seconds to write and read it."""
+    report = Report(
+        "instance-1",
+        "north",
+        1_700_000_000_000,
+        1,
+        running_by_target={f"i-{number:010x}": {0: 1} for number in range(running)},
+        waiting=tuple(
+            WaitingHere(number, "drafts", (0, 0), 0.1, (), "instance-2", 100.0, 5.0)
+            for number in range(waiting)
+        ),
+        drawn_by_workspace={f"w{number}": 100_000.0 for number in range(5)},
+    )
+    begun = time.perf_counter()
+    for _ in range(ROUNDS):
+        decode(encode(report))
+    return len(encode(report)), (time.perf_counter() - begun) / ROUNDS
+
+
+def main():
+    """Print the tables."""
+    for targets, instances in ((6, 9), (40, 38), (70, 76), (184, 330)):
+        milliseconds = 1000 * decision_seconds(targets, instances)
+        print(
+            f"decision: {targets} targets, {instances} instances {milliseconds:.2f} ms"
+        )
+    for running, waiting in ((2, 0), (4, 4), (8, 16)):
+        size, seconds = report_cost(running, waiting)
+        print(
+            f"report: {running} running, {waiting} waiting "
+            f"{size} B, {1000 * seconds:.3f} ms"
+        )
+
+
+if __name__ == "__main__":
+    main()
