--- a/almondglade/gateway/node.py
+++ b/almondglade/gateway/node.py
@@ -15,6 +15,7 @@
 from ..log import flush_logs, get_logger
 from ..metrics import Metrics
 from ..placement.allowance import SharedAllowances
+from ..placement.choice import TargetChoice
 from ..placement.cold import ColdPace
 from ..placement.freshness import Freshness
 from ..placement.pool import Pools
@@ -71,7 +72,9 @@
         self.pools = Pools(
             settings.instance,
             settings.data_centre,
-            ColdPace(bounds.cold_overage, bounds.cold_slack),
+            TargetChoice(
+                settings.instance, ColdPace(bounds.cold_overage, bounds.cold_slack)
+            ),
             self.incarnation * GRANTS_PER_MILLISECOND,
         )
         self.allowances = SharedAllowances(settings.first_start)
@@ -210,7 +213,7 @@
             self.pools.out_data_centres = frozenset(registry.out_data_centres)
             if catalogue is not None:
                 self.freshness.hold(registry.catalogue_revision)
-                self.pools.cold_rate_by_service = {
+                self.pools.choice.cold_rate_by_service = {
                     name: terms.cold_rate
                     for name, terms in catalogue.service_by_name.items()
                 }
--- a/almondglade/gateway/operators.py
+++ b/almondglade/gateway/operators.py
@@ -56,14 +56,14 @@
                 "peers": [peer.instance for peer in node.fleet.live_peers()],
                 "targets": {
                     name: {
-                        "running_here": slot.running_here,
-                        "limit": slot.limit(now),
-                        "paused": slot.health.is_paused(now),
-                        "failures": slot.health.failure_share(now),
-                        "slowness": slot.health.slowness,
-                        "event_seconds": slot.health.event_seconds,
+                        "running_here": state.running_here,
+                        "limit": state.limit(now),
+                        "paused": state.health.is_paused(now),
+                        "failures": state.health.failure_share(now),
+                        "slowness": state.health.slowness,
+                        "event_seconds": state.health.event_seconds,
                     }
-                    for name, slot in node.pools.slot_by_target.items()
+                    for name, state in node.pools.state_by_target.items()
                 },
                 "drawn": node.allowances.drawn_here(),
             }
--- a/almondglade/gateway/run.py
+++ b/almondglade/gateway/run.py
@@ -9,7 +9,8 @@
 from ..log import get_logger
 from ..outcome import Code, Outcome, RequestError
 from ..platform.front import read_target, target_headers
-from .events import EventStream, count_events
+from .events import EventStream
+from .measuring import AnswerMeter
 from .requests import Dispatch
 
 log = get_logger("requests")
@@ -28,11 +29,6 @@
 MAX_CONNECTS = 3
 # Pause after which another target may be reached; a failed one is paused as long.
 NO_TARGET_RETRY_SECONDS = 0.25
-# Relative cost of a request: a constant and a share for each prompt token.
-BASE_SECONDS = 0.05
-PROMPT_TOKEN_SECONDS = 25e-6
-# Events of a stream that tell its pace.
-MIN_PACE_EVENTS = 8
 # Statuses that promise that a request has not run.
 PROMISING_STATUSES = frozenset({408, 421, 429, 503})
 
@@ -63,8 +59,7 @@
         )
         self.sent_at = 0.0
         self.ended = False
-        self._events_seen = 0
-        self._first_at = 0.0
+        self.meter: Any = None
 
     def open(self):
         """Send the request until a target's answer begins.
@@ -137,10 +132,7 @@
     def _read(self):
         chunk = self.call.read()
         if chunk:
-            if not self._events_seen:
-                self._first_at = self.clock()
-                self._note_speed()
-            self._events_seen += max(1, count_events(chunk))
+            self._measure(chunk)
         whole = self.call.whole
         if self.events is not None:
             chunk = self.events.feed(chunk)
@@ -154,14 +146,6 @@
             self._finish("completed")
         return chunk
 
-    def _note_pace(self):
-        if self._events_seen < MIN_PACE_EVENTS:
-            return
-        pace = (self.clock() - self._first_at) / (self._events_seen - 1)
-        self.scheduler.judge(
-            self.ticket.target, lambda health, now: health.streamed(pace)
-        )
-
     def _resume(self, error):
         """Go on at another target, or fail."""
         request = self.request
@@ -174,7 +158,11 @@
             after=self.events.last_id,
             cause=str(error),
         )
-        self.open()
+        try:
+            self.open()
+        except RequestError:
+            self._finish("failed")
+            raise
 
     def close(self):
         """Cancel what is left of the run."""
@@ -256,7 +244,7 @@
         if request.route.repeatable or request.route.streaming:
             request.presence.on_gone(self.call.cancel)
         self.sent_at = now
-        self._events_seen = 0
+        self.meter = AnswerMeter(now, request.facts.input_tokens or 0)
         try:
             head = self.call.open()
         finally:
@@ -345,16 +333,20 @@
         code = Code.TARGET_TIMEOUT if late else Code.TARGET_FAILED
         return RequestError(code, str(error), Outcome.UNKNOWN)
 
-    def _note_speed(self):
-        request = self.request
-        size = request.facts.input_tokens or 0
-        expected = BASE_SECONDS + PROMPT_TOKEN_SECONDS * size
-        slowness = (self.clock() - self.sent_at) / expected
-        good = self.head.status < 500
-        self.scheduler.judge(
-            self.ticket.target,
-            lambda health, now: health.succeeded(now, slowness) if good else None,
-        )
+    def _measure(self, chunk):
+        slowness = self.meter.feed(chunk, self.clock())
+        if slowness is not None and self.head.status < 500:
+            self.scheduler.judge(
+                self.ticket.target,
+                lambda health, now: health.succeeded(now, slowness),
+            )
+
+    def _note_pace(self):
+        pace = self.meter.event_seconds(self.clock())
+        if pace is not None:
+            self.scheduler.judge(
+                self.ticket.target, lambda health, now: health.streamed(pace)
+            )
 
     def _drop_call(self):
         if self.call is not None:
--- a/almondglade/gateway/scheduling.py
+++ b/almondglade/gateway/scheduling.py
@@ -94,6 +94,9 @@
                 "refused over the allowance",
                 request=request.request_id,
                 workspace=request.workspace.name,
+                charge=request.charge,
+                rate=request.workspace.rate,
+                burst=request.workspace.burst,
                 retry_after=round(wait, 2),
             )
             raise RequestError(
@@ -246,7 +249,7 @@
         with self.lock:
             if not self.pools.takes_new_work(target):
                 return None
-            return self.pools.slot_by_target[target].record
+            return self.pools.state_by_target[target].record
 
     def judge(self, target, judgement):
         """Change what is believed of a target.
@@ -257,18 +260,18 @@
             Takes its `Health` and the time.
         """
         with self.lock:
-            slot = self.pools.slot_by_target.get(target)
-            if slot is not None:
-                before = slot.health.is_paused(self.clock())
-                judgement(slot.health, self.clock())
-                after = slot.health.is_paused(self.clock())
+            state = self.pools.state_by_target.get(target)
+            if state is not None:
+                before = state.health.is_paused(self.clock())
+                judgement(state.health, self.clock())
+                after = state.health.is_paused(self.clock())
                 if after and not before:
                     self.metrics.count(
-                        "target_pauses_total", service=slot.record.service
+                        "target_pauses_total", service=state.record.service
                     )
                     log.info(
                         "target paused",
                         target=target,
-                        seconds=round(slot.health.pause, 2),
-                        failures=round(slot.health.failures, 2),
+                        seconds=round(state.health.pause, 2),
+                        failures=round(state.health.failures, 2),
                     )
--- a/almondglade/placement/places.py
+++ b/almondglade/placement/places.py
@@ -67,7 +67,7 @@
 
 
 @dataclass
-class Slot:
+class TargetState:
     """A target and what is known to run there.
 
     Parameters
--- a/almondglade/placement/pool.py
+++ b/almondglade/placement/pool.py
@@ -14,7 +14,7 @@
 from .coordination import Coordinators
 from .fairness import FairOrder
 from .fleetload import FleetLoad
-from .places import Slot, Ticket
+from .places import TargetState, Ticket
 
 # Without a coordinator, a free place that the instance with the better request
 # leaves unused for this long is taken by the next; a few one-way delays.
@@ -23,10 +23,6 @@
 ALONE_SECONDS = 0.16
 # Peers that must pause a target before others leave it too.
 AGREED_PAUSES = 2
-# What another data centre adds to a target's load, in places: a tie-breaker.
-REMOTE_PLACES = 2.0
-# Share of its time that a stream may be expected to take at a target.
-TIME_SHARE = 0.85
 # Weight of the newest time that a place was held.
 HOLD_WEIGHT = 0.05
 # Assumed time that a place is held before any was seen, seconds.
@@ -42,25 +38,24 @@
     ----------
     instance, data_centre : str
         This instance, and where it runs.
-    pace : ColdPace
-        Bounds requests to cold targets.
+    choice : TargetChoice
+        Chooses among targets with free places.
     first_grant : int
         Number of the first grant; higher after each restart.
     """
 
-    def __init__(self, instance, data_centre, pace, first_grant=0):
+    def __init__(self, instance, data_centre, choice, first_grant=0):
         self.data_centre = data_centre
-        self.pace = pace
+        self.choice = choice
         self.instance = instance
-        self.slot_by_target: dict[str, Slot] = {}
+        self.state_by_target: dict[str, TargetState] = {}
         self.fleet = FleetLoad()
         self.coordinators = Coordinators(self.instance)
-        self.cold_rate_by_service: dict[str, float] = {}
         self.out_data_centres: frozenset[str] = frozenset()
         self.tickets_by_service: dict[str, list[Ticket]] = {}
         self.hold_by_service: dict[str, float] = {}
         self.grant_by_coordinator: dict[str, int] = {}
-        self._slots_by_service: dict[str, list[Slot]] = {}
+        self._states_by_service: dict[str, list[TargetState]] = {}
         self._numbers = itertools.count(1)
         self._grant_numbers = itertools.count(first_grant + 1)
 
@@ -71,18 +66,18 @@
         ----------
         records : iterable of TargetRecord
         """
-        slots = {}
+        states = {}
         for record in records:
-            slot = self.slot_by_target.get(record.id)
-            if slot is None or slot.record.started_at != record.started_at:
-                slot = Slot(record)
-            slot.record = record
-            slots[record.id] = slot
-        self.slot_by_target = slots
-        self._slots_by_service = {}
-        for slot in slots.values():
-            self._slots_by_service.setdefault(slot.record.service, []).append(slot)
-        self.pace.forget(slots)
+            state = self.state_by_target.get(record.id)
+            if state is None or state.record.started_at != record.started_at:
+                state = TargetState(record)
+            state.record = record
+            states[record.id] = state
+        self.state_by_target = states
+        self._states_by_service = {}
+        for state in states.values():
+            self._states_by_service.setdefault(state.record.service, []).append(state)
+        self.choice.pace.forget(states)
 
     def ask(self, ticket, now):
         """Let a request wait for a place."""
@@ -105,15 +100,15 @@
         """
         newest = self.grant_by_coordinator.get(coordinator, 0)
         self.grant_by_coordinator[coordinator] = max(newest, number)
-        slot = self.slot_by_target.get(target)
-        if slot is None or not self._takes_new_work(slot):
+        state = self.state_by_target.get(target)
+        if state is None or not self._takes_new_work(state):
             # The coordinator has not heard yet; the request goes on waiting.
             return None
         for tickets in self.tickets_by_service.values():
             for ticket in tickets:
                 if ticket.number == request:
                     tickets.remove(ticket)
-                    slot.started(ticket.kind)
+                    state.started(ticket.kind)
                     ticket.target = target
                     return ticket
         return None
@@ -157,9 +152,9 @@
         held : float or None
             Seconds for which it ran; None if it did not.
         """
-        slot = self.slot_by_target.get(ticket.target)
-        if slot is not None:
-            slot.ended(ticket.kind)
+        state = self.state_by_target.get(ticket.target)
+        if state is not None:
+            state.ended(ticket.kind)
         if held is not None:
             mean = self.hold_by_service.get(ticket.service, FIRST_HOLD_SECONDS)
             mean += HOLD_WEIGHT * (held - mean)
@@ -190,37 +185,43 @@
         ]
         if not asked and not mine:
             return
-        slots = self._usable(service, now)
-        free = self._free(slots, now)
+        states = self._usable(service, now)
+        free = self._free(states, now)
         if free <= 0:
             return
-        order = self._order(slots, now)
+        order = self._order(states, now)
         for ticket in order.sort((*asked, *mine)):
             if ticket.coordinator != self.instance and self._yields(
                 ticket, foreign, free, now
             ):
                 continue
-            slot = self._choose(ticket, slots, now)
-            if slot is None:
+            state = self.choice.choose(
+                ticket,
+                [(state, self._load(state)) for state in states],
+                ticket.avoid | self.fleet.avoided_by(ticket.owner),
+                self.fleet.event_seconds(self.event_seconds_here(), now),
+                now,
+            )
+            if state is None:
                 continue
             order.started(ticket.kind)
-            yield ticket, self._give(ticket, slot, now)
+            yield ticket, self._give(ticket, state, now)
             free -= 1
             if free <= 0:
                 return
 
-    def _order(self, slots, now):
-        """Return the order of the requests for some slots."""
+    def _order(self, states, now):
+        """Return the order of the requests for some targets."""
         return FairOrder(
-            lambda: self._running_by_kind(slots),
-            sum(slot.limit(now) for slot in slots),
+            lambda: self._running_by_kind(states),
+            sum(state.limit(now) for state in states),
         )
 
-    def _running_by_kind(self, slots):
+    def _running_by_kind(self, states):
         running: Counter = Counter()
-        for slot in slots:
-            running.update(slot.running_by_kind)
-            running.update(self.fleet.running_by_target.get(slot.record.id, ()))
+        for state in states:
+            running.update(state.running_by_kind)
+            running.update(self.fleet.running_by_target.get(state.record.id, ()))
         return running
 
     def _is_decided_here(self, ticket, now):
@@ -239,50 +240,48 @@
             ticket.passed_over_at = now
         return now - ticket.passed_over_at < YIELD_SECONDS
 
-    def _give(self, ticket, slot, now):
+    def _give(self, ticket, state, now):
         """Take a place for a request; return the number of the grant."""
-        target = ticket.target = slot.record.id
-        if self._is_cold(slot, now):
-            rate = self.cold_rate_by_service[ticket.service]
-            self.pace.sent(target, rate, now)
+        ticket.target = state.record.id
+        self.choice.chosen(ticket, state, now)
         if ticket.owner == self.instance:
             self.tickets_by_service[ticket.service].remove(ticket)
-            slot.started(ticket.kind)
+            state.started(ticket.kind)
             return 0
         number = next(self._grant_numbers)
         self.fleet.give(ticket, number, now)
         return number
 
-    def _free(self, slots, now):
-        return sum(max(0, slot.limit(now) - self._load(slot)) for slot in slots)
+    def _free(self, states, now):
+        return sum(max(0, state.limit(now) - self._load(state)) for state in states)
 
-    def _load(self, slot):
-        return slot.running_here + self.fleet.total_by_target.get(slot.record.id, 0)
+    def _load(self, state):
+        return state.running_here + self.fleet.total_by_target.get(state.record.id, 0)
 
     def _usable(self, service, now):
         return [
-            slot
-            for slot in self._slots_by_service.get(service, ())
-            if self._takes_new_work(slot)
-            and not slot.health.is_paused(now)
-            and self.fleet.paused_by_target[slot.record.id] < AGREED_PAUSES
+            state
+            for state in self._states_by_service.get(service, ())
+            if self._takes_new_work(state)
+            and not state.health.is_paused(now)
+            and self.fleet.paused_by_target[state.record.id] < AGREED_PAUSES
         ]
 
-    def _takes_new_work(self, slot):
+    def _takes_new_work(self, state):
         """Tell whether operators and the target itself let it get work."""
         return (
-            not slot.record.leaving
-            and slot.record.data_centre not in self.out_data_centres
+            not state.record.leaving
+            and state.record.data_centre not in self.out_data_centres
         )
 
     def takes_new_work(self, target):
         """Tell whether a target is listed and may get work."""
-        slot = self.slot_by_target.get(target)
-        return slot is not None and self._takes_new_work(slot)
+        state = self.state_by_target.get(target)
+        return state is not None and self._takes_new_work(state)
 
     def services(self):
         """Return the services that have targets."""
-        return sorted(self._slots_by_service)
+        return sorted(self._states_by_service)
 
     def free_places(self, service, now):
         """Return the free places of a service, as known here."""
@@ -292,67 +291,17 @@
         """Return the targets that this instance does not use for now."""
         return [
             name
-            for name, slot in self.slot_by_target.items()
-            if slot.health.is_paused(now) or not self._takes_new_work(slot)
+            for name, state in self.state_by_target.items()
+            if state.health.is_paused(now) or not self._takes_new_work(state)
         ]
 
-    def _is_cold(self, slot, now):
-        rate = self.cold_rate_by_service.get(slot.record.service, 0.0)
-        return rate > 0.0 and now < slot.record.cold_until
-
-    def _may_warm(self, ticket, slot, now):
-        """Tell whether a cold target may get a request; coordinators alone decide."""
-        rate = self.cold_rate_by_service[ticket.service]
-        return ticket.coordinator == self.instance and self.pace.may_send(
-            slot.record.id, rate, now
-        )
-
-    def _choose(self, ticket, slots, now):
-        """Return the slot where the request is expected to be answered first."""
-        candidates = []
-        avoid = (
-            ticket.avoid
-            | self.fleet.avoided_by(ticket.owner)
-            | self._too_slow_for(ticket, slots, now)
-        )
-        for slot in slots:
-            record = slot.record
-            load = self._load(slot)
-            if load >= slot.limit(now) or record.id in avoid:
-                continue
-            if self._is_cold(slot, now) and not self._may_warm(ticket, slot, now):
-                continue
-            remote = record.data_centre != ticket.data_centre
-            cost = (load + 1 + REMOTE_PLACES * remote) / record.slots
-            cost *= (slot.health.slowness or 1.0) * (
-                1.0 + slot.health.failure_share(now)
-            )
-            candidates.append((cost, record.id, slot))
-        return min(candidates)[2] if candidates else None
-
     def event_seconds_here(self):
         """Return the pace of streams by target, as seen here."""
         return {
-            name: slot.health.event_seconds
-            for name, slot in self.slot_by_target.items()
-            if slot.health.event_seconds
-        }
-
-    def _too_slow_for(self, ticket, slots, now):
-        """Return the targets that cannot end a long stream in time.
-
-        None are, if there is no target that can.
-        """
-        if not ticket.events:
-            return frozenset()
-        left = TIME_SHARE * (ticket.deadline - now)
-        pace = self.fleet.event_seconds(self.event_seconds_here(), now)
-        slow = {
-            slot.record.id
-            for slot in slots
-            if ticket.events * pace.get(slot.record.id, 0.0) > left
+            name: state.health.event_seconds
+            for name, state in self.state_by_target.items()
+            if state.health.event_seconds
         }
-        return frozenset(slow) if len(slow) < len(slots) else frozenset()
 
     def expected_wait(self, service, tier, now):
         """Return the seconds that a new request is expected to wait.
@@ -362,11 +311,11 @@
         tier : tuple of int
             Its rank; requests behind it do not count.
         """
-        slots = self._usable(service, now)
-        places = sum(slot.limit(now) for slot in slots)
+        states = self._usable(service, now)
+        places = sum(state.limit(now) for state in states)
         if not places:
             return float("inf")
-        if self._free(slots, now) > 0:
+        if self._free(states, now) > 0:
             return 0.0
         newest = Ticket(service, tier, now, owner=self.instance)
         waiting = (
@@ -375,7 +324,7 @@
         )
         ahead = itertools.takewhile(
             lambda ticket: ticket is not newest,
-            self._order(slots, now).sort([newest, *waiting]),
+            self._order(states, now).sort([newest, *waiting]),
         )
         return (sum(1 for _ in ahead) + 1) * self.hold(service) / places
 
@@ -386,9 +335,9 @@
     def running_here(self):
         """Return the requests of this instance by target and kind."""
         return {
-            name: dict(+slot.running_by_kind)
-            for name, slot in self.slot_by_target.items()
-            if slot.running_here
+            name: dict(+state.running_by_kind)
+            for name, state in self.state_by_target.items()
+            if state.running_here
         }
 
     def waiting_here(self):
--- a/bench/gateway.py
+++ b/bench/gateway.py
@@ -4,6 +4,7 @@
 
 from almondglade.catalogue import TargetRecord
 from almondglade.gossip.messages import Report, WaitingHere, decode, encode
+from almondglade.placement.choice import TargetChoice
 from almondglade.placement.cold import ColdPace
 from almondglade.placement.places import PeerLoad, Ticket
 from almondglade.placement.pool import Pools
@@ -23,7 +24,7 @@
     instances : int
         Instances that report what they run.
     """
-    pools = Pools("e0", "north", ColdPace(1.5, 5.0))
+    pools = Pools("e0", "north", TargetChoice("e0", ColdPace(1.5, 5.0)))
     pools.set_targets(
         TargetRecord(f"t{number}", "drafts", "10.0.0.1", 80, "north", SLOTS)
         for number in range(targets)
--- a/test/test_placement_pool.py
+++ b/test/test_placement_pool.py
@@ -25,8 +25,8 @@
     for number in range(100):
         pools.ask(ticket(arrived=number / 100), 1.0)
     pools.match(1.0)
-    assert sum(slot.running_here for slot in pools.slot_by_target.values()) == 30
-    assert all(slot.running_here == 6 for slot in pools.slot_by_target.values())
+    assert sum(state.running_here for state in pools.state_by_target.values()) == 30
+    assert all(state.running_here == 6 for state in pools.state_by_target.values())
 
 
 def test_long_answers_of_the_first_workspace_leave_room_for_urgent_ones():
@@ -172,8 +172,8 @@
 
 def test_a_long_stream_avoids_targets_that_cannot_end_it():
     pools = make_pools(record("slow"), record("fast", data_centre="south"))
-    pools.slot_by_target["slow"].health.streamed(0.03)
-    pools.slot_by_target["fast"].health.streamed(0.01)
+    pools.state_by_target["slow"].health.streamed(0.03)
+    pools.state_by_target["fast"].health.streamed(0.01)
     pools.ask(ticket(events=700, deadline=15.0), 0.0)
     assert [entry.target for entry, _ in pools.match(0.0)] == ["fast"]
     pools.ask(ticket(events=7000, deadline=15.0), 0.0)
@@ -182,7 +182,7 @@
 
 def test_a_paused_target_gets_nothing_until_its_pause_ends():
     pools = make_pools(record("t1"))
-    pools.slot_by_target["t1"].health.unreachable(0.0)
+    pools.state_by_target["t1"].health.unreachable(0.0)
     pools.ask(ticket(), 0.0)
     assert pools.match(0.1) == []
     assert len(pools.match(0.3)) == 1
@@ -207,7 +207,7 @@
     # Seen after a cold return: requests waited out their patience before free
     # places, since the coordinator was none of the instances that could use them.
     pools = make_pools(record("t1", cold_until=10.0), others=("e2",))
-    pools.cold_rate_by_service = {SERVICE: 12.0}
+    pools.choice.cold_rate_by_service = {SERVICE: 12.0}
     alone = ticket()
     pools.ask(alone, 0.0)
     alone.coordinator = "e2"
