--- a/almondglade/platform/reading.py
+++ b/almondglade/documentreader.py
@@ -2,8 +2,8 @@
 
 import asyncio
 
-from ..errors import PlatformError
-from ..log import get_logger
+from .errors import PlatformError
+from .log import get_logger
 
 log = get_logger("platform")
 
--- a/almondglade/node.py
+++ b/almondglade/node.py
@@ -18,6 +18,7 @@
 from .coordinator.host import CoordinatorHost
 from .coordinator.leases import LEASE_SECONDS
 from .dispatch.connections import TargetPools
+from .documentreader import DocumentReader
 from .entry.app import EntryApp
 from .entry.scheduling import Scheduler
 from .entry.tally import count_usage
@@ -36,11 +37,10 @@
 from .peers.tending import PeerTender
 from .permits import PermitBroker, run_heartbeat
 from .platform.client import PlatformClient
-from .platform.reading import DocumentReader
-from .platform.watch import watch
 from .state import snapshot_of
 from .stopping import drain
 from .usage import UsageLog, log_record
+from .watching import watch
 
 log = get_logger("node")
 
--- a/almondglade/platform/watch.py
+++ b/almondglade/watching.py
@@ -3,8 +3,8 @@
 import asyncio
 import random
 
-from ..errors import PlatformError
-from ..log import get_logger
+from .errors import PlatformError
+from .log import get_logger
 
 log = get_logger("platform")
 
