--- a/almondglade/gateway/node.py
+++ b/almondglade/gateway/node.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import os
 import random
 import signal
@@ -10,6 +11,7 @@
 
 from ..clocks import awake_clock
 from ..dispatch.connections import TargetPools
+from ..errors import SettingsError
 from ..gossip.fleet import Fleet
 from ..httpserver import HttpServer
 from ..log import flush_logs, get_logger
@@ -20,6 +22,7 @@
 from ..placement.freshness import Freshness
 from ..placement.pool import Pools
 from ..placement.resends import ResendBudget
+from ..platform.questions import PlatformQuestions
 from ..platform.store import StoreClient
 from .app import GatewayApp
 from .discovery import Discovery, Registry
@@ -55,10 +58,14 @@
     Parameters
     ----------
     settings : GatewaySettings
+        In force until the process ends.
+    load_settings : callable
+        Returns the present settings.
     """
 
-    def __init__(self, settings):
+    def __init__(self, settings, load_settings):
         self.settings = settings
+        self.load_settings = load_settings
         self.clock = time.monotonic
         self.incarnation = time.time_ns() // 1_000_000
         self.loop = asyncio.get_running_loop()
@@ -136,7 +143,10 @@
         servers = [
             callers,
             HttpServer(
-                settings.address, settings.ready_port, operators, OPERATOR_THREADS
+                settings.address,
+                settings.ready_port,
+                PlatformQuestions(self.is_ready),
+                OPERATOR_THREADS,
             ),
             HttpServer(
                 settings.address, settings.metrics_port, operators, OPERATOR_THREADS
@@ -186,7 +196,18 @@
             await asyncio.sleep(POLL_SECONDS)
 
     def _reload(self):
-        log.info("reload asked; the settings of a gateway change with its restart")
+        """Say what a restart would change; no setting changes in between."""
+        try:
+            settings = self.load_settings()
+        except SettingsError as error:
+            log.error("reload refused", cause=str(error))
+            return
+        changed = [
+            field.name
+            for field in dataclasses.fields(settings)
+            if getattr(settings, field.name) != getattr(self.settings, field.name)
+        ]
+        log.info("reload: settings change with the next start", changed=changed)
 
     async def _tick(self):
         while True:
@@ -236,14 +257,26 @@
         return not self.stopping and self.app.is_configured() and self._accepts_keys()
 
 
-def run_gateway(settings):
-    """Run one gateway in this process until it stops."""
+def run_gateway(load_settings):
+    """Run one gateway in this process until it stops.
+
+    Parameters
+    ----------
+    load_settings : callable
+        Returns the `GatewaySettings`; called again at a reload.
+
+    Raises
+    ------
+    SettingsError
+        If the settings cannot be used.
+    """
+    settings = load_settings()
     with contextlib.suppress(KeyboardInterrupt):
-        asyncio.run(_run(settings))
+        asyncio.run(_run(settings, load_settings))
     flush_logs(LAST_LINES_SECONDS)
     # Threads that still serve a cut request would keep the process.
     os._exit(0)
 
 
-async def _run(settings):
-    await GatewayNode(settings).run()
+async def _run(settings, load_settings):
+    await GatewayNode(settings, load_settings).run()
--- a/almondglade/gateway/operators.py
+++ b/almondglade/gateway/operators.py
@@ -1,4 +1,4 @@
-"""What the balancer and operators ask of a gateway."""
+"""What operators ask of a gateway."""
 
 import cherrypy
 import orjson
@@ -8,7 +8,7 @@
 
 
 class GatewayOperatorApp:
-    """Answers the balancer and operators.
+    """Answers operators.
 
     Parameters
     ----------
@@ -17,15 +17,11 @@
 
     def __init__(self, node):
         self.node = node
-        self.api = self
 
     @cherrypy.expose
-    def ready(self):
-        """Tell whether the balancer should send callers here."""
-        if not self.node.is_ready():
-            cherrypy.response.status = 503
-            return b"not ready\n"
-        return b"ready\n"
+    def healthz(self):
+        """Tell that the process serves."""
+        return b"ok\n"
 
     @cherrypy.expose
     def metrics(self):
--- a/almondglade/placement/allowance.py
+++ b/almondglade/placement/allowance.py
@@ -6,6 +6,10 @@
 
 from dataclasses import dataclass
 
+# Share of the burst that may be drawn after a restart. Each restart of a rolling
+# one adds as much to what the fleet draws; the pages' slack bears four at once.
+RESTART_SHARE = 0.5
+
 
 @dataclass
 class _Bucket:
@@ -23,8 +27,8 @@
     Parameters
     ----------
     starts_full : bool
-        Whether a workspace not seen before may draw its burst. After a restart
-        the draws of the last seconds are not known, so it may not.
+        Whether a workspace not seen before may draw its whole burst. After a
+        restart the draws of the last seconds are not known.
     """
 
     def __init__(self, starts_full=True):
@@ -100,7 +104,7 @@
     def _refill(self, terms, now):
         bucket = self._bucket_by_workspace.get(terms.name)
         if bucket is None:
-            level = terms.burst if self.starts_full else 0.0
+            level = terms.burst * (1.0 if self.starts_full else RESTART_SHARE)
             bucket = self._bucket_by_workspace[terms.name] = _Bucket(level, now)
         elapsed = max(0.0, now - bucket.at)
         bucket.level = min(terms.burst, bucket.level + elapsed * terms.rate)
--- a/almondglade/ui/gateway.py
+++ b/almondglade/ui/gateway.py
@@ -26,4 +26,4 @@
     from ..gateway.node import run_gateway
     from ..platform.settings import load_gateway_settings
 
-    run_gateway(load_gateway_settings(metrics_port))
+    run_gateway(lambda: load_gateway_settings(metrics_port))
--- a/test/test_gateway_path.py
+++ b/test/test_gateway_path.py
@@ -1,5 +1,6 @@
 """The whole path of a gateway, as a separate process."""
 
+import signal
 import time
 
 import pytest
@@ -240,3 +241,15 @@
         eventually(lambda: not fleet.is_ready())
         assert fleet.processes[0].wait(8.0) == 0
         assert '"cut": 0' in fleet.log()
+
+
+def test_a_reload_says_what_the_next_start_would_change(one):
+    fleet, _ = one
+    path = fleet.folder / "127.0.0.1.toml"
+    path.write_text(path.read_text().replace("graceS = 4", "graceS = 6"))
+    fleet.processes[0].send_signal(signal.SIGHUP)
+    eventually(lambda: '"changed": ["bounds"]' in fleet.log())
+    path.write_text("nodeName = 7")
+    fleet.processes[0].send_signal(signal.SIGHUP)
+    eventually(lambda: "reload refused" in fleet.log())
+    assert fleet.call("/look/1").status == 200
