--- a/almondglade/clocks.py
+++ b/almondglade/clocks.py
@@ -4,5 +4,5 @@
 
 
 def awake_clock():
-    """Return seconds that also count while the machine is suspended."""
+    """Return seconds that also count while the host is suspended."""
     return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/almondglade/gateway/operators.py
+++ b/almondglade/gateway/operators.py
@@ -1,44 +1,17 @@
 """What operators ask of a gateway."""
 
-import cherrypy
-import orjson
-
 from ..clocks import awake_clock
 from ..metrics import set_gateway_gauges
+from ..operators import OperatorPages
 
 
-class GatewayOperatorApp:
-    """Answers operators.
-
-    Parameters
-    ----------
-    node : GatewayNode
-    """
-
-    def __init__(self, node):
-        self.node = node
+class GatewayOperatorApp(OperatorPages):
+    """Answers operators of a gateway."""
 
-    @cherrypy.expose
-    def healthz(self):
-        """Tell that the process serves."""
-        return b"ok\n"
-
-    @cherrypy.expose
-    def metrics(self):
-        """Serve the metrics in Prometheus' text form."""
+    def _set_gauges(self):
         set_gateway_gauges(self.node.metrics, self.node)
-        accepts = cherrypy.request.headers.get("Accept", "").split(",")
-        body, content_type = self.node.metrics.render(accepts)
-        cherrypy.response.headers["Content-Type"] = content_type
-        return body
-
-    @cherrypy.expose
-    def dump(self):
-        """Return the state of the whole process as JSON."""
-        cherrypy.response.headers["Content-Type"] = "application/json"
-        return orjson.dumps(self._state(), option=orjson.OPT_INDENT_2)
 
-    def _state(self):
+    def _snapshot(self):
         node = self.node
         now = node.clock()
         with node.lock:
--- a/almondglade/operators.py
+++ b/almondglade/operators.py
@@ -1,4 +1,6 @@
-"""The operators' port: health, metrics and the dump."""
+"""What operators ask of an instance: health, metrics and the dump."""
+
+import abc
 
 import cherrypy
 import orjson
@@ -7,35 +9,35 @@
 from .state import snapshot_of
 
 
-class OperatorApp:
-    """Answers operators.
+class OperatorPages(abc.ABC):
+    """Pages that every kind of instance serves to operators.
 
     Parameters
     ----------
-    node : Node
-        The running instance.
+    node : object
+        The running instance, with its ``metrics``.
     """
 
     def __init__(self, node):
         self.node = node
 
+    @abc.abstractmethod
+    def _set_gauges(self):
+        """Set the gauges from the present state."""
+
+    @abc.abstractmethod
+    def _snapshot(self):
+        """Return the state of the process, to be shown as JSON."""
+
     @cherrypy.expose
     def healthz(self):
         """Tell that the process serves."""
         return b"ok\n"
 
-    @cherrypy.expose
-    def readyz(self):
-        """Tell whether the balancer should send callers here."""
-        if not self.node.is_ready():
-            cherrypy.response.status = 503
-            return b"not ready\n"
-        return b"ready\n"
-
     @cherrypy.expose
     def metrics(self):
         """Serve the metrics in Prometheus' text form."""
-        set_gauges(self.node.metrics, self.node)
+        self._set_gauges()
         accepts = cherrypy.request.headers.get("Accept", "").split(",")
         body, content_type = self.node.metrics.render(accepts)
         cherrypy.response.headers["Content-Type"] = content_type
@@ -45,4 +47,22 @@
     def dump(self):
         """Return the state of the whole process as JSON."""
         cherrypy.response.headers["Content-Type"] = "application/json"
-        return orjson.dumps(snapshot_of(self.node), option=orjson.OPT_INDENT_2)
+        return orjson.dumps(self._snapshot(), option=orjson.OPT_INDENT_2)
+
+
+class OperatorApp(OperatorPages):
+    """Answers operators of an entry instance."""
+
+    @cherrypy.expose
+    def readyz(self):
+        """Tell whether the balancer should send callers here."""
+        if not self.node.is_ready():
+            cherrypy.response.status = 503
+            return b"not ready\n"
+        return b"ready\n"
+
+    def _set_gauges(self):
+        set_gauges(self.node.metrics, self.node)
+
+    def _snapshot(self):
+        return snapshot_of(self.node)
--- a/almondglade/placement/freshness.py
+++ b/almondglade/placement/freshness.py
@@ -12,7 +12,7 @@
 class Freshness:
     """Evidence that no version newer than a revision existed at a time.
 
-    Times are of a clock that also counts while the machine is suspended.
+    Times are of a clock that also counts while the host is suspended.
 
     Parameters
     ----------
--- a/test/test_gateway_path.py
+++ b/test/test_gateway_path.py
@@ -3,6 +3,7 @@
 import signal
 import time
 
+import orjson
 import pytest
 import urllib3
 
@@ -253,3 +254,17 @@
     fleet.processes[0].send_signal(signal.SIGHUP)
     eventually(lambda: "reload refused" in fleet.log())
     assert fleet.call("/look/1").status == 200
+
+
+def test_operators_see_metrics_and_state(one):
+    fleet, _ = one
+    assert fleet.call("/look/1").status == 200
+    _, _, control, _, metrics = fleet.ports
+    text = fleet.http.request("GET", f"http://127.0.0.1:{metrics}/metrics").data
+    assert b'almondglade_places_free{service="plain"}' in text
+    assert b"almondglade_evidence_age_seconds" in text
+    state = orjson.loads(
+        fleet.http.request("GET", f"http://127.0.0.1:{control}/dump").data
+    )
+    assert state["ready"]
+    assert state["targets"]["t1"]["limit"] == 4
