--- a/almondglade/gateway/exchange.py
+++ b/almondglade/gateway/exchange.py
@@ -3,14 +3,26 @@
 from typing import Any
 
 from ..clocks import awake_clock
-from ..gossip.messages import Grant, Grants, Report, WaitingHere
+from ..gossip.messages import (
+    ExpectedWait,
+    Facts,
+    Grant,
+    Grants,
+    Question,
+    Report,
+    WaitingHere,
+)
 from ..log import get_logger
+from ..placement.allowance import Scope
+from ..placement.cells import Cell
 from ..placement.places import PeerLoad, Ticket
 
 log = get_logger("exchange")
 
 # More time than this is told as this.
 MAX_TIME_SECONDS = 3600.0
+# Expected waits are counted again after this; some decisions of a coordinator.
+COUNT_SECONDS = 0.03
 
 
 class Exchange:
@@ -51,19 +63,30 @@
         self.leaving = False
         self.fleet: Any = None
         self.match = lambda: None
+        self.store_revision = 0
+        self._told: set[str] = set()
+        self._counted_waits: dict[tuple, tuple[float, float]] = {}
+        pools.on_new_term = self._ask_all
 
-    def make_report(self, number):
-        """Return the present `Report` with a number."""
+    def make_report(self, number, scope=None, receiver=""):
+        """Return the present `Report` with a number.
+
+        Parameters
+        ----------
+        scope : Scope or None
+            Whose draws the facts tell; None leaves the facts out.
+        receiver : str
+            Peer that the facts are for, if they are for one only.
+        """
         now = self.clock()
         with self.lock:
+            facts = self._facts(scope, receiver, now) if scope is not None else None
             return Report(
                 self.settings.instance,
                 self.settings.data_centre,
                 self.incarnation,
                 number,
                 self.leaving,
-                self.freshness.revision,
-                self.freshness.age(awake_clock()),
                 self.pools.running_here(),
                 tuple(
                     WaitingHere(
@@ -75,25 +98,69 @@
                         ticket.coordinator,
                         ticket.events,
                         min(ticket.deadline - now, MAX_TIME_SECONDS),
+                        ticket.part,
                     )
                     for ticket in self.pools.waiting_here()
                 ),
-                self.allowances.drawn_here(),
                 dict(self.pools.grant_by_coordinator),
                 tuple(self.pools.paused_here(now)),
-                self.pools.event_seconds_here(),
+                facts,
             )
 
+    def _facts(self, scope, receiver, now):
+        loads = self.pools.loads_here(now)
+        for load in loads:
+            self.pools.outlook.take_load(load, now)
+        return Facts(
+            self.freshness.revision,
+            self.freshness.age(awake_clock()),
+            self.store_revision,
+            scope,
+            self.allowances.drawn(scope, receiver),
+            self.pools.event_seconds_here(),
+            tuple(loads if scope is Scope.OWN else self.pools.outlook.loads(now)),
+        )
+
     def coordinators(self):
-        """Return the coordinators of all services, and whether work waits."""
-        now = self.clock()
+        """Return the coordinators that must be told, and whether work waits.
+
+        Those that were told last are told once more, so that they learn of the
+        end of what ran there.
+        """
+        with self.lock:
+            names = self.pools.coordinators_in_use(self.clock())
+            waiting = bool(self.pools.waiting_here())
+        told, self._told = names | self._told, names
+        return told - {self.settings.instance}, waiting
+
+    def relay(self, data_centre):
+        """Return the instance that passes facts on in a data centre."""
+        with self.lock:
+            return self.pools.coordinators.choose("", self.clock(), data_centre)
+
+    def pass_over(self, name):
+        """Choose others in place of an instance that is silent."""
+        with self.lock:
+            self.pools.coordinators.pass_over(name, self.clock())
+
+    def take_instances(self, site_by_name, hears_all):
+        """Take in which instances there are.
+
+        Parameters
+        ----------
+        site_by_name : dict of str to Site
+            Instances that live and are not leaving.
+        hears_all : bool
+            Whether each instance tells all others what it runs.
+        """
         with self.lock:
-            services = self.pools.services()
-            waiting = self.pools.waiting_here()
-            choose = self.pools.coordinators.choose
-            names = {choose(service, now) for service in services}
-            names |= {ticket.coordinator for ticket in waiting}
-        return names - {self.settings.instance}, bool(waiting)
+            self.pools.hears_all = hears_all
+            self.pools.coordinators.set_instances(sorted(site_by_name), site_by_name)
+
+    def _ask_all(self):
+        """Ask all instances for reports; the lock is held."""
+        log.info("begins to coordinate", instance=self.settings.instance)
+        self.fleet.send_to_all_soon(Question(self.settings.instance))
 
     def take_report(self, report):
         """Take in a peer's `Report` and answer what it asks."""
@@ -105,23 +172,49 @@
             tuple(self._tickets_of(report, now)),
             report.grant_by_coordinator.get(own, 0),
             frozenset(report.paused),
-            report.event_seconds_by_target,
+            report.facts.event_seconds_by_target if report.facts else None,
         )
-        instances = {own} | {
-            peer.instance for peer in self.fleet.live_peers() if not peer.leaving
-        }
+        asked = {ticket.cell for ticket in load.tickets if ticket.coordinator == own}
         with self.lock:
             self.pools.fleet.take(report.instance, load)
-            self.pools.coordinators.instances = sorted(instances)
-            self.allowances.take_peer(
-                report.instance, report.incarnation, report.drawn_by_workspace
-            )
-            self.freshness.confirm(report.revision, awake_clock() - report.evidence_age)
+            if report.facts is not None:
+                self._take_facts(report, report.facts, now)
+            for cell in asked:
+                self.pools.asked(cell, now)
             again = self.pools.fleet.given_to(report.instance)
             self.match()
-            if any(entry.coordinator == own for entry in report.waiting):
+            if asked:
                 # Also says that the requests are known here.
-                self.send_grants(report.instance, again)
+                self.send_grants(report.instance, again, self._waits(load, now))
+
+    def _take_facts(self, report, facts, now):
+        self.allowances.take_peer(
+            report.instance, report.incarnation, facts.drawn_by_workspace, facts.scope
+        )
+        self.freshness.confirm(facts.revision, awake_clock() - facts.evidence_age)
+        for cell_load in facts.cells:
+            self.pools.outlook.take_load(cell_load, now)
+
+    def _waits(self, load, now):
+        """Return what new requests like those of a peer would wait."""
+        if self.pools.hears_all:
+            return ()
+        own = self.settings.instance
+        wanted = {(entry.cell, entry.tier) for entry in load.tickets}
+        return tuple(
+            ExpectedWait(
+                cell.service, cell.data_centre, tier, self._wait(cell, tier, now)
+            )
+            for cell, tier in wanted
+            if self.pools.coordinator(cell, now) == own
+        )
+
+    def _wait(self, cell, tier, now):
+        known = self._counted_waits.get((cell, tier))
+        if known is None or now - known[1] > COUNT_SECONDS:
+            known = (self.pools.cell_wait(cell, tier, now), now)
+            self._counted_waits[cell, tier] = known
+        return known[0]
 
     @staticmethod
     def _tickets_of(report, now):
@@ -137,25 +230,32 @@
                 deadline=now + entry.time_left,
                 number=entry.number,
                 coordinator=entry.coordinator,
+                part=entry.part,
             )
 
-    def send_grants(self, peer, grants):
+    def send_grants(self, peer, grants, waits=()):
         """Send grants to a peer; safe from any thread.
 
         Parameters
         ----------
         grants : list of (int, int, str)
             Number of each, number of the request at the peer, target.
+        waits : tuple of ExpectedWait
         """
         message = Grants(
-            self.settings.instance, tuple(Grant(*grant) for grant in grants)
+            self.settings.instance, tuple(Grant(*grant) for grant in grants), waits
         )
         self.fleet.send_soon({peer}, message)
 
     def take_grants(self, message):
         """Take in a coordinator's `Grants`."""
+        now = self.clock()
         with self.lock:
-            self.pools.coordinators.heard_from(message.instance, self.clock())
+            self.pools.coordinators.heard_from(message.instance, now)
+            for wait in message.waits:
+                self.pools.outlook.take_wait(
+                    Cell(wait.service, wait.part), wait.tier, wait.seconds, now
+                )
             tickets = [
                 self.pools.take_grant(
                     message.instance, grant.number, grant.request, grant.target
--- a/almondglade/gateway/node.py
+++ b/almondglade/gateway/node.py
@@ -186,6 +186,7 @@
         """Take no new callers and end the requests in progress."""
         log.info("stopping", active=self.app.active)
         self.stopping = self.exchange.leaving = True
+        self.fleet.announce()
         self.fleet.changed()
         callers.end_keep_alive()
         ends = self.clock() + DRAIN_SHARE * self.settings.bounds.grace
--- a/almondglade/gateway/settings.py
+++ b/almondglade/gateway/settings.py
@@ -53,6 +53,8 @@
     ----------
     first_start : bool
         Whether the whole system starts for the first time.
+    capacity : float
+        Relative processor and link; the strongest instances coordinate.
     """
 
     instance: str
@@ -68,4 +70,5 @@
     first_start: bool = True
     memory_bytes: int = 150 << 20
     max_files: int = 4096
+    capacity: float = 0.0
     bounds: Bounds = Bounds()
--- a/almondglade/gossip/fleet.py
+++ b/almondglade/gossip/fleet.py
@@ -2,14 +2,21 @@
 
 import asyncio
 from dataclasses import dataclass
+from functools import singledispatchmethod
 from typing import Any
 
 from ..errors import PeerError
 from ..log import get_logger
-from .messages import Grants, Roster, decode, encode
+from ..placement.allowance import Scope
+from ..placement.coordination import Site
+from .messages import Contact, Grants, Question, Report, Roster, decode, encode
 
 log = get_logger("fleet")
 
+# Instances up to which each tells all others what it knows. In a larger fleet one
+# instance of each data centre passes on sums, since messages to all would grow
+# with the square of the fleet.
+DIRECT_INSTANCES = 16
 # Reports that one instance sends to the whole fleet a second at most, counted
 # by receiver; sets the pause between them for the size of the fleet.
 MAX_REPORTS_PER_SECOND = 120
@@ -22,9 +29,16 @@
 ROSTER_SECONDS = 0.5
 # Peers that each roster goes to, besides the seeds.
 ROSTER_FANOUT = 2
+# Contacts in one roster, so that it fits into one packet.
+ROSTER_CONTACTS = 16
 # A peer that has been silent for this long is lost, and forgotten later.
 LOST_SECONDS = 1.5
 FORGOTTEN_SECONDS = 30.0
+# The same where most peers are heard of by rosters alone, which reach everybody
+# after some rounds.
+HEARSAY_LOST_SECONDS = 5.0
+# A relay that is silent for this long is passed over: two reports and their way.
+RELAY_SILENT_SECONDS = 1.2
 
 
 @dataclass
@@ -34,16 +48,19 @@
     Attributes
     ----------
     heard_at : float
-        Monotonic time of its last message.
+        Monotonic time of its last message, as far as is known here.
     """
 
     address: str
     heard_at: float
     instance: str = ""
+    data_centre: str = ""
+    capacity: float = 0.0
     incarnation: int = 0
     number: int = -1
     leaving: bool = False
     lost: bool = False
+    reported_at: float = float("-inf")
 
 
 class Fleet(asyncio.DatagramProtocol):
@@ -66,6 +83,7 @@
         self.instance = settings.instance
         self.address = settings.address
         self.port = settings.peer_port
+        self.site = Site(settings.data_centre, settings.capacity)
         self.seeds = tuple(
             seed for seed in settings.seed_addresses if seed != settings.address
         )
@@ -78,6 +96,8 @@
         self._changed = asyncio.Event()
         self._number = 0
         self._changes = 0
+        self._relay = ""
+        self._relay_since = 0.0
         self._loop = asyncio.get_running_loop()
 
     async def run(self):
@@ -100,15 +120,33 @@
         """Send a message to peers by name; safe from any thread."""
         self._loop.call_soon_threadsafe(self.send_to, names, lambda: message)
 
+    def announce(self):
+        """Tell all peers of a change that concerns each of them."""
+        self._send_to_all(self._report())
+
+    def send_to_all_soon(self, message):
+        """Send a message to all live peers; safe from any thread."""
+        self._loop.call_soon_threadsafe(self._send_to_all, message)
+
+    def _send_to_all(self, message):
+        self._send(message, [peer.address for peer in self.live_peers()])
+
     def live_peers(self):
         """Return the peers that have been heard lately."""
-        now = self.clock()
+        since = self.clock() - self._lost_seconds()
         return [
             peer
             for peer in self.peer_by_address.values()
-            if peer.instance and now - peer.heard_at <= LOST_SECONDS
+            if peer.instance and peer.heard_at >= since
         ]
 
+    def is_direct(self):
+        """Tell whether each instance tells all others what it knows."""
+        return len(self.peer_by_address) < DIRECT_INSTANCES
+
+    def _lost_seconds(self):
+        return LOST_SECONDS if self.is_direct() else HEARSAY_LOST_SECONDS
+
     def connection_made(self, transport):
         """Keep the transport."""
         self._transport = transport
@@ -124,35 +162,48 @@
         except PeerError as error:
             log.warning("a datagram was dropped", peer=addr[0], cause=str(error))
             return
-        peer = self._meet(addr[0])
-        if isinstance(message, Grants):
-            self.exchange.take_grants(message)
-            return
-        if isinstance(message, Roster):
-            for address in message.addresses:
-                if address not in self.peer_by_address:
-                    self._learn(address)
-            return
-        self._take_report(peer, message)
+        self._take(message, self._meet(addr[0]))
 
-    def _take_report(self, peer, report):
-        newer = (report.incarnation, report.number) > (peer.incarnation, peer.number)
-        if not newer:
+    @singledispatchmethod
+    def _take(self, message, peer):
+        raise TypeError(f"no such message: {message!r}")
+
+    @_take.register
+    def _(self, message: Grants, peer):
+        self.exchange.take_grants(message)
+
+    @_take.register
+    def _(self, message: Question, peer):
+        self._send(self._report(), [peer.address])
+
+    @_take.register
+    def _(self, message: Roster, peer):
+        for contact in message.contacts:
+            if contact.address != self.address:
+                self._hear_of(contact)
+
+    @_take.register
+    def _(self, message: Report, peer):
+        if (message.incarnation, message.number) <= (peer.incarnation, peer.number):
             return
-        if peer.incarnation != report.incarnation or peer.lost:
+        is_new = peer.incarnation != message.incarnation or peer.lost
+        peer.lost = False
+        peer.instance = message.instance
+        peer.data_centre = message.data_centre
+        peer.incarnation = message.incarnation
+        peer.number = message.number
+        peer.reported_at = peer.heard_at
+        if is_new or peer.leaving != message.leaving:
+            peer.leaving = message.leaving
+            self._tell_instances()
+        if is_new:
             log.info(
                 "peer found",
-                peer=report.instance,
-                incarnation=report.incarnation,
+                peer=message.instance,
+                incarnation=message.incarnation,
                 peers=len(self.live_peers()),
             )
-        peer.lost = False
-        peer.instance = report.instance
-        peer.incarnation = report.incarnation
-        peer.number = report.number
-        peer.leaving = report.leaving
-        self.most_seen = max(self.most_seen, 1 + len(self.live_peers()))
-        self.exchange.take_report(report)
+        self.exchange.take_report(message)
 
     def _meet(self, address):
         peer = self.peer_by_address.get(address)
@@ -162,24 +213,87 @@
         peer.heard_at = self.clock()
         return peer
 
-    def _learn(self, address):
-        """Note an address that another instance knows, and greet it."""
-        if address != self.address:
-            self.peer_by_address[address] = Peer(address, self.clock())
-            self._send(Roster(self.instance, (self.address,)), [address])
+    def _hear_of(self, contact):
+        """Note what another instance knows of a third."""
+        heard_at = self.clock() - contact.age
+        peer = self.peer_by_address.get(contact.address)
+        if peer is None:
+            if contact.age > HEARSAY_LOST_SECONDS:
+                return
+            peer = self.peer_by_address[contact.address] = Peer(
+                contact.address, heard_at
+            )
+            self._send(self._roster(), [contact.address])
+        elif heard_at < peer.heard_at and peer.instance:
+            return
+        peer.heard_at = max(peer.heard_at, heard_at)
+        if contact.instance:
+            peer.instance = contact.instance
+            peer.data_centre = contact.data_centre
+            peer.capacity = contact.capacity
+            peer.leaving = contact.leaving
+
+    def _tell_instances(self):
+        """Let the decisions know which instances there are."""
+        live = [peer for peer in self.live_peers() if not peer.leaving]
+        self.most_seen = max(self.most_seen, 1 + len(live))
+        sites = {peer.instance: Site(peer.data_centre, peer.capacity) for peer in live}
+        self.exchange.take_instances(
+            sites | {self.instance: self.site}, self.is_direct()
+        )
 
     async def _send_reports(self):
-        """Tell the whole fleet what runs here, now and then."""
+        """Tell what is known here, now and then."""
         while True:
-            addresses = [peer.address for peer in self._reachable()]
             changes = self._changes
-            self._send(self._report(), addresses)
-            gap = max(MIN_REPORT_SECONDS, len(addresses) / MAX_REPORTS_PER_SECOND)
+            count = (
+                self._report_to_all() if self.is_direct() else self._report_by_relays()
+            )
+            gap = max(MIN_REPORT_SECONDS, count / MAX_REPORTS_PER_SECOND)
             await asyncio.sleep(gap)
             idle = self.clock() + IDLE_REPORT_SECONDS - gap
             while changes == self._changes and self.clock() < idle:
                 await asyncio.sleep(MIN_REPORT_SECONDS)
 
+    def _report_to_all(self):
+        addresses = [peer.address for peer in self._reachable()]
+        self._send(self._report(Scope.OWN), addresses)
+        return len(addresses)
+
+    def _report_by_relays(self):
+        """Tell the relay; as the relay, tell the data centre and other relays."""
+        near = self.site.data_centre
+        relay = self.exchange.relay(near)
+        if relay != self.instance:
+            self._review_relay(relay)
+            self.send_to({relay}, lambda: self._report(Scope.OWN))
+            return 1
+        peers = [peer for peer in self.live_peers() if peer.data_centre == near]
+        for peer in peers:
+            report = self._report(Scope.OTHERS, peer.instance)
+            self._send(report, [peer.address])
+        far = {peer.data_centre for peer in self.live_peers()} - {near}
+        relays = {self.exchange.relay(data_centre) for data_centre in far}
+        self.send_to(relays, lambda: self._report(Scope.DATA_CENTRE))
+        return len(peers) + len(relays)
+
+    def _review_relay(self, name):
+        """Pass the relay over if it is silent."""
+        now = self.clock()
+        if name != self._relay:
+            self._relay, self._relay_since = name, now
+        heard = max(
+            (
+                peer.reported_at
+                for peer in self.peer_by_address.values()
+                if peer.instance == name
+            ),
+            default=float("-inf"),
+        )
+        if now - max(heard, self._relay_since) > RELAY_SILENT_SECONDS:
+            log.warning("relay silent", relay=name, silent=round(now - heard, 2))
+            self.exchange.pass_over(name)
+
     async def _ask(self):
         """Tell the coordinators of each change at once, and while work waits."""
         while True:
@@ -195,9 +309,9 @@
             self._changed.clear()
             self._changes += 1
 
-    def _report(self):
+    def _report(self, scope=None, receiver=""):
         self._number += 1
-        return self.exchange.make_report(self._number)
+        return self.exchange.make_report(self._number, scope, receiver)
 
     def send_to(self, names, make_message):
         """Send a message to peers by name.
@@ -218,14 +332,37 @@
     async def _send_rosters(self):
         while True:
             self._forget()
+            self._tell_instances()
             live = [peer.address for peer in self.live_peers()]
             chosen = self.rng.sample(live, min(ROSTER_FANOUT, len(live)))
             missing = [seed for seed in self.seeds if seed not in live]
-            self._send(
-                Roster(self.instance, (self.address, *live)), {*chosen, *missing}
-            )
+            self._send(self._roster(), {*chosen, *missing})
             await asyncio.sleep(ROSTER_SECONDS * self.rng.uniform(0.8, 1.2))
 
+    def _roster(self):
+        now = self.clock()
+        own = Contact(
+            self.address,
+            self.instance,
+            self.site.data_centre,
+            self.site.capacity,
+            leaving=self.exchange.leaving,
+        )
+        live = self.live_peers()
+        told = self.rng.sample(live, min(ROSTER_CONTACTS, len(live)))
+        others = (
+            Contact(
+                peer.address,
+                peer.instance,
+                peer.data_centre,
+                peer.capacity,
+                now - peer.heard_at,
+                peer.leaving,
+            )
+            for peer in told
+        )
+        return Roster(self.instance, (own, *others))
+
     def _reachable(self):
         now = self.clock()
         return [
@@ -238,7 +375,7 @@
         now = self.clock()
         for address, peer in list(self.peer_by_address.items()):
             silent = now - peer.heard_at
-            if silent > LOST_SECONDS and peer.instance and not peer.lost:
+            if silent > self._lost_seconds() and peer.instance and not peer.lost:
                 peer.lost = True
                 log.info("peer lost", peer=peer.instance, silent=round(silent, 2))
             if silent > FORGOTTEN_SECONDS:
--- a/almondglade/gossip/messages.py
+++ b/almondglade/gossip/messages.py
@@ -11,11 +11,15 @@
 import msgpack
 
 from ..errors import PeerError
+from ..placement.allowance import Scope
+from ..placement.cells import Cell
+from ..placement.outlook import CellLoad
 
-FORMAT = 1
+FORMAT = 2
 REPORT = 0
 ROSTER = 1
 GRANTS = 2
+QUESTION = 3
 MILLISECONDS = 1000.0
 # Evidence older than this is as good as none; keeps the number small.
 MAX_AGE_SECONDS = 1e6
@@ -43,6 +47,8 @@
         Expected length of its stream.
     time_left : float
         Seconds until its answer must be whole.
+    part : str
+        Data centre of the cell that it waits for; empty for the whole service.
     """
 
     number: int
@@ -53,6 +59,38 @@
     coordinator: str = ""
     events: float = 0.0
     time_left: float = 0.0
+    part: str = ""
+
+
+@dataclass(frozen=True)
+class Facts:
+    """What changes slowly and concerns the whole fleet.
+
+    Parameters
+    ----------
+    revision : int
+        Revision of the sender's configuration.
+    evidence_age : float
+        Seconds since that was surely the newest.
+    store_revision : int
+        Revision up to which the sender has read the store.
+    scope : Scope
+        Whose draws are told.
+    drawn_by_workspace : dict of str to float
+        Draws on allowances since the sender's start.
+    event_seconds_by_target : dict of str to float
+        Pace of the streams that the sender has seen.
+    cells : tuple of CellLoad
+        Loads of the cells that the sender coordinates or has heard of.
+    """
+
+    revision: int = 0
+    evidence_age: float = 0.0
+    store_revision: int = 0
+    scope: Scope = Scope.OWN
+    drawn_by_workspace: dict[str, float] = field(default_factory=dict)
+    event_seconds_by_target: dict[str, float] = field(default_factory=dict)
+    cells: tuple[CellLoad, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -69,20 +107,14 @@
         Counts its reports; older ones that arrive late are dropped.
     leaving : bool
         Whether it is about to stop.
-    revision : int
-        Revision of its configuration.
-    evidence_age : float
-        Seconds since that was surely the newest.
     running_by_target : dict of str to dict of int to int
         Requests of the sender, by target and kind.
-    drawn_by_workspace : dict of str to float
-        Draws on allowances since its start.
     grant_by_coordinator : dict of str to int
         Newest grant that it has received from each coordinator.
     paused : tuple of str
         Targets that the sender does not use for now.
-    event_seconds_by_target : dict of str to float
-        Pace of the streams that the sender has seen.
+    facts : Facts or None
+        Told now and then.
     """
 
     instance: str
@@ -90,14 +122,11 @@
     incarnation: int
     number: int
     leaving: bool = False
-    revision: int = 0
-    evidence_age: float = 0.0
     running_by_target: dict[str, dict[int, int]] = field(default_factory=dict)
     waiting: tuple[WaitingHere, ...] = ()
-    drawn_by_workspace: dict[str, float] = field(default_factory=dict)
     grant_by_coordinator: dict[str, int] = field(default_factory=dict)
     paused: tuple[str, ...] = ()
-    event_seconds_by_target: dict[str, float] = field(default_factory=dict)
+    facts: Facts | None = None
 
 
 @dataclass(frozen=True)
@@ -119,20 +148,62 @@
     target: str
 
 
+@dataclass(frozen=True)
+class ExpectedWait:
+    """The wait of a new request, as its coordinator expects it, in seconds."""
+
+    service: str
+    part: str
+    tier: tuple[int, ...]
+    seconds: float
+
+
 @dataclass(frozen=True)
 class Grants:
     """A coordinator's answer to a report; it may grant nothing yet."""
 
     instance: str
     grants: tuple[Grant, ...] = ()
+    waits: tuple[ExpectedWait, ...] = ()
+
+
+@dataclass(frozen=True)
+class Question:
+    """Asks for a report at once; sent by a new coordinator."""
+
+    instance: str
+
+
+@dataclass(frozen=True)
+class Contact:
+    """An instance that somebody has heard of.
+
+    Parameters
+    ----------
+    instance : str
+        Its name; empty if only the address is known.
+    capacity : float
+        Relative processor and link.
+    age : float
+        Seconds since it was heard.
+    leaving : bool
+        Whether it is about to stop.
+    """
+
+    address: str
+    instance: str = ""
+    data_centre: str = ""
+    capacity: float = 0.0
+    age: float = 0.0
+    leaving: bool = False
 
 
 @dataclass(frozen=True)
 class Roster:
-    """Addresses of the instances that the sender has heard of lately."""
+    """Instances that the sender has heard of lately, itself first."""
 
     instance: str
-    addresses: tuple[str, ...]
+    contacts: tuple[Contact, ...]
 
 
 @singledispatch
@@ -143,13 +214,33 @@
 
 @encode.register
 def _(message: Roster):
-    return msgpack.packb([FORMAT, ROSTER, message.instance, message.addresses])
+    contacts = [
+        [
+            contact.address,
+            contact.instance,
+            contact.data_centre,
+            contact.capacity,
+            _milliseconds(contact.age),
+            contact.leaving,
+        ]
+        for contact in message.contacts
+    ]
+    return msgpack.packb([FORMAT, ROSTER, message.instance, contacts])
+
+
+@encode.register
+def _(message: Question):
+    return msgpack.packb([FORMAT, QUESTION, message.instance])
 
 
 @encode.register
 def _(message: Grants):
     grants = [[grant.number, grant.request, grant.target] for grant in message.grants]
-    return msgpack.packb([FORMAT, GRANTS, message.instance, grants])
+    waits = [
+        [wait.service, wait.part, wait.tier, _milliseconds(wait.seconds)]
+        for wait in message.waits
+    ]
+    return msgpack.packb([FORMAT, GRANTS, message.instance, grants, waits])
 
 
 @encode.register
@@ -163,33 +254,56 @@
             message.incarnation,
             message.number,
             message.leaving,
-            message.revision,
-            round(min(message.evidence_age, MAX_AGE_SECONDS) * MILLISECONDS),
             message.running_by_target,
             [
                 [
                     entry.number,
                     entry.service,
                     entry.tier,
-                    round(entry.age * MILLISECONDS),
+                    _milliseconds(entry.age),
                     entry.avoid,
                     entry.coordinator,
                     round(entry.events),
-                    round(entry.time_left * MILLISECONDS),
+                    _milliseconds(entry.time_left),
+                    entry.part,
                 ]
                 for entry in message.waiting
             ],
-            {name: round(drawn) for name, drawn in message.drawn_by_workspace.items()},
             message.grant_by_coordinator,
             message.paused,
-            {
-                target: round(seconds * MILLISECONDS, 1)
-                for target, seconds in message.event_seconds_by_target.items()
-            },
+            _pack_facts(message.facts) if message.facts is not None else None,
         ]
     )
 
 
+def _pack_facts(facts):
+    return [
+        facts.revision,
+        _milliseconds(facts.evidence_age),
+        facts.store_revision,
+        int(facts.scope),
+        {name: round(drawn) for name, drawn in facts.drawn_by_workspace.items()},
+        {
+            target: round(seconds * MILLISECONDS, 1)
+            for target, seconds in facts.event_seconds_by_target.items()
+        },
+        [
+            [
+                load.cell.service,
+                load.cell.data_centre,
+                load.free,
+                load.places,
+                _milliseconds(load.age),
+            ]
+            for load in facts.cells
+        ],
+    ]
+
+
+def _milliseconds(seconds):
+    return round(min(seconds, MAX_AGE_SECONDS) * MILLISECONDS)
+
+
 def decode(data):
     """Return the message in a datagram.
 
@@ -213,14 +327,11 @@
     incarnation,
     number,
     leaving,
-    revision,
-    age,
     running,
     waiting,
-    drawn,
     grants,
     paused,
-    paces,
+    facts,
 ):
     return Report(
         instance,
@@ -228,8 +339,6 @@
         incarnation,
         number,
         leaving,
-        revision,
-        age / MILLISECONDS,
         running,
         tuple(
             WaitingHere(
@@ -241,28 +350,65 @@
                 coordinator,
                 events,
                 left / MILLISECONDS,
+                part,
             )
-            for request, service, tier, waited, avoid, coordinator, events, left in (
-                waiting
-            )
+            for (
+                request,
+                service,
+                tier,
+                waited,
+                avoid,
+                coordinator,
+                events,
+                left,
+                part,
+            ) in waiting
         ),
-        drawn,
         grants,
         tuple(paused),
+        _unpack_facts(*facts) if facts is not None else None,
+    )
+
+
+def _unpack_facts(revision, age, store_revision, scope, drawn, paces, cells):
+    return Facts(
+        revision,
+        age / MILLISECONDS,
+        store_revision,
+        Scope(scope),
+        drawn,
         {target: pace / MILLISECONDS for target, pace in paces.items()},
+        tuple(
+            CellLoad(Cell(service, part), free, places, waited / MILLISECONDS)
+            for service, part, free, places, waited in cells
+        ),
     )
 
 
-def _decode_roster(instance, addresses):
-    return Roster(instance, tuple(addresses))
+def _decode_roster(instance, contacts):
+    return Roster(
+        instance,
+        tuple(
+            Contact(address, name, data_centre, capacity, age / MILLISECONDS, leaving)
+            for address, name, data_centre, capacity, age, leaving in contacts
+        ),
+    )
 
 
-def _decode_grants(instance, grants):
-    return Grants(instance, tuple(Grant(*entry) for entry in grants))
+def _decode_grants(instance, grants, waits):
+    return Grants(
+        instance,
+        tuple(Grant(*entry) for entry in grants),
+        tuple(
+            ExpectedWait(service, part, tuple(tier), wait / MILLISECONDS)
+            for service, part, tier, wait in waits
+        ),
+    )
 
 
 DECODERS: dict[int, Callable] = {
     REPORT: _decode_report,
     ROSTER: _decode_roster,
     GRANTS: _decode_grants,
+    QUESTION: Question,
 }
--- a/almondglade/placement/allowance.py
+++ b/almondglade/placement/allowance.py
@@ -4,13 +4,33 @@
 instances; together they must serve its allowance and no more.
 """
 
+from collections import Counter
 from dataclasses import dataclass
+from enum import IntEnum
 
 # Share of the burst that may be drawn after a restart. Each restart of a rolling
 # one adds as much to what the fleet draws; the pages' slack bears four at once.
 RESTART_SHARE = 0.5
 
 
+class Scope(IntEnum):
+    """Whose draws an instance tells another.
+
+    Attributes
+    ----------
+    OWN
+        Its own.
+    DATA_CENTRE
+        Those of its data centre, to the relays of others.
+    OTHERS
+        All but the receiver's, from the relay of its data centre.
+    """
+
+    OWN = 0
+    DATA_CENTRE = 1
+    OTHERS = 2
+
+
 @dataclass
 class _Bucket:
     level: float
@@ -34,7 +54,8 @@
     def __init__(self, starts_full=True):
         self.starts_full = starts_full
         self._bucket_by_workspace: dict[str, _Bucket] = {}
-        self._drawn_by_peer: dict[tuple[str, int], dict[str, float]] = {}
+        self._drawn_by_peer: dict[tuple[str, int, Scope], dict[str, float]] = {}
+        self._heard_by_peer: dict[tuple[str, Scope], Counter] = {}
 
     def draw(self, terms, amount, now):
         """Take an amount if the allowance holds it.
@@ -69,23 +90,46 @@
             bucket.level = min(terms.burst, bucket.level + amount)
             bucket.drawn_here -= amount
 
-    def take_peer(self, peer, incarnation, drawn_by_workspace):
+    def take_peer(self, peer, incarnation, drawn_by_workspace, scope=Scope.OWN):
         """Take in the draws that a peer has counted since its start.
 
         Parameters
         ----------
         drawn_by_workspace : dict of str to float
             Its counters.
+        scope : Scope
+            Whose draws they are.
         """
-        known = self._drawn_by_peer.get((peer, incarnation))
-        self._drawn_by_peer[peer, incarnation] = dict(drawn_by_workspace)
+        known = self._drawn_by_peer.get((peer, incarnation, scope))
+        self._drawn_by_peer[peer, incarnation, scope] = dict(drawn_by_workspace)
         if known is None:
             # What a peer drew before it was first heard of is long refilled.
             return
+        heard = self._heard_by_peer.setdefault((peer, scope), Counter())
         for workspace, drawn in drawn_by_workspace.items():
+            change = drawn - known.get(workspace, 0.0)
+            heard[workspace] += change
             bucket = self._bucket_by_workspace.get(workspace)
             if bucket is not None:
-                bucket.level -= drawn - known.get(workspace, 0.0)
+                bucket.level -= change
+
+    def drawn(self, scope, receiver=""):
+        """Return counters by workspace to tell a peer.
+
+        Parameters
+        ----------
+        scope : Scope
+            Whose draws the peer is told.
+        receiver : str
+            The peer, whose own draws it knows better.
+        """
+        total: Counter = Counter(self.drawn_here())
+        if scope is Scope.OWN:
+            return dict(total)
+        for (peer, heard_scope), heard in self._heard_by_peer.items():
+            if peer != receiver and heard_scope < scope:
+                total.update(heard)
+        return dict(total)
 
     def drawn_here(self):
         """Return this instance's counters by workspace."""
--- a/almondglade/placement/coordination.py
+++ b/almondglade/placement/coordination.py
@@ -1,20 +1,43 @@
-"""Choose the instance that gives out the places of a service.
+"""Choose the instance that gives out the places of a cell.
 
 Load pattern: instances are killed, paused or cut off while requests wait; those
 that are left must agree on another coordinator within some round trips, without
 a vote and without stored state.
 """
 
+from collections.abc import Iterable
+from dataclasses import dataclass
+
 import xxhash
 
 # A coordinator that has not answered for this long is passed over; some round
 # trips and a pause of its interpreter.
 SILENT_SECONDS = 0.08
-# It is asked again after this.
+# It is asked again after this, and after twice as long each time that it stays
+# silent, up to the longest.
 SUSPECT_SECONDS = 1.0
+MAX_SUSPECT_SECONDS = 8.0
+# An instance that was not asked for this long begins to coordinate anew.
+TERM_SECONDS = 1.0
+# It then lets the others tell what they run before it grants; some round trips.
+SETTLE_SECONDS = 0.06
 NEVER = float("-inf")
 
 
+@dataclass(frozen=True)
+class Site:
+    """Where an instance runs and how much it bears.
+
+    Parameters
+    ----------
+    capacity : float
+        Relative processor and link; the strongest instances coordinate.
+    """
+
+    data_centre: str = ""
+    capacity: float = 0.0
+
+
 class Coordinators:
     """Rendezvous hashing over the instances that are heard and not silent.
 
@@ -31,26 +54,74 @@
 
     def __init__(self, instance):
         self.instance = instance
-        self.instances = [instance]
+        self._instances = [instance]
+        self._site_by_name: dict[str, Site] = {}
+        self._order_by_cell: dict[tuple[str, str], list[str]] = {}
         self._heard_by_name: dict[str, float] = {}
         self._suspect_until: dict[str, float] = {}
+        self._suspicions_by_name: dict[str, int] = {}
+
+    @property
+    def instances(self):
+        """Names of the instances among which coordinators are chosen."""
+        return self._instances
+
+    @instances.setter
+    def instances(self, names: Iterable[str]):
+        self.set_instances(names, self._site_by_name)
 
-    def choose(self, service, now):
-        """Return the instance that gives the places of a service."""
-        candidates = [
+    def set_instances(self, names, site_by_name):
+        """Replace the instances and where they are.
+
+        Parameters
+        ----------
+        names : iterable of str
+        site_by_name : dict of str to Site
+        """
+        names = list(names)
+        if names != self._instances or site_by_name != self._site_by_name:
+            self._instances, self._site_by_name = names, dict(site_by_name)
+            self._order_by_cell = {}
+
+    def choose(self, service, now, data_centre=""):
+        """Return the instance that gives the places of a cell.
+
+        Parameters
+        ----------
+        data_centre : str
+            Where the cell is; empty for a whole service. Without an instance
+            there, one of another data centre is chosen.
+        """
+        key = (service, data_centre)
+        order = self._order_by_cell.get(key)
+        if order is None:
+            order = self._order_by_cell[key] = self._order(service, data_centre)
+        for name in order:
+            if name == self.instance or now >= self._suspect_until.get(name, NEVER):
+                return name
+        return self.instance
+
+    def _order(self, service, data_centre):
+        unknown = Site()
+        sites = {name: self._site_by_name.get(name, unknown) for name in self.instances}
+        near = [
             name
-            for name in self.instances
-            if name == self.instance or now >= self._suspect_until.get(name, NEVER)
+            for name, site in sites.items()
+            if data_centre in ("", site.data_centre)
         ]
-        return min(
-            candidates,
-            key=lambda name: xxhash.xxh64_intdigest(f"{service}\0{name}".encode()),
+        return sorted(
+            near or self.instances,
+            key=lambda name: (
+                -sites[name].capacity,
+                xxhash.xxh64_intdigest(f"{service}\0{name}".encode()),
+            ),
         )
 
     def heard_from(self, name, now):
         """Note that a coordinator has answered."""
         self._heard_by_name[name] = now
         self._suspect_until.pop(name, None)
+        self._suspicions_by_name.pop(name, None)
 
     def heard_at(self, name):
         """Return when a coordinator last answered."""
@@ -63,4 +134,27 @@
 
     def pass_over(self, name, now):
         """Ask other instances for a while."""
-        self._suspect_until[name] = now + SUSPECT_SECONDS
+        count = self._suspicions_by_name.get(name, 0)
+        self._suspicions_by_name[name] = count + 1
+        pause = min(SUSPECT_SECONDS * 2**count, MAX_SUSPECT_SECONDS)
+        self._suspect_until[name] = now + pause
+
+
+class Terms:
+    """When this instance began to coordinate each cell."""
+
+    def __init__(self):
+        self._began_by_cell = {}
+        self._asked_by_cell = {}
+
+    def asked(self, cell, now):
+        """Note a request for a place; tell whether a new term begins with it."""
+        begins = now - self._asked_by_cell.get(cell, NEVER) > TERM_SECONDS
+        self._asked_by_cell[cell] = now
+        if begins:
+            self._began_by_cell[cell] = now
+        return begins
+
+    def is_settled(self, cell, now):
+        """Tell whether the others had time to say what they run."""
+        return now - self._began_by_cell.get(cell, NEVER) >= SETTLE_SECONDS
--- a/almondglade/placement/fleetload.py
+++ b/almondglade/placement/fleetload.py
@@ -6,7 +6,9 @@
 
 import statistics
 from collections import Counter
+from dataclasses import replace
 
+from .cells import Cell
 from .places import GivenPlace, PeerLoad, Ticket
 
 # A peer that has been silent for this long no longer counts; seconds.
@@ -35,7 +37,7 @@
         self.total_by_target: dict[str, int] = {}
         self.paused_by_target: Counter = Counter()
         self._load_by_peer: dict[str, PeerLoad] = {}
-        self._tickets_by_service: dict[str, dict[tuple[str, int], Ticket]] = {}
+        self._tickets_by_cell: dict[Cell, dict[tuple[str, int], Ticket]] = {}
         self._given: dict[tuple[str, int], GivenPlace] = {}
         self._pace_by_target: dict[str, float] = {}
         self._pace_at = float("-inf")
@@ -47,13 +49,17 @@
         ----------
         load : PeerLoad
         """
+        known = self._load_by_peer.get(peer)
+        if load.event_seconds_by_target is None:
+            paces = known.event_seconds_by_target if known else {}
+            load = replace(load, event_seconds_by_target=paces)
         self.forget(peer)
         self._load_by_peer[peer] = load
         for target, count_by_kind in load.running_by_target.items():
             self._count(target, count_by_kind)
         self.paused_by_target.update(load.paused)
         for ticket in load.tickets:
-            tickets = self._tickets_by_service.setdefault(ticket.service, {})
+            tickets = self._tickets_by_cell.setdefault(ticket.cell, {})
             tickets[peer, ticket.number] = ticket
         for key, place in list(self._given.items()):
             if key[0] == peer and place.number <= load.confirmed:
@@ -68,7 +74,7 @@
             self._count(target, {kind: -n for kind, n in count_by_kind.items()})
         self.paused_by_target.subtract(load.paused)
         for ticket in load.tickets:
-            self._tickets_by_service[ticket.service].pop((peer, ticket.number), None)
+            self._tickets_by_cell[ticket.cell].pop((peer, ticket.number), None)
 
     def expire(self, now):
         """Drop silent peers and grants that nobody took."""
@@ -101,17 +107,17 @@
             if name == owner
         ]
 
-    def tickets(self, service):
-        """Return the peers' requests that wait and have no grant yet."""
+    def tickets(self, cell):
+        """Return the peers' requests that wait for a cell and have no grant yet."""
         return [
             ticket
-            for key, ticket in self._tickets_by_service.get(service, {}).items()
+            for key, ticket in self._tickets_by_cell.get(cell, {}).items()
             if key not in self._given
         ]
 
-    def services(self):
-        """Return the services that peers wait for."""
-        return {name for name, tickets in self._tickets_by_service.items() if tickets}
+    def cells(self):
+        """Return the cells that peers wait for."""
+        return {cell for cell, tickets in self._tickets_by_cell.items() if tickets}
 
     def avoided_by(self, peer):
         """Return the targets that a peer does not use."""
--- a/almondglade/placement/places.py
+++ b/almondglade/placement/places.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 from ..catalogue import TargetRecord
+from .cells import Cell
 from .health import Health
 
 
@@ -29,6 +30,8 @@
         Expected length of its stream; 0 is not known.
     deadline : float
         Monotonic time at which its answer must be whole.
+    part : str
+        Data centre of the cell whose places it wants; empty for all.
 
     Attributes
     ----------
@@ -54,6 +57,12 @@
     coordinator: str = ""
     asked_at: float = 0.0
     passed_over_at: float | None = None
+    part: str = ""
+
+    @property
+    def cell(self):
+        """The cell whose places it wants."""
+        return Cell(self.service, self.part)
 
     @property
     def kind(self):
@@ -120,8 +129,8 @@
         Newest grant from here that it has received.
     paused : frozenset of str
         Targets that it does not use for now.
-    event_seconds_by_target : dict of str to float
-        Pace of streams that it has seen.
+    event_seconds_by_target : dict of str to float or None
+        Pace of streams that it has seen; None keeps what it told before.
     """
 
     heard_at: float
@@ -129,7 +138,7 @@
     tickets: tuple[Ticket, ...] = ()
     confirmed: int = 0
     paused: frozenset[str] = frozenset()
-    event_seconds_by_target: dict[str, float] = field(default_factory=dict)
+    event_seconds_by_target: dict[str, float] | None = None
 
 
 @dataclass(frozen=True)
--- a/almondglade/placement/pool.py
+++ b/almondglade/placement/pool.py
@@ -2,18 +2,20 @@
 
 Load pattern: several times more work arrives than the targets bear, by way of
 every instance at once. Work waits here and not in the targets' own queues,
-which know no tiers. One instance coordinates each service: all others tell it
-what runs and what waits with them, and it gives each free place to the best
-waiting request of the fleet. When the coordinator is silent, an instance goes on
-by what it knows of the others.
+which know no tiers. One instance coordinates each cell (a service, or the part of
+a large one in a data centre): all others tell it what runs and what waits with
+them, and it gives each free place to the best waiting request of the fleet. When
+the coordinator is silent, an instance goes on by what it knows of the others.
 """
 
 import itertools
 from collections import Counter
 
-from .coordination import Coordinators
+from .cells import Cell, Cells
+from .coordination import Coordinators, Terms
 from .fairness import FairOrder
 from .fleetload import FleetLoad
+from .outlook import LEAVE_WAIT_SECONDS, CellLoad, Outlook
 from .places import TargetState, Ticket
 
 # Without a coordinator, a free place that the instance with the better request
@@ -23,6 +25,10 @@
 ALONE_SECONDS = 0.16
 # Peers that must pause a target before others leave it too.
 AGREED_PAUSES = 2
+# A request that waits for this long may go on waiting in another cell.
+MOVE_SECONDS = 0.2
+# Places of a target that an instance uses which hears of no other's use.
+UNHEARD_PLACES = 1
 # Weight of the newest time that a place was held.
 HOLD_WEIGHT = 0.05
 # Assumed time that a place is held before any was seen, seconds.
@@ -42,6 +48,14 @@
         Chooses among targets with free places.
     first_grant : int
         Number of the first grant; higher after each restart.
+
+    Attributes
+    ----------
+    hears_all : bool
+        Whether all instances tell this one what they run; in a large fleet only
+        coordinators are told.
+    on_new_term : callable
+        Called when this instance begins to coordinate a cell.
     """
 
     def __init__(self, instance, data_centre, choice, first_grant=0):
@@ -51,11 +65,16 @@
         self.state_by_target: dict[str, TargetState] = {}
         self.fleet = FleetLoad()
         self.coordinators = Coordinators(self.instance)
+        self.cells = Cells()
+        self.outlook = Outlook()
+        self.terms = Terms()
+        self.hears_all = True
+        self.on_new_term = lambda: None
         self.out_data_centres: frozenset[str] = frozenset()
         self.tickets_by_service: dict[str, list[Ticket]] = {}
         self.hold_by_service: dict[str, float] = {}
         self.grant_by_coordinator: dict[str, int] = {}
-        self._states_by_service: dict[str, list[TargetState]] = {}
+        self._states_by_cell: dict[Cell, list[TargetState]] = {}
         self._numbers = itertools.count(1)
         self._grant_numbers = itertools.count(first_grant + 1)
 
@@ -74,9 +93,12 @@
             state.record = record
             states[record.id] = state
         self.state_by_target = states
-        self._states_by_service = {}
+        self.cells.set_targets(state.record for state in states.values())
+        self._states_by_cell = {}
         for state in states.values():
-            self._states_by_service.setdefault(state.record.service, []).append(state)
+            for cell in self.cells.of(state.record.service):
+                if cell.holds(state.record.data_centre):
+                    self._states_by_cell.setdefault(cell, []).append(state)
         self.choice.pace.forget(states)
 
     def ask(self, ticket, now):
@@ -84,12 +106,40 @@
         ticket.number = next(self._numbers)
         ticket.owner = self.instance
         ticket.data_centre = self.data_centre
-        ticket.coordinator = self.coordinators.choose(ticket.service, now)
-        ticket.asked_at = now
+        self._ask_cell(ticket, self._choose_cell(ticket.service, ticket.tier, now), now)
         tickets = self.tickets_by_service.setdefault(ticket.service, [])
         tickets.append(ticket)
         tickets.sort(key=lambda entry: entry.rank)
 
+    def _ask_cell(self, ticket, cell, now):
+        ticket.part = cell.data_centre
+        ticket.coordinator = self.coordinator(cell, now)
+        ticket.asked_at = now
+        if ticket.coordinator == self.instance:
+            self.asked(cell, now)
+
+    def asked(self, cell, now):
+        """Note that this instance is asked for a place of a cell."""
+        if self.terms.asked(cell, now) and not self.hears_all:
+            self.on_new_term()
+
+    def coordinator(self, cell, now):
+        """Return the instance that gives the places of a cell."""
+        return self.coordinators.choose(cell.service, now, cell.data_centre)
+
+    def coordinators_in_use(self, now):
+        """Return the coordinators that must know what runs and waits here."""
+        cells = {ticket.cell for ticket in self.waiting_here()}
+        for state in self.state_by_target.values():
+            if self.hears_all or state.running_here:
+                cells.update(
+                    cell
+                    for cell in self.cells.of(state.record.service)
+                    if cell.holds(state.record.data_centre)
+                )
+        names = {self.coordinator(cell, now) for cell in cells}
+        return names | {ticket.coordinator for ticket in self.waiting_here()}
+
     def take_grant(self, coordinator, number, request, target):
         """Take a place that a coordinator has granted.
 
@@ -131,9 +181,11 @@
         for name in silent:
             self.coordinators.pass_over(name, now)
         for ticket in tickets:
-            chosen = self.coordinators.choose(ticket.service, now)
-            if chosen != ticket.coordinator:
-                ticket.coordinator, ticket.asked_at = chosen, now
+            cell = ticket.cell
+            if now - ticket.arrived > MOVE_SECONDS:
+                cell = self._choose_cell(ticket.service, ticket.tier, now, cell)
+            if cell != ticket.cell or self.coordinator(cell, now) != ticket.coordinator:
+                self._ask_cell(ticket, cell, now)
         return sorted(silent)
 
     def withdraw(self, ticket):
@@ -170,23 +222,31 @@
             grant, own ones with 0.
         """
         self.fleet.expire_grants(now)
-        services = sorted(self.fleet.services() | self.tickets_by_service.keys())
+        cells = {ticket.cell for ticket in self.waiting_here()}
         return [
-            grant for service in services for grant in self._match_service(service, now)
+            grant
+            for cell in sorted(cells | self.fleet.cells())
+            for grant in self._match_cell(cell, now)
         ]
 
-    def _match_service(self, service, now):
-        foreign = self.fleet.tickets(service)
-        asked = [ticket for ticket in foreign if ticket.coordinator == self.instance]
+    def _match_cell(self, cell, now):
+        foreign = self.fleet.tickets(cell)
+        settled = self._is_settled(cell, now)
+        asked = [
+            ticket
+            for ticket in foreign
+            if settled and ticket.coordinator == self.instance
+        ]
         mine = [
             ticket
-            for ticket in self.tickets_by_service.get(service, ())
-            if self._is_decided_here(ticket, now)
+            for ticket in self.tickets_by_service.get(cell.service, ())
+            if ticket.cell == cell and self._is_decided_here(ticket, settled, now)
         ]
         if not asked and not mine:
             return
-        states = self._usable(service, now)
-        free = self._free(states, now)
+        states = self._usable(cell, now)
+        load_of = self._load if self._knows(cell, now) else self._unheard_load
+        free = self._free(states, now, load_of)
         if free <= 0:
             return
         order = self._order(states, now)
@@ -197,7 +257,7 @@
                 continue
             state = self.choice.choose(
                 ticket,
-                [(state, self._load(state)) for state in states],
+                [(state, load_of(state)) for state in states],
                 ticket.avoid | self.fleet.avoided_by(ticket.owner),
                 self.fleet.event_seconds(self.event_seconds_here(), now),
                 now,
@@ -210,6 +270,13 @@
             if free <= 0:
                 return
 
+    def _knows(self, cell, now):
+        """Tell whether all that runs in a cell is told to this instance."""
+        return self.hears_all or self.coordinator(cell, now) == self.instance
+
+    def _is_settled(self, cell, now):
+        return self.hears_all or self.terms.is_settled(cell, now)
+
     def _order(self, states, now):
         """Return the order of the requests for some targets."""
         return FairOrder(
@@ -224,10 +291,10 @@
             running.update(self.fleet.running_by_target.get(state.record.id, ()))
         return running
 
-    def _is_decided_here(self, ticket, now):
+    def _is_decided_here(self, ticket, settled, now):
         """Tell whether an own request is placed by this instance."""
         if ticket.coordinator == self.instance:
-            return True
+            return settled
         heard = self.coordinators.heard_at(ticket.coordinator)
         return now - max(ticket.arrived, heard) > ALONE_SECONDS
 
@@ -252,16 +319,22 @@
         self.fleet.give(ticket, number, now)
         return number
 
-    def _free(self, states, now):
-        return sum(max(0, state.limit(now) - self._load(state)) for state in states)
+    def _free(self, states, now, load_of=None):
+        load_of = load_of or self._load
+        return sum(max(0, state.limit(now) - load_of(state)) for state in states)
 
     def _load(self, state):
         return state.running_here + self.fleet.total_by_target.get(state.record.id, 0)
 
-    def _usable(self, service, now):
+    def _unheard_load(self, state):
+        """Return the load of a target of which this instance is told nothing."""
+        others = max(0, state.record.slots - UNHEARD_PLACES)
+        return max(others + state.running_here, self._load(state))
+
+    def _usable(self, cell, now):
         return [
             state
-            for state in self._states_by_service.get(service, ())
+            for state in self._states_by_cell.get(cell, ())
             if self._takes_new_work(state)
             and not state.health.is_paused(now)
             and self.fleet.paused_by_target[state.record.id] < AGREED_PAUSES
@@ -281,11 +354,29 @@
 
     def services(self):
         """Return the services that have targets."""
-        return sorted(self._states_by_service)
+        return sorted({cell.service for cell in self._states_by_cell})
 
     def free_places(self, service, now):
         """Return the free places of a service, as known here."""
-        return self._free(self._usable(service, now), now)
+        return sum(
+            self._free(self._usable(cell, now), now) for cell in self.cells.of(service)
+        )
+
+    def loads_here(self, now):
+        """Return the loads of the cells that this instance coordinates."""
+        if self.hears_all:
+            return []
+        return [
+            self._cell_load(cell, now)
+            for cell in self._states_by_cell
+            if cell.data_centre and self.coordinator(cell, now) == self.instance
+        ]
+
+    def _cell_load(self, cell, now):
+        states = self._usable(cell, now)
+        waiting = len(self._waiting(cell))
+        places = sum(state.limit(now) for state in states)
+        return CellLoad(cell, self._free(states, now) - waiting, places)
 
     def paused_here(self, now):
         """Return the targets that this instance does not use for now."""
@@ -311,22 +402,54 @@
         tier : tuple of int
             Its rank; requests behind it do not count.
         """
-        states = self._usable(service, now)
+        return self.cell_wait(self._choose_cell(service, tier, now), tier, now)
+
+    def cell_wait(self, cell, tier, now):
+        """Return the same for one cell, counted here or told by its coordinator."""
+        states = self._usable(cell, now)
         places = sum(state.limit(now) for state in states)
         if not places:
             return float("inf")
+        if not self._knows(cell, now):
+            return self.outlook.wait(cell, tier, now)
         if self._free(states, now) > 0:
             return 0.0
-        newest = Ticket(service, tier, now, owner=self.instance)
-        waiting = (
-            *self.tickets_by_service.get(service, ()),
-            *self.fleet.tickets(service),
-        )
+        newest = Ticket(cell.service, tier, now, owner=self.instance)
         ahead = itertools.takewhile(
             lambda ticket: ticket is not newest,
-            self._order(states, now).sort([newest, *waiting]),
+            self._order(states, now).sort([newest, *self._waiting(cell)]),
         )
-        return (sum(1 for _ in ahead) + 1) * self.hold(service) / places
+        return (sum(1 for _ in ahead) + 1) * self.hold(cell.service) / places
+
+    def _waiting(self, cell):
+        own = self.tickets_by_service.get(cell.service, ())
+        return [
+            *(ticket for ticket in own if ticket.cell == cell),
+            *self.fleet.tickets(cell),
+        ]
+
+    def _choose_cell(self, service, tier, now, present=None):
+        """Return the cell that a request asks for a place.
+
+        Parameters
+        ----------
+        present : Cell or None
+            Where it waits already; its own data centre's if None.
+        """
+        cells = self.cells.of(service)
+        if len(cells) == 1:
+            return cells[0]
+        home = present or Cell(service, self.data_centre)
+        wait = self.cell_wait(home, tier, now)
+        if wait <= LEAVE_WAIT_SECONDS:
+            return home
+        others = [cell for cell in cells if cell != home and self._usable(cell, now)]
+        other = self.outlook.choose_other(others, now)
+        if other is not None:
+            return other
+        if wait < float("inf") or not others:
+            return home
+        return self.outlook.rng.choice(others)
 
     def hold(self, service):
         """Return the mean seconds for which a place is held."""
--- a/almondglade/platform/settings.py
+++ b/almondglade/platform/settings.py
@@ -10,6 +10,8 @@
 
 SETTINGS_VARIABLE = "ALMONDGLADE_CONFIG"
 MILLISECONDS = 1000.0
+# Traffic that keeps one core of a coordinator busy; from the cost of a report.
+MBPS_PER_CORE = 50.0
 
 
 class _Wire(BaseModel):
@@ -25,6 +27,17 @@
 class _Limits(_Wire):
     memory_mb: int = Field(alias="memoryMb")
     max_files: int = Field(alias="maxFds")
+    # Share of one core of the usual speed, and how much faster this one is.
+    cpu_share: float = Field(1.0, alias="cpuShare")
+    cpu_speed: float = Field(1.0, alias="cpuCores")
+    link_mbps: float = Field(1000.0, alias="linkMbps")
+
+    @property
+    def capacity(self):
+        """Cores, or what the link carries in the traffic of one core."""
+        return round(
+            min(self.cpu_share * self.cpu_speed, self.link_mbps / MBPS_PER_CORE), 2
+        )
 
 
 class _Bounds(_Wire):
@@ -99,6 +112,7 @@
         first_start=wire.first_start,
         memory_bytes=wire.limits.memory_mb << 20,
         max_files=wire.limits.max_files,
+        capacity=wire.limits.capacity,
         bounds=Bounds(
             contact=bounds.contact_ms / MILLISECONDS,
             grace=bounds.grace_s,
--- a/test/test_gossip.py
+++ b/test/test_gossip.py
@@ -8,14 +8,21 @@
 from almondglade.errors import PeerError
 from almondglade.gossip.messages import (
     FORMAT,
+    Contact,
+    ExpectedWait,
+    Facts,
     Grant,
     Grants,
+    Question,
     Report,
     Roster,
     WaitingHere,
     decode,
     encode,
 )
+from almondglade.placement.allowance import Scope
+from almondglade.placement.cells import Cell
+from almondglade.placement.outlook import CellLoad
 
 NAMES = st.text(min_size=1, max_size=12)
 MILLISECONDS = st.integers(0, 10**6).map(lambda value: value / 1000)
@@ -29,6 +36,19 @@
     NAMES,
     st.integers(0, 3000).map(float),
     MILLISECONDS,
+    NAMES,
+)
+COUNTS = st.integers(0, 10**9)
+LOADS = st.builds(CellLoad, st.builds(Cell, NAMES, NAMES), COUNTS, COUNTS, MILLISECONDS)
+FACTS = st.builds(
+    Facts,
+    st.integers(0, 2**60),
+    MILLISECONDS,
+    st.integers(0, 2**60),
+    st.sampled_from(Scope),
+    st.dictionaries(NAMES, COUNTS.map(float), max_size=3),
+    st.dictionaries(NAMES, st.integers(0, 99).map(lambda value: value / 1000)),
+    st.lists(LOADS, max_size=3).map(tuple),
 )
 REPORTS = st.builds(
     Report,
@@ -37,16 +57,20 @@
     st.integers(0, 2**60),
     st.integers(0, 2**31),
     st.booleans(),
-    st.integers(0, 2**60),
-    MILLISECONDS,
     st.dictionaries(
         NAMES, st.dictionaries(st.integers(0, 9), st.integers(1, 99), max_size=3)
     ),
     st.lists(WAITING, max_size=3).map(tuple),
-    st.dictionaries(NAMES, st.integers(0, 10**9).map(float), max_size=3),
     st.dictionaries(NAMES, st.integers(0, 2**62), max_size=2),
     st.lists(NAMES, max_size=3).map(tuple),
-    st.dictionaries(NAMES, st.integers(0, 99).map(lambda value: value / 1000)),
+    st.none() | FACTS,
+)
+WAITS = st.builds(
+    ExpectedWait,
+    NAMES,
+    NAMES,
+    st.tuples(st.integers(0, 15), st.integers(0, 15)),
+    MILLISECONDS,
 )
 GRANTS = st.builds(
     Grants,
@@ -55,11 +79,22 @@
         st.builds(Grant, st.integers(0, 2**62), st.integers(0, 2**31), NAMES),
         max_size=3,
     ).map(tuple),
+    st.lists(WAITS, max_size=3).map(tuple),
+)
+CONTACTS = st.builds(
+    Contact,
+    NAMES,
+    NAMES,
+    NAMES,
+    COUNTS.map(lambda value: value / 100),
+    MILLISECONDS,
+    st.booleans(),
 )
-ROSTERS = st.builds(Roster, NAMES, st.lists(NAMES, max_size=5).map(tuple))
+ROSTERS = st.builds(Roster, NAMES, st.lists(CONTACTS, max_size=5).map(tuple))
+QUESTIONS = st.builds(Question, NAMES)
 
 
-@given(st.one_of(REPORTS, GRANTS, ROSTERS))
+@given(st.one_of(REPORTS, GRANTS, ROSTERS, QUESTIONS))
 def test_a_message_is_the_same_after_the_wire(message):
     assert decode(encode(message)) == message
 
