Tell coordinators less often, gather changes of the store, spread watches

Changes are now gathered for up to 0.7 s, watches last 2 to 3.2 s at random; a grant is confirmed with the next report, an answer that grants needs no second one, and in a large fleet questions are repeated after 0.15 s. Rosters carry the freshest contacts; a new instance asks for all of them. Ruled out: processor time (176 s of 4,970 machine-seconds) and memory.

--- a/almondglade/gateway/discovery.py
+++ b/almondglade/gateway/discovery.py
@@ -10,8 +10,18 @@
 
 log = get_logger("discovery")
 
-# Each empty answer of the watch proves that the configuration is current.
-WATCH_SECONDS = 2.0
+# Each empty answer of a watch proves that the configuration is current, for less
+# time than the evidence is believed. A small fleet waits for the shorter time; in
+# a larger one the instances prove it to each other at different times, and the
+# fleet begins this many watches a second.
+MIN_WATCH_SECONDS = 2.0
+MAX_WATCH_SECONDS = 3.2
+WATCHES_PER_SECOND = 12.0
+# Pause after an answer with changes, which gathers those that follow: the whole
+# fleet makes this many calls a second in a series of changes. The longest is a
+# third of the shortest bound on changes.
+CALLS_PER_SECOND = 100.0
+MAX_GATHER_SECONDS = 0.7
 MIN_BACKOFF_SECONDS = 0.1
 MAX_BACKOFF_SECONDS = 0.8
 # After an outage, targets that live are listed again within two seconds.
@@ -186,13 +196,16 @@
         Takes the time for which the configuration is surely the newest.
     rng : random.Random
         Spreads the repeats of all instances.
+    instances : callable
+        Returns the number of instances in the fleet.
     """
 
-    def __init__(self, store, registry, confirm, rng):
+    def __init__(self, store, registry, confirm, rng, instances=lambda: 1):
         self.store = store
         self.registry = registry
         self.confirm = confirm
         self.rng = rng
+        self.instances = instances
         self.reachable = None
         self._stopped = threading.Event()
         self._thread = threading.Thread(target=self._run, daemon=True)
@@ -227,7 +240,7 @@
         if revision is None or not self.reachable:
             batch = self.store.read_all()
         else:
-            batch = self.store.watch(revision, WATCH_SECONDS)
+            batch = self.store.watch(revision, self._watch_seconds())
         if not self.reachable:
             if self.reachable is False:
                 self.registry.store_returned()
@@ -235,8 +248,19 @@
             log.info("store reached", revision=batch.revision)
         self.registry.take(batch)
         self.confirm(batch.as_of)
+        if batch.updates:
+            self._stopped.wait(self._gather_seconds())
         return batch.revision
 
+    def _watch_seconds(self):
+        shared = self.instances() / WATCHES_PER_SECOND
+        longest = min(max(MIN_WATCH_SECONDS, shared), MAX_WATCH_SECONDS)
+        return self.rng.uniform(MIN_WATCH_SECONDS, longest)
+
+    def _gather_seconds(self):
+        pause = min(self.instances() / CALLS_PER_SECOND, MAX_GATHER_SECONDS)
+        return pause * self.rng.uniform(0.8, 1.0)
+
     def _lost(self, error):
         if self.reachable is not False:
             log.warning("store lost", cause=str(error))
--- a/almondglade/gateway/exchange.py
+++ b/almondglade/gateway/exchange.py
@@ -45,7 +45,8 @@
     fleet : Fleet
         Carries the messages; set once it exists.
     match : callable
-        Gives free places to waiting requests; set once it exists.
+        Gives free places to waiting requests and returns the peers that got
+        some; set once it exists.
     leaving : bool
         Whether this instance is about to stop.
     """
@@ -62,7 +63,7 @@
         self.clock = clock
         self.leaving = False
         self.fleet: Any = None
-        self.match = lambda: None
+        self.match: Any = set
         self.store_revision = 0
         self._told: set[str] = set()
         self._counted_waits: dict[tuple, tuple[float, float]] = {}
@@ -122,16 +123,22 @@
         )
 
     def coordinators(self):
-        """Return the coordinators that must be told, and whether work waits.
+        """Return the coordinators that must be told, and when to tell them again.
 
         Those that were told last are told once more, so that they learn of the
         end of what ran there.
+
+        Returns
+        -------
+        names : set of str
+        pause : float
+            Seconds until they are told again without a change.
         """
         with self.lock:
             names = self.pools.coordinators_in_use(self.clock())
-            waiting = bool(self.pools.waiting_here())
+            pause = self.pools.next_report_seconds()
         told, self._told = names | self._told, names
-        return told - {self.settings.instance}, waiting
+        return told - {self.settings.instance}, pause
 
     def relay(self, data_centre):
         """Return the instance that passes facts on in a data centre."""
@@ -182,8 +189,8 @@
             for cell in asked:
                 self.pools.asked(cell, now)
             again = self.pools.fleet.given_to(report.instance)
-            self.match()
-            if asked:
+            answered = self.match()
+            if asked and (again or report.instance not in answered):
                 # Also says that the requests are known here.
                 self.send_grants(report.instance, again, self._waits(load, now))
 
@@ -266,4 +273,4 @@
             if ticket is not None:
                 ticket.granted()
         if message.grants:
-            self.fleet.changed()
+            self.fleet.confirm_soon()
--- a/almondglade/gateway/node.py
+++ b/almondglade/gateway/node.py
@@ -115,7 +115,13 @@
         self.exchange.match = self.scheduler.match
         self.registry = Registry(self.clock, self._published)
         self.store = StoreClient(settings.store_address, awake_clock, self.clock)
-        self.discovery = Discovery(self.store, self.registry, self._confirm, rng)
+        self.discovery = Discovery(
+            self.store,
+            self.registry,
+            self._confirm,
+            rng,
+            lambda: self.fleet.most_seen,
+        )
         self.app = GatewayApp(
             settings.instance,
             f"{self.incarnation:x}",
--- a/almondglade/gateway/scheduling.py
+++ b/almondglade/gateway/scheduling.py
@@ -160,7 +160,8 @@
             expected = self.pools.expected_wait(
                 request.service, request.tier, self.clock()
             )
-        self.on_change()
+        if waiting:
+            self.on_change()
         if request.presence.gone:
             if not waiting:
                 self.release(ticket, None)
@@ -211,7 +212,13 @@
         self.on_change()
 
     def match(self):
-        """Give free places to waiting requests; the lock must be held."""
+        """Give free places to waiting requests; the lock must be held.
+
+        Returns
+        -------
+        set of str
+            Peers whose requests got some.
+        """
         grants_by_peer: dict[str, list[tuple[int, int, str]]] = {}
         for ticket, number in self.pools.match(self.clock()):
             if number:
@@ -221,6 +228,7 @@
                 ticket.granted()
         for peer, grants in grants_by_peer.items():
             self.send_grants(peer, grants)
+        return set(grants_by_peer)
 
     def may_repeat(self, request):
         """Tell whether a request may be sent once more, and count it."""
--- a/almondglade/gossip/fleet.py
+++ b/almondglade/gossip/fleet.py
@@ -23,20 +23,25 @@
 # Shortest and longest pause between reports to the whole fleet, seconds.
 MIN_REPORT_SECONDS = 0.25
 IDLE_REPORT_SECONDS = 0.5
-# A coordinator is asked again after this while requests wait, seconds.
-ASK_AGAIN_SECONDS = 0.04
-# Pause between rosters; a new instance is known everywhere after two.
+# A coordinator hears within this that a grant has arrived, well before the grant
+# expires.
+CONFIRM_SECONDS = 0.15
+# Pause between rosters, and in a large fleet; a new instance is known everywhere
+# after two, or after some rounds.
 ROSTER_SECONDS = 0.5
+LARGE_ROSTER_SECONDS = 1.0
 # Peers that each roster goes to, besides the seeds.
 ROSTER_FANOUT = 2
+# An instance asks for all contacts for this long after its start; some rosters.
+JOIN_SECONDS = 3.0
 # Contacts in one roster, so that it fits into one packet.
-ROSTER_CONTACTS = 16
+ROSTER_CONTACTS = 12
 # A peer that has been silent for this long is lost, and forgotten later.
 LOST_SECONDS = 1.5
 FORGOTTEN_SECONDS = 30.0
-# The same where most peers are heard of by rosters alone, which reach everybody
-# after some rounds.
-HEARSAY_LOST_SECONDS = 5.0
+# The same where most peers are heard of by rosters alone, which take some rounds
+# to reach everybody; a silent coordinator is passed over long before.
+HEARSAY_LOST_SECONDS = 15.0
 # A relay that is silent for this long is passed over: two reports and their way.
 RELAY_SILENT_SECONDS = 1.2
 
@@ -94,8 +99,10 @@
         self.most_seen = 1
         self._transport: Any = None
         self._changed = asyncio.Event()
+        self._started_at = clock()
         self._number = 0
         self._changes = 0
+        self._confirmation: Any = None
         self._relay = ""
         self._relay_since = 0.0
         self._loop = asyncio.get_running_loop()
@@ -120,6 +127,15 @@
         """Send a message to peers by name; safe from any thread."""
         self._loop.call_soon_threadsafe(self.send_to, names, lambda: message)
 
+    def confirm_soon(self):
+        """Let coordinators hear soon, but not at once, that grants have arrived."""
+        if self._confirmation is None:
+            self._confirmation = self._loop.call_later(CONFIRM_SECONDS, self._confirm)
+
+    def _confirm(self):
+        self._confirmation = None
+        self._changed.set()
+
     def announce(self):
         """Tell all peers of a change that concerns each of them."""
         self._send_to_all(self._report())
@@ -181,6 +197,11 @@
         for contact in message.contacts:
             if contact.address != self.address:
                 self._hear_of(contact)
+        if message.joining:
+            live = self._live_by_age()
+            for start in range(0, len(live), ROSTER_CONTACTS):
+                part = live[start : start + ROSTER_CONTACTS]
+                self._send(self._roster_of(part, joining=False), [peer.address])
 
     @_take.register
     def _(self, message: Report, peer):
@@ -223,7 +244,8 @@
             peer = self.peer_by_address[contact.address] = Peer(
                 contact.address, heard_at
             )
-            self._send(self._roster(), [contact.address])
+            if self.is_direct():
+                self._send(self._roster(), [contact.address])
         elif heard_at < peer.heard_at and peer.instance:
             return
         peer.heard_at = max(peer.heard_at, heard_at)
@@ -297,12 +319,10 @@
     async def _ask(self):
         """Tell the coordinators of each change at once, and while work waits."""
         while True:
-            names, waiting = self.exchange.coordinators()
+            names, pause = self.exchange.coordinators()
             self.send_to(names, self._report)
             try:
-                async with asyncio.timeout(
-                    ASK_AGAIN_SECONDS if waiting else IDLE_REPORT_SECONDS
-                ):
+                async with asyncio.timeout(pause):
                     await self._changed.wait()
             except TimeoutError:
                 pass
@@ -335,11 +355,29 @@
             self._tell_instances()
             live = [peer.address for peer in self.live_peers()]
             chosen = self.rng.sample(live, min(ROSTER_FANOUT, len(live)))
+            slow = not self._is_joining() and not self.is_direct()
             missing = [seed for seed in self.seeds if seed not in live]
+            if slow:
+                # One at a time is enough to find the others after a partition.
+                missing = self.rng.sample(missing, min(1, len(missing)))
             self._send(self._roster(), {*chosen, *missing})
-            await asyncio.sleep(ROSTER_SECONDS * self.rng.uniform(0.8, 1.2))
+            pause = LARGE_ROSTER_SECONDS if slow else ROSTER_SECONDS
+            await asyncio.sleep(pause * self.rng.uniform(0.8, 1.2))
+
+    def _live_by_age(self):
+        return sorted(self.live_peers(), key=lambda peer: -peer.heard_at)
 
     def _roster(self):
+        """Return the freshest contacts and some of the others."""
+        live = self._live_by_age()
+        fresh, rest = live[: ROSTER_CONTACTS // 2], live[ROSTER_CONTACTS // 2 :]
+        sample = self.rng.sample(rest, min(ROSTER_CONTACTS - len(fresh), len(rest)))
+        return self._roster_of((*fresh, *sample), self._is_joining())
+
+    def _is_joining(self):
+        return self.clock() - self._started_at < JOIN_SECONDS
+
+    def _roster_of(self, peers, joining):
         now = self.clock()
         own = Contact(
             self.address,
@@ -348,8 +386,6 @@
             self.site.capacity,
             leaving=self.exchange.leaving,
         )
-        live = self.live_peers()
-        told = self.rng.sample(live, min(ROSTER_CONTACTS, len(live)))
         others = (
             Contact(
                 peer.address,
@@ -359,9 +395,9 @@
                 now - peer.heard_at,
                 peer.leaving,
             )
-            for peer in told
+            for peer in peers
         )
-        return Roster(self.instance, (own, *others))
+        return Roster(self.instance, (own, *others), joining)
 
     def _reachable(self):
         now = self.clock()
--- a/almondglade/gossip/messages.py
+++ b/almondglade/gossip/messages.py
@@ -200,10 +200,17 @@
 
 @dataclass(frozen=True)
 class Roster:
-    """Instances that the sender has heard of lately, itself first."""
+    """Instances that the sender has heard of lately, itself first.
+
+    Parameters
+    ----------
+    joining : bool
+        Whether the sender has just started and wants to hear of all.
+    """
 
     instance: str
     contacts: tuple[Contact, ...]
+    joining: bool = False
 
 
 @singledispatch
@@ -225,7 +232,7 @@
         ]
         for contact in message.contacts
     ]
-    return msgpack.packb([FORMAT, ROSTER, message.instance, contacts])
+    return msgpack.packb([FORMAT, ROSTER, message.instance, contacts, message.joining])
 
 
 @encode.register
@@ -385,13 +392,14 @@
     )
 
 
-def _decode_roster(instance, contacts):
+def _decode_roster(instance, contacts, joining):
     return Roster(
         instance,
         tuple(
             Contact(address, name, data_centre, capacity, age / MILLISECONDS, leaving)
             for address, name, data_centre, capacity, age, leaving in contacts
         ),
+        joining,
     )
 
 
--- a/almondglade/placement/coordination.py
+++ b/almondglade/placement/coordination.py
@@ -127,10 +127,16 @@
         """Return when a coordinator last answered."""
         return self._heard_by_name.get(name, NEVER)
 
-    def is_silent(self, name, asked_at, now):
-        """Tell whether a coordinator has not answered since it was asked."""
+    def is_silent(self, name, asked_at, now, patience=SILENT_SECONDS):
+        """Tell whether a coordinator has not answered since it was asked.
+
+        Parameters
+        ----------
+        patience : float
+            Seconds in which it should have.
+        """
         heard = max(asked_at, self.heard_at(name))
-        return name != self.instance and now - heard > SILENT_SECONDS
+        return name != self.instance and now - heard > patience
 
     def pass_over(self, name, now):
         """Ask other instances for a while."""
--- a/almondglade/placement/pool.py
+++ b/almondglade/placement/pool.py
@@ -25,6 +25,14 @@
 ALONE_SECONDS = 0.16
 # Peers that must pause a target before others leave it too.
 AGREED_PAUSES = 2
+# The same in a large fleet, where a coordinator answers less often.
+LARGE_ALONE_SECONDS = 0.6
+# A coordinator is asked again after this while requests wait, in a small and in a
+# large fleet; it is silent after two of them.
+ASK_AGAIN_SECONDS = 0.04
+LARGE_ASK_AGAIN_SECONDS = 0.15
+# It hears as often as this of what runs on, in any case.
+IDLE_REPORT_SECONDS = 0.5
 # A request that waits for this long may go on waiting in another cell.
 MOVE_SECONDS = 0.2
 # Places of a target that an instance uses which hears of no other's use.
@@ -127,6 +135,15 @@
         """Return the instance that gives the places of a cell."""
         return self.coordinators.choose(cell.service, now, cell.data_centre)
 
+    def _ask_again_seconds(self):
+        return ASK_AGAIN_SECONDS if self.hears_all else LARGE_ASK_AGAIN_SECONDS
+
+    def next_report_seconds(self):
+        """Return when coordinators are told again without a change."""
+        if any(self.tickets_by_service.values()):
+            return self._ask_again_seconds()
+        return IDLE_REPORT_SECONDS
+
     def coordinators_in_use(self, now):
         """Return the coordinators that must know what runs and waits here."""
         cells = {ticket.cell for ticket in self.waiting_here()}
@@ -173,10 +190,13 @@
         """
         self.fleet.expire(now)
         tickets = self.waiting_here()
+        patience = 2 * self._ask_again_seconds()
         silent = {
             ticket.coordinator
             for ticket in tickets
-            if self.coordinators.is_silent(ticket.coordinator, ticket.asked_at, now)
+            if self.coordinators.is_silent(
+                ticket.coordinator, ticket.asked_at, now, patience
+            )
         }
         for name in silent:
             self.coordinators.pass_over(name, now)
@@ -296,7 +316,8 @@
         if ticket.coordinator == self.instance:
             return settled
         heard = self.coordinators.heard_at(ticket.coordinator)
-        return now - max(ticket.arrived, heard) > ALONE_SECONDS
+        alone = ALONE_SECONDS if self.hears_all else LARGE_ALONE_SECONDS
+        return now - max(ticket.arrived, heard) > alone
 
     @staticmethod
     def _yields(ticket, foreign, free, now):
--- /dev/null
+++ b/test/test_cells.py
@@ -0,0 +1,238 @@
+"""Large services divided among coordinators, and sums passed on by relays."""
+
+import random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from almondglade.catalogue import WorkspaceTerms
+from almondglade.placement.allowance import Scope, SharedAllowances
+from almondglade.placement.cells import Cell, Cells
+from almondglade.placement.coordination import (
+    MAX_SUSPECT_SECONDS,
+    SETTLE_SECONDS,
+    SILENT_SECONDS,
+    SUSPECT_SECONDS,
+    Coordinators,
+    Site,
+)
+from almondglade.placement.outlook import (
+    FREE_SECONDS,
+    LEAVE_WAIT_SECONDS,
+    WAIT_SECONDS,
+    CellLoad,
+)
+from almondglade.placement.places import PeerLoad
+from almondglade.placement.pool import LARGE_ALONE_SECONDS, MOVE_SECONDS
+
+from .placing import SERVICE, make_pools, record, ticket
+
+NORTH, SOUTH = Cell(SERVICE, "north"), Cell(SERVICE, "south")
+
+
+def engines(north, south, **changes):
+    """Return the records of engines in two data centres."""
+    return [
+        *(record(f"n{number}", "north", **changes) for number in range(north)),
+        *(record(f"s{number}", "south", **changes) for number in range(south)),
+    ]
+
+
+def large_pools(instance="e1", north=8, south=8, sites=None, **changes):
+    """Return the pools of an instance in the north of a large fleet."""
+    pools = make_pools(*engines(north, south, **changes), instance=instance)
+    sites = sites or {"e1": Site("north"), "e9": Site("south")}
+    pools.coordinators.set_instances(sorted(sites), sites)
+    pools.hears_all = False
+    return pools
+
+
+def settle(pools, cell=NORTH):
+    """Let the coordinator of a cell have heard of all that runs; return the time."""
+    pools.asked(cell, 0.0)
+    return 1.1 * SETTLE_SECONDS
+
+
+def test_only_a_large_service_is_divided():
+    cells = Cells()
+    cells.set_targets(engines(2, 3))
+    assert cells.of(SERVICE) == [Cell(SERVICE)]
+    cells.set_targets(engines(8, 8))
+    assert cells.of(SERVICE) == [NORTH, SOUTH]
+
+
+def test_single_targets_that_go_do_not_join_the_cells():
+    cells = Cells()
+    cells.set_targets(engines(4, 4))
+    cells.set_targets(engines(3, 3))
+    assert cells.of(SERVICE) == [NORTH, SOUTH]
+    cells.set_targets(engines(1, 1))
+    assert cells.of(SERVICE) == [Cell(SERVICE)]
+
+
+def test_a_request_asks_the_coordinator_of_its_own_data_centre():
+    pools = large_pools()
+    entry = ticket()
+    pools.ask(entry, 0.0)
+    assert (entry.part, entry.coordinator) == ("north", "e1")
+
+
+def test_requests_leave_a_full_data_centre_only_where_there_is_room():
+    pools = large_pools()
+    now = settle(pools)
+    for _ in range(60):
+        pools.ask(ticket(arrived=0.0), now)
+    pools.match(now)
+    full = ticket(arrived=now)
+    pools.ask(full, now)
+    assert full.part == "north"
+    pools.outlook.take_load(CellLoad(SOUTH, free=30, places=48), now)
+    leaves = ticket(arrived=now)
+    pools.ask(leaves, now)
+    assert (leaves.part, leaves.coordinator) == ("south", "e9")
+    pools.outlook.take_load(CellLoad(SOUTH, free=2, places=48), now + 0.1)
+    stays = ticket(arrived=now)
+    pools.ask(stays, now + 0.1)
+    assert stays.part == "north"
+
+
+def test_what_was_told_of_room_is_forgotten():
+    pools = large_pools()
+    pools.outlook.take_load(CellLoad(SOUTH, 30, 48), 0.0)
+    assert pools.outlook.choose_other([SOUTH], 0.5 * FREE_SECONDS) == SOUTH
+    assert pools.outlook.choose_other([SOUTH], 1.1 * FREE_SECONDS) is None
+
+
+def test_a_waiting_request_moves_to_a_data_centre_with_room():
+    pools = large_pools()
+    now = settle(pools)
+    for _ in range(60):
+        pools.ask(ticket(arrived=0.0), now)
+    pools.match(now)
+    later = now + 1.1 * MOVE_SECONDS
+    pools.review_coordinators(later)
+    assert {entry.part for entry in pools.waiting_here()} == {"north"}
+    pools.outlook.take_load(CellLoad(SOUTH, 30, 48), later)
+    pools.review_coordinators(later)
+    assert "south" in {entry.part for entry in pools.waiting_here()}
+    assert pools.cell_wait(NORTH, (0, 0), later) <= LEAVE_WAIT_SECONDS
+
+
+def test_without_targets_in_the_own_data_centre_requests_go_elsewhere():
+    pools = large_pools()
+    pools.out_data_centres = frozenset({"north"})
+    entry = ticket()
+    pools.ask(entry, 0.0)
+    assert entry.part == "south"
+
+
+def test_a_new_coordinator_first_hears_what_runs():
+    # Granting at once put up to twice its slots on a target after a takeover.
+    questions = []
+    pools = large_pools()
+    pools.on_new_term = lambda: questions.append(1)
+    pools.ask(ticket(), 0.0)
+    assert questions == [1]
+    assert pools.match(0.5 * SETTLE_SECONDS) == []
+    running = {f"n{number}": {0: 6} for number in range(8)}
+    pools.fleet.take("e2", PeerLoad(0.03, running))
+    assert pools.match(1.1 * SETTLE_SECONDS) == []
+    pools.fleet.take("e2", PeerLoad(0.1, {}))
+    assert len(pools.match(0.1)) == 1
+    pools.ask(ticket(), 0.2)
+    assert questions == [1]
+
+
+def test_alone_in_a_large_fleet_an_instance_takes_one_place_of_each_target():
+    sites = {"e1": Site("north"), "e2": Site("north", 1.0)}
+    pools = large_pools(sites=sites)
+    for _ in range(40):
+        pools.ask(ticket(), 0.0)
+    granted = pools.match(1.1 * LARGE_ALONE_SECONDS)
+    assert len(granted) == 8
+    assert len({entry.target for entry, _ in granted}) == 8
+
+
+def test_the_wait_told_by_a_coordinator_is_believed_for_a_while():
+    sites = {"e1": Site("north"), "e2": Site("north", 1.0)}
+    pools = large_pools(sites=sites)
+    pools.outlook.take_wait(NORTH, (0, 0), 0.8, 0.0)
+    assert pools.expected_wait(SERVICE, (0, 0), 0.1) == 0.8
+    assert pools.expected_wait(SERVICE, (1, 0), 0.1) == 0.0
+    assert pools.expected_wait(SERVICE, (0, 0), 1.1 * WAIT_SECONDS) == 0.0
+
+
+def test_the_strongest_instances_coordinate():
+    coordinators = Coordinators("e1")
+    sites = {f"e{number}": Site("north", 0.5) for number in range(1, 9)}
+    sites["e5"] = Site("north", 2.0)
+    coordinators.set_instances(sorted(sites), sites)
+    assert coordinators.choose(SERVICE, 0.0, "north") == "e5"
+    coordinators.pass_over("e5", 0.0)
+    assert coordinators.choose(SERVICE, 0.0, "north") != "e5"
+
+
+def test_a_coordinator_that_stays_silent_is_asked_less_and_less_often():
+    coordinators = Coordinators("e1")
+    sites = {"e1": Site("north"), "e2": Site("north", 1.0)}
+    coordinators.set_instances(sorted(sites), sites)
+    now, asked = 0.0, 0
+    while now < 60.0:
+        if coordinators.choose(SERVICE, now) == "e2":
+            asked += 1
+            coordinators.pass_over("e2", now)
+        now += SILENT_SECONDS
+    assert asked <= 4 + 60.0 / MAX_SUSPECT_SECONDS
+    coordinators.heard_from("e2", now)
+    coordinators.pass_over("e2", now)
+    assert coordinators.choose(SERVICE, now + 1.1 * SUSPECT_SECONDS) == "e2"
+
+
+TERMS = WorkspaceTerms("w1", rate=1000.0, burst=10_000.0)
+DRAWS = st.lists(st.tuples(st.integers(0, 5), st.integers(1, 900)), max_size=40)
+
+
+@given(DRAWS, st.randoms())
+def test_relayed_draws_count_once_at_every_instance(draws, rng):
+    """Two data centres of three; the first of each passes sums on."""
+    instances = [SharedAllowances() for _ in range(6)]
+    names = [f"e{number}" for number in range(6)]
+
+    def tell(sender, receiver, scope):
+        told = instances[sender].drawn(scope, names[receiver])
+        instances[receiver].take_peer(names[sender], 1, told, scope)
+
+    def tell_all():
+        for member, relay in ((1, 0), (2, 0), (4, 3), (5, 3)):
+            tell(member, relay, Scope.OWN)
+        tell(0, 3, Scope.DATA_CENTRE)
+        tell(3, 0, Scope.DATA_CENTRE)
+        for member, relay in ((1, 0), (2, 0), (4, 3), (5, 3)):
+            tell(relay, member, Scope.OTHERS)
+
+    for allowances in instances:
+        allowances.prepare([TERMS], 0.0)
+    tell_all()
+    drawn = 0
+    for index, amount in draws:
+        if not instances[index].draw(TERMS, amount, 0.0):
+            drawn += amount
+        if rng.random() < 0.3:
+            tell_all()
+    tell_all()
+    tell_all()
+    for allowances in instances:
+        level = allowances._bucket_by_workspace["w1"].level
+        assert level == pytest.approx(TERMS.burst - drawn)
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_requests_spread_over_data_centres_by_their_room(seed):
+    pools = large_pools()
+    pools.outlook.rng = random.Random(seed)
+    pools.outlook.take_load(CellLoad(SOUTH, 10, 48), 0.0)
+    pools.outlook.take_load(CellLoad(Cell(SERVICE, "east"), 40, 48), 0.0)
+    cells = [SOUTH, Cell(SERVICE, "east")]
+    chosen = [pools.outlook.choose_other(cells, 0.0) for _ in range(500)]
+    assert 0.1 < chosen.count(SOUTH) / 500 < 0.3
--- a/test/test_gossip.py
+++ b/test/test_gossip.py
@@ -90,7 +90,9 @@
     MILLISECONDS,
     st.booleans(),
 )
-ROSTERS = st.builds(Roster, NAMES, st.lists(CONTACTS, max_size=5).map(tuple))
+ROSTERS = st.builds(
+    Roster, NAMES, st.lists(CONTACTS, max_size=5).map(tuple), st.booleans()
+)
 QUESTIONS = st.builds(Question, NAMES)
 
 
