Share how targets fare among instances; limit sick ones only beside sound ones

Cause: an instance of a large fleet sends a target one request in two seconds, so that it sees a failing or slow one too late; and where all targets of a service failed part of their requests (srv_grey, errors at all), each was limited to single requests, which serves nobody better. Instances now tell coordinators the answers and failures of the last 3 s, their slowness and pace; draws told by two relays of one data centre count once.

--- a/almondglade/gateway/exchange.py
+++ b/almondglade/gateway/exchange.py
@@ -69,7 +69,7 @@
         self._counted_waits: dict[tuple, tuple[float, float]] = {}
         pools.on_new_term = self._ask_all
 
-    def make_report(self, number, scope=None, receiver=""):
+    def make_report(self, number, scope=None, receiver="", with_views=False):
         """Return the present `Report` with a number.
 
         Parameters
@@ -78,6 +78,9 @@
             Whose draws the facts tell; None leaves the facts out.
         receiver : str
             Peer that the facts are for, if they are for one only.
+        with_views : bool
+            Whether to tell how targets have fared here; a receiver is told of
+            those that it coordinates.
         """
         now = self.clock()
         with self.lock:
@@ -106,6 +109,7 @@
                 dict(self.pools.grant_by_coordinator),
                 tuple(self.pools.paused_here(now)),
                 facts,
+                self.pools.views_here(now, receiver) if with_views else None,
             )
 
     def _facts(self, scope, receiver, now):
@@ -118,7 +122,6 @@
             self.store_revision,
             scope,
             self.allowances.drawn(scope, receiver),
-            self.pools.event_seconds_here(),
             tuple(loads if scope is Scope.OWN else self.pools.outlook.loads(now)),
         )
 
@@ -140,6 +143,11 @@
         told, self._told = names | self._told, names
         return told - {self.settings.instance}, pause
 
+    def coordinators_here(self):
+        """Return the coordinators that give places to this instance."""
+        with self.lock:
+            return self.pools.coordinators_in_use(self.clock())
+
     def relay(self, data_centre):
         """Return the instance that passes facts on in a data centre."""
         with self.lock:
@@ -179,7 +187,7 @@
             tuple(self._tickets_of(report, now)),
             report.grant_by_coordinator.get(own, 0),
             frozenset(report.paused),
-            report.facts.event_seconds_by_target if report.facts else None,
+            report.view_by_target,
         )
         asked = {ticket.cell for ticket in load.tickets if ticket.coordinator == own}
         with self.lock:
@@ -201,11 +209,25 @@
             facts.drawn_by_workspace,
             facts.scope,
             None if self.pools.hears_all else now,
+            self._is_counted(report, facts.scope, now),
         )
         self.freshness.confirm(facts.revision, awake_clock() - facts.evidence_age)
         for cell_load in facts.cells:
             self.pools.outlook.take_load(cell_load, now)
 
+    def _is_counted(self, report, scope, now):
+        """Tell whether a report's draws are told by it alone.
+
+        While instances disagree on the relay of a data centre, several pass the
+        same draws on; those of the one that is chosen here count.
+        """
+        if self.pools.hears_all:
+            return scope is Scope.OWN
+        if scope is Scope.OWN:
+            return report.data_centre == self.settings.data_centre
+        relay = self.pools.coordinators.choose("", now, report.data_centre)
+        return report.instance == relay
+
     def _waits(self, load, now):
         """Return what new requests like those of a peer would wait."""
         if self.pools.hears_all:
--- a/almondglade/gateway/operators.py
+++ b/almondglade/gateway/operators.py
@@ -26,7 +26,7 @@
                 "targets": {
                     name: {
                         "running_here": state.running_here,
-                        "limit": state.limit(now),
+                        "limit": state.limit(),
                         "paused": state.health.is_paused(now),
                         "failures": state.health.failure_share(now),
                         "slowness": state.health.slowness,
--- a/almondglade/gossip/fleet.py
+++ b/almondglade/gossip/fleet.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from dataclasses import dataclass
-from functools import singledispatchmethod
+from functools import partial, singledispatchmethod
 from typing import Any
 
 from ..errors import PeerError
@@ -279,16 +279,20 @@
 
     def _report_to_all(self):
         addresses = [peer.address for peer in self._reachable()]
-        self._send(self._report(Scope.OWN), addresses)
+        self._send(self._report(Scope.OWN, with_views=True), addresses)
         return len(addresses)
 
     def _report_by_relays(self):
         """Tell the relay; as the relay, tell the data centre and other relays."""
         near = self.site.data_centre
         relay = self.exchange.relay(near)
+        for name in self.exchange.coordinators_here() - {relay, self.instance}:
+            self.send_to({name}, partial(self._report, None, name, with_views=True))
         if relay != self.instance:
             self._review_relay(relay)
-            self.send_to({relay}, lambda: self._report(Scope.OWN))
+            self.send_to(
+                {relay}, lambda: self._report(Scope.OWN, relay, with_views=True)
+            )
             return 1
         peers = [peer for peer in self.live_peers() if peer.data_centre == near]
         for peer in peers:
@@ -329,9 +333,9 @@
             self._changed.clear()
             self._changes += 1
 
-    def _report(self, scope=None, receiver=""):
+    def _report(self, scope=None, receiver="", with_views=False):
         self._number += 1
-        return self.exchange.make_report(self._number, scope, receiver)
+        return self.exchange.make_report(self._number, scope, receiver, with_views)
 
     def send_to(self, names, make_message):
         """Send a message to peers by name.
--- a/almondglade/gossip/messages.py
+++ b/almondglade/gossip/messages.py
@@ -13,6 +13,7 @@
 from ..errors import PeerError
 from ..placement.allowance import Scope
 from ..placement.cells import Cell
+from ..placement.health import TargetView
 from ..placement.outlook import CellLoad
 
 FORMAT = 2
@@ -78,8 +79,6 @@
         Whose draws are told.
     drawn_by_workspace : dict of str to float
         Draws on allowances since the sender's start.
-    event_seconds_by_target : dict of str to float
-        Pace of the streams that the sender has seen.
     cells : tuple of CellLoad
         Loads of the cells that the sender coordinates or has heard of.
     """
@@ -89,7 +88,6 @@
     store_revision: int = 0
     scope: Scope = Scope.OWN
     drawn_by_workspace: dict[str, float] = field(default_factory=dict)
-    event_seconds_by_target: dict[str, float] = field(default_factory=dict)
     cells: tuple[CellLoad, ...] = ()
 
 
@@ -115,6 +113,8 @@
         Targets that the sender does not use for now.
     facts : Facts or None
         Told now and then.
+    view_by_target : dict of str to TargetView or None
+        How targets have fared at the sender; told now and then.
     """
 
     instance: str
@@ -127,6 +127,7 @@
     grant_by_coordinator: dict[str, int] = field(default_factory=dict)
     paused: tuple[str, ...] = ()
     facts: Facts | None = None
+    view_by_target: dict[str, TargetView] | None = None
 
 
 @dataclass(frozen=True)
@@ -279,10 +280,32 @@
             message.grant_by_coordinator,
             message.paused,
             _pack_facts(message.facts) if message.facts is not None else None,
+            _pack_views(message.view_by_target)
+            if message.view_by_target is not None
+            else None,
         ]
     )
 
 
+def _pack_views(view_by_target):
+    return {
+        target: [
+            round(view.event_seconds * MILLISECONDS, 1),
+            round(view.slowness, 2),
+            view.answers,
+            view.failures,
+        ]
+        for target, view in view_by_target.items()
+    }
+
+
+def _unpack_views(views):
+    return {
+        target: TargetView(pace / MILLISECONDS, slowness, answers, failures)
+        for target, (pace, slowness, answers, failures) in views.items()
+    }
+
+
 def _pack_facts(facts):
     return [
         facts.revision,
@@ -290,10 +313,6 @@
         facts.store_revision,
         int(facts.scope),
         {name: round(drawn) for name, drawn in facts.drawn_by_workspace.items()},
-        {
-            target: round(seconds * MILLISECONDS, 1)
-            for target, seconds in facts.event_seconds_by_target.items()
-        },
         [
             [
                 load.cell.service,
@@ -339,6 +358,7 @@
     grants,
     paused,
     facts,
+    views,
 ):
     return Report(
         instance,
@@ -374,17 +394,17 @@
         grants,
         tuple(paused),
         _unpack_facts(*facts) if facts is not None else None,
+        _unpack_views(views) if views is not None else None,
     )
 
 
-def _unpack_facts(revision, age, store_revision, scope, drawn, paces, cells):
+def _unpack_facts(revision, age, store_revision, scope, drawn, cells):
     return Facts(
         revision,
         age / MILLISECONDS,
         store_revision,
         Scope(scope),
         drawn,
-        {target: pace / MILLISECONDS for target, pace in paces.items()},
         tuple(
             CellLoad(Cell(service, part), free, places, waited / MILLISECONDS)
             for service, part, free, places, waited in cells
--- a/almondglade/placement/allowance.py
+++ b/almondglade/placement/allowance.py
@@ -96,7 +96,13 @@
             bucket.drawn_here -= amount
 
     def take_peer(
-        self, peer, incarnation, drawn_by_workspace, scope=Scope.OWN, now=None
+        self,
+        peer,
+        incarnation,
+        drawn_by_workspace,
+        scope=Scope.OWN,
+        now=None,
+        is_counted=True,
     ):
         """Take in the draws that a peer has counted since its start.
 
@@ -109,6 +115,8 @@
         now : float or None
             Monotonic time; None if no relay tells of draws. After a pause the
             draws of the meantime were told by another relay.
+        is_counted : bool
+            Whether the draws do not reach this instance by another way too.
         """
         key = (peer, incarnation, scope)
         known = self._drawn_by_peer.get(key)
@@ -116,7 +124,7 @@
         self._drawn_by_peer[key] = dict(drawn_by_workspace)
         if now is not None:
             self._told_at[key] = now
-        if known is None or paused:
+        if known is None or paused or not is_counted:
             # What a peer drew before it was first heard of is long refilled.
             return
         heard = self._heard_by_peer.setdefault((peer, scope), Counter())
--- a/almondglade/placement/choice.py
+++ b/almondglade/placement/choice.py
@@ -33,7 +33,7 @@
         self.pace = pace
         self.cold_rate_by_service: dict[str, float] = {}
 
-    def choose(self, ticket, loads, avoided, event_seconds, now):
+    def choose(self, ticket, loads, avoided, now):
         """Return the state of the best target with a free place, or None.
 
         Parameters
@@ -44,14 +44,12 @@
             Usable targets and the requests that run there.
         avoided : frozenset of str
             Targets that the request must not get.
-        event_seconds : dict of str to float
-            Pace of streams by target.
         """
-        slow = self._too_slow(ticket, loads, event_seconds, now)
+        slow = self._too_slow(ticket, loads, now)
         candidates = [
             (self._cost(ticket, state, load, now), state.record.id, state)
             for state, load in loads
-            if load < state.limit(now)
+            if load < state.limit()
             and state.record.id not in avoided
             and state.record.id not in slow
             and (not self._is_cold(state, now) or self._may_warm(ticket, state, now))
@@ -68,11 +66,10 @@
     def _cost(ticket, state, load, now):
         remote = state.record.data_centre != ticket.data_centre
         filling = (load + 1 + REMOTE_PLACES * remote) / state.record.slots
-        health = state.health
-        return filling * (health.slowness or 1.0) * (1.0 + health.failure_share(now))
+        return filling * state.slowness * (1.0 + state.health.failure_share(now))
 
     @staticmethod
-    def _too_slow(ticket, loads, event_seconds, now):
+    def _too_slow(ticket, loads, now):
         """Return the targets that cannot end a long stream in time.
 
         None are, if there is no target that can.
@@ -83,7 +80,7 @@
         slow = {
             state.record.id
             for state, _ in loads
-            if ticket.events * event_seconds.get(state.record.id, 0.0) > left
+            if ticket.events * state.shared.event_seconds > left
         }
         return slow if len(slow) < len(loads) else frozenset()
 
--- a/almondglade/placement/fleetload.py
+++ b/almondglade/placement/fleetload.py
@@ -9,14 +9,15 @@
 from dataclasses import replace
 
 from .cells import Cell
+from .health import TargetView
 from .places import GivenPlace, PeerLoad, Ticket
 
 # A peer that has been silent for this long no longer counts; seconds.
 PEER_SECONDS = 1.5
 # A grant that the peer has not confirmed counts as running for this long.
 GRANT_SECONDS = 0.5
-# The pace of targets changes slowly; it is summed up again after this.
-PACE_SECONDS = 0.5
+# How targets fare is summed up again after this, seconds.
+VIEWS_SECONDS = 0.25
 
 
 class FleetLoad:
@@ -39,8 +40,7 @@
         self._load_by_peer: dict[str, PeerLoad] = {}
         self._tickets_by_cell: dict[Cell, dict[tuple[str, int], Ticket]] = {}
         self._given: dict[tuple[str, int], GivenPlace] = {}
-        self._pace_by_target: dict[str, float] = {}
-        self._pace_at = float("-inf")
+        self._views_at = float("-inf")
 
     def take(self, peer, load):
         """Replace what a peer says.
@@ -50,9 +50,8 @@
         load : PeerLoad
         """
         known = self._load_by_peer.get(peer)
-        if load.event_seconds_by_target is None:
-            paces = known.event_seconds_by_target if known else {}
-            load = replace(load, event_seconds_by_target=paces)
+        if load.view_by_target is None and known is not None:
+            load = replace(load, view_by_target=known.view_by_target)
         self.forget(peer)
         self._load_by_peer[peer] = load
         for target, count_by_kind in load.running_by_target.items():
@@ -124,27 +123,42 @@
         load = self._load_by_peer.get(peer)
         return load.paused if load else frozenset()
 
-    def event_seconds(self, own, now):
-        """Return the pace of streams by target, as all instances have seen it.
+    def views_are_due(self, now):
+        """Tell whether the views of targets should be summed up again."""
+        if now - self._views_at <= VIEWS_SECONDS:
+            return False
+        self._views_at = now
+        return True
+
+    def sum_views(self, own):
+        """Return how targets have fared at all instances.
 
         Parameters
         ----------
-        own : dict of str to float
-            As this instance has seen it.
+        own : dict of str to TargetView
+            How they have fared at this instance.
+
+        Returns
+        -------
+        dict of str to TargetView
+            Medians of their pace and slowness, sums of their answers.
         """
-        if now - self._pace_at > PACE_SECONDS:
-            self._pace_at = now
-            seen: dict[str, list[float]] = {}
-            for paces in (
-                own,
-                *(load.event_seconds_by_target for load in self._load_by_peer.values()),
-            ):
-                for target, seconds in paces.items():
-                    seen.setdefault(target, []).append(seconds)
-            self._pace_by_target = {
-                target: statistics.median(values) for target, values in seen.items()
-            }
-        return self._pace_by_target
+        seen: dict[str, list[TargetView]] = {}
+        for views in (
+            own,
+            *(load.view_by_target or {} for load in self._load_by_peer.values()),
+        ):
+            for target, view in views.items():
+                seen.setdefault(target, []).append(view)
+        return {
+            target: TargetView(
+                _median(view.event_seconds for view in views),
+                _median(view.slowness for view in views),
+                sum(view.answers for view in views),
+                sum(view.failures for view in views),
+            )
+            for target, views in seen.items()
+        }
 
     def _drop_given(self, key):
         place = self._given.pop(key)
@@ -159,3 +173,9 @@
         self.total_by_target[target] = total
         if not total:
             del self.running_by_target[target], self.total_by_target[target]
+
+
+def _median(values):
+    """Return the median of the known values; 0 if there is none."""
+    known = [value for value in values if value]
+    return statistics.median(known) if known else 0.0
--- a/almondglade/placement/health.py
+++ b/almondglade/placement/health.py
@@ -5,7 +5,8 @@
 gently, without status checks.
 """
 
-from dataclasses import dataclass
+from collections import deque
+from dataclasses import dataclass, field
 
 # First pause after a failure to connect, and the longest; seconds. The first is
 # a few round trips, the longest about a crashed target's restart.
@@ -20,6 +21,36 @@
 FORGET_SECONDS = 3.0
 # Weight of the newest measurement of speed: about eight answers decide.
 SPEED_WEIGHT = 0.12
+# Answers of this time tell the other instances how a target fares, seconds.
+VIEW_SECONDS = 3.0
+# Failures at several instances that make a target sick for all.
+SHARED_FAILURES = 3
+
+
+@dataclass(frozen=True)
+class TargetView:
+    """How a target has fared lately, at one instance or at all.
+
+    Parameters
+    ----------
+    event_seconds, slowness : float
+        As of `Health`.
+    answers, failures : int
+        Requests that ended in the last seconds, and those that failed.
+    """
+
+    event_seconds: float = 0.0
+    slowness: float = 0.0
+    answers: int = 0
+    failures: int = 0
+
+    @property
+    def is_sick(self):
+        """Whether it fails so often that it should only get single requests."""
+        return (
+            self.failures >= SHARED_FAILURES
+            and self.failures >= SICK_SHARE * self.answers
+        )
 
 
 @dataclass
@@ -42,6 +73,16 @@
     judged_at: float = 0.0
     slowness: float = 0.0
     event_seconds: float = 0.0
+    _recent: deque = field(default_factory=deque)
+
+    def view(self, now):
+        """Return the `TargetView` of this instance."""
+        while self._recent and now - self._recent[0][0] > VIEW_SECONDS:
+            self._recent.popleft()
+        failures = sum(has_failed for _, has_failed in self._recent)
+        return TargetView(
+            self.event_seconds, self.slowness, len(self._recent), failures
+        )
 
     def is_paused(self, now):
         """Tell whether the target gets nothing for now."""
@@ -67,6 +108,7 @@
         share = self.failure_share(now)
         self.failures = share + FAILURE_WEIGHT * (1.0 - share)
         self.judged_at = now
+        self._recent.append((now, True))
 
     def succeeded(self, now, slowness=None):
         """Note an answer and how slow it was.
@@ -79,6 +121,7 @@
         share = self.failure_share(now)
         self.failures = share * (1.0 - FAILURE_WEIGHT)
         self.judged_at = now
+        self._recent.append((now, False))
         self.pause = 0.0
         if slowness is not None:
             weight = SPEED_WEIGHT if self.slowness else 1.0
--- a/almondglade/placement/places.py
+++ b/almondglade/placement/places.py
@@ -6,7 +6,7 @@
 
 from ..catalogue import TargetRecord
 from .cells import Cell
-from .health import Health
+from .health import Health, TargetView
 
 
 @dataclass(eq=False)
@@ -90,12 +90,27 @@
         Requests of this instance that run there.
     running_by_kind : Counter
         The same by the rank of their kind.
+    shared : TargetView
+        How it has fared at all instances.
+    is_limited : bool
+        Whether it only gets single requests, since it is sick and others are not.
     """
 
     record: TargetRecord
     health: Health = field(default_factory=Health)
     running_here: int = 0
     running_by_kind: Counter = field(default_factory=Counter)
+    shared: TargetView = TargetView()
+    is_limited: bool = False
+
+    def is_sick(self, now):
+        """Tell whether it fails often, here or at all instances."""
+        return self.health.is_sick(now) or self.shared.is_sick
+
+    @property
+    def slowness(self):
+        """Time to the first answer over what is expected; 1 if not known."""
+        return self.shared.slowness or self.health.slowness or 1.0
 
     def started(self, kind):
         """Count a request of this instance that got a place."""
@@ -108,9 +123,9 @@
             self.running_by_kind[kind] -= 1
             self.running_here -= 1
 
-    def limit(self, now):
+    def limit(self):
         """Return the requests that all instances together may run there."""
-        return 1 if self.health.is_sick(now) else self.record.slots
+        return 1 if self.is_limited else self.record.slots
 
 
 @dataclass(frozen=True)
@@ -129,8 +144,8 @@
         Newest grant from here that it has received.
     paused : frozenset of str
         Targets that it does not use for now.
-    event_seconds_by_target : dict of str to float or None
-        Pace of streams that it has seen; None keeps what it told before.
+    view_by_target : dict of str to TargetView or None
+        How targets have fared there; None keeps what it told before.
     """
 
     heard_at: float
@@ -138,7 +153,7 @@
     tickets: tuple[Ticket, ...] = ()
     confirmed: int = 0
     paused: frozenset[str] = frozenset()
-    event_seconds_by_target: dict[str, float] | None = None
+    view_by_target: dict[str, TargetView] | None = None
 
 
 @dataclass(frozen=True)
--- a/almondglade/placement/pool.py
+++ b/almondglade/placement/pool.py
@@ -15,6 +15,7 @@
 from .coordination import Coordinators, Terms
 from .fairness import FairOrder
 from .fleetload import FleetLoad
+from .health import TargetView
 from .outlook import LEAVE_WAIT_SECONDS, CellLoad, Outlook
 from .places import TargetState, Ticket
 
@@ -37,6 +38,8 @@
 MOVE_SECONDS = 0.2
 # Places of a target that an instance uses which hears of no other's use.
 UNHEARD_PLACES = 1
+# Share of the targets of a cell that may be limited for their failures at once.
+MAX_LIMITED_SHARE = 0.5
 # Weight of the newest time that a place was held.
 HOLD_WEIGHT = 0.05
 # Assumed time that a place is held before any was seen, seconds.
@@ -279,7 +282,6 @@
                 ticket,
                 [(state, load_of(state)) for state in states],
                 ticket.avoid | self.fleet.avoided_by(ticket.owner),
-                self.fleet.event_seconds(self.event_seconds_here(), now),
                 now,
             )
             if state is None:
@@ -301,7 +303,7 @@
         """Return the order of the requests for some targets."""
         return FairOrder(
             lambda: self._running_by_kind(states),
-            sum(state.limit(now) for state in states),
+            sum(state.limit() for state in states),
         )
 
     def _running_by_kind(self, states):
@@ -342,7 +344,7 @@
 
     def _free(self, states, now, load_of=None):
         load_of = load_of or self._load
-        return sum(max(0, state.limit(now) - load_of(state)) for state in states)
+        return sum(max(0, state.limit() - load_of(state)) for state in states)
 
     def _load(self, state):
         return state.running_here + self.fleet.total_by_target.get(state.record.id, 0)
@@ -353,13 +355,20 @@
         return max(others + state.running_here, self._load(state))
 
     def _usable(self, cell, now):
-        return [
+        self._review_targets(now)
+        usable = [
             state
             for state in self._states_by_cell.get(cell, ())
             if self._takes_new_work(state)
             and not state.health.is_paused(now)
             and self.fleet.paused_by_target[state.record.id] < AGREED_PAUSES
         ]
+        sick = [state.is_sick(now) for state in usable]
+        # Where most are sick, fewer requests at each would serve nobody better.
+        may_limit = sum(sick) <= MAX_LIMITED_SHARE * len(usable)
+        for state, is_sick in zip(usable, sick, strict=True):
+            state.is_limited = is_sick and may_limit
+        return usable
 
     def _takes_new_work(self, state):
         """Tell whether operators and the target itself let it get work."""
@@ -396,7 +405,7 @@
     def _cell_load(self, cell, now):
         states = self._usable(cell, now)
         waiting = len(self._waiting(cell))
-        places = sum(state.limit(now) for state in states)
+        places = sum(state.limit() for state in states)
         return CellLoad(cell, self._free(states, now) - waiting, places)
 
     def paused_here(self, now):
@@ -407,13 +416,28 @@
             if state.health.is_paused(now) or not self._takes_new_work(state)
         ]
 
-    def event_seconds_here(self):
-        """Return the pace of streams by target, as seen here."""
-        return {
-            name: state.health.event_seconds
-            for name, state in self.state_by_target.items()
-            if state.health.event_seconds
+    def views_here(self, now, coordinator=""):
+        """Return how targets have fared at this instance.
+
+        Parameters
+        ----------
+        coordinator : str
+            Instance whose targets are wanted; empty for all.
+        """
+        views = {
+            state.record.id: state.health.view(now)
+            for cell, states in self._states_by_cell.items()
+            if coordinator in ("", self.coordinator(cell, now))
+            for state in states
         }
+        return {name: view for name, view in views.items() if view != TargetView()}
+
+    def _review_targets(self, now):
+        """Take in how targets have fared at all instances."""
+        if self.fleet.views_are_due(now):
+            views = self.fleet.sum_views(self.views_here(now))
+            for name, state in self.state_by_target.items():
+                state.shared = views.get(name, TargetView())
 
     def expected_wait(self, service, tier, now):
         """Return the seconds that a new request is expected to wait.
@@ -428,7 +452,7 @@
     def cell_wait(self, cell, tier, now):
         """Return the same for one cell, counted here or told by its coordinator."""
         states = self._usable(cell, now)
-        places = sum(state.limit(now) for state in states)
+        places = sum(state.limit() for state in states)
         if not places:
             return float("inf")
         if not self._knows(cell, now):
--- a/test/test_cells.py
+++ b/test/test_cells.py
@@ -1,12 +1,17 @@
 """Large services divided among coordinators, and sums passed on by relays."""
 
 import random
+import time
+from threading import Lock
+from types import SimpleNamespace
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from almondglade.catalogue import WorkspaceTerms
+from almondglade.gateway.exchange import Exchange
+from almondglade.gossip.messages import Facts, Report
 from almondglade.placement.allowance import Scope, SharedAllowances
 from almondglade.placement.cells import Cell, Cells
 from almondglade.placement.coordination import (
@@ -17,6 +22,8 @@
     Coordinators,
     Site,
 )
+from almondglade.placement.freshness import Freshness
+from almondglade.placement.health import TargetView
 from almondglade.placement.outlook import (
     FREE_SECONDS,
     LEAVE_WAIT_SECONDS,
@@ -255,6 +262,69 @@
     assert drawn - 200 <= counted <= drawn
 
 
+def make_exchange(instance, data_centre, sites):
+    """Return the exchange of an instance of a large fleet, and its allowances."""
+    allowances = SharedAllowances()
+    allowances.prepare([TERMS], 0.0)
+    pools = make_pools(instance=instance, data_centre=data_centre)
+    settings = SimpleNamespace(instance=instance, data_centre=data_centre)
+    exchange = Exchange(
+        settings, 1, Lock(), pools, allowances, Freshness(5.0), time.monotonic
+    )
+    exchange.take_instances(sites, hears_all=False)
+    return exchange, allowances
+
+
+def test_draws_told_by_two_relays_of_a_data_centre_count_once():
+    # Instances disagree on the relay for a moment after a change of the fleet.
+    sites = {"e1": Site("north"), "s1": Site("south", 2.0), "s2": Site("south", 1.0)}
+    exchange, allowances = make_exchange("e1", "north", sites)
+    for number, drawn in ((1, 0.0), (2, 500.0)):
+        for name in ("s1", "s2"):
+            facts = Facts(scope=Scope.DATA_CENTRE, drawn_by_workspace={"w1": drawn})
+            exchange.take_report(Report(name, "south", 1, number, facts=facts))
+    level = allowances._bucket_by_workspace["w1"].level
+    assert level == pytest.approx(TERMS.burst - 500.0)
+
+
+def failing(pools, *names, failures=2, answers=3):
+    """Let peers of e1 tell of failures at some targets."""
+    views = {name: TargetView(0.0, 1.0, answers, failures) for name in names}
+    for peer in ("e2", "e3"):
+        load = PeerLoad(0.0, {}, view_by_target=views)
+        pools.fleet.take(peer, load)
+
+
+def test_failures_seen_by_several_instances_limit_a_target():
+    # Each instance of a large fleet sends a target a request in two seconds; alone
+    # it would take half a minute to see that every third one fails.
+    pools = make_pools(record("t1"), record("t2"), record("t3"))
+    failing(pools, "t1")
+    for _ in range(18):
+        pools.ask(ticket(), 1.0)
+    pools.match(1.0)
+    running = {name: s.running_here for name, s in pools.state_by_target.items()}
+    assert running == {"t1": 1, "t2": 6, "t3": 6}
+
+
+def test_where_most_targets_fail_none_is_limited():
+    # Limiting all of a service to single requests serves nobody better.
+    pools = make_pools(record("t1"), record("t2"), record("t3"))
+    failing(pools, "t1", "t2")
+    for _ in range(18):
+        pools.ask(ticket(), 1.0)
+    assert len(pools.match(1.0)) == 18
+
+
+def test_a_slow_target_is_known_by_what_others_saw():
+    pools = make_pools(record("t1"), record("t2"))
+    slow = {"t1": TargetView(0.0, 4.0, 5, 0), "t2": TargetView(0.0, 1.0, 5, 0)}
+    pools.fleet.take("e2", PeerLoad(0.0, {}, view_by_target=slow))
+    for _ in range(3):
+        pools.ask(ticket(), 1.0)
+    assert {entry.target for entry, _ in pools.match(1.0)} == {"t2"}
+
+
 @pytest.mark.parametrize("seed", range(3))
 def test_requests_spread_over_data_centres_by_their_room(seed):
     pools = large_pools()
--- a/test/test_fleet.py
+++ b/test/test_fleet.py
@@ -63,7 +63,10 @@
         self.hears_all = hears_all
         self.coordinators_of.set_instances(sorted(site_by_name), site_by_name)
 
-    def make_report(self, number, scope=None, receiver=""):
+    def coordinators_here(self):
+        return set()
+
+    def make_report(self, number, scope=None, receiver="", with_views=False):
         facts = Facts(scope=scope) if scope is not None else None
         return Report(self.name, self.data_centre, 1, number, facts=facts)
 
--- a/test/test_gossip.py
+++ b/test/test_gossip.py
@@ -22,6 +22,7 @@
 )
 from almondglade.placement.allowance import Scope
 from almondglade.placement.cells import Cell
+from almondglade.placement.health import TargetView
 from almondglade.placement.outlook import CellLoad
 
 NAMES = st.text(min_size=1, max_size=12)
@@ -47,9 +48,15 @@
     st.integers(0, 2**60),
     st.sampled_from(Scope),
     st.dictionaries(NAMES, COUNTS.map(float), max_size=3),
-    st.dictionaries(NAMES, st.integers(0, 99).map(lambda value: value / 1000)),
     st.lists(LOADS, max_size=3).map(tuple),
 )
+VIEWS = st.builds(
+    TargetView,
+    st.integers(0, 99).map(lambda value: value / 1000),
+    st.integers(0, 9999).map(lambda value: value / 100),
+    COUNTS,
+    COUNTS,
+)
 REPORTS = st.builds(
     Report,
     NAMES,
@@ -64,6 +71,7 @@
     st.dictionaries(NAMES, st.integers(0, 2**62), max_size=2),
     st.lists(NAMES, max_size=3).map(tuple),
     st.none() | FACTS,
+    st.none() | st.dictionaries(NAMES, VIEWS, max_size=3),
 )
 WAITS = st.builds(
     ExpectedWait,
