--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV ?= .venv
 PYTHON = $(VENV)/bin/python
 
-.PHONY: demo test format lint types unit features bench generated binary soak slopes
+.PHONY: demo test format lint types unit features bench generated binary soak faults slopes
 
 $(VENV)/.ready: requirements.lock
 	python3 -m venv $(VENV)
@@ -41,6 +41,9 @@
 	$(PYTHON) -m bench.binary
 
 soak: $(VENV)/.ready
+	$(PYTHON) -m soak --seeds $(or $(SEEDS),10) --seconds $(or $(SECONDS),20)
+
+faults: $(VENV)/.ready
 	HYPOTHESIS_PROFILE=soak ALMONDGLADE_SOAK_EXAMPLES=$(or $(EXAMPLES),100) $(PYTHON) -m pytest test/test_faults.py
 
 slopes: $(VENV)/.ready
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak of real gateways under faults from outside."""
--- a/standin/platform.py
+++ b/standin/platform.py
@@ -22,7 +22,7 @@
     document_index: int = 0
     services: list[dict] = field(default_factory=list)
     services_index: int = 1
-    other_by_key: dict[str, tuple[bytes, int]] = field(default_factory=dict)
+    other_by_key: dict[str, tuple[bytes | None, int]] = field(default_factory=dict)
 
     @property
     def revision(self):
@@ -35,7 +35,11 @@
         published = [(INSTANCES_KEY, orjson.dumps(self.services), self.services_index)]
         if self.document_index:
             published.append((DOCUMENT_KEY, self.document, self.document_index))
-        published += [(key, *entry) for key, entry in self.other_by_key.items()]
+        published += [
+            (key, value, revision)
+            for key, (value, revision) in self.other_by_key.items()
+            if value is not None
+        ]
         return [
             {
                 "key": key,
@@ -47,6 +51,14 @@
             for key, value, revision in published
         ]
 
+    def removals(self):
+        """Return the items that were removed, as a watch tells of them."""
+        return [
+            {"key": key, "revision": revision, "deleted": True}
+            for key, (value, revision) in self.other_by_key.items()
+            if value is None
+        ]
+
 
 @dataclass(frozen=True)
 class State:
@@ -60,11 +72,14 @@
         Seconds by which each answer is late.
     stale : Published or None
         What is served in place of the present.
+    forgotten : int
+        Revision before which changes are no longer known.
     """
 
     down: bool = False
     delay: float = 0.0
     stale: Published | None = None
+    forgotten: int = 0
 
 
 class PlatformApp:
@@ -118,9 +133,10 @@
 
     def _watch(self, caller, pathPrefix, after, waitMs):  # noqa: N803
         def changes():
+            seen = self._seen(caller)
             return [
                 item
-                for item in self._seen(caller).items()
+                for item in seen.items() + seen.removals()
                 if item["key"].startswith(pathPrefix) and item["revision"] > int(after)
             ]
 
@@ -128,6 +144,8 @@
         self._check_up(caller)
         self._changed.wait_for(lambda: changes() or self._is_down(caller), seconds)
         self._check_up(caller)
+        if int(after) < self._state(caller).forgotten:
+            raise cherrypy.HTTPError(410)
         return orjson.dumps({"events": changes(), "at": self._seen(caller).revision})
 
     def _is_down(self, caller):
@@ -165,6 +183,12 @@
                         other_by_key=self.published.other_by_key
                         | {query["key"]: (body, self.index)},
                     )
+                case "removal":
+                    self.published = replace(
+                        self.published,
+                        other_by_key=self.published.other_by_key
+                        | {query["key"]: (None, self.index)},
+                    )
                 case "state":
                     self._set_state(**orjson.loads(body))
                 case "calls":
@@ -184,6 +208,8 @@
         instances : list of dict or None
             List that is served in place of the published one.
         """
+        if changes.pop("forget", False):
+            changes["forgotten"] = self.published.revision + 1
         former = self._state(caller) if caller else self.state
         seen = self.published if stale else None
         if instances is not None:
--- a/test/gatewayfleet.py
+++ b/test/gatewayfleet.py
@@ -96,6 +96,15 @@
             process.wait()
         self.stack.close()
 
+    def store_address(self, address):
+        """Return where a gateway reads the store."""
+        return f"127.0.0.1:{self.store.port}"
+
+    def remove(self, key):
+        """Remove an item of the store."""
+        url = f"http://127.0.0.1:{self.store.port}/standin/removal?key={key}"
+        self.http.request("POST", url)
+
     def put(self, key, value):
         """Write an item of the store, as operators and targets do."""
         url = f"http://127.0.0.1:{self.store.port}/standin/item?key={key}"
@@ -106,8 +115,8 @@
         url = f"http://127.0.0.1:{self.store.port}/standin/state"
         self.http.request("POST", url, body=orjson.dumps(state))
 
-    def configure(self, version=1, keys=(KEY,), routes=None, **workspace):
-        """Write the operator's document."""
+    def configure(self, version=1, keys=(KEY,), routes=None, others=(), **workspace):
+        """Write the operator's document; `others` are more workspaces."""
         usual = [
             route("/book/", "non_idempotent", "plain", maxAttempts=1),
             route("/look/", "idempotent", "plain"),
@@ -121,7 +130,7 @@
                 "routes": routes or usual,
                 "services": [{"name": "plain", "maxConnections": 64}],
                 "limits": {"maxBodyBytes": 1 << 20},
-                "tenants": [tenant],
+                "tenants": [tenant, *others],
             },
         )
 
@@ -162,11 +171,11 @@
                 {"front": front, "ready": ready, "control": control},
                 peer,
                 [f"{seed}:{control}" for seed in self.addresses[:3]],
-                f"127.0.0.1:{self.store.port}",
+                self.store_address(address),
                 bounds | self.bounds,
             )
         )
-        log = self.stack.enter_context(open(self.folder / f"{address}.log", "wb"))
+        log = self.stack.enter_context(open(self.folder / f"{address}.log", "ab"))
         command = [sys.executable, "-m", "almondglade", "gateway"]
         return subprocess.Popen(
             [*command, "--metrics-port", str(metrics)],
