Check the deploy file; notice settings that change without a signal

`almondglade check deploy/system.toml` names wrong commands, ports, shares and missing templates. The gateway looks at its settings file every 2 s and says what the next start would change, as after SIGHUP. A caller that leaves has a line of its own in place of `request failed`. Tests: test_ui.py, test_gateway_path.py (without the look no line came).

--- a/almondglade/gateway/node.py
+++ b/almondglade/gateway/node.py
@@ -48,6 +48,8 @@
 POLL_SECONDS = 0.05
 # Time for the last lines of the log.
 LAST_LINES_SECONDS = 0.3
+# Pause between looks at the settings, which may change without a signal.
+SETTINGS_SECONDS = 2.0
 # Keeps the numbers of grants above those of an earlier start.
 GRANTS_PER_MILLISECOND = 100
 
@@ -61,11 +63,15 @@
         In force until the process ends.
     load_settings : callable
         Returns the present settings.
+    stamp_settings : callable
+        Returns what changes when their file does.
     """
 
-    def __init__(self, settings, load_settings):
+    def __init__(self, settings, load_settings, stamp_settings):
         self.settings = settings
         self.load_settings = load_settings
+        self.stamp_settings = stamp_settings
+        self._settings_stamp = stamp_settings()
         self.clock = time.monotonic
         self.incarnation = time.time_ns() // 1_000_000
         self.loop = asyncio.get_running_loop()
@@ -173,6 +179,7 @@
         tasks = [
             asyncio.create_task(self.fleet.run()),
             asyncio.create_task(self._tick()),
+            asyncio.create_task(self._watch_settings()),
         ]
         log.info(
             "started",
@@ -204,6 +211,7 @@
 
     def _reload(self):
         """Say what a restart would change; no setting changes in between."""
+        self._settings_stamp = self.stamp_settings()
         try:
             settings = self.load_settings()
         except SettingsError as error:
@@ -216,6 +224,13 @@
         ]
         log.info("reload: settings change with the next start", changed=changed)
 
+    async def _watch_settings(self):
+        """Notice changes of the settings that no signal tells of."""
+        while True:
+            await asyncio.sleep(SETTINGS_SECONDS)
+            if self.stamp_settings() != self._settings_stamp:
+                self._reload()
+
     async def _tick(self):
         while True:
             with self.lock:
@@ -264,13 +279,15 @@
         return not self.stopping and self.app.is_configured() and self._accepts_keys()
 
 
-def run_gateway(load_settings):
+def run_gateway(load_settings, stamp_settings):
     """Run one gateway in this process until it stops.
 
     Parameters
     ----------
     load_settings : callable
         Returns the `GatewaySettings`; called again at a reload.
+    stamp_settings : callable
+        Returns what changes when the file of the settings does.
 
     Raises
     ------
@@ -279,11 +296,11 @@
     """
     settings = load_settings()
     with contextlib.suppress(KeyboardInterrupt):
-        asyncio.run(_run(settings, load_settings))
+        asyncio.run(_run(settings, load_settings, stamp_settings))
     flush_logs(LAST_LINES_SECONDS)
     # Threads that still serve a cut request would keep the process.
     os._exit(0)
 
 
-async def _run(settings, load_settings):
-    await GatewayNode(settings, load_settings).run()
+async def _run(settings, load_settings, stamp_settings):
+    await GatewayNode(settings, load_settings, stamp_settings).run()
--- a/almondglade/gateway/run.py
+++ b/almondglade/gateway/run.py
@@ -320,7 +320,7 @@
     def _fail(self, error):
         request = self.request
         log.info(
-            "request failed",
+            "caller left" if request.presence.gone else "request failed",
             request=request.request_id,
             targets=request.targets,
             cause=str(error),
--- /dev/null
+++ b/almondglade/platform/deployfile.py
@@ -0,0 +1,106 @@
+"""Check the file that tells the platform how gateways are built and run."""
+
+import re
+import tomllib
+from pathlib import Path
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from ..errors import DeclarationError
+from ..gateway.settings import METRICS_PORT
+
+PROGRAM = ["python3", "-m", "almondglade"]
+# Classes of callers from outside that a role may serve.
+CALLERS = "edge"
+PEERS = "control_plane"
+METRICS = re.compile(r"([0-9]{1,5})/([A-Za-z0-9/_-]+)")
+METRICS_FLAG = "--metrics-port"
+
+
+class _Role(BaseModel):
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    run: str
+    on: str
+    share: float | None = Field(None, gt=0.0, le=1.0)
+    count: int | None = Field(None, ge=1)
+    apart: bool = False
+    serves: list[str] = []
+    metrics: str | None = None
+    template: str | None = None
+    env: dict[str, str] = {}
+
+
+class _File(BaseModel):
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    build: str = Field(min_length=1)
+    packages: list[str] = []
+    roles: dict[str, _Role] = Field(min_length=1)
+
+
+def check_deploy_file(path, commands):
+    """Check a deploy file against what the program offers.
+
+    Parameters
+    ----------
+    path : str or Path
+        TOML file.
+    commands : iterable of str
+        Commands of the program that a role may run.
+
+    Raises
+    ------
+    DeclarationError
+        With every problem and its place.
+    """
+    try:
+        wire = _File.model_validate(tomllib.loads(Path(path).read_text()))
+    except OSError as error:
+        raise DeclarationError([f"{path}: {error.strerror}"]) from error
+    except tomllib.TOMLDecodeError as error:
+        raise DeclarationError([f"{path}: {error}"]) from error
+    except ValidationError as error:
+        raise DeclarationError(
+            [
+                f"{'.'.join(map(str, entry['loc']))}: {entry['msg']}"
+                for entry in error.errors()
+            ]
+        ) from error
+    problems = [
+        f"roles.{name}: {problem}"
+        for name, role in wire.roles.items()
+        for problem in _problems_of(role, set(commands), Path(path).parent.parent)
+    ]
+    if not any(CALLERS in role.serves for role in wire.roles.values()):
+        problems.append(f"roles: none serves {CALLERS}, so callers reach nobody")
+    if not any(PEERS in role.serves for role in wire.roles.values()):
+        problems.append(f"roles: none serves {PEERS}, so instances find no peers")
+    if problems:
+        raise DeclarationError(problems)
+
+
+def _problems_of(role, commands, root):
+    words = role.run.split()
+    if words[: len(PROGRAM)] != PROGRAM:
+        yield f"run must begin with {' '.join(PROGRAM)}"
+    elif not commands & set(words[len(PROGRAM) : len(PROGRAM) + 1]):
+        yield f"run names no command of the program: {role.run}"
+    if (role.share is None) == (role.count is None):
+        yield "either share or count is needed"
+    if role.metrics is not None:
+        yield from _problems_of_metrics(role.metrics, words)
+    if role.template is not None and not (root / role.template).is_file():
+        yield f"the template {role.template} does not exist"
+
+
+def _problems_of_metrics(metrics, words):
+    match = METRICS.fullmatch(metrics)
+    if match is None:
+        yield f"metrics is not PORT/PATH: {metrics}"
+        return
+    served = str(METRICS_PORT)
+    if METRICS_FLAG in words[:-1]:
+        served = words[words.index(METRICS_FLAG) + 1]
+    if match[1] != served:
+        yield f"metrics names port {match[1]}, the program serves {served}"
--- a/almondglade/platform/settings.py
+++ b/almondglade/platform/settings.py
@@ -130,5 +130,22 @@
     )
 
 
+def stamp_settings(environment=None):
+    """Return the time and size of the settings file, or None without one.
+
+    Parameters
+    ----------
+    environment : dict or None
+        Variables; the process's own when None.
+    """
+    environment = os.environ if environment is None else environment
+    try:
+        status = os.stat(environment.get(SETTINGS_VARIABLE, ""))
+    except OSError:
+        # A reload says why the file cannot be read.
+        return None
+    return (status.st_mtime_ns, status.st_size)
+
+
 def _port(address):
     return int(address.rpartition(":")[2])
--- a/almondglade/ui/check.py
+++ b/almondglade/ui/check.py
@@ -1,10 +1,15 @@
 """The ``check`` command."""
 
+from pathlib import Path
+
 from ..declarations import load_declarations
 from ..declarations.changes import changes_between, warnings_of
 from ..errors import DeclarationError
 
 EXIT_INVALID = 2
+DEPLOY_SUFFIX = ".toml"
+# Commands that run until they are told to stop.
+SERVICES = ("gateway", "serve")
 
 
 def check(file: str, *, against: str | None = None):
@@ -16,10 +21,12 @@
     Parameters
     ----------
     file
-        JSON or YAML file.
+        JSON or YAML file; a TOML file is checked as a platform's deploy file.
     against
         The file in force now; prints what the new one changes.
     """
+    if Path(file).suffix == DEPLOY_SUFFIX:
+        return _check_deploy_file(file)
     try:
         declarations = load_declarations(file)
         old = load_declarations(against) if against else None
@@ -33,3 +40,15 @@
             print(change)
     print(f"{file}: valid")
     return 0
+
+
+def _check_deploy_file(file):
+    from ..platform.deployfile import check_deploy_file
+
+    try:
+        check_deploy_file(file, SERVICES)
+    except DeclarationError as error:
+        print("\n".join(error.problems))
+        return EXIT_INVALID
+    print(f"{file}: valid")
+    return 0
--- a/almondglade/ui/gateway.py
+++ b/almondglade/ui/gateway.py
@@ -24,6 +24,6 @@
     configure_logs(log_level, log_form, to_output=True)
     # Imported here so that the other commands start quickly.
     from ..gateway.node import run_gateway
-    from ..platform.settings import load_gateway_settings
+    from ..platform.settings import load_gateway_settings, stamp_settings
 
-    run_gateway(lambda: load_gateway_settings(metrics_port))
+    run_gateway(lambda: load_gateway_settings(metrics_port), stamp_settings)
--- a/test/test_gateway_path.py
+++ b/test/test_gateway_path.py
@@ -7,6 +7,8 @@
 import pytest
 import urllib3
 
+from almondglade.gateway.node import SETTINGS_SECONDS
+
 from .gatewayfleet import GatewayFleet, answer
 from .support.targets import FakeTarget
 
@@ -256,6 +258,15 @@
     assert fleet.call("/look/1").status == 200
 
 
+def test_settings_that_change_without_a_signal_are_noticed(one):
+    fleet, _ = one
+    path = fleet.folder / "127.0.0.1.toml"
+    path.write_text(path.read_text().replace("graceS = 4", "graceS = 6"))
+    eventually(lambda: '"changed": ["bounds"]' in fleet.log())
+    time.sleep(1.2 * SETTINGS_SECONDS)
+    assert fleet.log().count("gateway: reload") == 1
+
+
 def test_operators_see_metrics_and_state(one):
     fleet, _ = one
     assert fleet.call("/look/1").status == 200
--- a/test/test_ui.py
+++ b/test/test_ui.py
@@ -1,5 +1,7 @@
 """Tests of almondglade.ui."""
 
+from pathlib import Path
+
 import pytest
 
 from almondglade.entry.callers import hash_key
@@ -63,3 +65,48 @@
     code, output = run(capsys, "dump", "http://127.0.0.1:1")
     assert code == 1
     assert "cannot be reached" in output.err
+
+
+DEPLOY = """
+build = "true"
+[roles.gateway]
+run = "python3 -m almondglade gateway"
+on = "edge"
+share = 1.0
+serves = ["edge", "control_plane"]
+metrics = "9464/metrics"
+"""
+
+
+def test_check_accepts_the_deploy_file_of_this_repository(capsys):
+    path = str(Path(__file__).parent.parent / "deploy" / "system.toml")
+    assert run(capsys, "check", path)[0] == 0
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "words"),
+    [
+        ('gateway"', 'gatway"', "no command"),
+        ("python3 -m", "sh -c", "must begin with"),
+        ("share = 1.0", "", "share or count"),
+        ("share = 1.0", "share = 7.0", "less than or equal to 1"),
+        ("9464/metrics", "9999/metrics", "serves 9464"),
+        ("9464/metrics", "metrics", "not PORT/PATH"),
+        ("control_plane", "nobody", "find no peers"),
+        ('"edge", ', "", "reach nobody"),
+        ("on =", 'template = "deploy/none"\non =', "does not exist"),
+        ("on =", "onn =", "Extra inputs"),
+        ("[roles", "[roles[", "Expected"),
+    ],
+)
+def test_check_names_what_is_wrong_with_a_deploy_file(
+    capsys, tmp_path, old, new, words
+):
+    file = tmp_path / "deploy" / "system.toml"
+    file.parent.mkdir()
+    file.write_text(DEPLOY)
+    assert run(capsys, "check", str(file))[0] == 0
+    file.write_text(DEPLOY.replace(old, new, 1))
+    code, output = run(capsys, "check", str(file))
+    assert code == 2
+    assert words in output.out
