--- a/almondglade/gateway/exchange.py
+++ b/almondglade/gateway/exchange.py
@@ -107,7 +107,7 @@
                     for ticket in self.pools.waiting_here()
                 ),
                 dict(self.pools.grant_by_coordinator),
-                tuple(self.pools.paused_here(now)),
+                tuple(self.pools.targets.paused_here(now)),
                 facts,
                 self.pools.views_here(now, receiver) if with_views else None,
             )
--- a/almondglade/gateway/operators.py
+++ b/almondglade/gateway/operators.py
@@ -32,7 +32,7 @@
                         "slowness": state.health.slowness,
                         "event_seconds": state.health.event_seconds,
                     }
-                    for name, state in node.pools.state_by_target.items()
+                    for name, state in node.pools.targets.state_by_target.items()
                 },
                 "drawn": node.allowances.drawn_here(),
             }
--- a/almondglade/gateway/scheduling.py
+++ b/almondglade/gateway/scheduling.py
@@ -255,9 +255,9 @@
     def record_for(self, target):
         """Return the record of a target that may get work, or None."""
         with self.lock:
-            if not self.pools.takes_new_work(target):
+            if not self.pools.targets.takes_new_work(target):
                 return None
-            return self.pools.state_by_target[target].record
+            return self.pools.targets.state_by_target[target].record
 
     def judge(self, target, judgement):
         """Change what is believed of a target.
@@ -268,7 +268,7 @@
             Takes its `Health` and the time.
         """
         with self.lock:
-            state = self.pools.state_by_target.get(target)
+            state = self.pools.targets.state_by_target.get(target)
             if state is not None:
                 before = state.health.is_paused(self.clock())
                 judgement(state.health, self.clock())
--- a/almondglade/placement/pool.py
+++ b/almondglade/placement/pool.py
@@ -11,21 +11,18 @@
 import itertools
 from collections import Counter
 
-from .cells import Cell, Cells
+from .cells import Cell
 from .coordination import Coordinators, Terms
 from .fairness import FairOrder
-from .fleetload import FleetLoad
-from .health import TargetView
 from .outlook import LEAVE_WAIT_SECONDS, CellLoad, Outlook
-from .places import TargetState, Ticket
+from .places import Ticket
+from .targets import Targets
 
 # Without a coordinator, a free place that the instance with the better request
 # leaves unused for this long is taken by the next; a few one-way delays.
 YIELD_SECONDS = 0.05
 # A request that no coordinator has answered for this long is placed here.
 ALONE_SECONDS = 0.16
-# Peers that must pause a target before others leave it too.
-AGREED_PAUSES = 2
 # The same in a large fleet, where a coordinator answers less often.
 LARGE_ALONE_SECONDS = 0.6
 # A coordinator is asked again after this while requests wait, in a small and in a
@@ -36,10 +33,6 @@
 IDLE_REPORT_SECONDS = 0.5
 # A request that waits for this long may go on waiting in another cell.
 MOVE_SECONDS = 0.2
-# Places of a target that an instance uses which hears of no other's use.
-UNHEARD_PLACES = 1
-# Share of the targets of a cell that may be limited for their failures at once.
-MAX_LIMITED_SHARE = 0.5
 # Weight of the newest time that a place was held.
 HOLD_WEIGHT = 0.05
 # Assumed time that a place is held before any was seen, seconds.
@@ -73,19 +66,16 @@
         self.data_centre = data_centre
         self.choice = choice
         self.instance = instance
-        self.state_by_target: dict[str, TargetState] = {}
-        self.fleet = FleetLoad()
+        self.targets = Targets()
+        self.fleet = self.targets.fleet
         self.coordinators = Coordinators(self.instance)
-        self.cells = Cells()
         self.outlook = Outlook()
         self.terms = Terms()
         self.hears_all = True
         self.on_new_term = lambda: None
-        self.out_data_centres: frozenset[str] = frozenset()
         self.tickets_by_service: dict[str, list[Ticket]] = {}
         self.hold_by_service: dict[str, float] = {}
         self.grant_by_coordinator: dict[str, int] = {}
-        self._states_by_cell: dict[Cell, list[TargetState]] = {}
         self._numbers = itertools.count(1)
         self._grant_numbers = itertools.count(first_grant + 1)
 
@@ -96,21 +86,8 @@
         ----------
         records : iterable of TargetRecord
         """
-        states = {}
-        for record in records:
-            state = self.state_by_target.get(record.id)
-            if state is None or state.record.started_at != record.started_at:
-                state = TargetState(record)
-            state.record = record
-            states[record.id] = state
-        self.state_by_target = states
-        self.cells.set_targets(state.record for state in states.values())
-        self._states_by_cell = {}
-        for state in states.values():
-            for cell in self.cells.of(state.record.service):
-                if cell.holds(state.record.data_centre):
-                    self._states_by_cell.setdefault(cell, []).append(state)
-        self.choice.pace.forget(states)
+        self.targets.replace(records)
+        self.choice.pace.forget(self.targets.state_by_target)
 
     def ask(self, ticket, now):
         """Let a request wait for a place."""
@@ -150,11 +127,11 @@
     def coordinators_in_use(self, now):
         """Return the coordinators that must know what runs and waits here."""
         cells = {ticket.cell for ticket in self.waiting_here()}
-        for state in self.state_by_target.values():
+        for state in self.targets.state_by_target.values():
             if self.hears_all or state.running_here:
                 cells.update(
                     cell
-                    for cell in self.cells.of(state.record.service)
+                    for cell in self.targets.cells.of(state.record.service)
                     if cell.holds(state.record.data_centre)
                 )
         names = {self.coordinator(cell, now) for cell in cells}
@@ -170,8 +147,8 @@
         """
         newest = self.grant_by_coordinator.get(coordinator, 0)
         self.grant_by_coordinator[coordinator] = max(newest, number)
-        state = self.state_by_target.get(target)
-        if state is None or not self._takes_new_work(state):
+        state = self.targets.state_by_target.get(target)
+        if state is None or not self.targets.accepts(state):
             # The coordinator has not heard yet; the request goes on waiting.
             return None
         for tickets in self.tickets_by_service.values():
@@ -227,7 +204,7 @@
         held : float or None
             Seconds for which it ran; None if it did not.
         """
-        state = self.state_by_target.get(ticket.target)
+        state = self.targets.state_by_target.get(ticket.target)
         if state is not None:
             state.ended(ticket.kind)
         if held is not None:
@@ -267,9 +244,11 @@
         ]
         if not asked and not mine:
             return
-        states = self._usable(cell, now)
-        load_of = self._load if self._knows(cell, now) else self._unheard_load
-        free = self._free(states, now, load_of)
+        states = self.targets.usable(cell, now)
+        load_of = (
+            self.targets.load if self._knows(cell, now) else self.targets.unheard_load
+        )
+        free = self.targets.free(states, load_of)
         if free <= 0:
             return
         order = self._order(states, now)
@@ -342,54 +321,11 @@
         self.fleet.give(ticket, number, now)
         return number
 
-    def _free(self, states, now, load_of=None):
-        load_of = load_of or self._load
-        return sum(max(0, state.limit() - load_of(state)) for state in states)
-
-    def _load(self, state):
-        return state.running_here + self.fleet.total_by_target.get(state.record.id, 0)
-
-    def _unheard_load(self, state):
-        """Return the load of a target of which this instance is told nothing."""
-        others = max(0, state.record.slots - UNHEARD_PLACES)
-        return max(others + state.running_here, self._load(state))
-
-    def _usable(self, cell, now):
-        self._review_targets(now)
-        usable = [
-            state
-            for state in self._states_by_cell.get(cell, ())
-            if self._takes_new_work(state)
-            and not state.health.is_paused(now)
-            and self.fleet.paused_by_target[state.record.id] < AGREED_PAUSES
-        ]
-        sick = [state.is_sick(now) for state in usable]
-        # Where most are sick, fewer requests at each would serve nobody better.
-        may_limit = sum(sick) <= MAX_LIMITED_SHARE * len(usable)
-        for state, is_sick in zip(usable, sick, strict=True):
-            state.is_limited = is_sick and may_limit
-        return usable
-
-    def _takes_new_work(self, state):
-        """Tell whether operators and the target itself let it get work."""
-        return (
-            not state.record.leaving
-            and state.record.data_centre not in self.out_data_centres
-        )
-
-    def takes_new_work(self, target):
-        """Tell whether a target is listed and may get work."""
-        state = self.state_by_target.get(target)
-        return state is not None and self._takes_new_work(state)
-
-    def services(self):
-        """Return the services that have targets."""
-        return sorted({cell.service for cell in self._states_by_cell})
-
     def free_places(self, service, now):
         """Return the free places of a service, as known here."""
         return sum(
-            self._free(self._usable(cell, now), now) for cell in self.cells.of(service)
+            self.targets.free(self.targets.usable(cell, now))
+            for cell in self.targets.cells.of(service)
         )
 
     def loads_here(self, now):
@@ -398,23 +334,15 @@
             return []
         return [
             self._cell_load(cell, now)
-            for cell in self._states_by_cell
+            for cell in self.targets.states_by_cell
             if cell.data_centre and self.coordinator(cell, now) == self.instance
         ]
 
     def _cell_load(self, cell, now):
-        states = self._usable(cell, now)
+        states = self.targets.usable(cell, now)
         waiting = len(self._waiting(cell))
         places = sum(state.limit() for state in states)
-        return CellLoad(cell, self._free(states, now) - waiting, places)
-
-    def paused_here(self, now):
-        """Return the targets that this instance does not use for now."""
-        return [
-            name
-            for name, state in self.state_by_target.items()
-            if state.health.is_paused(now) or not self._takes_new_work(state)
-        ]
+        return CellLoad(cell, self.targets.free(states) - waiting, places)
 
     def views_here(self, now, coordinator=""):
         """Return how targets have fared at this instance.
@@ -424,20 +352,9 @@
         coordinator : str
             Instance whose targets are wanted; empty for all.
         """
-        views = {
-            state.record.id: state.health.view(now)
-            for cell, states in self._states_by_cell.items()
-            if coordinator in ("", self.coordinator(cell, now))
-            for state in states
-        }
-        return {name: view for name, view in views.items() if view != TargetView()}
-
-    def _review_targets(self, now):
-        """Take in how targets have fared at all instances."""
-        if self.fleet.views_are_due(now):
-            views = self.fleet.sum_views(self.views_here(now))
-            for name, state in self.state_by_target.items():
-                state.shared = views.get(name, TargetView())
+        return self.targets.views_here(
+            now, lambda cell: coordinator in ("", self.coordinator(cell, now))
+        )
 
     def expected_wait(self, service, tier, now):
         """Return the seconds that a new request is expected to wait.
@@ -451,13 +368,13 @@
 
     def cell_wait(self, cell, tier, now):
         """Return the same for one cell, counted here or told by its coordinator."""
-        states = self._usable(cell, now)
+        states = self.targets.usable(cell, now)
         places = sum(state.limit() for state in states)
         if not places:
             return float("inf")
         if not self._knows(cell, now):
             return self.outlook.wait(cell, tier, now)
-        if self._free(states, now) > 0:
+        if self.targets.free(states) > 0:
             return 0.0
         newest = Ticket(cell.service, tier, now, owner=self.instance)
         ahead = itertools.takewhile(
@@ -481,14 +398,16 @@
         present : Cell or None
             Where it waits already; its own data centre's if None.
         """
-        cells = self.cells.of(service)
+        cells = self.targets.cells.of(service)
         if len(cells) == 1:
             return cells[0]
         home = present or Cell(service, self.data_centre)
         wait = self.cell_wait(home, tier, now)
         if wait <= LEAVE_WAIT_SECONDS:
             return home
-        others = [cell for cell in cells if cell != home and self._usable(cell, now)]
+        others = [
+            cell for cell in cells if cell != home and self.targets.usable(cell, now)
+        ]
         other = self.outlook.choose_other(others, now)
         if other is not None:
             return other
@@ -504,7 +423,7 @@
         """Return the requests of this instance by target and kind."""
         return {
             name: dict(+state.running_by_kind)
-            for name, state in self.state_by_target.items()
+            for name, state in self.targets.state_by_target.items()
             if state.running_here
         }
 
--- a/test/test_cells.py
+++ b/test/test_cells.py
@@ -128,7 +128,7 @@
 
 def test_without_targets_in_the_own_data_centre_requests_go_elsewhere():
     pools = large_pools()
-    pools.out_data_centres = frozenset({"north"})
+    pools.targets.out_data_centres = frozenset({"north"})
     entry = ticket()
     pools.ask(entry, 0.0)
     assert entry.part == "south"
@@ -303,7 +303,9 @@
     for _ in range(18):
         pools.ask(ticket(), 1.0)
     pools.match(1.0)
-    running = {name: s.running_here for name, s in pools.state_by_target.items()}
+    running = {
+        name: s.running_here for name, s in pools.targets.state_by_target.items()
+    }
     assert running == {"t1": 1, "t2": 6, "t3": 6}
 
 
--- a/test/test_placement_pool.py
+++ b/test/test_placement_pool.py
@@ -25,8 +25,13 @@
     for number in range(100):
         pools.ask(ticket(arrived=number / 100), 1.0)
     pools.match(1.0)
-    assert sum(state.running_here for state in pools.state_by_target.values()) == 30
-    assert all(state.running_here == 6 for state in pools.state_by_target.values())
+    assert (
+        sum(state.running_here for state in pools.targets.state_by_target.values())
+        == 30
+    )
+    assert all(
+        state.running_here == 6 for state in pools.targets.state_by_target.values()
+    )
 
 
 def test_long_answers_of_the_first_workspace_leave_room_for_urgent_ones():
@@ -136,7 +141,7 @@
     assert pools.take_grant("e2", 5, entry.number, "t1") is None
     assert pools.grant_by_coordinator == {"e2": 5}
     assert entry in pools.waiting_here()
-    assert "t1" in pools.paused_here(0.0)
+    assert "t1" in pools.targets.paused_here(0.0)
     assert pools.take_grant("e2", 6, entry.number, "t2") is entry
 
 
@@ -157,7 +162,7 @@
 @pytest.mark.parametrize("out", [frozenset(), frozenset({"north"})])
 def test_nothing_goes_to_a_data_centre_out_of_service(out):
     pools = make_pools(record("t1"), record("t2", data_centre="south"))
-    pools.out_data_centres = out
+    pools.targets.out_data_centres = out
     for _ in range(12):
         pools.ask(ticket(), 0.0)
     targets = {entry.target for entry, _ in pools.match(0.0)}
@@ -172,8 +177,8 @@
 
 def test_a_long_stream_avoids_targets_that_cannot_end_it():
     pools = make_pools(record("slow"), record("fast", data_centre="south"))
-    pools.state_by_target["slow"].health.streamed(0.03)
-    pools.state_by_target["fast"].health.streamed(0.01)
+    pools.targets.state_by_target["slow"].health.streamed(0.03)
+    pools.targets.state_by_target["fast"].health.streamed(0.01)
     pools.ask(ticket(events=700, deadline=15.0), 0.0)
     assert [entry.target for entry, _ in pools.match(0.0)] == ["fast"]
     pools.ask(ticket(events=7000, deadline=15.0), 0.0)
@@ -182,7 +187,7 @@
 
 def test_a_paused_target_gets_nothing_until_its_pause_ends():
     pools = make_pools(record("t1"))
-    pools.state_by_target["t1"].health.unreachable(0.0)
+    pools.targets.state_by_target["t1"].health.unreachable(0.0)
     pools.ask(ticket(), 0.0)
     assert pools.match(0.1) == []
     assert len(pools.match(0.3)) == 1
