--- a/almondglade/gateway/exchange.py
+++ b/almondglade/gateway/exchange.py
@@ -21,6 +21,9 @@
 
 # More time than this is told as this.
 MAX_TIME_SECONDS = 3600.0
+# A coordinator of a large fleet decides on what it hears in this time at once; a
+# decision takes about a quarter of it while hundreds of requests wait.
+GATHER_SECONDS = 0.004
 # Expected waits are counted again after this; some decisions of a coordinator.
 COUNT_SECONDS = 0.03
 
@@ -66,6 +69,8 @@
         self.match: Any = set
         self.store_revision = 0
         self._told: set[str] = set()
+        self._load_by_asking: dict[str, PeerLoad] = {}
+        self._is_answer_due = False
         self._counted_waits: dict[tuple, tuple[float, float]] = {}
         pools.on_new_term = self._ask_all
 
@@ -196,11 +201,30 @@
                 self._take_facts(report, report.facts, now)
             for cell in asked:
                 self.pools.asked(cell, now)
-            again = self.pools.fleet.given_to(report.instance)
-            answered = self.match()
-            if asked and (again or report.instance not in answered):
+            if asked:
+                self._load_by_asking[report.instance] = load
+            if self.pools.hears_all:
+                self._answer()
+                return
+        if not self._is_answer_due:
+            self._is_answer_due = True
+            self.fleet.call_later(GATHER_SECONDS, self._answer_gathered)
+
+    def _answer_gathered(self):
+        self._is_answer_due = False
+        with self.lock:
+            self._answer()
+
+    def _answer(self):
+        """Give out free places and answer those that asked; the lock is held."""
+        now = self.clock()
+        asking, self._load_by_asking = self._load_by_asking, {}
+        again_by_peer = {peer: self.pools.fleet.given_to(peer) for peer in asking}
+        answered = self.match()
+        for peer, load in asking.items():
+            if again_by_peer[peer] or peer not in answered:
                 # Also says that the requests are known here.
-                self.send_grants(report.instance, again, self._waits(load, now))
+                self.send_grants(peer, again_by_peer[peer], self._waits(load, now))
 
     def _take_facts(self, report, facts, now):
         self.allowances.take_peer(
--- a/almondglade/gossip/fleet.py
+++ b/almondglade/gossip/fleet.py
@@ -140,6 +140,10 @@
         """Tell all peers of a change that concerns each of them."""
         self._send_to_all(self._report())
 
+    def call_later(self, seconds, callback):
+        """Call something in the loop's thread; only from that thread."""
+        self._loop.call_later(seconds, callback)
+
     def send_to_all_soon(self, message):
         """Send a message to all live peers; safe from any thread."""
         self._loop.call_soon_threadsafe(self._send_to_all, message)
--- a/test/test_cells.py
+++ b/test/test_cells.py
@@ -11,7 +11,7 @@
 
 from almondglade.catalogue import WorkspaceTerms
 from almondglade.gateway.exchange import Exchange
-from almondglade.gossip.messages import Facts, Report
+from almondglade.gossip.messages import Facts, Report, WaitingHere
 from almondglade.placement.allowance import Scope, SharedAllowances
 from almondglade.placement.cells import Cell, Cells
 from almondglade.placement.coordination import (
@@ -275,10 +275,36 @@
     return exchange, allowances
 
 
+def test_a_coordinator_decides_once_on_what_many_ask_at_the_same_time():
+    # At three times the load a coordinator that decided on each of 1,500 reports a
+    # second fell silent, and its requests were refused.
+    sites = {f"e{number}": Site("north") for number in range(2, 40)}
+    sites["e1"] = Site("north", 2.0)
+    exchange, _ = make_exchange("e1", "north", sites)
+    later, sent, matches = [], [], []
+    exchange.fleet = SimpleNamespace(
+        call_later=lambda seconds, callback: later.append(callback),
+        send_to_all_soon=lambda message: None,
+        send_soon=lambda names, message: sent.append((names, message)),
+    )
+    exchange.match = lambda: matches.append(1) or set()
+    for number in range(2, 40):
+        waiting = WaitingHere(1, SERVICE, (0, 0), 0.0, coordinator="e1", time_left=3.0)
+        report = Report(f"e{number}", "north", 1, 1, waiting=(waiting,))
+        exchange.take_report(report)
+    assert (len(later), len(matches)) == (1, 0)
+    later[0]()
+    assert len(matches) == 1
+    assert sorted(name for names, _ in sent for name in names) == sorted(
+        sites.keys() - {"e1"}
+    )
+
+
 def test_draws_told_by_two_relays_of_a_data_centre_count_once():
     # Instances disagree on the relay for a moment after a change of the fleet.
     sites = {"e1": Site("north"), "s1": Site("south", 2.0), "s2": Site("south", 1.0)}
     exchange, allowances = make_exchange("e1", "north", sites)
+    exchange.fleet = SimpleNamespace(call_later=lambda seconds, callback: None)
     for number, drawn in ((1, 0.0), (2, 500.0)):
         for name in ("s1", "s2"):
             facts = Facts(scope=Scope.DATA_CENTRE, drawn_by_workspace={"w1": drawn})
