Count the silence of a coordinator over all requests that ask it

Ruled out: small fleets (0.08 s). Tests: three in test_cells.py; the first two failed before (no coordinator was passed over, nothing was served).

--- a/almondglade/gateway/exchange.py
+++ b/almondglade/gateway/exchange.py
@@ -308,7 +308,7 @@
         """Take in a coordinator's `Grants`."""
         now = self.clock()
         with self.lock:
-            self.pools.coordinators.heard_from(message.instance, now)
+            self.pools.heard_from(message.instance, now)
             for wait in message.waits:
                 self.pools.outlook.take_wait(
                     Cell(wait.service, wait.part), wait.tier, wait.seconds, now
--- a/almondglade/placement/coordination.py
+++ b/almondglade/placement/coordination.py
@@ -21,6 +21,8 @@
 TERM_SECONDS = 1.0
 # It then lets the others tell what they run before it grants; some round trips.
 SETTLE_SECONDS = 0.06
+# A question is forgotten when none follows for this long.
+FORGET_SECONDS = 0.5
 NEVER = float("-inf")
 
 
@@ -146,6 +148,34 @@
         self._suspect_until[name] = now + pause
 
 
+class Questions:
+    """For how long coordinators, or cells, have left questions unanswered.
+
+    A request may wait for less time than a coordinator may be silent, so that
+    silence is counted over all requests that ask it.
+    """
+
+    def __init__(self):
+        self._times_by_key = {}
+
+    def asked(self, key, now):
+        """Note a question."""
+        first, last = self._times_by_key.get(key, (now, now))
+        if now - last > FORGET_SECONDS:
+            # A single question, or its answer, may have been lost.
+            first = now
+        self._times_by_key[key] = (first, now)
+
+    def answered(self, key):
+        """Note an answer to all that was asked."""
+        self._times_by_key.pop(key, None)
+
+    def unanswered(self, key, now):
+        """Return the seconds since the first question that has no answer."""
+        first, _ = self._times_by_key.get(key, (now, now))
+        return now - first
+
+
 class Terms:
     """When this instance began to coordinate each cell."""
 
--- a/almondglade/placement/pool.py
+++ b/almondglade/placement/pool.py
@@ -12,7 +12,7 @@
 from collections import Counter
 
 from .cells import Cell
-from .coordination import Coordinators, Terms
+from .coordination import Coordinators, Questions, Terms
 from .fairness import FairOrder
 from .outlook import LEAVE_WAIT_SECONDS, CellLoad, Outlook
 from .places import Ticket
@@ -28,7 +28,7 @@
 # A coordinator is asked again after this while requests wait, in a small and in a
 # large fleet; it is silent after two of them.
 ASK_AGAIN_SECONDS = 0.04
-LARGE_ASK_AGAIN_SECONDS = 0.15
+LARGE_ASK_AGAIN_SECONDS = 0.1
 # It hears as often as this of what runs on, in any case.
 IDLE_REPORT_SECONDS = 0.5
 # A request that waits for this long may go on waiting in another cell.
@@ -71,6 +71,7 @@
         self.coordinators = Coordinators(self.instance)
         self.outlook = Outlook()
         self.terms = Terms()
+        self.questions = Questions()
         self.hears_all = True
         self.on_new_term = lambda: None
         self.tickets_by_service: dict[str, list[Ticket]] = {}
@@ -105,6 +106,18 @@
         ticket.asked_at = now
         if ticket.coordinator == self.instance:
             self.asked(cell, now)
+            self.questions.answered(cell)
+        else:
+            self.questions.asked(ticket.coordinator, now)
+            self.questions.asked(cell, now)
+
+    def heard_from(self, coordinator, now):
+        """Note that a coordinator has answered."""
+        self.coordinators.heard_from(coordinator, now)
+        self.questions.answered(coordinator)
+        for cell in self.targets.states_by_cell:
+            if self.coordinator(cell, now) == coordinator:
+                self.questions.answered(cell)
 
     def asked(self, cell, now):
         """Note that this instance is asked for a place of a cell."""
@@ -177,9 +190,11 @@
             if self.coordinators.is_silent(
                 ticket.coordinator, ticket.asked_at, now, patience
             )
+            or self.questions.unanswered(ticket.coordinator, now) > patience
         }
         for name in silent:
             self.coordinators.pass_over(name, now)
+            self.questions.answered(name)
         for ticket in tickets:
             cell = ticket.cell
             if now - ticket.arrived > MOVE_SECONDS:
@@ -298,7 +313,8 @@
             return settled
         heard = self.coordinators.heard_at(ticket.coordinator)
         alone = ALONE_SECONDS if self.hears_all else LARGE_ALONE_SECONDS
-        return now - max(ticket.arrived, heard) > alone
+        unanswered = self.questions.unanswered(ticket.cell, now)
+        return max(now - max(ticket.arrived, heard), unanswered) > alone
 
     @staticmethod
     def _yields(ticket, foreign, free, now):
--- a/bench/gateway.py
+++ b/bench/gateway.py
@@ -1,13 +1,16 @@
 """Measure what one decision of a gateway costs, by the size of its fleet."""
 
+import asyncio
 import time
 
 from almondglade.catalogue import TargetRecord
+from almondglade.gossip.fleet import JOIN_SECONDS
 from almondglade.gossip.messages import Report, WaitingHere, decode, encode
 from almondglade.placement.choice import TargetChoice
 from almondglade.placement.cold import ColdPace
 from almondglade.placement.places import PeerLoad, Ticket
 from almondglade.placement.pool import Pools
+from test.test_fleet import play, rates, until_known
 
 ROUNDS = 200
 SLOTS = 6
@@ -58,7 +61,6 @@
             WaitingHere(number, "drafts", (0, 0), 0.1, (), "instance-2", 100.0, 5.0)
             for number in range(waiting)
         ),
-        drawn_by_workspace={f"w{number}": 100_000.0 for number in range(5)},
     )
     begun = time.perf_counter()
     for _ in range(ROUNDS):
@@ -66,9 +68,19 @@
     return len(encode(report)), (time.perf_counter() - begun) / ROUNDS
 
 
+async def idle_rates(net, tasks, seeds):
+    """Return the messages and bytes that an idle instance sends a second."""
+    await until_known(net, len(net.fleet_by_address))
+    await asyncio.sleep(JOIN_SECONDS)
+    return await rates(net)
+
+
 def main():
     """Print the tables."""
-    for targets, instances in ((6, 9), (40, 38), (70, 76), (184, 330)):
+    for instances in (9, 24, 76, 120, 330):
+        messages, size = play(instances, idle_rates)
+        print(f"idle: {instances} instances {messages:.1f} messages/s, {size:.0f} B/s")
+    for targets, instances in ((6, 9), (8, 14), (18, 25), (70, 76), (184, 330)):
         milliseconds = 1000 * decision_seconds(targets, instances)
         print(
             f"decision: {targets} targets, {instances} instances {milliseconds:.2f} ms"
--- a/test/test_cells.py
+++ b/test/test_cells.py
@@ -161,6 +161,52 @@
     assert len({entry.target for entry, _ in granted}) == 8
 
 
+def test_short_waits_find_out_that_a_coordinator_is_silent():
+    # Requests of a plain service wait for less time than a coordinator of a large
+    # fleet may be silent; each alone would never pass it over.
+    sites = {"e1": Site("north"), "e2": Site("north", 2.0), "e3": Site("north", 1.0)}
+    pools = large_pools(sites=sites)
+    now, silent = 0.0, []
+    while not silent:
+        entry = ticket(arrived=now)
+        pools.ask(entry, now)
+        now += 0.08
+        silent = pools.review_coordinators(now)
+        pools.withdraw(entry)
+        assert now < 0.5
+    assert silent == ["e2"]
+    entry = ticket(arrived=now)
+    pools.ask(entry, now)
+    assert entry.coordinator == "e3"
+
+
+def test_cut_off_from_all_coordinators_an_instance_serves_short_waits_alone():
+    sites = {"e1": Site("north")}
+    sites |= {f"e{number}": Site("north", 2.0) for number in range(2, 30)}
+    pools = large_pools(sites=sites)
+    now, served = 0.0, 0
+    while now < 2.0:
+        entry = ticket(arrived=now)
+        pools.ask(entry, now)
+        now += 0.08
+        pools.review_coordinators(now)
+        for granted, _ in pools.match(now):
+            served += 1
+            pools.release(granted, 0.05, now)
+        pools.withdraw(entry)
+    assert served > 10
+
+
+def test_a_lost_question_does_not_make_a_coordinator_silent():
+    sites = {"e1": Site("north"), "e2": Site("north", 2.0)}
+    pools = large_pools(sites=sites)
+    lost = ticket(arrived=0.0)
+    pools.ask(lost, 0.0)
+    pools.withdraw(lost)
+    pools.ask(ticket(arrived=5.0), 5.0)
+    assert pools.review_coordinators(5.02) == []
+
+
 def test_the_wait_told_by_a_coordinator_is_believed_for_a_while():
     sites = {"e1": Site("north"), "e2": Site("north", 1.0)}
     pools = large_pools(sites=sites)
