Let two series of the soak end the same gateway

Traced in its logs: one series stopped the gateway and another killed the same one; the first restarted it, and the second then waited for the end of the new, healthy process.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -37,25 +37,25 @@
 
 
 def _kill(fleet, rng):
-    index = _pick_gateway(fleet, rng)
-    fleet.kill(index)
-    return index
+    process = fleet.processes[_pick_gateway(fleet, rng)]
+    process.kill()
+    return process
 
 
 def _terminate(fleet, rng):
-    index = _pick_gateway(fleet, rng)
-    fleet.processes[index].send_signal(signal.SIGTERM)
-    return index
+    process = fleet.processes[_pick_gateway(fleet, rng)]
+    process.send_signal(signal.SIGTERM)
+    return process
 
 
 def _pause(fleet, rng):
-    index = _pick_gateway(fleet, rng)
-    fleet.processes[index].send_signal(signal.SIGSTOP)
-    return index
+    process = fleet.processes[_pick_gateway(fleet, rng)]
+    process.send_signal(signal.SIGSTOP)
+    return process
 
 
-def _resume(fleet, index):
-    fleet.processes[index].send_signal(signal.SIGCONT)
+def _resume(fleet, process):
+    process.send_signal(signal.SIGCONT)
 
 
 def _reload(fleet, rng):
@@ -162,8 +162,8 @@
 
 
 FAULT_BY_NAME = {
-    "gateway killed": Fault(_kill, lambda fleet, index: fleet.restart(index)),
-    "gateway stopped": Fault(_terminate, lambda fleet, index: fleet.restart(index)),
+    "gateway killed": Fault(_kill, lambda fleet, process: fleet.restart(process)),
+    "gateway stopped": Fault(_terminate, lambda fleet, process: fleet.restart(process)),
     "gateway paused": Fault(_pause, _resume),
     "gateway reloaded": Fault(_reload),
     "store down": Fault(_store_down, _store_well),
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -1,6 +1,7 @@
 """Gateways as processes, their store and their targets, all behind proxies."""
 
 import signal
+import subprocess
 import threading
 import time
 from dataclasses import dataclass, field
@@ -134,21 +135,22 @@
         revoked = list(self.ledger.revoked_at)
         return rng.choice(revoked) if revoked and rng.random() < 0.1 else self.key
 
-    def kill(self, index):
-        """Kill a gateway."""
-        self.processes[index].kill()
-        self.processes[index].wait()
+    def restart(self, process):
+        """Start a gateway again, once its process has ended.
 
-    def restart(self, index):
-        """Start a gateway again, once it has ended."""
-        process = self.processes[index]
+        Two series may end the same process; the first to come replaces it.
+        """
+        process.send_signal(signal.SIGCONT)
         try:
-            process.send_signal(signal.SIGCONT)
             process.wait(STOP_SECONDS)
-        except Exception:
-            self.ledger.breaks(f"gateway {index} did not stop in {STOP_SECONDS} s")
-            self.kill(index)
-        self.processes[index] = self._start(self.addresses[index])
+        except subprocess.TimeoutExpired:
+            self.ledger.breaks(f"a gateway did not stop in {STOP_SECONDS} s")
+            process.kill()
+            process.wait()
+        with self.target_lock:
+            if process in self.processes:
+                index = self.processes.index(process)
+                self.processes[index] = self._start(self.addresses[index])
 
     def _poll(self):
         """Ask each gateway whether it is ready, as the balancer does."""
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -15,6 +15,8 @@
 REGRESSIONS = [
     pytest.param(1, id="first"),
     pytest.param(2, id="second"),
+    # Two series ended one gateway, and the soak waited for the end of the new one.
+    pytest.param(111, id="one gateway ended twice"),
 ]
 
 
