--- a/almondglade/gateway/exchange.py
+++ b/almondglade/gateway/exchange.py
@@ -8,8 +8,8 @@
     Facts,
     Grant,
     Grants,
-    Question,
     Report,
+    ReportRequest,
     WaitingHere,
 )
 from ..log import get_logger
@@ -180,7 +180,7 @@
     def _ask_all(self):
         """Ask all instances for reports; the lock is held."""
         log.info("begins to coordinate", instance=self.settings.instance)
-        self.fleet.send_to_all_soon(Question(self.settings.instance))
+        self.fleet.send_to_all_soon(ReportRequest(self.settings.instance))
 
     def take_report(self, report):
         """Take in a peer's `Report` and answer what it asks."""
--- /dev/null
+++ b/almondglade/gossip/codec.py
@@ -0,0 +1,264 @@
+"""The form of messages between instances on the wire.
+
+A message is a MessagePack array that begins with the format and the kind, so
+that instances of the next version can tell what they cannot read.
+"""
+
+from collections.abc import Callable
+from functools import singledispatch
+
+import msgpack
+
+from ..errors import PeerError
+from ..placement.allowance import Scope
+from ..placement.cells import Cell
+from ..placement.health import TargetView
+from ..placement.outlook import CellLoad
+from .messages import (
+    Contact,
+    ExpectedWait,
+    Facts,
+    Grant,
+    Grants,
+    Report,
+    ReportRequest,
+    Roster,
+    WaitingHere,
+)
+
+FORMAT = 2
+REPORT = 0
+ROSTER = 1
+GRANTS = 2
+REPORT_REQUEST = 3
+MILLISECONDS = 1000.0
+# Evidence older than this is as good as none; keeps the number small.
+MAX_AGE_SECONDS = 1e6
+
+
+@singledispatch
+def encode(message):
+    """Return the bytes of a message."""
+    raise TypeError(f"no such message: {message!r}")
+
+
+@encode.register
+def _(message: Roster):
+    contacts = [
+        [
+            contact.address,
+            contact.instance,
+            contact.data_centre,
+            contact.capacity,
+            _milliseconds(contact.age),
+            contact.leaving,
+        ]
+        for contact in message.contacts
+    ]
+    return msgpack.packb([FORMAT, ROSTER, message.instance, contacts, message.joining])
+
+
+@encode.register
+def _(message: ReportRequest):
+    return msgpack.packb([FORMAT, REPORT_REQUEST, message.instance])
+
+
+@encode.register
+def _(message: Grants):
+    grants = [[grant.number, grant.request, grant.target] for grant in message.grants]
+    waits = [
+        [wait.service, wait.part, wait.tier, _milliseconds(wait.seconds)]
+        for wait in message.waits
+    ]
+    return msgpack.packb([FORMAT, GRANTS, message.instance, grants, waits])
+
+
+@encode.register
+def _(message: Report):
+    return msgpack.packb(
+        [
+            FORMAT,
+            REPORT,
+            message.instance,
+            message.data_centre,
+            message.incarnation,
+            message.number,
+            message.leaving,
+            message.running_by_target,
+            [
+                [
+                    entry.number,
+                    entry.service,
+                    entry.tier,
+                    _milliseconds(entry.age),
+                    entry.avoid,
+                    entry.coordinator,
+                    round(entry.events),
+                    _milliseconds(entry.time_left),
+                    entry.part,
+                ]
+                for entry in message.waiting
+            ],
+            message.grant_by_coordinator,
+            message.paused,
+            _pack_facts(message.facts) if message.facts is not None else None,
+            _pack_views(message.view_by_target)
+            if message.view_by_target is not None
+            else None,
+        ]
+    )
+
+
+def _pack_views(view_by_target):
+    return {
+        target: [
+            round(view.event_seconds * MILLISECONDS, 1),
+            round(view.slowness, 2),
+            view.answers,
+            view.failures,
+        ]
+        for target, view in view_by_target.items()
+    }
+
+
+def _unpack_views(views):
+    return {
+        target: TargetView(pace / MILLISECONDS, slowness, answers, failures)
+        for target, (pace, slowness, answers, failures) in views.items()
+    }
+
+
+def _pack_facts(facts):
+    return [
+        facts.revision,
+        _milliseconds(facts.evidence_age),
+        facts.store_revision,
+        int(facts.scope),
+        {name: round(drawn) for name, drawn in facts.drawn_by_workspace.items()},
+        [
+            [
+                load.cell.service,
+                load.cell.data_centre,
+                load.free,
+                load.places,
+                _milliseconds(load.age),
+            ]
+            for load in facts.cells
+        ],
+    ]
+
+
+def _milliseconds(seconds):
+    return round(min(seconds, MAX_AGE_SECONDS) * MILLISECONDS)
+
+
+def decode(data):
+    """Return the message in a datagram.
+
+    Raises
+    ------
+    PeerError
+        If it cannot be read.
+    """
+    try:
+        form, kind, instance, *rest = msgpack.unpackb(data, strict_map_key=False)
+        if form != FORMAT or kind not in DECODERS:
+            raise PeerError(f"a message of form {form} and kind {kind}")
+        return DECODERS[kind](instance, *rest)
+    except (ValueError, TypeError, msgpack.UnpackException) as error:
+        raise PeerError(f"a message that cannot be read: {error}") from error
+
+
+def _decode_report(
+    instance,
+    data_centre,
+    incarnation,
+    number,
+    leaving,
+    running,
+    waiting,
+    grants,
+    paused,
+    facts,
+    views,
+):
+    return Report(
+        instance,
+        data_centre,
+        incarnation,
+        number,
+        leaving,
+        running,
+        tuple(
+            WaitingHere(
+                request,
+                service,
+                tuple(tier),
+                waited / MILLISECONDS,
+                tuple(avoid),
+                coordinator,
+                events,
+                left / MILLISECONDS,
+                part,
+            )
+            for (
+                request,
+                service,
+                tier,
+                waited,
+                avoid,
+                coordinator,
+                events,
+                left,
+                part,
+            ) in waiting
+        ),
+        grants,
+        tuple(paused),
+        _unpack_facts(*facts) if facts is not None else None,
+        _unpack_views(views) if views is not None else None,
+    )
+
+
+def _unpack_facts(revision, age, store_revision, scope, drawn, cells):
+    return Facts(
+        revision,
+        age / MILLISECONDS,
+        store_revision,
+        Scope(scope),
+        drawn,
+        tuple(
+            CellLoad(Cell(service, part), free, places, waited / MILLISECONDS)
+            for service, part, free, places, waited in cells
+        ),
+    )
+
+
+def _decode_roster(instance, contacts, joining):
+    return Roster(
+        instance,
+        tuple(
+            Contact(address, name, data_centre, capacity, age / MILLISECONDS, leaving)
+            for address, name, data_centre, capacity, age, leaving in contacts
+        ),
+        joining,
+    )
+
+
+def _decode_grants(instance, grants, waits):
+    return Grants(
+        instance,
+        tuple(Grant(*entry) for entry in grants),
+        tuple(
+            ExpectedWait(service, part, tuple(tier), wait / MILLISECONDS)
+            for service, part, tier, wait in waits
+        ),
+    )
+
+
+DECODERS: dict[int, Callable] = {
+    REPORT: _decode_report,
+    ROSTER: _decode_roster,
+    GRANTS: _decode_grants,
+    REPORT_REQUEST: ReportRequest,
+}
--- a/almondglade/gossip/fleet.py
+++ b/almondglade/gossip/fleet.py
@@ -9,7 +9,8 @@
 from ..log import get_logger
 from ..placement.allowance import Scope
 from ..placement.coordination import Site
-from .messages import Contact, Grants, Question, Report, Roster, decode, encode
+from .codec import decode, encode
+from .messages import Contact, Grants, Report, ReportRequest, Roster
 
 log = get_logger("fleet")
 
@@ -193,7 +194,7 @@
         self.exchange.take_grants(message)
 
     @_take.register
-    def _(self, message: Question, peer):
+    def _(self, message: ReportRequest, peer):
         self._send(self._report(), [peer.address])
 
     @_take.register
@@ -253,6 +254,7 @@
         elif heard_at < peer.heard_at and peer.instance:
             return
         peer.heard_at = max(peer.heard_at, heard_at)
+        peer.lost = peer.lost and self.clock() - heard_at > self._lost_seconds()
         if contact.instance:
             peer.instance = contact.instance
             peer.data_centre = contact.data_centre
@@ -287,17 +289,19 @@
         return len(addresses)
 
     def _report_by_relays(self):
-        """Tell the relay; as the relay, tell the data centre and other relays."""
+        """Tell coordinators and the relay; return the number of messages."""
         near = self.site.data_centre
         relay = self.exchange.relay(near)
         for name in self.exchange.coordinators_here() - {relay, self.instance}:
             self.send_to({name}, partial(self._report, None, name, with_views=True))
-        if relay != self.instance:
-            self._review_relay(relay)
-            self.send_to(
-                {relay}, lambda: self._report(Scope.OWN, relay, with_views=True)
-            )
-            return 1
+        if relay == self.instance:
+            return self._relay_facts(near)
+        self._review_relay(relay)
+        self.send_to({relay}, lambda: self._report(Scope.OWN, relay, with_views=True))
+        return 1
+
+    def _relay_facts(self, near):
+        """As a relay, tell the own data centre and the other relays."""
         peers = [peer for peer in self.live_peers() if peer.data_centre == near]
         for peer in peers:
             report = self._report(Scope.OTHERS, peer.instance)
--- a/almondglade/placement/coordination.py
+++ b/almondglade/placement/coordination.py
@@ -148,7 +148,7 @@
         self._suspect_until[name] = now + pause
 
 
-class Questions:
+class Unanswered:
     """For how long coordinators, or cells, have left questions unanswered.
 
     A request may wait for less time than a coordinator may be silent, so that
@@ -170,7 +170,7 @@
         """Note an answer to all that was asked."""
         self._times_by_key.pop(key, None)
 
-    def unanswered(self, key, now):
+    def seconds(self, key, now):
         """Return the seconds since the first question that has no answer."""
         first, _ = self._times_by_key.get(key, (now, now))
         return now - first
--- a/almondglade/placement/pool.py
+++ b/almondglade/placement/pool.py
@@ -12,7 +12,7 @@
 from collections import Counter
 
 from .cells import Cell
-from .coordination import Coordinators, Questions, Terms
+from .coordination import Coordinators, Terms, Unanswered
 from .fairness import FairOrder
 from .outlook import LEAVE_WAIT_SECONDS, CellLoad, Outlook
 from .places import Ticket
@@ -71,7 +71,7 @@
         self.coordinators = Coordinators(self.instance)
         self.outlook = Outlook()
         self.terms = Terms()
-        self.questions = Questions()
+        self.unanswered = Unanswered()
         self.hears_all = True
         self.on_new_term = lambda: None
         self.tickets_by_service: dict[str, list[Ticket]] = {}
@@ -106,18 +106,18 @@
         ticket.asked_at = now
         if ticket.coordinator == self.instance:
             self.asked(cell, now)
-            self.questions.answered(cell)
+            self.unanswered.answered(cell)
         else:
-            self.questions.asked(ticket.coordinator, now)
-            self.questions.asked(cell, now)
+            self.unanswered.asked(ticket.coordinator, now)
+            self.unanswered.asked(cell, now)
 
     def heard_from(self, coordinator, now):
         """Note that a coordinator has answered."""
         self.coordinators.heard_from(coordinator, now)
-        self.questions.answered(coordinator)
+        self.unanswered.answered(coordinator)
         for cell in self.targets.states_by_cell:
             if self.coordinator(cell, now) == coordinator:
-                self.questions.answered(cell)
+                self.unanswered.answered(cell)
 
     def asked(self, cell, now):
         """Note that this instance is asked for a place of a cell."""
@@ -190,11 +190,11 @@
             if self.coordinators.is_silent(
                 ticket.coordinator, ticket.asked_at, now, patience
             )
-            or self.questions.unanswered(ticket.coordinator, now) > patience
+            or self.unanswered.seconds(ticket.coordinator, now) > patience
         }
         for name in silent:
             self.coordinators.pass_over(name, now)
-            self.questions.answered(name)
+            self.unanswered.answered(name)
         for ticket in tickets:
             cell = ticket.cell
             if now - ticket.arrived > MOVE_SECONDS:
@@ -313,7 +313,7 @@
             return settled
         heard = self.coordinators.heard_at(ticket.coordinator)
         alone = ALONE_SECONDS if self.hears_all else LARGE_ALONE_SECONDS
-        unanswered = self.questions.unanswered(ticket.cell, now)
+        unanswered = self.unanswered.seconds(ticket.cell, now)
         return max(now - max(ticket.arrived, heard), unanswered) > alone
 
     @staticmethod
--- a/bench/gateway.py
+++ b/bench/gateway.py
@@ -4,8 +4,9 @@
 import time
 
 from almondglade.catalogue import TargetRecord
+from almondglade.gossip.codec import decode, encode
 from almondglade.gossip.fleet import JOIN_SECONDS
-from almondglade.gossip.messages import Report, WaitingHere, decode, encode
+from almondglade.gossip.messages import Report, WaitingHere
 from almondglade.placement.choice import TargetChoice
 from almondglade.placement.cold import ColdPace
 from almondglade.placement.places import PeerLoad, Ticket
--- a/test/test_gossip.py
+++ b/test/test_gossip.py
@@ -6,19 +6,17 @@
 from hypothesis import strategies as st
 
 from almondglade.errors import PeerError
+from almondglade.gossip.codec import FORMAT, decode, encode
 from almondglade.gossip.messages import (
-    FORMAT,
     Contact,
     ExpectedWait,
     Facts,
     Grant,
     Grants,
-    Question,
     Report,
+    ReportRequest,
     Roster,
     WaitingHere,
-    decode,
-    encode,
 )
 from almondglade.placement.allowance import Scope
 from almondglade.placement.cells import Cell
@@ -101,10 +99,10 @@
 ROSTERS = st.builds(
     Roster, NAMES, st.lists(CONTACTS, max_size=5).map(tuple), st.booleans()
 )
-QUESTIONS = st.builds(Question, NAMES)
+REQUESTS = st.builds(ReportRequest, NAMES)
 
 
-@given(st.one_of(REPORTS, GRANTS, ROSTERS, QUESTIONS))
+@given(st.one_of(REPORTS, GRANTS, ROSTERS, REQUESTS))
 def test_a_message_is_the_same_after_the_wire(message):
     assert decode(encode(message)) == message
 
