--- a/almondglade/ui/check.py
+++ b/almondglade/ui/check.py
@@ -5,11 +5,10 @@
 from ..declarations import load_declarations
 from ..declarations.changes import changes_between, warnings_of
 from ..errors import DeclarationError
+from .services import SERVICES
 
 EXIT_INVALID = 2
 DEPLOY_SUFFIX = ".toml"
-# Commands that run until they are told to stop.
-SERVICES = ("gateway", "serve")
 
 
 def check(file: str, *, against: str | None = None):
--- /dev/null
+++ b/almondglade/ui/services.py
@@ -0,0 +1,3 @@
+"""Commands that run until they are told to stop, and reload on a signal."""
+
+SERVICES = ("gateway", "serve")
--- a/standin/platform.py
+++ b/standin/platform.py
@@ -209,7 +209,7 @@
             List that is served in place of the published one.
         """
         if changes.pop("forget", False):
-            changes["forgotten"] = self.published.revision + 1
+            changes["forgotten"] = self.published.revision
         former = self._state(caller) if caller else self.state
         seen = self.published if stale else None
         if instances is not None:
--- a/test/support/targets.py
+++ b/test/support/targets.py
@@ -82,19 +82,21 @@
 
     def _serve_one(self, sock):
         if self.cut.after_read == 0:
-            return self._end(sock)
-        request = self._read(sock, self.cut)
-        if not request:
+            return self._end(sock, self.cut)
+        if not sock.recv(1, socket.MSG_PEEK):
             return False
-        if self.cut.after_read is not None:
-            return self._end(sock)
+        # The cut in force when the request arrives, not when it is waited for.
+        cut = self.cut
+        request = self._read(sock, cut)
+        if cut.after_read is not None:
+            return self._end(sock, cut)
         self.pause()
         answer = self.answer(request)
         pieces = [answer] if isinstance(answer, bytes) else answer
         for piece in pieces:
-            sock.sendall(piece[: self.cut.after_written])
-        if self.cut.after_written is not None:
-            return self._end(sock)
+            sock.sendall(piece[: cut.after_written])
+        if cut.after_written is not None:
+            return self._end(sock, cut)
         return b"close" not in pieces[0].lower()
 
     def _read(self, sock, cut):
@@ -113,8 +115,9 @@
                 break
         return bytes(request)
 
-    def _end(self, sock):
-        if self.cut.reset:
+    @staticmethod
+    def _end(sock, cut):
+        if cut.reset:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
         return False
 
--- a/test/test_gateway_path.py
+++ b/test/test_gateway_path.py
@@ -9,7 +9,7 @@
 
 from almondglade.gateway.node import SETTINGS_SECONDS
 
-from .gatewayfleet import GatewayFleet, answer
+from .gatewayfleet import START_SECONDS, GatewayFleet, answer
 from .support.targets import FakeTarget
 
 WAIT_SECONDS = 5.0
@@ -258,6 +258,21 @@
     assert fleet.call("/look/1").status == 200
 
 
+@pytest.mark.parametrize("seconds", [0.1, 0.2, 0.4])
+def test_a_reload_during_the_start_does_not_end_the_process(tmp_path, seconds):
+    # Soak seeds 209 and 218: a gateway that was told to reload while it started
+    # was gone without a line.
+    with GatewayFleet(tmp_path) as fleet:
+        fleet.processes.append(fleet._start("127.0.0.1"))
+        time.sleep(seconds)
+        fleet.processes[0].send_signal(signal.SIGHUP)
+        end = time.monotonic() + START_SECONDS
+        while not fleet.is_ready():
+            assert fleet.processes[0].poll() is None
+            assert time.monotonic() < end
+            time.sleep(0.05)
+
+
 def test_settings_that_change_without_a_signal_are_noticed(one):
     fleet, _ = one
     path = fleet.folder / "127.0.0.1.toml"
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -15,6 +15,9 @@
 REGRESSIONS = [
     pytest.param(1, id="first"),
     pytest.param(2, id="second"),
+    # Gateways were told to reload while they started, and ended.
+    pytest.param(209, id="reload during the start"),
+    pytest.param(218, id="reload during the start, again"),
     # Two series ended one gateway, and the soak waited for the end of the new one.
     pytest.param(111, id="one gateway ended twice"),
 ]
