--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -93,23 +93,14 @@
             for target in self.targets:
                 if target.starts > 1:
                     self.remove(f"servers/{target.base}-{target.starts - 1}")
-                self._list(target, "draining" if target is leaving else "ready")
-
-    def _list(self, target, state):
-        self.sequence += 1
-        self.put(
-            f"servers/{target.name}",
-            {
-                "service": "plain",
-                "address": f"127.0.0.1:{target.proxy.port}",
-                "zone": "north",
-                "slots": target.slots,
-                "state": state,
-                "coldRemainingMs": 0,
-                "sequence": self.sequence,
-                "born": target.starts,
-            },
-        )
+                state = "draining" if target is leaving else "ready"
+                self.list_target(
+                    target.name,
+                    target,
+                    slots=target.slots,
+                    state=state,
+                    born=target.starts,
+                )
 
     def replace_key(self, first=False):
         """Give the first workspace another key; the former one must end."""
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -5,6 +5,8 @@
 import threading
 import time
 
+from almondglade.platform.front import WORKSPACE
+
 from .proxy import LOOPBACK, Proxy, reset
 
 EVENTS = 12
@@ -63,7 +65,7 @@
 
     def _run(self, target, request):
         kind = self.path.split("/")[1]
-        workspace = self.headers.get("X-Tenant-Id", "")
+        workspace = self.headers.get(WORKSPACE, "")
         target.ledger.ran(request, target.name, workspace, kind != "book")
         fails = target.fails()
         if fails and target.failure == "reset":
@@ -129,6 +131,11 @@
         """Id of this start."""
         return f"{self.base}-{self.starts}"
 
+    @property
+    def url(self):
+        """Where gateways reach it: through its proxy."""
+        return f"http://{LOOPBACK}:{self.proxy.port}"
+
     def start(self):
         """Start, at the port that it had."""
         self.starts += 1
