--- a/almondglade/gateway/requests.py
+++ b/almondglade/gateway/requests.py
@@ -1,6 +1,9 @@
 """A caller's request as a gateway handles it."""
 
 from dataclasses import dataclass, field
+from functools import cached_property
+
+import xxhash
 
 from ..catalogue import Route, WorkspaceTerms
 from ..platform.front import CallerHeaders
@@ -54,6 +57,18 @@
     attempted_targets: list[str] = field(default_factory=list)
     may_have_run: bool = False
 
+    @cached_property
+    def fingerprint(self):
+        """Hash of what a repeat of the request has in common with it.
+
+        Its id and time limit differ, and it may arrive at another gateway.
+        """
+        workspace = self.workspace.name if self.workspace else ""
+        head = "\0".join(
+            (workspace, self.caller_headers.host, self.method, self.path, "")
+        )
+        return xxhash.xxh3_64_intdigest(head.encode() + self.body)
+
     @property
     def tier(self):
         """Rank: the workspace's tier first, then the route's."""
--- a/almondglade/gateway/run.py
+++ b/almondglade/gateway/run.py
@@ -342,6 +342,7 @@
         request = self.request
         target = self.ticket.target
         request.may_have_run = True
+        self._record_broken_run(target, error)
         self._drop_call()
         if request.caller_connection.disconnected or self.clock() >= request.deadline:
             return False
@@ -350,6 +351,20 @@
         )
         return request.route.repeatable and self.scheduler.may_retry(request)
 
+    def _record_broken_run(self, target, error):
+        """Log a run that did not end with a complete response."""
+        request = self.request
+        self.scheduler.metrics.count("broken_runs_total", service=request.service)
+        log.info(
+            "run broke off",
+            request=request.request_id,
+            fingerprint=f"{request.fingerprint:016x}",
+            target=target,
+            attempt=len(request.attempted_targets),
+            seconds=round(self.clock() - self.sent_at, 3),
+            cause=str(error),
+        )
+
     def _finish_failed(self, error):
         """End the run as failed and return the `RequestError` for the caller."""
         request = self.request
--- a/almondglade/metrics.py
+++ b/almondglade/metrics.py
@@ -27,6 +27,10 @@
         ("service", "result"),
         "Dispatches to targets, by how they ended.",
     ),
+    "broken_runs_total": (
+        ("service",),
+        "Runs at targets that broke off before their response was complete.",
+    ),
     "resends_total": (
         ("service", "result"),
         "Requests that could go on at another target, by whether they did.",
