--- a/soak/targets.py
+++ b/soak/targets.py
@@ -13,6 +13,8 @@
 EVENT_SECONDS = 0.02
 RESPONSE_SECONDS = 0.03
 SEAL_HEADER = "X-Response-Seal"
+# End of the path of a request that crashes each target that runs it.
+CRASHING_PATH_END = "/crash"
 
 
 class _Server(http.server.ThreadingHTTPServer):
@@ -69,6 +71,9 @@
         kind = self.path.split("/")[1]
         workspace = self.headers.get(WORKSPACE_HEADER, "")
         target.ledger.record_run(request_id, target.name, workspace, kind != "book")
+        if self.path.endswith(CRASHING_PATH_END):
+            target.on_crash(target)
+            return
         must_fail = target.next_request_fails()
         if must_fail and target.failure_mode == "reset":
             reset(self.connection)
@@ -114,10 +119,13 @@
         Its id, which changes with each restart.
     failure_mode : {"", "reset", "500"}
         How every third request fails; empty if none does.
+    on_crash : callable
+        Called with the target when a request crashes it.
     """
 
     def __init__(self, name, ledger, slots=4):
         self.base_name, self.ledger, self.slots = name, ledger, slots
+        self.on_crash = lambda target: target.crash()
         self.start_count = 0
         self.failure_mode = ""
         self.slowdown = 1.0
