Bar requests that crash the targets that run them

Callers saw nearly all requests fail while one request, repeated with new ids at any gateway, ended one target after the other.

Cause: each attempt was bounded by the route's max_attempts, and nothing recognised the next attempt. One process's memory of a request ended with the request; `almondglade serve` has a table of suspects in its coordinator, the gateway had no such mechanism.

Change: a run that breaks counts as a crash once its target has turned out to have ended (its port refuses connections, or its entry is gone and it was not leaving). Requests are recognised by workspace, host, method, path and body. Only runs that began after the previous crash are counted, on fresh connections, so that targets which fail together count once, and one completed run anywhere clears a request. After two crashes in a row a request runs isolated: not twice at a time, and not beside another isolated one, so that an innocent neighbour isn't hit a third time. After three it is refused with 503 and Retry-After for 600 s. Gateways tell all others at once, repeat what is recent with the member lists, and send what they know to one that joins, which waits for it for at most 0.4 s. The datagrams' format version is 3.

--- a/almondglade/catalogue.py
+++ b/almondglade/catalogue.py
@@ -222,3 +222,8 @@
     cold_until: float = 0.0
     started_at: int = 0
     sequence: int = 0
+
+    @property
+    def incarnation(self):
+        """Id and start time, as a target may start again under the same id."""
+        return (self.id, self.started_at)
--- a/almondglade/gateway/exchange.py
+++ b/almondglade/gateway/exchange.py
@@ -56,6 +56,8 @@
     match : callable
         Assigns free slots to waiting requests and returns the peers that got some;
         set after the scheduler has been created.
+    suspects : SuspectTracker
+        Tracks the requests that may crash targets; set after it has been created.
     leaving : bool
         Whether this instance is about to stop.
     """
@@ -72,6 +74,7 @@
         self.clock = clock
         self.leaving = False
         self.gossip: Any = None
+        self.suspects: Any = None
         self.match: Any = set
         self.store_revision = 0
         self._last_receivers: set[str] = set()
@@ -119,6 +122,7 @@
                         ticket.expected_events,
                         min(ticket.deadline - now, MAX_TIME_LEFT_SECONDS),
                         ticket.cell_data_centre,
+                        ticket.isolated_fingerprint,
                     )
                     for ticket in self.pools.waiting_here()
                 ),
@@ -126,6 +130,7 @@
                 tuple(self.pools.targets.paused_here(now)),
                 shared_state,
                 self.pools.stats_here(now, receiver) if with_stats else None,
+                self.pools.isolated_here(),
             )
 
     def _shared_state(self, scope, receiver, now):
@@ -214,6 +219,7 @@
             report.latest_grant_by_coordinator.get(own, 0),
             frozenset(report.paused_targets),
             report.stats_by_target,
+            report.isolated_by_target,
         )
         requested_cells = {
             ticket.cell for ticket in load.tickets if ticket.coordinator == own
@@ -326,6 +332,7 @@
                 number=entry.number,
                 coordinator=entry.coordinator,
                 cell_data_centre=entry.cell_data_centre,
+                isolated_fingerprint=entry.isolated_fingerprint,
             )
 
     def send_grants(self, peer, grants, waits=()):
--- a/almondglade/gateway/node.py
+++ b/almondglade/gateway/node.py
@@ -29,6 +29,7 @@
 from .exchange import Exchange
 from .operators import GatewayOperatorApp
 from .scheduling import GatewayScheduler
+from .suspects import SuspectTracker
 
 log = get_logger("gateway")
 
@@ -51,6 +52,8 @@
 LOG_FLUSH_SECONDS = 0.3
 # Interval at which the settings are checked, as they may change without a signal.
 SETTINGS_POLL_SECONDS = 2.0
+# Interval at which outdated suspects are removed.
+SUSPECT_EXPIRY_POLL_SECONDS = 1.0
 # The first grant number grows by this for each millisecond of the start time, so that
 # it is above all numbers of an earlier start.
 GRANTS_PER_MILLISECOND = 100
@@ -108,11 +111,20 @@
             self.clock,
         )
         self.gossip = GossipProtocol(settings, self.exchange, self.clock, rng)
-        self.exchange.gossip = self.gossip
+        self.suspects = SuspectTracker(
+            settings.instance,
+            self.lock,
+            self.metrics,
+            self.clock,
+            settings.first_start,
+        )
+        self.exchange.gossip = self.suspects.gossip = self.gossip
+        self.exchange.suspects = self.suspects
         self.scheduler = GatewayScheduler(
             self.pools,
             self.allowances,
             self.retry_budget,
+            self.suspects,
             self.connections,
             self.lock,
             lambda: self.gossip.max_instances_seen,
@@ -183,6 +195,7 @@
             asyncio.create_task(self.gossip.run()),
             asyncio.create_task(self._run_periodic_checks()),
             asyncio.create_task(self._watch_settings()),
+            asyncio.create_task(self._expire_suspects()),
         ]
         log.info(
             "started",
@@ -235,6 +248,11 @@
             if self.read_settings_fingerprint() != self._settings_fingerprint:
                 self._reload()
 
+    async def _expire_suspects(self):
+        while True:
+            await asyncio.sleep(SUSPECT_EXPIRY_POLL_SECONDS)
+            self.suspects.expire()
+
     async def _run_periodic_checks(self):
         while True:
             with self.lock:
@@ -257,6 +275,7 @@
         records = list(registry.record_by_target.values())
         with self.lock:
             self.pools.set_targets(records)
+            self.suspects.update_targets(records)
             self.pools.targets.evacuated_data_centres = frozenset(
                 registry.evacuated_data_centres
             )
--- a/almondglade/gateway/run.py
+++ b/almondglade/gateway/run.py
@@ -3,7 +3,12 @@
 from typing import Any
 
 from ..declarations.models import TimeLimits
-from ..dispatch.call import Call, CallTimeoutError, NotSentError
+from ..dispatch.call import (
+    Call,
+    CallCancelledError,
+    CallTimeoutError,
+    NotSentError,
+)
 from ..dispatch.connections import Attempt, PermitExpiredError
 from ..errors import TargetError
 from ..log import get_logger
@@ -154,6 +159,7 @@
                 chunk += self.event_stream.flush()
         if whole:
             self._record_pace()
+            self._record_completed()
             self._finish("completed")
         return chunk
 
@@ -186,6 +192,7 @@
         request = self.request
         for _ in range(MAX_CONNECT_ATTEMPTS):
             self.ticket = self.scheduler.acquire(request)
+            self._check_suspicion()
             try:
                 return self._dispatch()
             except (NotSentError, PermitExpiredError) as error:
@@ -204,6 +211,14 @@
                 )
         raise self._no_target_error()
 
+    def _check_suspicion(self):
+        """Refuse a request that was found to crash targets while it waited."""
+        try:
+            self.scheduler.suspects.check(self.request)
+        except RequestError:
+            self._release(None)
+            raise
+
     def _no_target_error(self):
         if self.request.may_have_run:
             return RequestError(
@@ -252,6 +267,8 @@
             attempt,
             scheduler.deadlines,
             self.clock,
+            # A reused connection may be that of a target which has ended already.
+            new_connection=scheduler.suspects.is_suspect(request),
             matches_request=self._is_response_to_request,
         )
         if request.route.repeatable or request.route.streaming:
@@ -352,8 +369,10 @@
         return request.route.repeatable and self.scheduler.may_retry(request)
 
     def _record_broken_run(self, target, error):
-        """Log a run that did not end with a complete response."""
+        """Record a run that did not end with a complete response."""
         request = self.request
+        if not isinstance(error, CallCancelledError):
+            self.scheduler.suspects.record_broken(request, target, self.sent_at)
         self.scheduler.metrics.count("broken_runs_total", service=request.service)
         log.info(
             "run broke off",
@@ -386,6 +405,8 @@
 
     def _record_chunk(self, chunk):
         slowness = self.meter.feed(chunk, self.clock())
+        if slowness is not None and self.ticket.isolated_fingerprint:
+            self.scheduler.end_isolation(self.ticket)
         if slowness is not None and self.head.status < 500:
             self.scheduler.update_health(
                 self.ticket.target,
@@ -399,6 +420,13 @@
                 self.ticket.target, lambda health, now: health.record_stream(pace)
             )
 
+    def _record_completed(self):
+        """Clear the request of crashing targets, unless the target failed."""
+        if self.head.status < 500:
+            self.scheduler.suspects.record_completed(
+                self.request, self.ticket.target, self.sent_at
+            )
+
     def _drop_call(self):
         if self.call is not None:
             self.call.close()
--- a/almondglade/gateway/scheduling.py
+++ b/almondglade/gateway/scheduling.py
@@ -34,6 +34,8 @@
         Token buckets of the workspaces; guarded by `lock`.
     retry_budget : RetryBudget
         Limits retries; guarded by `lock`.
+    suspects : SuspectTracker
+        Tracks the requests that may crash targets.
     connections : TargetPools
         Connections to the targets.
     lock : threading.Lock
@@ -56,6 +58,7 @@
         pools,
         allowances,
         retry_budget,
+        suspects,
         connections,
         lock,
         fleet_size,
@@ -67,6 +70,7 @@
         self.pools = pools
         self.allowances = allowances
         self.retry_budget = retry_budget
+        self.suspects = suspects
         self.connections = connections
         self.lock = lock
         self.fleet_size = fleet_size
@@ -84,6 +88,7 @@
         RequestError
             If the request was refused or no response to it began.
         """
+        self.suspects.check(request)
         now = self.clock()
         with self.lock:
             self.retry_budget.count_request(request.service, now)
@@ -142,6 +147,7 @@
             ready.set,
             expected_events=request.expected_events,
             deadline=request.deadline,
+            isolated_fingerprint=self.suspects.isolated_fingerprint(request),
         )
         max_wait = self._max_wait(request, now)
         with self.lock:
@@ -227,6 +233,13 @@
             self.match()
         self.on_change()
 
+    def end_isolation(self, ticket):
+        """Let other isolated requests run beside one that has begun to respond."""
+        with self.lock:
+            self.pools.end_isolation(ticket)
+            self.match()
+        self.on_change()
+
     def match(self):
         """Assign free slots to waiting requests; the caller must hold the lock.
 
--- a/almondglade/gossip/codec.py
+++ b/almondglade/gossip/codec.py
@@ -15,6 +15,7 @@
 from ..placement.health import TargetStats
 from ..placement.outlook import CellLoad
 from .messages import (
+    CrashEvidence,
     ExpectedWait,
     Grant,
     Grants,
@@ -23,14 +24,17 @@
     Report,
     ReportRequest,
     SharedState,
+    SuspectEvidence,
+    SuspectReport,
     WaitingRequest,
 )
 
-FORMAT_VERSION = 2
+FORMAT_VERSION = 3
 REPORT_KIND = 0
 MEMBER_LIST_KIND = 1
 GRANTS_KIND = 2
 REPORT_REQUEST_KIND = 3
+SUSPECT_REPORT_KIND = 4
 MILLISECONDS_PER_SECOND = 1000.0
 # Upper bound on durations on the wire, which keeps the numbers small. Evidence of this
 # age is worthless anyway.
@@ -82,6 +86,31 @@
     return msgpack.packb([FORMAT_VERSION, GRANTS_KIND, message.instance, grants, waits])
 
 
+@encode.register
+def _(message: SuspectReport):
+    suspects = [
+        [
+            suspect.fingerprint,
+            [
+                [
+                    crash.target,
+                    crash.target_started_at,
+                    _to_milliseconds(crash.started_age),
+                    _to_milliseconds(crash.ended_age),
+                ]
+                for crash in suspect.crashes
+            ],
+            None
+            if suspect.cleared_age is None
+            else _to_milliseconds(suspect.cleared_age),
+        ]
+        for suspect in message.suspects
+    ]
+    return msgpack.packb(
+        [FORMAT_VERSION, SUSPECT_REPORT_KIND, message.instance, suspects]
+    )
+
+
 @encode.register
 def _(message: Report):
     return msgpack.packb(
@@ -105,6 +134,7 @@
                     round(entry.expected_events),
                     _to_milliseconds(entry.time_left),
                     entry.cell_data_centre,
+                    entry.isolated_fingerprint,
                 ]
                 for entry in message.waiting
             ],
@@ -116,6 +146,7 @@
             _pack_stats(message.stats_by_target)
             if message.stats_by_target is not None
             else None,
+            message.isolated_by_target,
         ]
     )
 
@@ -204,6 +235,7 @@
     paused_targets,
     shared_state,
     stats_by_target,
+    isolated_by_target,
 ):
     return Report(
         instance,
@@ -223,6 +255,7 @@
                 expected_events,
                 time_left / MILLISECONDS_PER_SECOND,
                 cell_data_centre,
+                isolated_fingerprint,
             )
             for (
                 number,
@@ -234,12 +267,17 @@
                 expected_events,
                 time_left,
                 cell_data_centre,
+                isolated_fingerprint,
             ) in waiting
         ),
         latest_grant_by_coordinator,
         tuple(paused_targets),
         _unpack_shared_state(*shared_state) if shared_state is not None else None,
         _unpack_stats(stats_by_target) if stats_by_target is not None else None,
+        {
+            target: tuple(fingerprints)
+            for target, fingerprints in isolated_by_target.items()
+        },
     )
 
 
@@ -298,9 +336,32 @@
     )
 
 
+def _decode_suspect_report(instance, suspects):
+    return SuspectReport(
+        instance,
+        tuple(
+            SuspectEvidence(
+                fingerprint,
+                tuple(
+                    CrashEvidence(
+                        target,
+                        target_started_at,
+                        started_age / MILLISECONDS_PER_SECOND,
+                        ended_age / MILLISECONDS_PER_SECOND,
+                    )
+                    for target, target_started_at, started_age, ended_age in crashes
+                ),
+                None if cleared_age is None else cleared_age / MILLISECONDS_PER_SECOND,
+            )
+            for fingerprint, crashes, cleared_age in suspects
+        ),
+    )
+
+
 DECODER_BY_KIND: dict[int, Callable] = {
     REPORT_KIND: _decode_report,
     MEMBER_LIST_KIND: _decode_member_list,
     GRANTS_KIND: _decode_grants,
     REPORT_REQUEST_KIND: ReportRequest,
+    SUSPECT_REPORT_KIND: _decode_suspect_report,
 }
--- a/almondglade/gossip/fleet.py
+++ b/almondglade/gossip/fleet.py
@@ -10,7 +10,14 @@
 from ..placement.allowance import Scope
 from ..placement.coordination import InstanceInfo
 from .codec import decode, encode
-from .messages import Grants, Member, MemberList, Report, ReportRequest
+from .messages import (
+    Grants,
+    Member,
+    MemberList,
+    Report,
+    ReportRequest,
+    SuspectReport,
+)
 
 log = get_logger("fleet")
 
@@ -224,6 +231,10 @@
     def _(self, message: ReportRequest, peer):
         self._send(self._report(), [peer.address])
 
+    @_handle.register
+    def _(self, message: SuspectReport, peer):
+        self.exchange.suspects.handle_report(message)
+
     @_handle.register
     def _(self, message: MemberList, peer):
         for member in message.members:
@@ -234,6 +245,7 @@
             for start in range(0, len(live), MAX_MEMBERS_PER_LIST):
                 chunk = live[start : start + MAX_MEMBERS_PER_LIST]
                 self._send(self._member_list_of(chunk, joining=False), [peer.address])
+            self._send_suspects(peer)
 
     @_handle.register
     def _(self, message: Report, peer):
@@ -259,8 +271,14 @@
                 incarnation=message.incarnation,
                 peers=len(self.live_peers()),
             )
+            self._send_suspects(peer)
         self.exchange.handle_report(message)
 
+    def _send_suspects(self, peer):
+        """Tell a peer that is new here which requests may crash targets."""
+        for report in self.exchange.suspects.reports_for_new_peer():
+            self._send(report, [peer.address])
+
     def _record_sender(self, address):
         peer = self.peer_by_address.get(address)
         if peer is None:
@@ -432,6 +450,8 @@
                 # network partition.
                 missing = self.rng.sample(missing, min(1, len(missing)))
             self._send(self._member_list(), {*chosen, *missing})
+            for report in self.exchange.suspects.recent_reports():
+                self._send(report, chosen)
             pause = (
                 LARGE_FLEET_MEMBER_LIST_INTERVAL_SECONDS
                 if slow
--- a/almondglade/gossip/messages.py
+++ b/almondglade/gossip/messages.py
@@ -31,6 +31,9 @@
         Seconds until its response must be complete.
     cell_data_centre : str
         Data centre of the cell in which it waits; empty for the whole service.
+    isolated_fingerprint : int
+        Fingerprint of a request that must not run beside another such request; 0 if
+        it may.
     """
 
     number: int
@@ -42,6 +45,7 @@
     expected_events: float = 0.0
     time_left: float = 0.0
     cell_data_centre: str = ""
+    isolated_fingerprint: int = 0
 
 
 @dataclass(frozen=True)
@@ -101,6 +105,8 @@
         Sent only in periodic reports, either to all peers or to and from relays.
     stats_by_target : dict of str to TargetStats or None
         Recent results of targets at the sender; sent only in periodic reports.
+    isolated_by_target : dict of str to tuple of int
+        Fingerprints of the requests that the sender runs in isolation, by target.
     """
 
     instance: str
@@ -114,6 +120,7 @@
     paused_targets: tuple[str, ...] = ()
     shared_state: SharedState | None = None
     stats_by_target: dict[str, TargetStats] | None = None
+    isolated_by_target: dict[str, tuple[int, ...]] = field(default_factory=dict)
 
 
 @dataclass(frozen=True)
@@ -187,6 +194,62 @@
     instance: str
 
 
+@dataclass(frozen=True)
+class CrashEvidence:
+    """The end of a target while it ran a request.
+
+    Parameters
+    ----------
+    target : str
+        Id of the target.
+    target_started_at : int
+        Unix time of the target's start, milliseconds.
+    started_age, ended_age : float
+        Seconds since the start and the end of the run.
+    """
+
+    target: str
+    target_started_at: int
+    started_age: float
+    ended_age: float
+
+
+@dataclass(frozen=True)
+class SuspectEvidence:
+    """What the sender knows of a request that may crash targets.
+
+    Parameters
+    ----------
+    fingerprint : int
+        Hash by which the request is recognised when it is repeated.
+    crashes : tuple of CrashEvidence
+        Targets that ended while they ran it.
+    cleared_age : float or None
+        Seconds since a run of it completed; None if the sender knows of none.
+    """
+
+    fingerprint: int
+    crashes: tuple[CrashEvidence, ...] = ()
+    cleared_age: float | None = None
+
+
+@dataclass(frozen=True)
+class SuspectReport:
+    """Requests that may crash targets; sent on changes and to new peers.
+
+    Parameters
+    ----------
+    instance : str
+        The sender.
+    suspects : tuple of SuspectEvidence
+        A part of those that the sender knows, so that the message fits into one
+        packet.
+    """
+
+    instance: str
+    suspects: tuple[SuspectEvidence, ...]
+
+
 @dataclass(frozen=True)
 class Member:
     """An entry of a member list: what the sender knows of an instance.
--- a/almondglade/metrics.py
+++ b/almondglade/metrics.py
@@ -31,6 +31,10 @@
         ("service",),
         "Runs at targets that broke off before their response was complete.",
     ),
+    "target_crashes_total": (
+        (),
+        "Broken runs of targets that turned out to have ended.",
+    ),
     "resends_total": (
         ("service", "result"),
         "Requests that could go on at another target, by whether they did.",
--- a/almondglade/outcome.py
+++ b/almondglade/outcome.py
@@ -42,6 +42,7 @@
     HEAD_TOO_LARGE = ("head_too_large", 431)
     CALLER_GONE = ("caller_gone", 499)
     SUSPECT = ("suspect_request", 422)
+    BARRED = ("barred_request", 503)
     OVERLOADED = ("overloaded", 503)
     NO_COORDINATOR = ("no_coordinator", 503)
     NO_TARGET = ("no_target", 503)
--- a/almondglade/placement/fleetload.py
+++ b/almondglade/placement/fleetload.py
@@ -96,7 +96,9 @@
 
     def add_grant(self, ticket, number, now):
         """Count a slot granted to a peer's request until the peer confirms it."""
-        grant = UnconfirmedGrant(number, ticket.target, ticket.route_tier, now)
+        grant = UnconfirmedGrant(
+            number, ticket.target, ticket.route_tier, now, ticket.isolated_fingerprint
+        )
         self._unconfirmed_grant_by_request[ticket.owner, ticket.number] = grant
         self._count(grant.target, {grant.route_tier: 1})
 
@@ -131,6 +133,15 @@
         load = self._load_by_peer.get(peer)
         return load.paused_targets if load else frozenset()
 
+    def isolated_runs(self):
+        """Yield (target, fingerprint) of the requests that peers run in isolation."""
+        for load in self._load_by_peer.values():
+            for target, fingerprints in load.isolated_by_target.items():
+                yield from ((target, fingerprint) for fingerprint in fingerprints)
+        for grant in self._unconfirmed_grant_by_request.values():
+            if grant.isolated_fingerprint:
+                yield grant.target, grant.isolated_fingerprint
+
     def is_stats_merge_due(self, now):
         """Return whether target stats are due to be merged; if so, reset the timer."""
         if now - self._stats_merged_at <= STATS_MERGE_SECONDS:
--- a/almondglade/placement/places.py
+++ b/almondglade/placement/places.py
@@ -34,6 +34,9 @@
         Number of the request on its owner.
     cell_data_centre : str
         Data centre of the cell in which it waits; empty for the whole service.
+    isolated_fingerprint : int
+        Fingerprint of a request that must not run beside another such request, and
+        not twice at a time; 0 if it may.
 
     Attributes
     ----------
@@ -63,6 +66,7 @@
     requested_at: float = 0.0
     deferred_at: float | None = None
     cell_data_centre: str = ""
+    isolated_fingerprint: int = 0
 
     @property
     def cell(self):
@@ -102,6 +106,8 @@
     is_limited : bool
         Whether it only gets single requests, because it is unhealthy and others are
         not.
+    isolated_here : list of int
+        Fingerprints of the requests that this instance runs on it in isolation.
     """
 
     record: TargetRecord
@@ -110,6 +116,7 @@
     running_by_route_tier: Counter = field(default_factory=Counter)
     fleet_stats: TargetStats = TargetStats()
     is_limited: bool = False
+    isolated_here: list[int] = field(default_factory=list)
 
     def is_unhealthy(self, now):
         """Return whether it fails often, by this instance's results or by all."""
@@ -120,10 +127,17 @@
         """Ratio of the time to the first bytes to the expected time; 1 if not known."""
         return self.fleet_stats.slowness or self.health.slowness or 1.0
 
-    def record_start(self, route_tier):
+    def record_start(self, route_tier, isolated_fingerprint=0):
         """Count a request of this instance that got a slot."""
         self.running_by_route_tier[route_tier] += 1
         self.running_here += 1
+        if isolated_fingerprint:
+            self.isolated_here.append(isolated_fingerprint)
+
+    def end_isolation(self, fingerprint):
+        """Let other isolated requests run beside one of this instance."""
+        if fingerprint in self.isolated_here:
+            self.isolated_here.remove(fingerprint)
 
     def record_end(self, route_tier):
         """Free the slot of a request of this instance."""
@@ -154,6 +168,8 @@
         Targets to which it sends no requests for now.
     stats_by_target : dict of str to TargetStats or None
         Its target stats; None keeps those of its last report.
+    isolated_by_target : dict of str to tuple of int
+        Fingerprints of the requests that it runs in isolation, by target.
     """
 
     received_at: float
@@ -162,6 +178,7 @@
     confirmed_grant: int = 0
     paused_targets: frozenset[str] = frozenset()
     stats_by_target: dict[str, TargetStats] | None = None
+    isolated_by_target: dict[str, tuple[int, ...]] = field(default_factory=dict)
 
 
 @dataclass(frozen=True)
@@ -172,3 +189,4 @@
     target: str
     route_tier: int
     granted_at: float
+    isolated_fingerprint: int = 0
--- a/almondglade/placement/pool.py
+++ b/almondglade/placement/pool.py
@@ -191,7 +191,7 @@
             for ticket in tickets:
                 if ticket.number == request:
                     tickets.remove(ticket)
-                    state.record_start(ticket.route_tier)
+                    state.record_start(ticket.route_tier, ticket.isolated_fingerprint)
                     ticket.target = target
                     return ticket
         return None
@@ -245,6 +245,7 @@
         state = self.targets.state_by_target.get(ticket.target)
         if state is not None:
             state.record_end(ticket.route_tier)
+            state.end_isolation(ticket.isolated_fingerprint)
         if held_seconds is not None:
             mean = self.hold_seconds_by_service.get(
                 ticket.service, INITIAL_HOLD_SECONDS
@@ -299,11 +300,11 @@
                 ticket, peer_tickets, free, now
             ):
                 continue
+            avoided = self._targets_to_avoid(ticket)
+            if avoided is None:
+                continue
             state = self.selector.choose(
-                ticket,
-                [(state, load_of(state)) for state in states],
-                ticket.attempted_targets | self.fleet.targets_paused_by(ticket.owner),
-                now,
+                ticket, [(state, load_of(state)) for state in states], avoided, now
             )
             if state is None:
                 continue
@@ -313,6 +314,19 @@
             if free <= 0:
                 return
 
+    def _targets_to_avoid(self, ticket):
+        """Return the targets that a request must not get; None if it must wait.
+
+        A request in isolation waits while another one with its fingerprint runs.
+        """
+        avoided = ticket.attempted_targets | self.fleet.targets_paused_by(ticket.owner)
+        if not ticket.isolated_fingerprint:
+            return avoided
+        runs = self.targets.isolated_runs()
+        if any(fingerprint == ticket.isolated_fingerprint for _, fingerprint in runs):
+            return None
+        return avoided | {target for target, _ in runs}
+
     def _knows_load(self, cell, now):
         """Return whether this instance gets reports of all requests run in a cell."""
         return self.is_full_mesh or self.coordinator(cell, now) == self.instance
@@ -360,7 +374,7 @@
         self.selector.record_choice(ticket, state, now)
         if ticket.owner == self.instance:
             self.tickets_by_service[ticket.service].remove(ticket)
-            state.record_start(ticket.route_tier)
+            state.record_start(ticket.route_tier, ticket.isolated_fingerprint)
             return 0
         number = next(self._grant_numbers)
         self.fleet.add_grant(ticket, number, now)
@@ -487,6 +501,21 @@
             if state.running_here
         }
 
+    def end_isolation(self, ticket):
+        """Let other isolated requests run beside a request of this instance."""
+        state = self.targets.state_by_target.get(ticket.target)
+        if state is not None:
+            state.end_isolation(ticket.isolated_fingerprint)
+        ticket.isolated_fingerprint = 0
+
+    def isolated_here(self):
+        """Return the fingerprints that this instance runs in isolation, by target."""
+        return {
+            name: tuple(state.isolated_here)
+            for name, state in self.targets.state_by_target.items()
+            if state.isolated_here
+        }
+
     def waiting_here(self):
         """Return the requests that wait on this instance."""
         return list(itertools.chain.from_iterable(self.tickets_by_service.values()))
--- /dev/null
+++ b/almondglade/placement/suspects.py
@@ -0,0 +1,319 @@
+"""Recognise requests that crash the targets that run them.
+
+Load pattern: a caller sends such a request again and again, with new ids and to any
+instance. Each run ends a target and all requests that run beside it, until no target
+is left. A popular request, and one that runs for long, are hit often without being
+the cause, as are the requests of targets that fail together.
+
+So only runs that began after the previous crash was over are counted, one completed
+run clears a request, and a request that is about to be barred does not run beside
+another one.
+"""
+
+import enum
+import heapq
+import itertools
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+# Crashes, one after the other, from which a request runs in isolation, and from which
+# it is barred.
+ISOLATED_AFTER_CRASHES = 2
+BARRED_AFTER_CRASHES = 3
+# Time for which a request is barred after its latest crash. Then one run is allowed.
+BAR_SECONDS = 600.0
+# Suspects without a crash for this long are forgotten.
+SUSPECT_EXPIRY_SECONDS = 3600.0
+# Time for which a cleared suspect is kept, so that crashes before its completed run
+# that are reported late do not make it suspect again.
+CLEARED_EXPIRY_SECONDS = 30.0
+# Crashes of one request that are kept; targets that fail together add several at once.
+MAX_CRASHES_PER_SUSPECT = 12
+# Reports of one completed run differ by less, as their ages are rounded and delayed.
+CLEARED_TOLERANCE_SECONDS = 1.0
+MAX_SUSPECTS = 1024
+# Number of requests whose last completed run is remembered.
+MAX_COMPLETED = 2048
+# Time within which a target must turn out to have ended for a broken run to count as
+# a crash: its entry expires after three missed heartbeats, and is read somewhat later.
+VERDICT_SECONDS = 6.0
+MAX_BROKEN_RUNS_PER_TARGET = 256
+
+
+class Suspicion(enum.Enum):
+    """Whether requests with a fingerprint run normally, in isolation or not at all."""
+
+    NONE = "none"
+    ISOLATED = "isolated"
+    BARRED = "barred"
+
+
+@dataclass(frozen=True)
+class Crash:
+    """The end of a target while it ran a request.
+
+    Parameters
+    ----------
+    target : str
+        Id of the target.
+    target_started_at : int
+        Unix time of the target's start, milliseconds.
+    started_at, ended_at : float
+        Monotonic times of the start and the end of the run.
+    """
+
+    target: str
+    target_started_at: int
+    started_at: float
+    ended_at: float
+
+    @property
+    def incarnation(self):
+        """Id and start of the target, which name one start of it."""
+        return (self.target, self.target_started_at)
+
+
+@dataclass
+class Suspect:
+    """What is known of a request that ran on targets when they ended.
+
+    Attributes
+    ----------
+    crashes : tuple of Crash
+        The latest crashes since its latest known completed run, by their ends.
+    cleared_at : float
+        Monotonic time of its latest known completed run.
+    changed_at : float
+        Monotonic time at which this was last changed here.
+    """
+
+    crashes: tuple[Crash, ...] = ()
+    cleared_at: float = float("-inf")
+    changed_at: float = float("-inf")
+
+    def add(self, crashes, cleared_at, now):
+        """Merge evidence into this; return whether anything changed.
+
+        Parameters
+        ----------
+        crashes : iterable of Crash
+        cleared_at : float
+            Monotonic time of a completed run; minus infinity if there was none.
+        """
+        cleared_at = max(self.cleared_at, cleared_at)
+        known = {crash.incarnation: crash for crash in self.crashes}
+        merged = {crash.incarnation: crash for crash in crashes} | known
+        uncleared = sorted(
+            (crash for crash in merged.values() if crash.ended_at > cleared_at),
+            key=lambda crash: crash.ended_at,
+        )
+        latest = tuple(uncleared[-MAX_CRASHES_PER_SUSPECT:])
+        is_known = cleared_at <= self.cleared_at + CLEARED_TOLERANCE_SECONDS
+        changed = latest != self.crashes or not is_known
+        self.crashes, self.cleared_at = latest, cleared_at
+        if changed:
+            self.changed_at = now
+        return changed
+
+    def suspicion(self, now):
+        """Return how requests with this fingerprint are handled now."""
+        count = count_successive(self.crashes)
+        if count >= BARRED_AFTER_CRASHES and now < self.barred_until:
+            return Suspicion.BARRED
+        if count >= ISOLATED_AFTER_CRASHES:
+            return Suspicion.ISOLATED
+        return Suspicion.NONE
+
+    @property
+    def barred_until(self):
+        """Monotonic time at which a barred request may run again."""
+        return self.crashes[-1].ended_at + BAR_SECONDS
+
+    def is_expired(self, now):
+        """Return whether this no longer matters."""
+        if not self.crashes:
+            return now - self.changed_at > CLEARED_EXPIRY_SECONDS
+        return now - self.crashes[-1].ended_at > SUSPECT_EXPIRY_SECONDS
+
+
+def count_successive(crashes):
+    """Return the number of crashes whose run began after the previous counted one.
+
+    Targets that fail together crash many concurrent runs of a popular request; these
+    count once.
+
+    Parameters
+    ----------
+    crashes : iterable of Crash
+        In the order of their ends.
+    """
+    count, previous_end = 0, float("-inf")
+    for crash in crashes:
+        if crash.started_at >= previous_end:
+            count, previous_end = count + 1, crash.ended_at
+    return count
+
+
+class SuspectTable:
+    """Requests that ran on targets when they ended, by fingerprint.
+
+    Not thread-safe; the caller holds a lock.
+    """
+
+    def __init__(self):
+        self.by_fingerprint: dict[int, Suspect] = {}
+        self._completed_at: OrderedDict[int, float] = OrderedDict()
+
+    def suspicion(self, fingerprint, now):
+        """Return how requests with a fingerprint are handled now."""
+        suspect = self.by_fingerprint.get(fingerprint)
+        return Suspicion.NONE if suspect is None else suspect.suspicion(now)
+
+    def has_crashed(self, fingerprint):
+        """Return whether a request ran on a target when it ended, and no later run."""
+        suspect = self.by_fingerprint.get(fingerprint)
+        return suspect is not None and bool(suspect.crashes)
+
+    def add(self, fingerprint, crashes, now, cleared_at=float("-inf")):
+        """Add evidence about a request, from here or from a peer.
+
+        A run that completed here after the crashes clears the request.
+
+        Returns
+        -------
+        bool
+            Whether anything changed.
+        """
+        completed_at = self._completed_at.get(fingerprint, float("-inf"))
+        suspect = self.by_fingerprint.get(fingerprint) or Suspect()
+        if not suspect.add(crashes, max(cleared_at, completed_at), now):
+            return False
+        self.by_fingerprint[fingerprint] = suspect
+        if len(self.by_fingerprint) > MAX_SUSPECTS:
+            self._drop_least_suspect(now)
+        return True
+
+    def record_completed(self, fingerprint, now):
+        """Record that a run completed; return whether this cleared a suspect."""
+        self._completed_at[fingerprint] = now
+        self._completed_at.move_to_end(fingerprint)
+        if len(self._completed_at) > MAX_COMPLETED:
+            self._completed_at.popitem(last=False)
+        return self.has_crashed(fingerprint) and self.add(fingerprint, (), now)
+
+    def select(self, count, since=float("-inf")):
+        """Return the suspects with the most and then the latest crashes.
+
+        Parameters
+        ----------
+        count : int
+            Largest number of suspects.
+        since : float
+            Only suspects that changed after this monotonic time.
+
+        Returns
+        -------
+        dict of int to Suspect
+            By fingerprint.
+        """
+        return dict(
+            heapq.nlargest(
+                count,
+                (
+                    item
+                    for item in self.by_fingerprint.items()
+                    if item[1].changed_at > since
+                ),
+                key=lambda item: (len(item[1].crashes), item[1].changed_at),
+            )
+        )
+
+    def expire(self, now):
+        """Remove suspects that no longer matter."""
+        for fingerprint, suspect in list(self.by_fingerprint.items()):
+            if suspect.is_expired(now):
+                del self.by_fingerprint[fingerprint]
+
+    def _drop_least_suspect(self, now):
+        self.expire(now)
+        if len(self.by_fingerprint) > MAX_SUSPECTS:
+            del self.by_fingerprint[
+                min(
+                    self.by_fingerprint,
+                    key=lambda fingerprint: (
+                        len(self.by_fingerprint[fingerprint].crashes),
+                        self.by_fingerprint[fingerprint].changed_at,
+                    ),
+                )
+            ]
+
+
+@dataclass(frozen=True)
+class BrokenRun:
+    """A run without a complete response, of a target that may have ended."""
+
+    fingerprint: int
+    started_at: float
+    ended_at: float
+
+
+@dataclass
+class BrokenRuns:
+    """Broken runs whose targets may have ended, until the verdict on the target.
+
+    A connection also breaks when it is reset on the way, or when a living target
+    fails a single request. Not thread-safe; the caller holds a lock.
+    """
+
+    _runs_by_incarnation: dict[tuple[str, int], list[BrokenRun]] = field(
+        default_factory=dict
+    )
+
+    def add(self, incarnation, run):
+        """Add a broken run of one start of a target."""
+        runs = self._runs_by_incarnation.setdefault(incarnation, [])
+        if len(runs) < MAX_BROKEN_RUNS_PER_TARGET:
+            runs.append(run)
+
+    def incarnations(self):
+        """Return the targets without a verdict, as (id, start)."""
+        return list(self._runs_by_incarnation)
+
+    def has_fingerprint(self, fingerprint):
+        """Return whether a run of a request waits for the verdict on its target."""
+        runs = itertools.chain.from_iterable(self._runs_by_incarnation.values())
+        return any(run.fingerprint == fingerprint for run in runs)
+
+    def take_crashes(self, incarnation):
+        """Remove the runs of a target that has ended.
+
+        Returns
+        -------
+        list of (int, Crash)
+            Their fingerprints and crashes.
+        """
+        target, started_at = incarnation
+        return [
+            (run.fingerprint, Crash(target, started_at, run.started_at, run.ended_at))
+            for run in self._runs_by_incarnation.pop(incarnation, ())
+        ]
+
+    def dismiss(self, incarnation, before=float("inf")):
+        """Remove the runs of a target that is known to have lived on.
+
+        Parameters
+        ----------
+        before : float
+            Only runs that broke before this monotonic time.
+        """
+        self._retain(incarnation, lambda run: run.ended_at >= before)
+
+    def expire(self, now):
+        """Remove the runs of targets without a verdict in time."""
+        for incarnation in self.incarnations():
+            self._retain(incarnation, lambda run: now - run.ended_at <= VERDICT_SECONDS)
+
+    def _retain(self, incarnation, condition):
+        runs = list(filter(condition, self._runs_by_incarnation.pop(incarnation, ())))
+        if runs:
+            self._runs_by_incarnation[incarnation] = runs
--- a/almondglade/placement/targets.py
+++ b/almondglade/placement/targets.py
@@ -125,6 +125,23 @@
         state = self.state_by_target.get(target)
         return state is not None and self.accepts_work(state)
 
+    def isolated_runs(self):
+        """Return the requests that run in isolation, here and on peers.
+
+        Returns
+        -------
+        list of (str, int)
+            Targets and fingerprints.
+        """
+        return [
+            *(
+                (name, fingerprint)
+                for name, state in self.state_by_target.items()
+                for fingerprint in state.isolated_here
+            ),
+            *self.fleet.isolated_runs(),
+        ]
+
     def services(self):
         """Return the services that have targets."""
         return sorted({cell.service for cell in self.states_by_cell})
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -159,7 +159,12 @@
         """Stop the server and reset all its connections."""
         self._server.shutdown()
         self._server.server_close()
-        for sock in self._server.sockets:
+        self.reset_connections()
+
+    def reset_connections(self):
+        """Reset all connections of the server, which goes on."""
+        sockets, self._server.sockets = self._server.sockets, set()
+        for sock in sockets:
             reset(sock)
 
     def close(self):
--- a/test/crashingfleet.py
+++ b/test/crashingfleet.py
@@ -9,7 +9,7 @@
 import urllib3
 
 from soak.ledger import Ledger
-from soak.targets import CRASHING_PATH_END, SoakTarget
+from soak.targets import SoakTarget
 
 from .gatewayfleet import GatewayFleet
 
@@ -20,7 +20,6 @@
 CONTACT_SECONDS = 3.0
 MAX_CRASHES = 3
 MAX_LATE_RUNS = 3
-CRASHING_PATH = f"/look{CRASHING_PATH_END}"
 BYSTANDER_PAUSE_SECONDS = 0.05
 
 
--- a/test/gatewayfleet.py
+++ b/test/gatewayfleet.py
@@ -87,6 +87,7 @@
         self.ports = free_ports(5)
         self.addresses = [f"127.0.0.{number + 1}" for number in range(self.count)]
         self.processes = []
+        self.is_first_start = True
         self.configure()
         return self
 
@@ -156,6 +157,11 @@
         """Start all gateways and wait until they are ready."""
         for address in self.addresses:
             self.processes.append(self._start(address))
+        self.wait_until_ready()
+        self.is_first_start = False
+
+    def wait_until_ready(self):
+        """Wait until all gateways are ready."""
         end = time.monotonic() + START_TIMEOUT_SECONDS
         while not all(self.is_ready(address) for address in self.addresses):
             assert time.monotonic() < end, self.log()
@@ -173,6 +179,7 @@
                 [f"{seed}:{control}" for seed in self.addresses[:3]],
                 self.store_address(address),
                 bounds | self.bounds,
+                self.is_first_start,
             )
         )
         log = self.stack.enter_context(open(self.folder / f"{address}.log", "ab"))
@@ -212,7 +219,7 @@
         self.processes[index].send_signal(signal.SIGTERM)
 
 
-def settings_text(address, listen, peer_port, seeds, store, bounds):
+def settings_text(address, listen, peer_port, seeds, store, bounds, first_start=True):
     """Return a settings file as the platform writes it."""
     values = "\n".join(
         f"{name} = {orjson.dumps(value).decode()}" for name, value in bounds.items()
@@ -224,7 +231,7 @@
 ip = "{address}"
 internalPorts = [{peer_port}, {peer_port}]
 seedNodes = {orjson.dumps(seeds).decode()}
-bootstrap = true
+bootstrap = {orjson.dumps(first_start).decode()}
 unknownField = 7
 [listen]
 {ports}
--- a/test/test_fleet.py
+++ b/test/test_fleet.py
@@ -50,6 +50,9 @@
     def __init__(self, name, data_centre):
         self.name, self.data_centre = name, data_centre
         self.leaving = False
+        self.suspects = SimpleNamespace(
+            recent_reports=lambda: (), reports_for_new_peer=lambda: ()
+        )
         self.coordinators = Coordinators(name)
         self.received_states = []
         self.is_full_mesh = True
@@ -138,11 +141,11 @@
         ]
 
 
-def run_fleet(count, scenario):
+def run_fleet(count, scenario, make_network=SimulatedNetwork):
     """Run a scenario in a fleet with one live seed and two that no longer exist."""
 
     async def run():
-        net = SimulatedNetwork()
+        net = make_network()
         seeds = ("10.0.0.1", STALE_SEED, "10.9.9.8")
         tasks = [task for number in range(count) for task in net.start(number, seeds)]
         try:
--- a/test/test_gossip.py
+++ b/test/test_gossip.py
@@ -8,6 +8,7 @@
 from almondglade.errors import PeerError
 from almondglade.gossip.codec import FORMAT_VERSION, decode, encode
 from almondglade.gossip.messages import (
+    CrashEvidence,
     ExpectedWait,
     Grant,
     Grants,
@@ -16,6 +17,8 @@
     Report,
     ReportRequest,
     SharedState,
+    SuspectEvidence,
+    SuspectReport,
     WaitingRequest,
 )
 from almondglade.placement.allowance import Scope
@@ -36,6 +39,7 @@
     st.integers(0, 3000).map(float),
     SECONDS,
     NAMES,
+    st.integers(0, 2**64 - 1),
 )
 COUNTS = st.integers(0, 10**9)
 LOADS = st.builds(CellLoad, st.builds(Cell, NAMES, NAMES), COUNTS, COUNTS, SECONDS)
@@ -70,6 +74,9 @@
     st.lists(NAMES, max_size=3).map(tuple),
     st.none() | SHARED_STATES,
     st.none() | st.dictionaries(NAMES, STATS, max_size=3),
+    st.dictionaries(
+        NAMES, st.lists(st.integers(1, 2**64 - 1), max_size=2).map(tuple), max_size=2
+    ),
 )
 WAITS = st.builds(
     ExpectedWait,
@@ -100,9 +107,19 @@
     MemberList, NAMES, st.lists(MEMBERS, max_size=5).map(tuple), st.booleans()
 )
 REQUESTS = st.builds(ReportRequest, NAMES)
+CRASHES = st.builds(CrashEvidence, NAMES, st.integers(0, 2**60), SECONDS, SECONDS)
+SUSPECTS = st.builds(
+    SuspectEvidence,
+    st.integers(0, 2**64 - 1),
+    st.lists(CRASHES, max_size=3).map(tuple),
+    st.none() | SECONDS,
+)
+SUSPECT_REPORTS = st.builds(
+    SuspectReport, NAMES, st.lists(SUSPECTS, max_size=3).map(tuple)
+)
 
 
-@given(st.one_of(REPORTS, GRANTS, MEMBER_LISTS, REQUESTS))
+@given(st.one_of(REPORTS, GRANTS, MEMBER_LISTS, REQUESTS, SUSPECT_REPORTS))
 def test_a_decoded_message_equals_the_encoded_one(message):
     assert decode(encode(message)) == message
 
