End a watch sooner when the evidence of the configuration gets old

Callers were refused with 503 ("the configuration may be out of date") at all three gateways at once, for 0.1 to 0.2 s, while the store was well. Seen in one of nine runs of test_crashing_requests.py, 9.51 s after the first crash.

Cause: a watch that ends with a change proves only that the configuration was the newest when the watch began. A change 1.9 s after the start of a watch and a quiet watch of 2 s after it leave evidence of 3.9 s; it is accepted for 3.8 s. A change starts the watches of all gateways at the same moment, so that no peer had newer evidence either.

The timeout of a watch now leaves out the age that the evidence has already, peers' evidence included, so that it is renewed before 3.3 s. Watches after early changes last as long as before.

--- a/almondglade/gateway/discovery.py
+++ b/almondglade/gateway/discovery.py
@@ -17,6 +17,8 @@
 # starts this many watches per second.
 MIN_WATCH_SECONDS = 2.0
 MAX_WATCH_SECONDS = 3.2
+# Timeout of a watch that is started when the evidence is about to expire.
+REFRESH_WATCH_SECONDS = 0.2
 FLEET_WATCHES_PER_SECOND = 12.0
 # After a response with changes, an instance pauses so that its next call returns all
 # changes made meanwhile. During a series of changes the whole fleet then makes this
@@ -207,6 +209,9 @@
         Adds jitter, so that instances do not call the store at the same time.
     fleet_size : callable
         Returns the number of instances in the fleet.
+    evidence_age : callable
+        Returns the seconds since the configuration in use was last known to be the
+        newest, by this instance's calls or by a peer.
 
     Attributes
     ----------
@@ -214,12 +219,21 @@
         Whether the store answered the last call; None before the first one.
     """
 
-    def __init__(self, store, registry, confirm, rng, fleet_size=lambda: 1):
+    def __init__(
+        self,
+        store,
+        registry,
+        confirm,
+        rng,
+        fleet_size=lambda: 1,
+        evidence_age=lambda: 0.0,
+    ):
         self.store = store
         self.registry = registry
         self.confirm = confirm
         self.rng = rng
         self.fleet_size = fleet_size
+        self.evidence_age = evidence_age
         self.reachable = None
         self._stopped = threading.Event()
         self._thread = threading.Thread(target=self._run, daemon=True)
@@ -273,7 +287,11 @@
     def _watch_seconds(self):
         spread = self.fleet_size() / FLEET_WATCHES_PER_SECOND
         longest = min(max(MIN_WATCH_SECONDS, spread), MAX_WATCH_SECONDS)
-        return self.rng.uniform(MIN_WATCH_SECONDS, longest)
+        timeout = self.rng.uniform(MIN_WATCH_SECONDS, longest)
+        # A watch that ends with a change proves only that the configuration was the
+        # newest when it began, so the next one ends sooner.
+        time_left = MAX_WATCH_SECONDS - self.evidence_age()
+        return max(REFRESH_WATCH_SECONDS, min(timeout, time_left))
 
     def _coalesce_seconds(self):
         pause = min(self.fleet_size() / FLEET_CALLS_PER_SECOND, MAX_COALESCE_SECONDS)
--- a/almondglade/gateway/node.py
+++ b/almondglade/gateway/node.py
@@ -142,6 +142,7 @@
             self._confirm_configuration,
             rng,
             lambda: self.gossip.max_instances_seen,
+            self._evidence_age,
         )
         self.app = GatewayApp(
             settings.instance,
@@ -295,6 +296,10 @@
         with self.lock:
             self.freshness.confirm(self.registry.catalogue_revision, as_of)
 
+    def _evidence_age(self):
+        with self.lock:
+            return self.freshness.age(boottime_clock())
+
     def _accepts_keys(self):
         with self.lock:
             return self.freshness.accepts_keys(boottime_clock())
--- a/test/test_discovery.py
+++ b/test/test_discovery.py
@@ -42,14 +42,40 @@
         return Batch((update,), self.revision, False, time.monotonic())
 
 
-def make_discovery(instances, store=None):
-    registry = Registry(time.monotonic)
+class LateChangeStore:
+    """A store whose first watch ends with a change just before its timeout.
+
+    Its clock advances by the time that a watch takes.
+    """
+
+    def __init__(self):
+        self.now = 100.0
+        self.is_changing = True
+
+    def read_all(self):
+        return Batch((), 1, True, self.now)
+
+    def watch(self, revision, wait):
+        requested_at = self.now
+        if self.is_changing:
+            self.is_changing = False
+            self.now += 0.99 * wait
+            update = TargetUpdate(2, "t1", None)
+            return Batch((update,), 2, False, requested_at)
+        self.now += wait
+        return Batch((), 2, False, self.now)
+
+
+def make_discovery(
+    instances, store=None, confirm=lambda as_of: None, evidence_age=lambda: 0.0
+):
     return Discovery(
         store or ChangingStore(),
-        registry,
-        lambda as_of: None,
+        Registry(time.monotonic),
+        confirm,
         random.Random(1),
         lambda: instances,
+        evidence_age,
     )
 
 
@@ -79,6 +105,24 @@
     assert longest <= EVIDENCE_VALIDITY_SHARE * REVOKE_SECONDS - 0.5
 
 
+# All instances refused API keys for a moment when a change ended their watches late
+# and nothing changed during the next ones.
+@pytest.mark.parametrize("instances", [1, 9, 76, 330])
+def test_evidence_stays_valid_after_a_change_late_in_a_watch(instances):
+    store = LateChangeStore()
+    confirmed = []
+    discovery = make_discovery(
+        instances, store, confirmed.append, lambda: store.now - confirmed[-1]
+    )
+    revision = discovery._read(None)
+    ages = []
+    for _ in range(5):
+        latest = confirmed[-1]
+        revision = discovery._read(revision)
+        ages.append(store.now - latest)
+    assert max(ages) <= EVIDENCE_VALIDITY_SHARE * REVOKE_SECONDS - 0.5
+
+
 def test_the_watches_of_a_large_fleet_have_different_timeouts():
     discovery = make_discovery(76)
     lengths = sorted(discovery._watch_seconds() for _ in range(76))
