Keep gateways that have just restarted within the retry budget

Callers would not see it, targets would: of nine gateways that restart together each took a whole share of the slack again, and until it knew its peers the whole fleet's.

Cause: the retry budget counts this incarnation's retries and divides the slack by the instances that it has seen so far, and member lists were not counted until the next round, up to 0.5 s later.

For the length of the window after a restart only the reserve is used of its share of the slack, 0.3, which fits beside the 0.7 of the former incarnation. A gateway that joins counts the instances of member lists at once.

--- a/almondglade/gateway/node.py
+++ b/almondglade/gateway/node.py
@@ -98,7 +98,10 @@
         )
         self.allowances = SharedAllowances(settings.first_start)
         self.retry_budget = RetryBudget(
-            bounds.retry_ratio, bounds.retry_slack, bounds.retry_window
+            bounds.retry_ratio,
+            bounds.retry_slack,
+            bounds.retry_window,
+            float("-inf") if settings.first_start else self.clock(),
         )
         self.connections = TargetPools()
         self.exchange = Exchange(
--- a/almondglade/gossip/fleet.py
+++ b/almondglade/gossip/fleet.py
@@ -240,6 +240,8 @@
         for member in message.members:
             if member.address != self.address:
                 self._merge_member(member)
+        if self._is_joining():
+            self._update_instances()
         if message.joining:
             live = self._live_by_recency()
             for start in range(0, len(live), MAX_MEMBERS_PER_LIST):
--- a/almondglade/placement/resends.py
+++ b/almondglade/placement/resends.py
@@ -9,6 +9,9 @@
 # Share of the budget that is used; the rest covers an unequal distribution of callers
 # over instances.
 USED_SHARE = 0.7
+# Share of the slack that is used shortly after a restart; together with the former
+# incarnation's share it stays within the slack, even if all instances restart.
+RESTARTED_SLACK_SHARE = 1.0 - USED_SHARE
 
 
 class RetryBudget:
@@ -22,12 +25,17 @@
         Additional retries allowed in the window, shared by all instances.
     window : float
         Length of the window in seconds.
+    restarted_at : float
+        Monotonic time of a restart of this instance; minus infinity at the first start
+        of the fleet. The retries of its former incarnation are not known, but count
+        until the window is over.
     """
 
-    def __init__(self, ratio, slack, window):
+    def __init__(self, ratio, slack, window, restarted_at=float("-inf")):
         self.ratio = ratio
         self.slack = slack
         self.window = window
+        self.restarted_at = restarted_at
         self._requests_by_service: dict[str, deque[float]] = {}
         self._retries_by_service: dict[str, deque[float]] = {}
 
@@ -45,8 +53,12 @@
         """
         requests = self._recent(self._requests_by_service, service, now)
         retries = self._recent(self._retries_by_service, service, now)
-        allowed = self.ratio * len(requests) + self.slack / max(1, instances)
-        if len(retries) + 1 > USED_SHARE * allowed:
+        is_restarted = now < self.restarted_at + self.window
+        slack_share = RESTARTED_SLACK_SHARE if is_restarted else USED_SHARE
+        allowed = USED_SHARE * self.ratio * len(
+            requests
+        ) + slack_share * self.slack / max(1, instances)
+        if len(retries) + 1 > allowed:
             return False
         retries.append(now)
         return True
--- a/test/test_fleet.py
+++ b/test/test_fleet.py
@@ -208,6 +208,20 @@
     run_fleet(40, scenario)
 
 
+# An instance that had just started took the whole fleet's retry budget for its own.
+@pytest.mark.parametrize("count", [9, 40])
+def test_an_instance_that_starts_knows_the_size_of_the_fleet_at_once(count):
+    async def scenario(net, tasks, seeds):
+        await wait_until_known(net, count)
+        await asyncio.sleep(JOIN_SECONDS)
+        tasks += net.start(count, seeds)
+        await asyncio.sleep(0.05)
+        newest = list(net.gossip_by_address.values())[-1]
+        return newest.max_instances_seen
+
+    assert run_fleet(count, scenario) == count + 1
+
+
 def test_shared_state_reaches_every_instance_once_through_relays():
     async def scenario(net, tasks, seeds):
         await wait_until_known(net, 40)
--- a/test/test_placement_decisions.py
+++ b/test/test_placement_decisions.py
@@ -126,6 +126,23 @@
     assert 0 < granted <= 0.2 * 1000 + 58.0 / 9
 
 
+# Gateways that were killed together came back with a whole share of the retry budget
+# each, since they did not know the retries before.
+def test_restarted_instances_together_stay_within_the_retry_budget():
+    def spend(budget, now):
+        return sum(budget.spend("s", 9, now) for _ in range(100))
+
+    before = [RetryBudget(ratio=0.2, slack=58.0, window=10.0) for _ in range(9)]
+    after = [RetryBudget(0.2, 58.0, 10.0, restarted_at=10.0) for _ in range(9)]
+    granted = sum(spend(budget, 9.9) for budget in before)
+    for budget in after:
+        for _ in range(10):
+            budget.count_request("s", 10.0)
+        granted += spend(budget, 10.1)
+    assert granted <= 0.2 * 9 * 10 + 58.0
+    assert spend(after[0], 20.2) > 2
+
+
 def test_the_retry_budget_recovers_as_its_window_slides():
     budget = RetryBudget(ratio=0.0, slack=10.0, window=10.0)
     assert sum(budget.spend("s", 1, 0.0) for _ in range(20)) == 7
