Take malformed target stats in a datagram for an invalid message

A datagram whose target stats are no map raised AttributeError in the event loop instead of being dropped with a log line. Callers saw nothing; the trace went to standard error. The new case with stats of 7 failed before.

--- a/almondglade/gossip/codec.py
+++ b/almondglade/gossip/codec.py
@@ -219,7 +219,7 @@
         if format_version != FORMAT_VERSION or kind not in DECODER_BY_KIND:
             raise PeerError(f"unknown message format {format_version} or kind {kind}")
         return DECODER_BY_KIND[kind](instance, *rest)
-    except (ValueError, TypeError, msgpack.UnpackException) as error:
+    except (ValueError, TypeError, AttributeError, msgpack.UnpackException) as error:
         raise PeerError(f"malformed message: {error}") from error
 
 
--- a/test/test_gossip.py
+++ b/test/test_gossip.py
@@ -142,6 +142,11 @@
         msgpack.packb([FORMAT_VERSION + 1, 0, "e1"]),
         msgpack.packb([FORMAT_VERSION, 99, "e1"]),
         msgpack.packb([FORMAT_VERSION, 0, "e1"]),
+        msgpack.packb([FORMAT_VERSION, 0, "e1", "n", 1, 1, 0, {}, [], {}, [], 0, 7, 7]),
+        msgpack.packb(
+            [FORMAT_VERSION, 0, "e1", "n", 1, 1, 0, {}, [], {}, [], None, 7, {}]
+        ),
+        msgpack.packb([FORMAT_VERSION, 4, "e1", [[7, "t1", None]]]),
     ],
 )
 def test_malformed_messages_raise_peer_errors(data):
