Keep suspect reports within a packet and measure their cost

Four suspects of 12 crashes with real ids and start times took 1,455 B, more than a packet; the test used short numbers and passed. Eight crashes are kept instead of 12: 991 B.

--- a/almondglade/placement/suspects.py
+++ b/almondglade/placement/suspects.py
@@ -28,10 +28,12 @@
 # that are reported late do not make it suspect again.
 CLEARED_EXPIRY_SECONDS = 30.0
 # Crashes of one request that are kept; targets that fail together add several at once.
-MAX_CRASHES_PER_SUSPECT = 12
+MAX_CRASHES_PER_SUSPECT = 8
 # Reports of one completed run differ by less, as their ages are rounded and delayed.
 CLEARED_TOLERANCE_SECONDS = 1.0
 MAX_SUSPECTS = 1024
+# Suspects that are kept when there are too many; dropping many at a time is cheaper.
+KEPT_SUSPECTS = 896
 # Number of requests whose last completed run is remembered.
 MAX_COMPLETED = 2048
 # Time within which a target must turn out to have ended for a broken run to count as
@@ -190,7 +192,7 @@
             return False
         self.by_fingerprint[fingerprint] = suspect
         if len(self.by_fingerprint) > MAX_SUSPECTS:
-            self._drop_least_suspect(now)
+            self.by_fingerprint = self.select(KEPT_SUSPECTS)
         return True
 
     def record_completed(self, fingerprint, now):
@@ -234,19 +236,6 @@
             if suspect.is_expired(now):
                 del self.by_fingerprint[fingerprint]
 
-    def _drop_least_suspect(self, now):
-        self.expire(now)
-        if len(self.by_fingerprint) > MAX_SUSPECTS:
-            del self.by_fingerprint[
-                min(
-                    self.by_fingerprint,
-                    key=lambda fingerprint: (
-                        len(self.by_fingerprint[fingerprint].crashes),
-                        self.by_fingerprint[fingerprint].changed_at,
-                    ),
-                )
-            ]
-
 
 @dataclass(frozen=True)
 class BrokenRun:
--- a/bench/gateway.py
+++ b/bench/gateway.py
@@ -2,15 +2,28 @@
 
 import asyncio
 import time
+import tracemalloc
 
 from almondglade.catalogue import TargetRecord
 from almondglade.gossip.codec import decode, encode
 from almondglade.gossip.fleet import JOIN_SECONDS
-from almondglade.gossip.messages import Report, WaitingRequest
+from almondglade.gossip.messages import (
+    CrashEvidence,
+    Report,
+    SuspectEvidence,
+    SuspectReport,
+    WaitingRequest,
+)
 from almondglade.placement.choice import TargetSelector
 from almondglade.placement.cold import ColdTargetLimiter
 from almondglade.placement.places import PeerLoad, Ticket
 from almondglade.placement.pool import Pools
+from almondglade.placement.suspects import (
+    MAX_CRASHES_PER_SUSPECT,
+    MAX_SUSPECTS,
+    Crash,
+    SuspectTable,
+)
 from test.test_fleet import run_fleet, send_rates, wait_until_known
 
 ROUNDS = 200
@@ -69,6 +82,47 @@
     return len(encode(report)), (time.perf_counter() - started_at) / ROUNDS
 
 
+def suspect_report_cost(suspects, crashes):
+    """Return the size of a suspect report and the seconds to encode and decode it."""
+    evidence = tuple(
+        CrashEvidence(f"i-{number:010x}", 1_700_000_000_000, 1.5, 1.0)
+        for number in range(crashes)
+    )
+    report = SuspectReport(
+        "instance-1",
+        tuple(
+            SuspectEvidence(2**63 + number, evidence, None)
+            for number in range(suspects)
+        ),
+    )
+    started_at = time.perf_counter()
+    for _ in range(ROUNDS):
+        decode(encode(report))
+    return len(encode(report)), (time.perf_counter() - started_at) / ROUNDS
+
+
+def suspect_table_cost():
+    """Return the memory of a full table, bytes, and the seconds to add a suspect."""
+    table = SuspectTable()
+
+    def add(fingerprint):
+        crashes = [
+            Crash(f"i-{fingerprint}-{number}", 1, number, number + 0.5)
+            for number in range(MAX_CRASHES_PER_SUSPECT)
+        ]
+        table.add(fingerprint, crashes, 100.0)
+
+    tracemalloc.start()
+    for fingerprint in range(MAX_SUSPECTS):
+        add(fingerprint)
+    used, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    started_at = time.perf_counter()
+    for fingerprint in range(ROUNDS):
+        add(MAX_SUSPECTS + fingerprint)
+    return used, (time.perf_counter() - started_at) / ROUNDS
+
+
 async def idle_rates(net, tasks, seeds):
     """Return the messages and bytes per second that an idle instance sends."""
     await wait_until_known(net, len(net.gossip_by_address))
@@ -92,6 +146,14 @@
             f"report: {running} running, {waiting} waiting "
             f"{size} B, {1000 * seconds:.3f} ms"
         )
+    for suspects, crashes in ((1, 1), (4, 1), (4, MAX_CRASHES_PER_SUSPECT)):
+        size, seconds = suspect_report_cost(suspects, crashes)
+        print(
+            f"suspect report: {suspects} suspects of {crashes} crashes "
+            f"{size} B, {1000 * seconds:.3f} ms"
+        )
+    size, seconds = suspect_table_cost()
+    print(f"suspects: full table {size / 1e6:.2f} MB, adding {1000 * seconds:.3f} ms")
 
 
 if __name__ == "__main__":
--- a/test/test_suspects.py
+++ b/test/test_suspects.py
@@ -12,7 +12,11 @@
 from almondglade.gossip.fleet import MEMBER_LIST_FANOUT
 from almondglade.gossip.messages import SuspectReport
 from almondglade.metrics import Metrics
-from almondglade.placement.suspects import Crash, Suspicion
+from almondglade.placement.suspects import (
+    MAX_CRASHES_PER_SUSPECT,
+    Crash,
+    Suspicion,
+)
 
 from .test_fleet import (
     JOIN_SECONDS,
@@ -186,8 +190,8 @@
         for fingerprint in range(200):
             with net.tracker(0).lock:
                 crashes = [
-                    Crash(f"i-{'0' * 10}", number, now() - 2, now() - 1)
-                    for number in range(12)
+                    Crash(f"i-{number:010x}", 2**41, now() - 2, now() - 1)
+                    for number in range(MAX_CRASHES_PER_SUSPECT)
                 ]
                 net.tracker(0)._add(2**63 + fingerprint, crashes, now(), "a test")
         net.largest = 0
