Test what a gateway takes for the end of a target

A refused connection, three silent probes, and an entry that is gone or has a newer start are the end of a target; an accepted connection, a target marked as leaving and a removal long ago are not. Many broken runs cause one probe.

--- /dev/null
+++ b/test/test_suspect_probes.py
@@ -0,0 +1,127 @@
+"""How a gateway finds out whether a target has ended while it ran a request."""
+
+import asyncio
+import socket
+import threading
+import time
+from types import SimpleNamespace
+
+import pytest
+
+from almondglade.catalogue import TargetRecord
+from almondglade.gateway import suspects as suspects_module
+from almondglade.gateway.suspects import (
+    MAX_PROBES,
+    PROBE_DELAY_SECONDS,
+    REMOVAL_SECONDS,
+    SuspectTracker,
+)
+from almondglade.metrics import Metrics
+
+REQUEST = SimpleNamespace(fingerprint=7)
+WAIT_SECONDS = PROBE_DELAY_SECONDS + 0.2
+
+
+@pytest.fixture
+def listener():
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        yield server
+
+
+def make_record(port, **changes):
+    return TargetRecord("t1", "drafts", "127.0.0.1", port, "north", 4, **changes)
+
+
+def make_tracker(*records):
+    tracker = SuspectTracker("e1", threading.Lock(), Metrics(), time.monotonic)
+    tracker.gossip = SimpleNamespace(send_to_all_soon=lambda report: None)
+    tracker.update_targets(list(records))
+    return tracker
+
+
+def run_broken(record, records_afterwards=None, seconds=WAIT_SECONDS):
+    """Let a run break at a target; return whether it counted as a crash."""
+
+    async def run():
+        tracker = make_tracker(record)
+        tracker.record_broken(REQUEST, "t1", time.monotonic() - 0.1)
+        if records_afterwards is not None:
+            tracker.update_targets(records_afterwards)
+        await asyncio.sleep(seconds)
+        return tracker.table.has_crashed(REQUEST.fingerprint)
+
+    return asyncio.run(run())
+
+
+def free_port():
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        return server.getsockname()[1]
+
+
+def test_a_target_that_refuses_connections_has_ended():
+    assert run_broken(make_record(free_port()))
+
+
+def test_a_target_that_accepts_connections_lives_on(listener):
+    assert not run_broken(make_record(listener.getsockname()[1]))
+
+
+# A crashed target that had restarted before the probe was taken for a living one.
+@pytest.mark.parametrize("changes", [None, {"started_at": 9}])
+def test_a_target_whose_entry_is_gone_or_replaced_has_ended(listener, changes):
+    record = make_record(listener.getsockname()[1])
+    afterwards = [] if changes is None else [make_record(record.port, **changes)]
+    assert run_broken(record, afterwards)
+
+
+# A target that ends as planned cuts off its longest runs.
+def test_a_leaving_target_has_not_crashed():
+    record = make_record(free_port(), leaving=True)
+    assert not run_broken(record)
+    assert not run_broken(record, [])
+
+
+@pytest.mark.parametrize(("timeouts", "has_ended"), [(MAX_PROBES, True), (1, False)])
+def test_a_target_without_an_answer_to_several_probes_has_ended(
+    monkeypatch, listener, timeouts, has_ended
+):
+    outcomes = [TimeoutError] * timeouts
+    open_connection = asyncio.open_connection
+
+    async def probe(host, port):
+        if outcomes:
+            raise outcomes.pop()
+        return await open_connection(host, port)
+
+    monkeypatch.setattr(suspects_module.asyncio, "open_connection", probe)
+    assert run_broken(make_record(listener.getsockname()[1])) == has_ended
+
+
+# The entry of a crashed target was removed before its broken connection was noticed.
+@pytest.mark.parametrize(
+    ("seconds", "has_crashed"), [(0.0, True), (REMOVAL_SECONDS + 0.1, False)]
+)
+def test_a_run_that_breaks_just_after_the_removal_is_a_crash(seconds, has_crashed):
+    async def run():
+        tracker = make_tracker(make_record(free_port()))
+        tracker.update_targets([])
+        await asyncio.sleep(seconds)
+        tracker.record_broken(REQUEST, "t1", time.monotonic() - 0.1)
+        return tracker.table.has_crashed(REQUEST.fingerprint)
+
+    assert asyncio.run(run()) == has_crashed
+
+
+# A target was probed for each of its broken runs, and each probe costs a connection.
+def test_many_broken_runs_cause_one_probe(listener):
+    async def run():
+        tracker = make_tracker(make_record(listener.getsockname()[1]))
+        for _ in range(20):
+            tracker.record_broken(REQUEST, "t1", time.monotonic() - 0.1)
+        await asyncio.sleep(WAIT_SECONDS)
+
+    asyncio.run(run())
+    listener.settimeout(0.1)
+    listener.accept()
+    with pytest.raises(TimeoutError):
+        listener.accept()
