Let callers of the soak repeat requests that crash targets

The ledger finds a request that runs more than three times later than 3 s after its third crash, sent by gateways that no fault of gateways or the store disturbed.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -16,6 +16,8 @@
 # response still arrives.
 RESPONSE_GRACE_SECONDS = 3.0
 PAUSE_SECONDS = (0.0, 0.06)
+# Share of the requests that repeat one that crashes targets, once there is one.
+CRASHING_SHARE = 0.05
 REQUEST_KINDS = ("book", "look", "look", "stream", "stream")
 
 
@@ -45,11 +47,16 @@
 
     def _run(self):
         while not self.stopped.is_set():
-            self._call(self.rng.choice(REQUEST_KINDS))
+            if self.fleet.crashing_paths and self.rng.random() < CRASHING_SHARE:
+                self._call(self.rng.choice(self.fleet.crashing_paths))
+            else:
+                kind = self.rng.choice(REQUEST_KINDS)
+                self._call(f"/{kind}/{self.request_count}")
             self.stopped.wait(self.rng.uniform(*PAUSE_SECONDS))
 
-    def _call(self, kind):
+    def _call(self, path):
         self.request_count += 1
+        is_crashing = path in self.fleet.crashing_paths
         request_id = f"{self.name}-{self.request_count}"
         key = self.fleet.choose_key(self.rng)
         address = self._choose_address()
@@ -61,10 +68,12 @@
                 timeout=TIME_LIMIT_SECONDS + RESPONSE_GRACE_SECONDS,
             )
         self.ledger.record_request(request_id, key)
+        if is_crashing:
+            self.ledger.record_crashing_request(request_id, path, address)
         sent_at = time.monotonic()
         status = None
         with contextlib.suppress(OSError, http.client.HTTPException):
-            status = self._exchange(connection, request_id, kind, key)
+            status = self._exchange(connection, request_id, path, key)
             if self.rng.random() < 0.9:
                 self.connection_by_address[address] = connection
         ended_at = time.monotonic()
@@ -72,7 +81,7 @@
         self.ledger.record_outcome(
             CallerOutcome(request_id, key, status, sent_at, ended_at, undisturbed)
         )
-        if undisturbed and status is None:
+        if undisturbed and status is None and not is_crashing:
             self.ledger.record_violation(f"{request_id} at {address} got no response")
 
     def _choose_address(self):
@@ -81,15 +90,16 @@
             return self.rng.choice(list(self.connection_by_address))
         return self.rng.choice(self.fleet.ready or self.fleet.addresses)
 
-    def _exchange(self, connection, request_id, kind, key):
+    def _exchange(self, connection, request_id, path, key):
         headers = {
             "Host": HOST,
             "X-Request-Id": request_id,
             "X-Deadline-Ms": str(round(1000 * TIME_LIMIT_SECONDS)),
             "X-Credential": key,
         }
+        kind = path.split("/")[1]
         method = "POST" if kind == "book" else "GET"
-        connection.request(method, f"/{kind}/{self.request_count}", headers=headers)
+        connection.request(method, path, headers=headers)
         response = connection.getresponse()
         body, is_complete = read_body(response)
         if response.status == 200 and is_complete:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -7,12 +7,15 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from .targets import CRASHING_PATH_END
+
 # Limits on response times are not checked for this long after a fault, while the
 # users' documentation still counts an instance as "out of touch".
 SETTLE_SECONDS = 3.0
 # Ranges of the pause between the faults of a sequence, of a fault's duration and of
 # an injected delay.
 PAUSE_SECONDS = (0.3, 2.5)
+CRASHING_REQUEST_PAUSE_SECONDS = (2.0, 8.0)
 DURATION_SECONDS = (0.2, 3.0)
 DELAY_SECONDS = (0.05, 0.4)
 
@@ -163,6 +166,13 @@
     fleet.replace_key()
 
 
+def _send_crashing_request(fleet, rng):
+    kind = rng.choice(("look", "stream"))
+    path = f"/{kind}/{len(fleet.crashing_paths)}{CRASHING_PATH_END}"
+    # Callers repeat it from now on, also after the end of the fault.
+    fleet.crashing_paths.append(path)
+
+
 FAULT_BY_NAME = {
     "gateway killed": Fault(
         _kill_gateway, lambda fleet, process: fleet.restart(process)
@@ -187,6 +197,8 @@
     "target leaves": Fault(_drain_target, _undrain_targets),
     "key revoked": Fault(_revoke_key),
 }
+# In a sequence of its own, so that a seed still selects the same other faults.
+CRASHING_REQUEST_BY_NAME = {"request crashes targets": Fault(_send_crashing_request)}
 
 # Distinguishes faults of the same name.
 FAULT_NUMBERS = itertools.count(1)
@@ -201,24 +213,34 @@
         Gateways, store and targets to disturb.
     rng : random.Random
         Selects the faults and their times.
+    fault_by_name : dict of str to Fault
+        Faults to select from.
+    pause_seconds : (float, float)
+        Range of the pause between two faults.
     """
 
-    def __init__(self, fleet, rng):
+    def __init__(
+        self, fleet, rng, fault_by_name=FAULT_BY_NAME, pause_seconds=PAUSE_SECONDS
+    ):
         self.fleet, self.rng = fleet, rng
+        self.fault_by_name, self.pause_seconds = fault_by_name, pause_seconds
         self.stopped = threading.Event()
         self.thread = threading.Thread(target=self._run, daemon=True)
         self.thread.start()
 
     def _run(self):
-        while not self.stopped.wait(self.rng.uniform(*PAUSE_SECONDS)):
-            name = self.rng.choice(list(FAULT_BY_NAME))
-            fault = FAULT_BY_NAME[name]
+        while not self.stopped.wait(self.rng.uniform(*self.pause_seconds)):
+            name = self.rng.choice(list(self.fault_by_name))
+            fault = self.fault_by_name[name]
             label = f"{name} ({next(FAULT_NUMBERS)})"
             self.fleet.record_fault_start(label)
+            started_at = time.monotonic()
             subject = fault.begin(self.fleet, self.rng)
+            addresses = self.fleet.disturbed_addresses(name, subject)
             self.stopped.wait(self.rng.uniform(*DURATION_SECONDS))
             fault.end(self.fleet, subject)
             self.fleet.record_fault_end(label)
+            self.fleet.ledger.record_disturbance(addresses, started_at)
 
     def stop(self):
         """Stop the sequence after the fault in progress has been removed."""
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -33,6 +33,8 @@
         Starts and ends of faults, with their time in monotonic seconds.
     active_faults : set of str
         Labels of the faults in progress.
+    crashing_paths : list of str
+        Paths of the requests that crash each target that runs them.
     """
 
     ledger: Ledger = field(default_factory=Ledger)
@@ -40,6 +42,7 @@
     ready: list = field(default_factory=list)
     fault_events: list = field(default_factory=list)
     active_faults: set = field(default_factory=set)
+    crashing_paths: list = field(default_factory=list)
 
     def __enter__(self):
         self.key, self.version = KEY, 1
@@ -51,6 +54,7 @@
             SoakTarget(f"t{number}", self.ledger) for number in range(TARGET_COUNT)
         ]
         for target in self.targets:
+            target.on_crash = self.restart_target
             self.stack.callback(target.close)
         self.write_target_entries()
         self.replace_key(initial=True)
@@ -87,6 +91,27 @@
         recent = (at > since - SETTLE_SECONDS for at, _ in self.fault_events[-20:])
         return not self.active_faults and not any(recent)
 
+    def restart_target(self, target):
+        """Crash a target and start it again, unless another fault has done so."""
+        name = target.name
+        with self.target_lock:
+            if target.name != name:
+                return
+            self.record_fault_start(name)
+            target.crash()
+            target.start()
+        self.write_target_entries()
+        self.record_fault_end(name)
+
+    def disturbed_addresses(self, fault, subject):
+        """Return the gateways that a fault of gateways or the store disturbs."""
+        if subject in self.processes:
+            return [self.addresses[self.processes.index(subject)]]
+        by_proxy = {proxy: name for name, proxy in self.proxy_by_address.items()}
+        if subject in by_proxy:
+            return [by_proxy[subject]]
+        return self.addresses if fault.startswith(("gateway", "store")) else []
+
     def write_target_entries(self, draining=None):
         """Write the store entries of all targets and remove outdated ones."""
         with self.target_lock:
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -63,6 +63,10 @@
         Monotonic seconds of the revocation, by key.
     sent_at : dict of str to (str, float)
         Key and monotonic seconds of a request by its id.
+    crashing_request_by_id : dict of str to (str, str)
+        Path of a request that crashes targets, and the gateway that it was sent to.
+    disturbances : list of (str, float, float)
+        Gateways that were disturbed, or cut off from the store, from when to when.
     """
 
     runs: list[Run] = field(default_factory=list)
@@ -70,6 +74,8 @@
     violations: list[str] = field(default_factory=list)
     revoked_at: dict[str, float] = field(default_factory=dict)
     sent_at: dict[str, tuple[str, float]] = field(default_factory=dict)
+    crashing_request_by_id: dict[str, tuple[str, str]] = field(default_factory=dict)
+    disturbances: list[tuple[str, float, float]] = field(default_factory=list)
     _lock: threading.Lock = field(default_factory=threading.Lock)
 
     def record_run(self, request_id, target, workspace, repeatable):
@@ -83,6 +89,17 @@
         with self._lock:
             self.sent_at[request_id] = (key, time.monotonic())
 
+    def record_crashing_request(self, request_id, path, address):
+        """Record that a request crashes each target that runs it."""
+        with self._lock:
+            self.crashing_request_by_id[request_id] = (path, address)
+
+    def record_disturbance(self, addresses, started_at):
+        """Record that gateways were disturbed until now."""
+        now = time.monotonic()
+        with self._lock:
+            self.disturbances += [(address, started_at, now) for address in addresses]
+
     def record_outcome(self, outcome):
         """Record how a request ended for its caller."""
         with self._lock:
@@ -112,6 +129,7 @@
             *self._find_runs_with_revoked_key(runs_by_request_id, limits),
             *self._find_allowance_excess(limits),
             *self._find_late_responses(limits),
+            *self._find_late_crashing_runs(limits),
         ]
 
     @staticmethod
@@ -178,6 +196,31 @@
                     f"{outcome.ended_at - outcome.sent_at:.2f} s"
                 )
 
+    def _find_late_crashing_runs(self, limits):
+        runs_by_path = defaultdict(list)
+        for run in self.runs:
+            if run.request_id in self.crashing_request_by_id:
+                path, address = self.crashing_request_by_id[run.request_id]
+                runs_by_path[path].append((run.started_at, address))
+        for path, runs in runs_by_path.items():
+            runs.sort()
+            if len(runs) <= limits.max_crashes:
+                continue
+            deadline = runs[limits.max_crashes - 1][0] + limits.contact_seconds
+            late = [
+                round(at - runs[0][0], 2)
+                for at, address in runs
+                if at > deadline and self._is_in_touch(address, at, limits)
+            ]
+            if len(late) > limits.max_late_runs:
+                yield f"{path} crashed targets again after {late} s"
+
+    def _is_in_touch(self, address, at, limits):
+        return not any(
+            name == address and start <= at <= end + limits.contact_seconds
+            for name, start, end in self.disturbances
+        )
+
     def count_by_status(self):
         """Return the number of requests by the status that the caller received."""
         return dict(Counter(str(outcome.status) for outcome in self.outcomes))
@@ -201,6 +244,11 @@
         Period in which at most `max_requests_in_window` of its requests may run.
     overage_share, slack_requests : float
         Share of the allowance and number of requests that may run above it.
+    max_crashes, max_late_runs : int
+        Targets that a request may crash, and how often it may run once
+        `contact_seconds` have passed since.
+    contact_seconds : float
+        Time after a disturbance in which a gateway need not keep time limits.
     time_limit_seconds, lateness_seconds : float
         Time limit of a request, and how much later its response may end while no
         fault is active or recent.
@@ -214,6 +262,9 @@
     window_seconds: float = 8.0
     overage_share: float = 0.25
     slack_requests: float = 37.0
+    max_crashes: int = 3
+    max_late_runs: int = 3
+    contact_seconds: float = 3.0
     time_limit_seconds: float = 3.0
     lateness_seconds: float = 0.5
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -5,7 +5,12 @@
 from dataclasses import dataclass
 
 from .callers import Caller
-from .faults import FaultSequence, wait_until
+from .faults import (
+    CRASHING_REQUEST_BY_NAME,
+    CRASHING_REQUEST_PAUSE_SECONDS,
+    FaultSequence,
+    wait_until,
+)
 from .fleet import SoakFleet
 
 CALLER_COUNT = 12
@@ -55,6 +60,14 @@
             FaultSequence(fleet, random.Random(rng.random()))
             for _ in range(FAULT_SEQUENCE_COUNT)
         ]
+        sequences.append(
+            FaultSequence(
+                fleet,
+                random.Random(rng.random()),
+                CRASHING_REQUEST_BY_NAME,
+                CRASHING_REQUEST_PAUSE_SECONDS,
+            )
+        )
         time.sleep(seconds)
         for sequence in sequences:
             sequence.stop()
