--- /dev/null
+++ b/almondglade/gateway/crashes.py
@@ -0,0 +1,198 @@
+"""Find out which targets have ended while they ran requests."""
+
+import asyncio
+import contextlib
+import itertools
+
+from ..catalogue import TargetRecord
+from ..log import get_logger
+from ..placement.suspects import BrokenRun, BrokenRuns
+from .requests import format_fingerprint
+
+log = get_logger("suspects")
+
+# A crashed process closes its connections before its port.
+PROBE_DELAY_SECONDS = 0.05
+# Shortest interval between two probes of a target; each costs it a connection.
+PROBE_INTERVAL_SECONDS = 0.5
+# A first packet may be lost, so that silence is believed only the third time.
+PROBE_TIMEOUT_SECONDS = 0.3
+MAX_PROBES = 3
+# A run that breaks within this time after its target's entry was removed broke because
+# the target ended: one that leaves unannounced serves for longer after the removal.
+REMOVAL_SECONDS = 1.5
+MAX_LOGGED_FINGERPRINTS = 8
+
+
+class CrashDetector:
+    """Decides whether a run broke because its target ended.
+
+    The evidence is a target that refuses connections or does not answer, an entry that
+    is gone from the list without having been marked as leaving, or a peer's word.
+
+    Parameters
+    ----------
+    lock : threading.Lock
+        Guards this object; the caller of each method holds it.
+    clock : callable
+        Returns monotonic seconds.
+    on_crashes : callable
+        Called with a list of (fingerprint, `Crash`) once a target has ended, with the
+        lock held.
+    """
+
+    def __init__(self, lock, clock, on_crashes):
+        self.lock = lock
+        self.clock = clock
+        self.on_crashes = on_crashes
+        self._broken_runs = BrokenRuns()
+        self._record_by_target: dict[str, TargetRecord] = {}
+        self._removed_by_target: dict[str, tuple[TargetRecord, float]] = {}
+        self._probed_at: dict[tuple[str, int], float] = {}
+        self._loop = asyncio.get_running_loop()
+
+    def has_broken_run(self, fingerprint):
+        """Return whether a run of a request waits for the verdict on its target."""
+        return self._broken_runs.has_fingerprint(fingerprint)
+
+    def record_broken(self, fingerprint, target, started_at):
+        """Record a run without a complete response, and probe its target.
+
+        Parameters
+        ----------
+        fingerprint : int
+            Fingerprint of the request.
+        target : str
+            Id of the target.
+        started_at : float
+            Monotonic time at which the run was dispatched.
+        """
+        now = self.clock()
+        run = BrokenRun(fingerprint, started_at, now)
+        record = self._record_by_target.get(target)
+        if record is None:
+            self._record_broken_after_removal(target, run, now)
+        elif not record.leaving:
+            # A leaving target ends as planned, with the runs that take too long.
+            self._broken_runs.add(record.incarnation, run)
+            self._schedule_probe(record, now)
+
+    def _record_broken_after_removal(self, target, run, now):
+        record, removed_at = self._removed_by_target.get(target, (None, 0.0))
+        if record is not None and now - removed_at <= REMOVAL_SECONDS:
+            self._broken_runs.add(record.incarnation, run)
+            self.record_end(record.incarnation, "just removed from the list")
+
+    def record_completed(self, target, started_at):
+        """Record a run that ended with a complete response of its target.
+
+        Runs that broke before it began did not end the target.
+        """
+        record = self._record_by_target.get(target)
+        if record is not None:
+            self._broken_runs.dismiss(record.incarnation, before=started_at)
+
+    def update_targets(self, records):
+        """Replace the list of targets, and decide on those that are gone.
+
+        Parameters
+        ----------
+        records : list of TargetRecord
+            All listed targets.
+        """
+        now = self.clock()
+        record_by_target = {record.id: record for record in records}
+        self._removed_by_target |= {
+            name: (record, now)
+            for name, record in self._record_by_target.items()
+            if name not in record_by_target and not record.leaving
+        }
+        self._record_by_target = record_by_target
+        record_by_incarnation = {record.incarnation: record for record in records}
+        for incarnation in self._broken_runs.incarnations():
+            record = record_by_incarnation.get(incarnation)
+            if record is None:
+                self.record_end(incarnation, "no longer listed")
+            elif record.leaving:
+                self._broken_runs.dismiss(incarnation)
+
+    def record_end(self, incarnation, evidence):
+        """Take the broken runs of a target that has ended for crashes.
+
+        Parameters
+        ----------
+        incarnation : (str, int)
+            Id and start of the target.
+        evidence : str
+            How its end was found out, for the log.
+        """
+        crashes = self._broken_runs.take_crashes(incarnation)
+        if not crashes:
+            return
+        fingerprints = {fingerprint for fingerprint, _ in crashes}
+        first_ended_at = min(crash.ended_at for _, crash in crashes)
+        log.info(
+            "target ended while it ran requests",
+            target=incarnation[0],
+            evidence=evidence,
+            age=round(self.clock() - first_ended_at, 3),
+            requests=len(crashes),
+            fingerprints=[
+                format_fingerprint(fingerprint)
+                for fingerprint in itertools.islice(
+                    fingerprints, MAX_LOGGED_FINGERPRINTS
+                )
+            ],
+        )
+        self.on_crashes(crashes)
+
+    def expire(self, now):
+        """Forget runs without a verdict in time, and old removals and probes."""
+        self._broken_runs.expire(now)
+        self._removed_by_target = {
+            name: (record, removed_at)
+            for name, (record, removed_at) in self._removed_by_target.items()
+            if now - removed_at <= REMOVAL_SECONDS
+        }
+        self._probed_at = {
+            incarnation: at
+            for incarnation, at in self._probed_at.items()
+            if now - at < PROBE_INTERVAL_SECONDS
+        }
+
+    def _schedule_probe(self, record, now):
+        """Schedule a probe of a target unless one is scheduled already."""
+        probed_at = self._probed_at.get(record.incarnation, float("-inf"))
+        if probed_at > now:
+            return
+        delay = max(PROBE_DELAY_SECONDS, probed_at + PROBE_INTERVAL_SECONDS - now)
+        self._probed_at[record.incarnation] = now + delay
+        self._loop.call_soon_threadsafe(self._start_probe, record, delay)
+
+    def _start_probe(self, record, delay):
+        self._loop.create_task(self._probe(record, delay))
+
+    async def _probe(self, record, delay):
+        """Connect to a target to see whether its process is still there."""
+        await asyncio.sleep(delay)
+        for _ in range(MAX_PROBES):
+            try:
+                async with asyncio.timeout(PROBE_TIMEOUT_SECONDS):
+                    _, writer = await asyncio.open_connection(record.host, record.port)
+            except TimeoutError:
+                continue
+            except ConnectionRefusedError:
+                self._record_probed_end(record, "connection refused")
+            except OSError as error:
+                log.info("probe of a target failed", target=record.id, cause=str(error))
+            else:
+                # This may be a new process, which the list of targets will tell.
+                writer.close()
+                with contextlib.suppress(OSError):
+                    await writer.wait_closed()
+            return
+        self._record_probed_end(record, "no connection could be made")
+
+    def _record_probed_end(self, record, evidence):
+        with self.lock:
+            self.record_end(record.incarnation, evidence)
--- a/almondglade/gateway/requests.py
+++ b/almondglade/gateway/requests.py
@@ -105,6 +105,11 @@
         )
 
 
+def format_fingerprint(fingerprint):
+    """Return a request's fingerprint as it stands in the logs."""
+    return f"{fingerprint:016x}"
+
+
 @dataclass(frozen=True)
 class Dispatch:
     """The request as sent to one target, with the attributes that `Call` reads."""
--- a/almondglade/gateway/run.py
+++ b/almondglade/gateway/run.py
@@ -16,7 +16,7 @@
 from ..platform.front import parse_target_response, target_headers
 from .events import EventStream
 from .measuring import ResponseMeter
-from .requests import Dispatch
+from .requests import Dispatch, format_fingerprint
 
 log = get_logger("requests")
 
@@ -380,7 +380,7 @@
         log.info(
             "run broke off",
             request=request.request_id,
-            fingerprint=f"{request.fingerprint:016x}",
+            fingerprint=format_fingerprint(request.fingerprint),
             target=target,
             attempt=len(request.attempted_targets),
             seconds=round(self.clock() - self.sent_at, 3),
--- a/almondglade/placement/suspects.py
+++ b/almondglade/placement/suspects.py
@@ -40,6 +40,7 @@
 # a crash: its entry expires after three missed heartbeats, and is read somewhat later.
 VERDICT_SECONDS = 6.0
 MAX_BROKEN_RUNS_PER_TARGET = 256
+NEVER = float("-inf")
 
 
 class Suspicion(enum.Enum):
@@ -90,8 +91,8 @@
     """
 
     crashes: tuple[Crash, ...] = ()
-    cleared_at: float = float("-inf")
-    changed_at: float = float("-inf")
+    cleared_at: float = NEVER
+    changed_at: float = NEVER
 
     def add(self, crashes, cleared_at, now):
         """Merge evidence into this; return whether anything changed.
@@ -149,7 +150,7 @@
     crashes : iterable of Crash
         In the order of their ends.
     """
-    count, previous_end = 0, float("-inf")
+    count, previous_end = 0, NEVER
     for crash in crashes:
         if crash.started_at >= previous_end:
             count, previous_end = count + 1, crash.ended_at
@@ -176,7 +177,7 @@
         suspect = self.by_fingerprint.get(fingerprint)
         return suspect is not None and bool(suspect.crashes)
 
-    def add(self, fingerprint, crashes, now, cleared_at=float("-inf")):
+    def add(self, fingerprint, crashes, now, cleared_at=NEVER):
         """Add evidence about a request, from here or from a peer.
 
         A run that completed here after the crashes clears the request.
@@ -186,7 +187,7 @@
         bool
             Whether anything changed.
         """
-        completed_at = self._completed_at.get(fingerprint, float("-inf"))
+        completed_at = self._completed_at.get(fingerprint, NEVER)
         suspect = self.by_fingerprint.get(fingerprint) or Suspect()
         if not suspect.add(crashes, max(cleared_at, completed_at), now):
             return False
@@ -203,7 +204,7 @@
             self._completed_at.popitem(last=False)
         return self.has_crashed(fingerprint) and self.add(fingerprint, (), now)
 
-    def select(self, count, since=float("-inf")):
+    def select(self, count, since=NEVER):
         """Return the suspects with the most and then the latest crashes.
 
         Parameters
--- a/test/test_suspect_probes.py
+++ b/test/test_crash_detector.py
@@ -9,13 +9,13 @@
 import pytest
 
 from almondglade.catalogue import TargetRecord
-from almondglade.gateway import suspects as suspects_module
-from almondglade.gateway.suspects import (
+from almondglade.gateway import crashes as crashes_module
+from almondglade.gateway.crashes import (
     MAX_PROBES,
     PROBE_DELAY_SECONDS,
     REMOVAL_SECONDS,
-    SuspectTracker,
 )
+from almondglade.gateway.suspects import SuspectTracker
 from almondglade.metrics import Metrics
 
 REQUEST = SimpleNamespace(fingerprint=7)
@@ -93,7 +93,7 @@
             raise outcomes.pop()
         return await open_connection(host, port)
 
-    monkeypatch.setattr(suspects_module.asyncio, "open_connection", probe)
+    monkeypatch.setattr(crashes_module.asyncio, "open_connection", probe)
     assert run_broken(make_record(listener.getsockname()[1])) == has_ended
 
 
--- a/test/test_suspects.py
+++ b/test/test_suspects.py
@@ -7,7 +7,8 @@
 
 import pytest
 
-from almondglade.gateway.suspects import PROBE_DELAY_SECONDS, SuspectTracker
+from almondglade.gateway.crashes import PROBE_DELAY_SECONDS
+from almondglade.gateway.suspects import SuspectTracker
 from almondglade.gossip.codec import decode
 from almondglade.gossip.fleet import MEMBER_LIST_FANOUT
 from almondglade.gossip.messages import SuspectReport
