Wait for the restarted gateway before other requests have to be served

The test counted from a fixed time, which a slow start of the killed gateway on a busy host could pass.

--- a/test/crashingfleet.py
+++ b/test/crashingfleet.py
@@ -48,12 +48,15 @@
         Monotonic time and target of each run of a crashing request.
     statuses_by_path : dict of str to list of (float, int or None)
         When each request of `repeat` ended and its status.
+    settled_at : float
+        Monotonic time from which requests beside a crashing one must be served.
     """
 
     target_count: int = 8
     removal_seconds: float = 0.0
     crashes: list = field(default_factory=list)
     statuses_by_path: dict = field(default_factory=dict)
+    settled_at: float = 0.0
 
     def __enter__(self):
         super().__enter__()
