Take the ports of test gateways from outside the ephemeral range

A port was picked by the kernel, released and bound again about a second later; a connection of another process can take it in between. Ports below the ephemeral range are not given to connections.

--- a/test/gatewayfleet.py
+++ b/test/gatewayfleet.py
@@ -2,12 +2,14 @@
 
 import contextlib
 import os
+import random
 import signal
 import socket
 import subprocess
 import sys
 import time
 from dataclasses import dataclass, field
+from pathlib import Path
 
 import orjson
 import urllib3
@@ -18,16 +20,27 @@
 HOST = "callers.example"
 START_TIMEOUT_SECONDS = 20.0
 STORE_THREADS = 24
+EPHEMERAL_PORTS = Path("/proc/sys/net/ipv4/ip_local_port_range")
+MIN_PORT = 10_000
 KEY = "key-of-w1"
 SEAL = "X-Response-Seal: s1\r\n"
 
 
 def free_ports(count, address="127.0.0.1"):
-    """Return ports that are free at present."""
+    """Return ports that are free at present.
+
+    They are outside the ephemeral range, from which any connection on the host may
+    take one before it is used here.
+    """
+    first_ephemeral = int(EPHEMERAL_PORTS.read_text().split()[0])
+    candidates = range(MIN_PORT, first_ephemeral)
     with contextlib.ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for sock in sockets:
-            sock.bind((address, 0))
+        sockets = []
+        while len(sockets) < count:
+            sock = stack.enter_context(socket.socket())
+            with contextlib.suppress(OSError):
+                sock.bind((address, random.SystemRandom().choice(candidates)))
+                sockets.append(sock)
         return [sock.getsockname()[1] for sock in sockets]
 
 
