Name the terms of the retry budget after a restart

Read as a newcomer: the sum of the two parts of the budget, the time of the restart and why a joining gateway counts the instances of member lists at once get names or a reason. No change of behaviour.

--- a/almondglade/gateway/node.py
+++ b/almondglade/gateway/node.py
@@ -101,7 +101,7 @@
             bounds.retry_ratio,
             bounds.retry_slack,
             bounds.retry_window,
-            float("-inf") if settings.first_start else self.clock(),
+            restarted_at=float("-inf") if settings.first_start else self.clock(),
         )
         self.connections = TargetPools()
         self.exchange = Exchange(
--- a/almondglade/gossip/fleet.py
+++ b/almondglade/gossip/fleet.py
@@ -241,6 +241,7 @@
             if member.address != self.address:
                 self._merge_member(member)
         if self._is_joining():
+            # Its share of the retry budget depends on the number of instances.
             self._update_instances()
         if message.joining:
             live = self._live_by_recency()
--- a/almondglade/placement/resends.py
+++ b/almondglade/placement/resends.py
@@ -55,10 +55,9 @@
         retries = self._recent(self._retries_by_service, service, now)
         is_restarted = now < self.restarted_at + self.window
         slack_share = RESTARTED_SLACK_SHARE if is_restarted else USED_SHARE
-        allowed = USED_SHARE * self.ratio * len(
-            requests
-        ) + slack_share * self.slack / max(1, instances)
-        if len(retries) + 1 > allowed:
+        allowed_by_requests = USED_SHARE * self.ratio * len(requests)
+        allowed_by_slack = slack_share * self.slack / max(1, instances)
+        if len(retries) + 1 > allowed_by_requests + allowed_by_slack:
             return False
         retries.append(now)
         return True
