Log how a target's answer was framed and whether it ended an event

Callers got answers as complete that had broken off. The gateway logged them as completed, which rules out that it noticed the break, but not how it took them for whole: an answer that ends with its connection, or a lenient end of the chunks. 'response started' now names the framing; 'request ended' and 'run broke off' also tell the bytes received and whether they end with the end of an event.

--- a/almondglade/dispatch/call.py
+++ b/almondglade/dispatch/call.py
@@ -167,6 +167,13 @@
         self._waiting_since = None
         return chunk
 
+    @property
+    def framing(self):
+        """How the end of the body is marked: by a length, chunks or the connection."""
+        if self._response.chunked:
+            return "chunked"
+        return "connection" if self._response.length is None else "length"
+
     def cancel(self):
         """Shut down the connection in any phase; safe from any thread."""
         with self._lock:
--- a/almondglade/gateway/events.py
+++ b/almondglade/gateway/events.py
@@ -2,6 +2,8 @@
 
 import re
 
+EVENT_TERMINATORS = (b"\n\n", b"\r\n\r\n", b"\r\r")
+MAX_TERMINATOR_BYTES = max(map(len, EVENT_TERMINATORS))
 EVENT_END_PATTERN = re.compile(rb"\r\n\r\n|\n\n|\r\r")
 EVENT_ID_PATTERN = re.compile(rb"(?m)^id:[ ]?([^\r\n]*)")
 
--- a/almondglade/gateway/run.py
+++ b/almondglade/gateway/run.py
@@ -277,6 +277,7 @@
         self.meter = ResponseMeter(now, request.caller_headers.input_tokens or 0)
         try:
             head = self.call.open()
+            self.meter.framing = self.call.framing
         finally:
             if attempt.dispatched:
                 request.attempted_targets.append(record.id)
@@ -290,6 +291,7 @@
             output_tokens=request.caller_headers.output_tokens,
             target=record.id,
             status=head.status,
+            framing=self.meter.framing,
             waited=round(self.sent_at - request.arrived_at, 3),
             seconds=round(self.clock() - self.sent_at, 3),
         )
@@ -385,6 +387,7 @@
             attempt=len(request.attempted_targets),
             seconds=round(self.clock() - self.sent_at, 3),
             cause=str(error),
+            **self._received(),
         )
 
     def _finish_failed(self, error):
@@ -457,4 +460,15 @@
             request=self.request.request_id,
             result=result,
             seconds=round(self.clock() - self.request.arrived_at, 3),
+            **self._received(),
         )
+
+    def _received(self):
+        """Return what was received of the latest response, for the logs."""
+        if self.meter is None or self.meter.framing is None:
+            return {}
+        return {
+            "framing": self.meter.framing,
+            "received_bytes": self.meter.byte_count,
+            "ends_event": self.meter.ends_event,
+        }
