Take chunks that are cut off or malformed for a broken answer

Found while looking for the cause of the stream cut within an event elsewhere: the HTTP library takes the end of a connection for the end of the last chunk and of the trailer, reads sizes such as 0x0, and drops two bytes after a chunk whatever they are. An answer cut within the size of a chunk that begins with 0, or followed by other bytes, reached callers of entries and gateways as complete.

The reader of responses now parses sizes, ends of chunks and trailers itself. It moves, with the strict reading of heads, to a module of its own.

--- a/almondglade/dispatch/connections.py
+++ b/almondglade/dispatch/connections.py
@@ -13,6 +13,7 @@
 
 from ..errors import AlmondgladeError
 from ..sockets import TCP_OPTIONS
+from .responses import StrictResponse, UnclosableReader
 
 DEFAULT_PORT = 80
 MAX_IDLE_CONNECTIONS = 64
@@ -63,66 +64,6 @@
         self.dispatched = True
 
 
-class LastLineReader:
-    """Reads the lines of a head and records the last one."""
-
-    def __init__(self, fp):
-        self._fp = fp
-        self.last = b""
-
-    def readline(self, *limit):
-        """Return the next line."""
-        self.last = self._fp.readline(*limit)
-        return self.last
-
-    def close(self):
-        """Close the underlying reader."""
-        self._fp.close()
-
-
-class UnclosableReader:
-    """A reader that stays open when a response closes it at its end.
-
-    Its buffer may already hold bytes of the next response.
-    """
-
-    def __init__(self, fp):
-        self._fp = fp
-
-    def __getattr__(self, name):
-        return getattr(self._fp, name)
-
-    def close(self):
-        """Keep the reader open."""
-
-
-class CompleteHeadResponse(http.client.HTTPResponse):
-    """A response whose head must be complete.
-
-    `http.client` treats the end of the connection as the end of the headers, and
-    would present a truncated head as a complete response without a body.
-    """
-
-    def begin(self):
-        """Read the head.
-
-        Raises
-        ------
-        IncompleteRead
-            If the connection ended within the head.
-        """
-        fp: Any = self.fp
-        reader: Any = LastLineReader(fp)
-        self.fp = reader
-        try:
-            super().begin()
-        finally:
-            if self.fp is reader:
-                self.fp = fp
-        if reader.last not in (b"\r\n", b"\n"):
-            raise http.client.IncompleteRead(reader.last)
-
-
 class TargetConnection(HTTPConnection):
     """A connection that never reconnects by itself.
 
@@ -131,7 +72,7 @@
     """
 
     auto_open = 0
-    response_class = CompleteHeadResponse
+    response_class = StrictResponse
     opened_at = 0.0
     released_at = 0.0
     max_idle_seconds = MAX_IDLE_SECONDS
@@ -176,7 +117,7 @@
 
         Parameters
         ----------
-        response : CompleteHeadResponse
+        response : StrictResponse
             A response of which only the head was read.
         max_bytes : int
             Longest body that is skipped (bytes).
