Limit answers of targets that send bytes without end

A target in trouble may send a head, a trailer or an event without end.

A given-up answer resets its connection: after an orderly close a target that was still sending had its window closed and kept the connection open for over 5 s, which the test of an endless body showed.

--- a/almondglade/dispatch/call.py
+++ b/almondglade/dispatch/call.py
@@ -13,7 +13,7 @@
 
 from ..deadlines import Deadlines
 from ..errors import TargetError
-from ..sockets import shut_down
+from ..sockets import reset_on_close, shut_down
 from .connections import Attempt, PermitExpiredError
 from .events import EventSplitter, has_readable_events
 
@@ -227,6 +227,7 @@
         if not self._end():
             return
         if self._response is not None:
+            reset_on_close(self._socket)
             self._response.close()
         if self._connection is not None:
             self._connection.close()
@@ -337,8 +338,10 @@
         """Return the connection to the pool, unless this instance shut it down."""
         if not self._end():
             return
-        self._response.close()
         self.is_complete = not self.cancelled and not self._expired
+        if not self.is_complete:
+            reset_on_close(self._socket)
+        self._response.close()
         if self.is_complete and self._reusable and self._connection.sock is not None:
             self.pool.put(self._connection)
         else:
--- a/almondglade/dispatch/events.py
+++ b/almondglade/dispatch/events.py
@@ -8,6 +8,8 @@
 LINE_END = rb"(?:\r\n|\n|\r(?!\n))"
 EVENT_END_PATTERN = re.compile(LINE_END + LINE_END)
 EVENT_ID_PATTERN = re.compile(rb"(?m)^id:[ ]?([^\r\n]*)")
+# An incomplete event is buffered up to this length.
+MAX_EVENT_BYTES = 1 << 20
 IDENTITY_CODING = "identity"
 
 
@@ -64,11 +66,18 @@
         -------
         bytes
             The whole events, including what was buffered of the first one.
+
+        Raises
+        ------
+        ValueError
+            If an event is too long to be buffered.
         """
         data = self._partial + chunk
         ends = [match.end() for match in EVENT_END_PATTERN.finditer(data)]
         end = ends[-1] if ends else 0
         self._partial = data[end:]
+        if len(self._partial) > MAX_EVENT_BYTES:
+            raise ValueError("an event of the stream is too long")
         return data[:end]
 
     def flush(self):
--- a/almondglade/dispatch/responses.py
+++ b/almondglade/dispatch/responses.py
@@ -1,24 +1,36 @@
-"""Read responses of targets strictly: an end that is not certain is an error."""
+"""Read responses of targets strictly, with limits on all but their bodies."""
 
 import http.client
 import re
 from typing import Any
 
+# Also the limit of a trailer.
+MAX_HEAD_BYTES = 128 << 10
 MAX_CHUNK_LINE_BYTES = 4 << 10
 CHUNK_LINE_PATTERN = re.compile(rb"([0-9A-Fa-f]{1,15})[ \t]*(?:;[^\r\n]*)?\r\n")
 LINE_END = b"\r\n"
 
 
-class LastLineReader:
-    """Reads the lines of a head and records the last one."""
+class HeadReader:
+    """Reads the lines of a head up to a total length and records the last one."""
 
     def __init__(self, fp):
         self._fp = fp
+        self._bytes_left = MAX_HEAD_BYTES
         self.last = b""
 
     def readline(self, *limit):
-        """Return the next line."""
+        """Return the next line.
+
+        Raises
+        ------
+        HTTPException
+            If the head, with all interim ones before it, is too long.
+        """
         self.last = self._fp.readline(*limit)
+        self._bytes_left -= len(self.last)
+        if self._bytes_left < 0:
+            raise http.client.HTTPException("the head is too long")
         return self.last
 
     def close(self):
@@ -59,9 +71,11 @@
         ------
         IncompleteRead
             If the connection ended within the head.
+        HTTPException
+            If the head is too long.
         """
         fp: Any = self.fp
-        reader: Any = LastLineReader(fp)
+        reader: Any = HeadReader(fp)
         self.fp = reader
         try:
             super().begin()
@@ -99,8 +113,7 @@
         return int(match[1], 16)
 
     def _skip_trailer(self):
-        line = b""
-        while line != LINE_END:
-            line = self.fp.readline(MAX_CHUNK_LINE_BYTES)
-            if not line.endswith(b"\n"):
+        lines = HeadReader(self.fp)
+        while lines.last != LINE_END:
+            if not lines.readline(MAX_CHUNK_LINE_BYTES).endswith(b"\n"):
                 raise http.client.HTTPException("the trailer is incomplete")
--- a/almondglade/httpserver/strict.py
+++ b/almondglade/httpserver/strict.py
@@ -3,13 +3,13 @@
 import io
 import re
 import socket
-import struct
 import threading
 import time
 
 from cheroot import server, wsgi
 
 from ..outcome import Code, Outcome, RequestError
+from ..sockets import reset_on_close
 
 MAX_HEAD_BYTES = 32 << 10
 MAX_HEADERS = 100
@@ -21,7 +21,6 @@
 DRAIN_SLOTS = threading.BoundedSemaphore(8)
 MAX_READ_BYTES = 1 << 16
 OVERLOADED_RETRY_AFTER_SECONDS = 1.0
-LINGER_RESET = struct.pack("ii", 1, 0)
 
 VERSIONS = frozenset({b"HTTP/1.0", b"HTTP/1.1"})
 URI = re.compile(rb"[\x21-\x7e]+")
@@ -236,7 +235,7 @@
         Without chunked coding, a caller cannot detect a truncated body otherwise.
         """
         sock = self.conn.socket
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
+        reset_on_close(sock)
         sock.close()
         # Prevents cheroot from closing the socket again without a reset.
         self.conn.linger = True
--- a/almondglade/sockets.py
+++ b/almondglade/sockets.py
@@ -1,6 +1,7 @@
 """TCP socket options that detect dead connections within a limited time."""
 
 import socket
+import struct
 
 KEEPALIVE_IDLE_SECONDS = 5
 KEEPALIVE_INTERVAL_SECONDS = 3
@@ -18,6 +19,8 @@
     (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MILLISECONDS),
 ]
 
+LINGER_RESET = struct.pack("ii", 1, 0)
+
 
 def set_options(sock):
     """Set `TCP_OPTIONS` on a connected socket."""
@@ -31,3 +34,14 @@
         sock.shutdown(how)
     except OSError:
         return
+
+
+def reset_on_close(sock):
+    """Make the close of a socket reset its connection (RST).
+
+    A peer that is still sending would otherwise wait for the window to open again.
+    """
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
+    except OSError:
+        return
