Search a long event of a stream only once, whatever its pieces

An event that came in many pieces was searched from its start with each of them. The id of an event that follows a carriage return alone was missed, so that a resumed stream would have repeated the event; and complete comments after the last event counted as a part of another one.

--- a/almondglade/dispatch/events.py
+++ b/almondglade/dispatch/events.py
@@ -7,9 +7,11 @@
 MAX_TERMINATOR_BYTES = max(map(len, EVENT_TERMINATORS))
 LINE_END = rb"(?:\r\n|\n|\r(?!\n))"
 EVENT_END_PATTERN = re.compile(LINE_END + LINE_END)
-EVENT_ID_PATTERN = re.compile(rb"(?m)^id:[ ]?([^\r\n]*)")
+# What may follow the last event of a complete stream.
+BLANK_PATTERN = re.compile(rb"(?::[^\r\n]*[\r\n]|\s)*")
+EVENT_ID_PATTERN = re.compile(rb"(?:\A|[\r\n])id:[ ]?([^\r\n]*)")
 # An incomplete event is buffered up to this length.
-MAX_EVENT_BYTES = 1 << 20
+MAX_EVENT_BYTES = 256 << 10
 IDENTITY_CODING = "identity"
 
 
@@ -47,12 +49,12 @@
     """Passes on whole events and buffers an incomplete one."""
 
     def __init__(self):
-        self._partial = b""
+        self._partial = bytearray()
 
     @property
     def is_within_event(self):
-        """Whether an incomplete event is buffered."""
-        return bool(self._partial.strip())
+        """Whether an incomplete event is buffered; comments are none."""
+        return BLANK_PATTERN.fullmatch(self._partial) is None
 
     def feed(self, chunk):
         """Return the events that a chunk completes.
@@ -72,15 +74,21 @@
         ValueError
             If an event is too long to be buffered.
         """
-        data = self._partial + chunk
-        ends = [match.end() for match in EVENT_END_PATTERN.finditer(data)]
+        # What was buffered is not searched again, apart from a terminator cut in two.
+        start = max(0, len(self._partial) - MAX_TERMINATOR_BYTES)
+        self._partial += chunk
+        ends = [
+            match.end() for match in EVENT_END_PATTERN.finditer(self._partial, start)
+        ]
         end = ends[-1] if ends else 0
-        self._partial = data[end:]
+        events = bytes(self._partial[:end])
+        del self._partial[:end]
         if len(self._partial) > MAX_EVENT_BYTES:
             raise ValueError("an event of the stream is too long")
-        return data[:end]
+        return events
 
     def flush(self):
         """Return the buffered bytes at the end of a complete response."""
-        rest, self._partial = self._partial, b""
+        rest = bytes(self._partial)
+        self._partial.clear()
         return rest
