Log the software version of targets and which streams callers take up

Streams held events of two software versions of a service. The logs told that a gateway resumed a stream within its answer, but neither the versions of the two targets nor which requests take up an earlier one, so that a resume by the gateway could not be told from one by the caller.

--- a/almondglade/catalogue.py
+++ b/almondglade/catalogue.py
@@ -210,6 +210,8 @@
         Unix time of its start, milliseconds.
     sequence : int
         Sequence number of its report, counted from its start.
+    version : str
+        Version of its software; empty if it is not known.
     """
 
     id: str
@@ -222,6 +224,7 @@
     cold_until: float = 0.0
     started_at: int = 0
     sequence: int = 0
+    version: str = ""
 
     @property
     def incarnation(self):
--- a/almondglade/gateway/discovery.py
+++ b/almondglade/gateway/discovery.py
@@ -152,6 +152,7 @@
                 target=name,
                 service=record.service,
                 leaving=record.leaving,
+                version=record.version,
                 revision=update.revision,
             )
 
--- a/almondglade/platform/front.py
+++ b/almondglade/platform/front.py
@@ -11,6 +11,7 @@
 DEADLINE_HEADER = "X-Deadline-Ms"
 EXPECTED_TARGET_HEADER = "X-Expect-Instance"
 LAST_EVENT_ID_HEADER = "Last-Event-Id"
+RESUMED_REQUEST_HEADER = "resumes"
 TOKEN_USAGE_HEADER = "x-token-usage"
 LENGTH_HINT_HEADER = "x-length-hint"
 NOT_EXECUTED_HEADER = "x-not-executed"
@@ -58,6 +59,9 @@
         after it.
     expected_tokens : int or None
         Caller's estimate of the tokens that will be generated.
+    resumed_request : str or None
+        Id of the request that brought the first event of a stream that this one
+        resumes.
     """
 
     request_id: str | None
@@ -68,6 +72,7 @@
     output_tokens: int | None
     last_event_id: str | None
     expected_tokens: int | None = None
+    resumed_request: str | None = None
 
 
 def parse_caller_headers(pairs):
@@ -89,6 +94,7 @@
         int(tokens[2]) if tokens else None,
         by_name.get(LAST_EVENT_ID_HEADER.lower()),
         _parse_count(by_name.get(LENGTH_HINT_HEADER)),
+        by_name.get(RESUMED_REQUEST_HEADER),
     )
 
 
--- a/almondglade/platform/wire.py
+++ b/almondglade/platform/wire.py
@@ -145,6 +145,8 @@
     state: str = Field(pattern=f"^({READY}|{DRAINING})$", strict=True)
     cold_remaining_ms: float = Field(0.0, alias="coldRemainingMs")
     sequence: int = Field(0, strict=True)
+    # Version of the target's software, not of its model's weights.
+    version: str = Field("", strict=True)
     born: int = Field(0, strict=True)
 
 
@@ -217,6 +219,7 @@
         now + parsed.cold_remaining_ms / MILLISECONDS_PER_SECOND,
         parsed.born,
         parsed.sequence,
+        parsed.version,
     )
 
 
