Test that a stream goes on only at the software version that began it

The tests fail on this code and are listed as known red: a gateway resumes a stream on a target of any version, within its answer and when the caller takes it up at another gateway, also if the version is not known or has no target left.

--- a/test/gatewayfleet.py
+++ b/test/gatewayfleet.py
@@ -157,6 +157,7 @@
                 "service": "plain",
                 "address": target.url.removeprefix("http://"),
                 "zone": "north",
+                "version": "v1",
                 "slots": 4,
                 "state": "ready",
                 "coldRemainingMs": 0,
--- /dev/null
+++ b/test/test_stream_versions.py
@@ -0,0 +1,230 @@
+"""Events of one stream come from targets of one software version only."""
+
+import itertools
+import time
+
+import pytest
+import urllib3
+
+from .gatewayfleet import GatewayFleet, make_route
+from .support.targets import FakeTarget
+from .test_gateway_path import make_stream, parse_headers
+
+ADDRESSES = ("127.0.0.1", "127.0.0.2", "127.0.0.3")
+# Streams that callers take up again in one test.
+STREAMS = 12
+# For how long callers come back after refusals.
+REFUSED_SECONDS = 3.0
+FIRST_IDS, LAST_IDS = (1, 2), (3, 4)
+
+
+class VersionedTarget(FakeTarget):
+    """A target whose new streams break off after some events.
+
+    Attributes
+    ----------
+    resumed : list of str
+        Values of the Resumes header, one entry for each resumed stream.
+    """
+
+    def __init__(self, version):
+        super().__init__(self.respond)
+        self.version = version
+        self.resumed = []
+
+    def respond(self, request):
+        headers = parse_headers(request)
+        if "last-event-id" in headers:
+            self.resumed.append(headers.get("resumes", ""))
+            return make_stream(LAST_IDS)
+        return make_stream(FIRST_IDS, end=False)
+
+
+def wait_until_listed(fleet, count):
+    """Wait until each gateway has listed all targets and found its peers."""
+    end = time.monotonic() + 10.0
+    while not all(
+        fleet.log(address).count("target listed") >= count
+        and fleet.log(address).count("peer found") >= len(fleet.addresses) - 1
+        for address in fleet.addresses
+    ):
+        assert time.monotonic() < end
+        time.sleep(0.05)
+
+
+@pytest.fixture
+def targets():
+    versions = ("v1.1", "v1.1", "v1.2", "v1.2", "v1.2")
+    targets = [VersionedTarget(version) for version in versions]
+    for target in targets:
+        target.__enter__()
+    yield targets
+    for target in targets:
+        target.__exit__()
+
+
+def start_fleet(fleet, targets, max_attempts):
+    fleet.configure(
+        routes=[
+            make_route(
+                "/stream/",
+                "streaming",
+                "plain",
+                streamResume=True,
+                maxAttempts=max_attempts,
+            )
+        ]
+    )
+    for number, target in enumerate(targets):
+        fleet.list_target(f"t{number}", target, version=target.version)
+    fleet.start()
+    wait_until_listed(fleet, len(targets))
+
+
+def call_until_run(fleet, *request, **headers):
+    """Call as long as the request is refused, as a target pauses after a failure."""
+    end = time.monotonic() + REFUSED_SECONDS
+    response = fleet.call(*request, **headers)
+    while response.status == 503 and time.monotonic() < end:
+        time.sleep(0.05)
+        response = fleet.call(*request, **headers)
+    return response
+
+
+def begin_stream(fleet, targets, address, request_id):
+    """Begin a stream that breaks off; return the version that began it."""
+    with pytest.raises(urllib3.exceptions.HTTPError):
+        call_until_run(fleet, "/stream/1", address, "POST", X_Request_Id=request_id)
+    return next(
+        target.version
+        for target in targets
+        for request in target.seen
+        if parse_headers(request)["x-request-id"] == request_id
+    )
+
+
+def resume_stream(fleet, address, request_id):
+    """Take a stream up; return the status."""
+    return call_until_run(
+        fleet,
+        "/stream/1",
+        address,
+        "POST",
+        X_Request_Id=f"{request_id}-again",
+        Last_Event_Id="2",
+        Resumes=request_id,
+    ).status
+
+
+def wrong_version_runs(targets, version_by_request):
+    return [
+        request_id
+        for target in targets
+        for request_id in target.resumed
+        if version_by_request.get(request_id) != target.version
+    ]
+
+
+def test_a_gateway_resumes_a_stream_on_the_version_that_began_it(tmp_path, targets):
+    with GatewayFleet(tmp_path) as fleet:
+        start_fleet(fleet, targets, max_attempts=2)
+        versions_by_request = {}
+        for number in range(STREAMS):
+            request_id = f"r{number}"
+            response = call_until_run(
+                fleet, "/stream/1", ADDRESSES[0], "POST", X_Request_Id=request_id
+            )
+            assert response.data.count(b"id:") == len(FIRST_IDS + LAST_IDS)
+            versions_by_request[request_id] = {
+                target.version
+                for target in targets
+                for request in target.seen
+                if parse_headers(request)["x-request-id"] == request_id
+            }
+        assert all(len(versions) == 1 for versions in versions_by_request.values())
+
+
+def test_a_stream_without_another_target_of_its_version_is_not_resumed(
+    tmp_path, targets
+):
+    only_two = [targets[0], targets[2]]
+    with GatewayFleet(tmp_path) as fleet:
+        start_fleet(fleet, only_two, max_attempts=2)
+        with pytest.raises(urllib3.exceptions.HTTPError):
+            fleet.call("/stream/1", method="POST")
+        assert not any(target.resumed for target in only_two)
+
+
+def test_a_stream_taken_up_at_any_gateway_goes_on_at_its_version(tmp_path, targets):
+    with GatewayFleet(tmp_path, count=len(ADDRESSES)) as fleet:
+        start_fleet(fleet, targets, max_attempts=1)
+        version_by_request = {}
+        served = 0
+        for number, (first, second) in zip(
+            range(STREAMS), itertools.cycle(itertools.permutations(ADDRESSES, 2))
+        ):
+            request_id = f"r{number}"
+            version_by_request[request_id] = begin_stream(
+                fleet, targets, first, request_id
+            )
+            served += resume_stream(fleet, second, request_id) == 200
+        assert not wrong_version_runs(targets, version_by_request)
+        assert served == STREAMS
+        assert set(version_by_request.values()) == {"v1.1", "v1.2"}
+
+
+def test_a_stream_of_a_killed_gateway_goes_on_at_its_version(tmp_path, targets):
+    with GatewayFleet(tmp_path, count=len(ADDRESSES)) as fleet:
+        start_fleet(fleet, targets, max_attempts=1)
+        version_by_request = {
+            f"r{number}": begin_stream(fleet, targets, ADDRESSES[0], f"r{number}")
+            for number in range(STREAMS)
+        }
+        fleet.processes[0].kill()
+        served = sum(
+            resume_stream(fleet, address, request_id) == 200
+            for request_id, address in zip(
+                version_by_request, itertools.cycle(ADDRESSES[1:])
+            )
+        )
+        assert not wrong_version_runs(targets, version_by_request)
+        assert served == STREAMS
+
+
+def test_a_stream_of_an_unknown_version_does_not_run(tmp_path, targets):
+    with GatewayFleet(tmp_path) as fleet:
+        start_fleet(fleet, targets, max_attempts=2)
+        for headers in ({"Resumes": "never-begun"}, {}):
+            response = fleet.call(
+                "/stream/1", method="POST", Last_Event_Id="2", **headers
+            )
+            assert response.status == 503
+            assert float(response.headers["Retry-After"]) > 0.0
+        assert not any(target.resumed for target in targets)
+
+
+def test_a_stream_whose_version_has_gone_does_not_run(tmp_path, targets):
+    with GatewayFleet(tmp_path) as fleet:
+        start_fleet(fleet, targets[:1], max_attempts=1)
+        begin_stream(fleet, targets, ADDRESSES[0], "r1")
+        fleet.list_target("t1", targets[2], version="v1.2")
+        wait_until_listed(fleet, 2)
+        fleet.remove("servers/t0")
+        end = time.monotonic() + 10.0
+        while "target dropped" not in fleet.log():
+            assert time.monotonic() < end
+            time.sleep(0.05)
+        assert resume_stream(fleet, ADDRESSES[0], "r1") == 503
+        assert not targets[2].resumed
+
+
+def test_a_target_that_starts_again_with_another_version_gets_no_stream_of_the_first(
+    tmp_path, targets
+):
+    with GatewayFleet(tmp_path) as fleet:
+        start_fleet(fleet, targets[:1], max_attempts=1)
+        begin_stream(fleet, targets, ADDRESSES[0], "r1")
+        fleet.list_target("t0", targets[0], version="v1.2", born=2)
+        time.sleep(1.0)
+        assert resume_stream(fleet, ADDRESSES[0], "r1") == 503
+        assert not targets[0].resumed
