Reset the connection of an expired call whatever was read of it

The test of an endless body failed once in a whole run of the tests: its target did not see the close within half a second. The call shut its socket down, the reader came to the end of the data and closed the socket before the reset was set, so that the close was an orderly one. The reset is set before the socket is shut down now.

--- a/almondglade/dispatch/call.py
+++ b/almondglade/dispatch/call.py
@@ -220,7 +220,7 @@
                 return
             self.cancelled = True
             if self._socket is not None:
-                shut_down(self._socket)
+                self._shut_down_socket()
 
     def close(self):
         """Close the connection, which also cancels the run at a model engine."""
@@ -332,15 +332,18 @@
         with self._lock:
             if not self._ended:
                 self._expired = True
-                shut_down(self._socket)
+                self._shut_down_socket()
+
+    def _shut_down_socket(self):
+        """Wake the thread that reads; it closes the socket, which must reset then."""
+        reset_on_close(self._socket)
+        shut_down(self._socket)
 
     def _complete(self):
         """Return the connection to the pool, unless this instance shut it down."""
         if not self._end():
             return
         self.is_complete = not self.cancelled and not self._expired
-        if not self.is_complete:
-            reset_on_close(self._socket)
         self._response.close()
         if self.is_complete and self._reusable and self._connection.sock is not None:
             self.pool.put(self._connection)
