Tell a broken stream without a content type from a whole one

On a route of streams, an answer that names no content type was relayed without a look at its events, so that one cut within an event reached the caller as complete. A success without a content type on such a route is read as an event stream now. The test fails on the code before.

--- a/almondglade/dispatch/call.py
+++ b/almondglade/dispatch/call.py
@@ -74,6 +74,8 @@
     matches_request : callable or None
         Takes a `ResponseHead` and returns whether it belongs to this request. A
         stale response to another request on the connection is skipped.
+    is_stream_expected : bool
+        Whether a success without a content type is an event stream.
 
     Attributes
     ----------
@@ -93,6 +95,7 @@
         clock=time.monotonic,
         new_connection=False,
         matches_request=None,
+        is_stream_expected=False,
     ):
         self.pool = pool
         self.request = request
@@ -102,6 +105,7 @@
         self.clock = clock
         self.new_connection = new_connection
         self.matches_request = matches_request
+        self.is_stream_expected = is_stream_expected
         self.started_at = clock()
         self.cancelled = False
         self.is_complete = False
@@ -298,7 +302,7 @@
         # The deadline still applies: the time limit for the first byte covers the first
         # byte of the body as well.
         self._response = response
-        if has_readable_events(head):
+        if has_readable_events(head, self.is_stream_expected):
             self._splitter = EventSplitter()
         self._connection.note_keep_alive(response.headers.get("keep-alive", ""))
         return head
--- a/almondglade/dispatch/events.py
+++ b/almondglade/dispatch/events.py
@@ -23,15 +23,22 @@
     )
 
 
-def has_readable_events(head):
-    """Return whether the events of a response can be told apart.
+def has_readable_events(head, is_stream_expected=False):
+    """Return whether a response is a stream whose events can be told apart.
 
     An encoded event stream is opaque.
+
+    Parameters
+    ----------
+    is_stream_expected : bool
+        Whether a success without a content type is an event stream.
     """
-    return is_event_stream(head) and not any(
-        name.lower() == "content-encoding" and value.lower() != IDENTITY_CODING
-        for name, value in head.headers
-    )
+    value_by_name = {name.lower(): value.lower() for name, value in head.headers}
+    if value_by_name.get("content-encoding", IDENTITY_CODING) != IDENTITY_CODING:
+        return False
+    if is_stream_expected and head.status < 300 and "content-type" not in value_by_name:
+        return True
+    return is_event_stream(head)
 
 
 def count_events(chunk):
--- a/almondglade/gateway/run.py
+++ b/almondglade/gateway/run.py
@@ -119,7 +119,7 @@
             break
         if self.head is None or not self.has_begun:
             self.head = head
-            if head.status >= 300 or not has_readable_events(head):
+            if head.status >= 300 or not self._has_readable_events(head):
                 self.resumable = False
         return self
 
@@ -127,7 +127,10 @@
         """Return whether a later response cannot continue an interrupted first one."""
         if self.head is None or not self.has_begun or response_info.not_run:
             return False
-        return head.status != self.head.status or not has_readable_events(head)
+        return head.status != self.head.status or not self._has_readable_events(head)
+
+    def _has_readable_events(self, head):
+        return has_readable_events(head, self.request.route.streaming)
 
     def _should_retry_response(self, head):
         if head.status < 500:
@@ -289,6 +292,7 @@
             # A reused connection may be that of a target which has ended already.
             new_connection=scheduler.suspects.is_suspect(request),
             matches_request=self._is_response_to_request,
+            is_stream_expected=request.route.streaming,
         )
         if request.route.repeatable or request.route.streaming:
             request.caller_connection.on_disconnect(self.call.cancel)
--- a/test/test_broken_streams.py
+++ b/test/test_broken_streams.py
@@ -12,6 +12,7 @@
 
 EVENTS = b"id: 1\ndata: x\n\nid: 2\ndata: x\n\n"
 PARTIAL_EVENT = b"id: 3\ndata:"
+CONTENT_TYPE = b"Content-Type: text/event-stream\r\n"
 FRAMINGS = ("connection", "chunked", "length")
 # Routes of streams that may not be resumed, and of answers that may be repeated.
 ROUTES = ("/once/", "/look/", "/book/")
@@ -22,10 +23,8 @@
 
 def make_stream(body, framing):
     """Return a response stream whose body is complete according to its framing."""
-    head = (
-        b"HTTP/1.1 200 OK\r\nX-Response-Seal: s1\r\nConnection: close\r\n"
-        b"Content-Type: text/event-stream\r\n"
-    )
+    head = b"HTTP/1.1 200 OK\r\nX-Response-Seal: s1\r\nConnection: close\r\n"
+    head += CONTENT_TYPE
     if framing == "connection":
         return head + b"\r\n" + body
     if framing == "length":
@@ -72,6 +71,16 @@
     assert not complete
 
 
+def test_a_stream_without_a_content_type_that_ends_within_an_event_is_not_complete(
+    fleet_with_target,
+):
+    fleet, target = fleet_with_target
+    for framing in FRAMINGS:
+        stream = make_stream(EVENTS + PARTIAL_EVENT, framing)
+        target.answer = lambda _, s=stream: s.replace(CONTENT_TYPE, b"")
+        assert not looks_complete(fleet, "/once/1")
+
+
 def test_a_stream_that_ends_within_an_event_is_not_complete_at_an_entry():
     complete = []
     with FakeTarget(None) as target, Entry({"d1": target.url}) as entry:
