--- a/almondglade/gateway/measuring.py
+++ b/almondglade/gateway/measuring.py
@@ -1,6 +1,6 @@
 """Measure how fast a target responds to one request."""
 
-from ..dispatch.events import EVENT_TERMINATORS, MAX_TERMINATOR_BYTES, count_events
+from ..dispatch.events import count_events
 
 # Expected time to the first byte, as a relative measure: a constant plus a share for
 # each prompt token.
@@ -25,7 +25,7 @@
     framing : str or None
         How the end of the body is marked; None before the head has arrived.
     byte_count : int
-        Bytes of the body that were received.
+        Bytes of the body that were passed on.
     """
 
     def __init__(self, sent_at, prompt_tokens):
@@ -38,12 +38,6 @@
         self.event_count = 0
         self.framing = None
         self.byte_count = 0
-        self._last_bytes = b""
-
-    @property
-    def ends_event(self):
-        """Whether the received bytes end with the end of an event."""
-        return self._last_bytes.endswith(EVENT_TERMINATORS)
 
     def feed(self, chunk, now):
         """Record the next bytes; return the slowness if they are the first ones.
@@ -56,7 +50,6 @@
         """
         self.event_count += max(1, count_events(chunk))
         self.byte_count += len(chunk)
-        self._last_bytes = (self._last_bytes + chunk)[-MAX_TERMINATOR_BYTES:]
         if self.first_byte_at is not None:
             return None
         self.first_byte_at = now
--- a/almondglade/gateway/run.py
+++ b/almondglade/gateway/run.py
@@ -421,7 +421,7 @@
             attempt=len(request.attempted_targets),
             seconds=round(self.clock() - self.sent_at, 3),
             cause=str(error),
-            **self._received(),
+            **self._response_summary(),
         )
 
     def _finish_failed(self, error):
@@ -494,17 +494,16 @@
             request=self.request.request_id,
             result=result,
             seconds=round(self.clock() - self.request.arrived_at, 3),
-            **self._received(),
+            **self._response_summary(),
         )
 
-    def _received(self):
-        """Return what was received of the latest response, for the logs."""
+    def _response_summary(self):
+        """Return what was passed on of the latest response, for the logs."""
         if self.meter is None or self.meter.framing is None:
             return {}
         return {
             "framing": self.meter.framing,
-            "received_bytes": self.meter.byte_count,
-            "ends_event": self.meter.ends_event,
+            "body_bytes": self.meter.byte_count,
         }
 
 
