Let callers of the soak take up streams at targets of two versions

Targets of the soak were of one version, and streams only ended whole or by a reset. They are of two versions now and, as a new way to fail, end every third stream within an event, half of these without length or chunks. Callers take up a stream that broke off, at any gateway, and check that all its events are of one version; of a stream that is not complete too. That a request got no response is not counted if a target has cut its stream. Only cut streams lack chunks: the resets of the soak begin with an orderly shutdown, after which such a stream looks whole.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -3,13 +3,14 @@
 import contextlib
 import http.client
 import random
+import re
 import threading
 import time
 
 from test.gatewayfleet import HOST
 
 from .ledger import CallerOutcome
-from .targets import EVENT_COUNT, SEAL_HEADER
+from .targets import EVENT_COUNT, SEAL_HEADER, make_event
 
 TIME_LIMIT_SECONDS = 3.0
 # Added to a request's time limit on the caller's side, so that the gateway's timeout
@@ -18,6 +19,7 @@
 PAUSE_SECONDS = (0.0, 0.06)
 # Share of the requests that repeat one that crashes targets, once there is one.
 CRASHING_SHARE = 0.05
+EVENT_PATTERN = re.compile(rb"id: ([0-9]+)\ndata: [^ ]+ [0-9]+ ([^\n ]+)\n\n")
 REQUEST_KINDS = ("book", "look", "look", "stream", "stream")
 
 
@@ -55,6 +57,41 @@
             self.stopped.wait(self.rng.uniform(*PAUSE_SECONDS))
 
     def _call(self, path):
+        request_id, body, is_complete = self._send(path)
+        if path.startswith("/stream/") and not is_complete:
+            self._take_up(path, request_id, body)
+
+    def _take_up(self, path, stream_id, body):
+        """Let another request continue a stream that broke off after some events."""
+        received = b"".join(match[0] for match in EVENT_PATTERN.finditer(body))
+        self._check_events(stream_id, received)
+        if not received or path in self.fleet.crashing_paths:
+            return
+        last_event_id = EVENT_PATTERN.findall(received)[-1][0].decode()
+        headers = {"Last-Event-Id": last_event_id, "Resumes": stream_id}
+        _, rest, is_complete = self._send(path, headers, received)
+        if not is_complete:
+            rest = b"".join(match[0] for match in EVENT_PATTERN.finditer(rest))
+            self._check_events(stream_id, received + rest)
+
+    def _send(self, path, headers=(), received=b""):
+        """Send a request and check its response.
+
+        Parameters
+        ----------
+        headers : mapping of str to str
+            Further headers of the request.
+        received : bytes
+            Events of the stream that were received before.
+
+        Returns
+        -------
+        request_id : str
+        body : bytes
+            What was received of the body of a success.
+        is_complete : bool
+            Whether the response was complete, or failed.
+        """
         self.request_count += 1
         is_crashing = path in self.fleet.crashing_paths
         request_id = f"{self.name}-{self.request_count}"
@@ -71,9 +108,11 @@
         if is_crashing:
             self.ledger.record_crashing_request(request_id, path, address)
         sent_at = time.monotonic()
-        status = None
+        status, body, is_complete = None, b"", True
         with contextlib.suppress(OSError, http.client.HTTPException):
-            status = self._exchange(connection, request_id, path, key)
+            status, body, is_complete = self._exchange(
+                connection, request_id, path, key, dict(headers), received
+            )
             if self.rng.random() < 0.9:
                 self.connection_by_address[address] = connection
         ended_at = time.monotonic()
@@ -81,8 +120,15 @@
         self.ledger.record_outcome(
             CallerOutcome(request_id, key, status, sent_at, ended_at, undisturbed)
         )
-        if undisturbed and status is None and not is_crashing:
+        if (
+            undisturbed
+            and status is None
+            and not is_crashing
+            # A stream cut by its target ends at its caller too, unless it is resumed.
+            and request_id not in self.ledger.cut_streams
+        ):
             self.ledger.record_violation(f"{request_id} at {address} got no response")
+        return request_id, body, is_complete
 
     def _choose_address(self):
         """Return a gateway with an open connection or one that is ready."""
@@ -90,8 +136,8 @@
             return self.rng.choice(list(self.connection_by_address))
         return self.rng.choice(self.fleet.ready or self.fleet.addresses)
 
-    def _exchange(self, connection, request_id, path, key):
-        headers = {
+    def _exchange(self, connection, request_id, path, key, headers, received):
+        headers |= {
             "Host": HOST,
             "X-Request-Id": request_id,
             "X-Deadline-Ms": str(round(1000 * TIME_LIMIT_SECONDS)),
@@ -102,25 +148,41 @@
         connection.request(method, path, headers=headers)
         response = connection.getresponse()
         body, is_complete = read_body(response)
-        if response.status == 200 and is_complete:
-            self._check(request_id, kind, response.headers, body)
-        return response.status if is_complete else None
+        if response.status != 200:
+            return (response.status if is_complete else None), b"", True
+        if is_complete:
+            stream_id = headers.get("Resumes", request_id)
+            self._check(request_id, kind, response.headers, stream_id, received + body)
+        return (200 if is_complete else None), body, is_complete
 
-    def _check(self, request_id, kind, headers, body):
+    def _check(self, request_id, kind, headers, stream_id, body):
+        """Check a complete response; of a stream, with the events received before."""
         if headers.get(SEAL_HEADER) != request_id:
             self.ledger.record_violation(
                 f"{request_id} got the seal of {headers.get(SEAL_HEADER)}"
             )
-        if kind != "stream":
-            if body != f"{request_id} done".encode():
-                self.ledger.record_violation(f"{request_id} got {body!r}")
-            return
-        expected = "".join(
-            f"id: {number}\ndata: {request_id} {number}\n\n"
-            for number in range(1, EVENT_COUNT + 1)
+        if kind == "stream":
+            self._check_events(stream_id, body, EVENT_COUNT)
+        elif body != f"{request_id} done".encode():
+            self.ledger.record_violation(f"{request_id} got {body!r}")
+
+    def _check_events(self, stream_id, events, count=None):
+        """Check that events are the first ones of a stream, all of one version.
+
+        Parameters
+        ----------
+        count : int or None
+            Expected number of events; any if None.
+        """
+        versions = [version.decode() for _, version in EVENT_PATTERN.findall(events)]
+        if count is None:
+            count = len(versions)
+        version = versions[0] if versions else ""
+        expected = b"".join(
+            make_event(stream_id, number, version) for number in range(1, count + 1)
         )
-        if body != expected.encode():
-            self.ledger.record_violation(f"{request_id} got a wrong stream: {body!r}")
+        if events != expected:
+            self.ledger.record_violation(f"{stream_id} got a wrong stream: {events!r}")
 
 
 def read_body(response):
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -139,7 +139,7 @@
 
 def _fail_target(fleet, rng):
     target = rng.choice(fleet.targets)
-    target.failure_mode = rng.choice(("reset", "500"))
+    target.failure_mode = rng.choice(("reset", "500", "cut"))
     return target
 
 
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -14,6 +14,8 @@
 from .targets import SoakTarget
 
 TARGET_COUNT = 4
+# Software versions of the targets, which serve side by side.
+VERSION_COUNT = 2
 READINESS_POLL_SECONDS = 0.2
 STOP_TIMEOUT_SECONDS = 12.0
 METERED_KEY = "key-of-metered"
@@ -51,7 +53,8 @@
         self.bounds = self.bounds | {"quotaSlack": self.limits.slack_requests}
         super().__enter__()
         self.targets = [
-            SoakTarget(f"t{number}", self.ledger) for number in range(TARGET_COUNT)
+            SoakTarget(f"t{number}", self.ledger, version=f"v{number % VERSION_COUNT}")
+            for number in range(TARGET_COUNT)
         ]
         for target in self.targets:
             target.on_crash = self.restart_target
@@ -123,6 +126,7 @@
                     target.name,
                     target,
                     slots=target.slots,
+                    version=target.version,
                     state=state,
                     born=target.start_count,
                 )
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -65,6 +65,8 @@
         Key and monotonic seconds of a request by its id.
     crashing_request_by_id : dict of str to (str, str)
         Path of a request that crashes targets, and the gateway that it was sent to.
+    cut_streams : set of str
+        Ids of the requests whose streams a target has cut within an event.
     disturbances : list of (str, float, float)
         Gateways that were disturbed, or cut off from the store, from when to when.
     """
@@ -75,6 +77,7 @@
     revoked_at: dict[str, float] = field(default_factory=dict)
     sent_at: dict[str, tuple[str, float]] = field(default_factory=dict)
     crashing_request_by_id: dict[str, tuple[str, str]] = field(default_factory=dict)
+    cut_streams: set[str] = field(default_factory=set)
     disturbances: list[tuple[str, float, float]] = field(default_factory=list)
     _lock: threading.Lock = field(default_factory=threading.Lock)
 
@@ -94,6 +97,11 @@
         with self._lock:
             self.crashing_request_by_id[request_id] = (path, address)
 
+    def record_cut_stream(self, request_id):
+        """Record that a target cuts the stream of a request within an event."""
+        with self._lock:
+            self.cut_streams.add(request_id)
+
     def record_disturbance(self, addresses, started_at):
         """Record that gateways were disturbed until now."""
         now = time.monotonic()
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -17,6 +17,17 @@
 CRASHING_PATH_END = "/crash"
 # Event of a stream after which it crashes its target.
 CRASHING_EVENT = 2
+# Event of a stream after which its target breaks it off, within the next one.
+LAST_WHOLE_EVENT = 5
+PARTIAL_EVENT = b"id: 6\nda"
+# Every other stream that is cut has neither a length nor chunks. All others have: a
+# reset begins with a shutdown here, after which a stream without them would look whole.
+UNFRAMED_STREAM_INTERVAL = 2
+
+
+def make_event(stream_id, number, version):
+    """Return an event of a stream, which tells the version that generated it."""
+    return f"id: {number}\ndata: {stream_id} {number} {version}\n\n".encode()
 
 
 class _Server(http.server.ThreadingHTTPServer):
@@ -79,7 +90,11 @@
             target.on_crash(target)
             return
         must_fail = target.next_request_fails()
-        if must_fail and target.failure_mode == "reset":
+        if must_fail and target.failure_mode == "cut" and kind == "stream":
+            target.ledger.record_cut_stream(request_id)
+            self._stream(target, request_id, LAST_WHOLE_EVENT, PARTIAL_EVENT)
+            return
+        if must_fail and target.failure_mode != "500":
             reset(self.connection)
             return
         if must_fail:
@@ -90,21 +105,29 @@
             time.sleep(RESPONSE_SECONDS * target.slowdown)
             self._respond(200, f"{request_id} done".encode(), {SEAL_HEADER: request_id})
 
-    def _stream(self, target, request_id, last_event=EVENT_COUNT):
+    def _stream(self, target, request_id, last_event=EVENT_COUNT, partial=b""):
         first_event = int(self.headers.get("Last-Event-Id") or 0) + 1
+        stream_id = self.headers.get("Resumes", request_id)
+        is_chunked = not (partial and target.next_cut_is_unframed())
+        self.close_connection = not is_chunked or bool(partial)
         self.send_response(200)
         self.send_header("X-Request-Id", request_id)
         self.send_header(SEAL_HEADER, request_id)
         self.send_header("Content-Type", "text/event-stream")
-        self.send_header("Transfer-Encoding", "chunked")
+        if is_chunked:
+            self.send_header("Transfer-Encoding", "chunked")
         self.end_headers()
         for number in range(first_event, last_event + 1):
             time.sleep(EVENT_SECONDS * target.slowdown)
-            event = f"id: {number}\ndata: {request_id} {number}\n\n".encode()
-            self.wfile.write(b"%x\r\n%b\r\n" % (len(event), event))
-        if last_event == EVENT_COUNT:
+            self._write_part(make_event(stream_id, number, target.version), is_chunked)
+        if partial:
+            self._write_part(partial, is_chunked)
+        if is_chunked and (partial or last_event == EVENT_COUNT):
             self.wfile.write(b"0\r\n\r\n")
 
+    def _write_part(self, data, is_chunked):
+        self.wfile.write(b"%x\r\n%b\r\n" % (len(data), data) if is_chunked else data)
+
     def _respond(self, status, body, headers):
         self.send_response(status)
         self.send_header("X-Request-Id", self.headers.get("X-Request-Id", ""))
@@ -122,20 +145,23 @@
     ----------
     name : str
         Its id, which changes with each restart.
-    failure_mode : {"", "reset", "500"}
-        How every third request fails; empty if none does.
+    failure_mode : {"", "reset", "500", "cut"}
+        How every third request fails; empty if none does. Only streams can be cut,
+        within an event; other requests are reset.
     on_crash : callable
         Called with the target when a request crashes it.
     """
 
-    def __init__(self, name, ledger, slots=4):
+    def __init__(self, name, ledger, slots=4, version="v1"):
         self.base_name, self.ledger, self.slots = name, ledger, slots
+        self.version = version
         self.on_crash = lambda target: target.crash()
         self.start_count = 0
         self.failure_mode = ""
         self.slowdown = 1.0
         self._in_progress = 0
         self._request_count = 0
+        self._cut_count = 0
         self._lock = threading.Lock()
         self._server = None
         self.start()
@@ -196,6 +222,11 @@
         self._request_count += 1
         return bool(self.failure_mode) and self._request_count % 3 == 0
 
+    def next_cut_is_unframed(self):
+        """Count a cut stream and return whether its connection marks its end."""
+        self._cut_count += 1
+        return self._cut_count % UNFRAMED_STREAM_INTERVAL == 0
+
 
 def free_port():
     """Return a port that was free when checked."""
