Wait for a slow target if no other one has the version of a stream

A stream that had begun was given up at a target that was silent before its next event, even if no other target had its version, so that it ended at its caller with 504. The time limit for the first event applies only if the stream can go on at another target. The test fails on the code before.

--- a/almondglade/gateway/run.py
+++ b/almondglade/gateway/run.py
@@ -329,13 +329,17 @@
         first_event_timeout = gap_timeout = total
         attempted = {*request.attempted_targets, record.id}
         if route.resumable and len(attempted) < route.max_attempts:
-            first_event_timeout = _silence_timeout(
-                FIRST_EVENT_TIMEOUT_OBJECTIVES * route.latency_objective, total
+            has_other_target = self.scheduler.has_target(
+                request.service, record.version, attempted
             )
-            if self.scheduler.has_target(request.service, record.version, attempted):
+            if has_other_target:
                 gap_timeout = _silence_timeout(
                     GAP_TIMEOUT_OBJECTIVES * route.gap_objective, total
                 )
+            if has_other_target or not request.version:
+                first_event_timeout = _silence_timeout(
+                    FIRST_EVENT_TIMEOUT_OBJECTIVES * route.latency_objective, total
+                )
         return TimeLimits(
             connect=min(CONNECT_TIMEOUT_SECONDS, total),
             first_byte=first_event_timeout,
--- a/test/test_stream_versions.py
+++ b/test/test_stream_versions.py
@@ -247,3 +247,14 @@
         time.sleep(1.0)
         assert resume_stream(fleet, ADDRESSES[0], "r1") == 503
         assert not targets[0].resumed
+
+
+def test_a_slow_target_is_not_given_up_if_no_other_has_the_version(tmp_path, targets):
+    with GatewayFleet(tmp_path) as fleet:
+        start_fleet(fleet, [targets[0], targets[2]], max_attempts=2)
+        began = begin_stream(fleet, targets, ADDRESSES[0], "r1")
+        target = targets[0] if began == "v1.1" else targets[2]
+        # Longer than the time after which a silent target is given up for another.
+        target.pause = lambda: time.sleep(1.5)
+        assert resume_stream(fleet, ADDRESSES[0], "r1") == 200
+        assert target.resumed == ["r1"]
