--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -21,6 +21,8 @@
     # Two fault sequences ended one gateway, and the soak waited for its replacement
     # to end.
     pytest.param(111, id="one gateway ended twice"),
+    # Streams went on at targets of another software version.
+    pytest.param(754872, id="streams of two versions"),
 ]
 
 
