--- a/almondglade/gateway/crashes.py
+++ b/almondglade/gateway/crashes.py
@@ -90,7 +90,8 @@
         """
         record = self._record_by_target.get(target)
         if record is not None:
-            self._broken_runs.dismiss(record.incarnation, before=started_at)
+            runs = self._broken_runs.dismiss(record.incarnation, before=started_at)
+            self._log_dismissed(record.incarnation, runs, "a later run completed")
 
     def update_targets(self, records):
         """Replace the list of targets, and decide on those that are gone.
@@ -114,7 +115,8 @@
             if record is None:
                 self.record_end(incarnation, "no longer listed")
             elif record.leaving:
-                self._broken_runs.dismiss(incarnation)
+                runs = self._broken_runs.dismiss(incarnation)
+                self._log_dismissed(incarnation, runs, "the target is leaving")
 
     def record_end(self, incarnation, evidence):
         """Take the broken runs of a target that has ended for crashes.
@@ -129,7 +131,6 @@
         crashes = self._broken_runs.take_crashes(incarnation)
         if not crashes:
             return
-        fingerprints = {fingerprint for fingerprint, _ in crashes}
         first_ended_at = min(crash.ended_at for _, crash in crashes)
         log.info(
             "target ended while it ran requests",
@@ -137,18 +138,25 @@
             evidence=evidence,
             age=round(self.clock() - first_ended_at, 3),
             requests=len(crashes),
-            fingerprints=[
-                format_fingerprint(fingerprint)
-                for fingerprint in itertools.islice(
-                    fingerprints, MAX_LOGGED_FINGERPRINTS
-                )
-            ],
+            fingerprints=_format_some(fingerprint for fingerprint, _ in crashes),
         )
         self.on_crashes(crashes)
 
+    def _log_dismissed(self, incarnation, runs, cause):
+        if runs:
+            log.info(
+                "broken runs do not count as crashes",
+                target=incarnation[0],
+                cause=cause,
+                age=round(self.clock() - min(run.ended_at for run in runs), 3),
+                requests=len(runs),
+                fingerprints=_format_some(run.fingerprint for run in runs),
+            )
+
     def expire(self, now):
         """Forget runs without a verdict in time, and old removals and probes."""
-        self._broken_runs.expire(now)
+        for incarnation, runs in self._broken_runs.expire(now).items():
+            self._log_dismissed(incarnation, runs, "the target is still listed")
         self._removed_by_target = {
             name: (record, removed_at)
             for name, (record, removed_at) in self._removed_by_target.items()
@@ -196,3 +204,13 @@
     def _record_probed_end(self, record, evidence):
         with self.lock:
             self.record_end(record.incarnation, evidence)
+
+
+def _format_some(fingerprints):
+    """Return some of the fingerprints, each once, as they stand in the logs."""
+    return [
+        format_fingerprint(fingerprint)
+        for fingerprint in itertools.islice(
+            dict.fromkeys(fingerprints), MAX_LOGGED_FINGERPRINTS
+        )
+    ]
--- a/almondglade/gateway/run.py
+++ b/almondglade/gateway/run.py
@@ -436,6 +436,7 @@
             if request.caller_connection.disconnected
             else "request failed",
             request=request.request_id,
+            fingerprint=format_fingerprint(request.fingerprint),
             targets=request.attempted_targets,
             cause=str(error),
             seconds=round(self.clock() - request.arrived_at, 3),
--- a/almondglade/placement/suspects.py
+++ b/almondglade/placement/suspects.py
@@ -289,21 +289,40 @@
         ]
 
     def dismiss(self, incarnation, before=float("inf")):
-        """Remove the runs of a target that is known to have lived on.
+        """Remove and return the runs of a target that is known to have lived on.
 
         Parameters
         ----------
         before : float
             Only runs that broke before this monotonic time.
+
+        Returns
+        -------
+        list of BrokenRun
         """
-        self._retain(incarnation, lambda run: run.ended_at >= before)
+        return self._remove(incarnation, lambda run: run.ended_at < before)
 
     def expire(self, now):
-        """Remove the runs of targets without a verdict in time."""
-        for incarnation in self.incarnations():
-            self._retain(incarnation, lambda run: now - run.ended_at <= VERDICT_SECONDS)
-
-    def _retain(self, incarnation, condition):
-        runs = list(filter(condition, self._runs_by_incarnation.pop(incarnation, ())))
-        if runs:
-            self._runs_by_incarnation[incarnation] = runs
+        """Remove and return the runs of targets without a verdict in time.
+
+        Returns
+        -------
+        dict of (str, int) to list of BrokenRun
+            By target, as (id, start).
+        """
+        return {
+            incarnation: runs
+            for incarnation in self.incarnations()
+            if (
+                runs := self._remove(
+                    incarnation, lambda run: now - run.ended_at > VERDICT_SECONDS
+                )
+            )
+        }
+
+    def _remove(self, incarnation, condition):
+        runs = self._runs_by_incarnation.pop(incarnation, [])
+        kept = [run for run in runs if not condition(run)]
+        if kept:
+            self._runs_by_incarnation[incarnation] = kept
+        return [run for run in runs if condition(run)]
--- a/test/test_crash_detector.py
+++ b/test/test_crash_detector.py
@@ -125,3 +125,15 @@
     listener.accept()
     with pytest.raises(TimeoutError):
         listener.accept()
+
+
+# No log line told why a run that broke had not been counted as a crash.
+def test_each_broken_run_is_logged_with_its_verdict(listener, capsys):
+    async def run():
+        tracker = make_tracker(make_record(listener.getsockname()[1]))
+        tracker.record_broken(REQUEST, "t1", time.monotonic() - 0.1)
+        later = SimpleNamespace(fingerprint=8)
+        tracker.record_completed(later, "t1", time.monotonic())
+
+    asyncio.run(run())
+    assert "broken runs do not count as crashes" in capsys.readouterr().out
