--- a/soak/targets.py
+++ b/soak/targets.py
@@ -20,6 +20,8 @@
 # Event of a stream after which its target breaks it off, within the next one.
 LAST_WHOLE_EVENT = 5
 PARTIAL_EVENT = b"id: 6\nda"
+# First parts of the paths of streams that may be resumed and that may not.
+STREAM_KINDS = ("stream", "once")
 # Every other stream that is cut has neither a length nor chunks. All others have: a
 # reset begins with a shutdown here, after which a stream without them would look whole.
 UNFRAMED_STREAM_INTERVAL = 2
@@ -83,9 +85,10 @@
     def _run(self, target, request_id):
         kind = self.path.split("/")[1]
         workspace = self.headers.get(WORKSPACE_HEADER, "")
-        target.ledger.record_run(request_id, target.name, workspace, kind != "book")
+        repeatable = kind in ("look", "stream")
+        target.ledger.record_run(request_id, target.name, workspace, repeatable)
         if self.path.endswith(CRASHING_PATH_END):
-            if kind == "stream":
+            if kind in STREAM_KINDS:
                 self._stream(target, request_id, CRASHING_EVENT)
             target.on_crash(target)
             return
@@ -99,7 +102,7 @@
             return
         if must_fail:
             self._respond(500, b"", {SEAL_HEADER: request_id})
-        elif kind == "stream":
+        elif kind in STREAM_KINDS:
             self._stream(target, request_id)
         else:
             time.sleep(RESPONSE_SECONDS * target.slowdown)
--- a/test/gatewayfleet.py
+++ b/test/gatewayfleet.py
@@ -135,6 +135,7 @@
             make_route("/book/", "non_idempotent", "plain", maxAttempts=1),
             make_route("/look/", "idempotent", "plain"),
             make_route("/stream/", "streaming", "plain", streamResume=True),
+            make_route("/once/", "streaming", "plain"),
         ]
         tenant = {"name": "w1", "apiKeys": list(keys), "priority": 0} | workspace
         self.put(
--- a/test/test_crashing_requests.py
+++ b/test/test_crashing_requests.py
@@ -39,8 +39,13 @@
 # The entry of a crashed target is removed at once, or after three missed heartbeats.
 @pytest.fixture(
     scope="module",
-    params=[("look", 0.0), ("book", 0.0), ("stream", 3.6)],
-    ids=["idempotent", "non-idempotent", "stream, entry removed late"],
+    params=[("look", 0.0), ("book", 0.0), ("stream", 3.6), ("once", 0.0)],
+    ids=[
+        "idempotent",
+        "non-idempotent",
+        "stream, entry removed late",
+        "stream that cannot be resumed",
+    ],
 )
 def crashing_fleet(request, tmp_path_factory):
     """A fleet after a crashing request was repeated beside others.
