Record each broken run, also of streams that cannot be resumed

Callers saw their requests fail with 502 or a closed connection for twelve seconds, while one request of a route that cannot be resumed ended one target after the other, 14 in all.

Cause: a broken run was recorded for the crash detector by the function that decides on a retry. A stream whose route cannot be resumed is never retried once its response has begun, so the function was not called, and nothing knew that the target had ended under this request.

Now a broken run is ended and recorded first, and the retry is decided afterwards.

--- a/almondglade/gateway/run.py
+++ b/almondglade/gateway/run.py
@@ -97,7 +97,8 @@
                 if self._is_resume_mismatch(head, response_info):
                     raise TargetError(f"the stream went on with status {head.status}")
             except TargetError as error:
-                if self._may_retry_on_error(error):
+                self._end_broken(error)
+                if self._may_retry_broken():
                     continue
                 raise self._finish_failed(error) from error
             if response_info.not_run:
@@ -190,7 +191,8 @@
     def _resume(self, error):
         """Resume the stream on another target, or raise the error for the caller."""
         request = self.request
-        if not self.resumable or not self._may_retry_on_error(error):
+        self._end_broken(error)
+        if not self.resumable or not self._may_retry_broken():
             raise self._finish_failed(error) from error
         log.info(
             "resuming the stream on another target",
@@ -383,17 +385,36 @@
             return
         raise self._no_target_error()
 
-    def _may_retry_on_error(self, error):
-        """Return whether the request may be retried on another target."""
+    def _end_broken(self, error):
+        """End a run that got no complete response, and record it.
+
+        The target may have ended, whether or not the request may be retried.
+        """
         request = self.request
         target = self.ticket.target
         request.may_have_run = True
-        self._record_broken_run(target, error)
+        if not isinstance(error, CallCancelledError):
+            self.scheduler.suspects.record_broken(request, target, self.sent_at)
+        self.scheduler.metrics.count("broken_runs_total", service=request.service)
+        log.info(
+            "run broke off",
+            request=request.request_id,
+            fingerprint=format_fingerprint(request.fingerprint),
+            target=target,
+            attempt=len(request.attempted_targets),
+            seconds=round(self.clock() - self.sent_at, 3),
+            cause=str(error),
+            **self._response_summary(),
+        )
         self._drop_call()
+
+    def _may_retry_broken(self):
+        """Return whether a request whose run broke may be retried on another target."""
+        request = self.request
         if request.caller_connection.disconnected or self.clock() >= request.deadline:
             return False
         self.scheduler.update_health(
-            target, lambda health, now: health.record_unreachable(now)
+            self.record.id, lambda health, now: health.record_unreachable(now)
         )
         if self.scheduler.suspects.isolated_fingerprint(request):
             # Its last run may have been the third crash, which is not known yet.
@@ -411,23 +432,6 @@
             return False
         return request.route.repeatable and self.scheduler.may_retry(request)
 
-    def _record_broken_run(self, target, error):
-        """Record a run that did not end with a complete response."""
-        request = self.request
-        if not isinstance(error, CallCancelledError):
-            self.scheduler.suspects.record_broken(request, target, self.sent_at)
-        self.scheduler.metrics.count("broken_runs_total", service=request.service)
-        log.info(
-            "run broke off",
-            request=request.request_id,
-            fingerprint=format_fingerprint(request.fingerprint),
-            target=target,
-            attempt=len(request.attempted_targets),
-            seconds=round(self.clock() - self.sent_at, 3),
-            cause=str(error),
-            **self._response_summary(),
-        )
-
     def _finish_failed(self, error):
         """End the run as failed and return the `RequestError` for the caller."""
         request = self.request
