Add a failing test of a crashing stream without length or chunks

The end of its connection is the end of the stream, so that a run that ends its target between two events looks complete.

--- a/soak/targets.py
+++ b/soak/targets.py
@@ -15,6 +15,8 @@
 SEAL_HEADER = "X-Response-Seal"
 # End of the path of a request that crashes each target that runs it.
 CRASHING_PATH_END = "/crash"
+# In the path of a stream that only the end of its connection ends.
+UNFRAMED_PATH = "/unframed/"
 # Event of a stream after which it crashes its target.
 CRASHING_EVENT = 2
 # Event of a stream after which its target breaks it off, within the next one.
@@ -111,7 +113,9 @@
     def _stream(self, target, request_id, last_event=EVENT_COUNT, partial=b""):
         first_event = int(self.headers.get("Last-Event-Id") or 0) + 1
         stream_id = self.headers.get("Resumes", request_id)
-        is_chunked = not (partial and target.next_cut_is_unframed())
+        is_chunked = UNFRAMED_PATH not in self.path and not (
+            partial and target.next_cut_is_unframed()
+        )
         self.close_connection = not is_chunked or bool(partial)
         self.send_response(200)
         self.send_header("X-Request-Id", request_id)
--- a/test/test_crashing_requests.py
+++ b/test/test_crashing_requests.py
@@ -39,12 +39,19 @@
 # The entry of a crashed target is removed at once, or after three missed heartbeats.
 @pytest.fixture(
     scope="module",
-    params=[("look", 0.0), ("book", 0.0), ("stream", 3.6), ("once", 0.0)],
+    params=[
+        ("look", 0.0),
+        ("book", 0.0),
+        ("stream", 3.6),
+        ("once", 0.0),
+        ("once/unframed", 0.0),
+    ],
     ids=[
         "idempotent",
         "non-idempotent",
         "stream, entry removed late",
         "stream that cannot be resumed",
+        "stream without length or chunks",
     ],
 )
 def crashing_fleet(request, tmp_path_factory):
