Believe that a run was complete only if its target outlives it

Callers of other requests saw 502 and refusals while one stream without length or chunks ended target after target.

Cause: the end of its connection is the end of such an answer, and a process that ends closes its connections in order, so that the run counted as complete. It was not recorded as broken, and it cleared the request of all crashes before. A suspect whose short answer is whole before it ends its target would be cleared the same way.

Now a run whose end only its connection marks, or that is the first to complete of a suspect, is pending until its target has shown that it lives 0.25 s later: it accepts a connection, a later run completes there, or it is still listed after 6 s. Then the run clears the request; if the target has ended, it is a crash.

--- a/almondglade/gateway/crashes.py
+++ b/almondglade/gateway/crashes.py
@@ -6,7 +6,7 @@
 
 from ..catalogue import TargetRecord
 from ..log import get_logger
-from ..placement.suspects import BrokenRun, BrokenRuns
+from ..placement.pendingruns import CLOSING_SECONDS, PendingRun, PendingRuns
 from .requests import format_fingerprint
 
 log = get_logger("suspects")
@@ -25,10 +25,12 @@
 
 
 class CrashDetector:
-    """Decides whether a run broke because its target ended.
+    """Decides whether a run ended because its target ended.
 
-    The evidence is a target that refuses connections or does not answer, an entry that
-    is gone from the list without having been marked as leaving, or a peer's word.
+    That is asked of broken runs, and of those whose response looks complete but need
+    not be. The evidence is a target that refuses connections or does not answer, an
+    entry that is gone from the list without having been marked as leaving, or a peer's
+    word.
 
     Parameters
     ----------
@@ -39,13 +41,17 @@
     on_crashes : callable
         Called with a list of (fingerprint, `Crash`) once a target has ended, with the
         lock held.
+    on_completed : callable
+        Called with a fingerprint and the end of its run once it is known that a run
+        which looked complete was complete, with the lock held.
     """
 
-    def __init__(self, lock, clock, on_crashes):
+    def __init__(self, lock, clock, on_crashes, on_completed):
         self.lock = lock
         self.clock = clock
         self.on_crashes = on_crashes
-        self._broken_runs = BrokenRuns()
+        self.on_completed = on_completed
+        self._pending_runs = PendingRuns()
         self._record_by_target: dict[str, TargetRecord] = {}
         self._removed_by_target: dict[str, tuple[TargetRecord, float]] = {}
         self._probed_at: dict[tuple[str, int], float] = {}
@@ -53,10 +59,14 @@
 
     def has_broken_run(self, fingerprint):
         """Return whether a run of a request waits for the verdict on its target."""
-        return self._broken_runs.has_fingerprint(fingerprint)
+        return self._pending_runs.has_broken(fingerprint)
 
-    def record_broken(self, fingerprint, target, started_at):
-        """Record a run without a complete response, and probe its target.
+    def is_listed(self, target):
+        """Return whether a target is listed."""
+        return target in self._record_by_target
+
+    def record_ended(self, fingerprint, target, started_at, looks_complete):
+        """Record a run with which its target may have ended, and probe the target.
 
         Parameters
         ----------
@@ -66,32 +76,36 @@
             Id of the target.
         started_at : float
             Monotonic time at which the run was dispatched.
+        looks_complete : bool
+            Whether the response was complete, unless the target ended with the run.
         """
         now = self.clock()
-        run = BrokenRun(fingerprint, started_at, now)
+        run = PendingRun(fingerprint, started_at, now, looks_complete)
         record = self._record_by_target.get(target)
         if record is None:
-            self._record_broken_after_removal(target, run, now)
+            self._record_ended_after_removal(target, run, now)
         elif not record.leaving:
             # A leaving target ends as planned, with the runs that take too long.
-            self._broken_runs.add(record.incarnation, run)
+            self._pending_runs.add(record.incarnation, run)
             self._schedule_probe(record, now)
 
-    def _record_broken_after_removal(self, target, run, now):
-        record, removed_at = self._removed_by_target.get(target, (None, 0.0))
-        if record is not None and now - removed_at <= REMOVAL_SECONDS:
-            self._broken_runs.add(record.incarnation, run)
+    def _record_ended_after_removal(self, target, run, now):
+        if target not in self._removed_by_target or run.looks_complete:
+            return
+        record, removed_at = self._removed_by_target[target]
+        if now - removed_at <= REMOVAL_SECONDS:
+            self._pending_runs.add(record.incarnation, run)
             self.record_end(record.incarnation, "just removed from the list")
 
     def record_completed(self, target, started_at):
         """Record a run that ended with a complete response of its target.
 
-        Runs that broke before it began did not end the target.
+        Runs that ended before it began did not end the target.
         """
         record = self._record_by_target.get(target)
         if record is not None:
-            runs = self._broken_runs.dismiss(record.incarnation, before=started_at)
-            self._log_dismissed(record.incarnation, runs, "a later run completed")
+            runs = self._pending_runs.take_outlived(record.incarnation, started_at)
+            self._dismiss(record.incarnation, runs, "a later run completed")
 
     def update_targets(self, records):
         """Replace the list of targets, and decide on those that are gone.
@@ -110,16 +124,16 @@
         }
         self._record_by_target = record_by_target
         record_by_incarnation = {record.incarnation: record for record in records}
-        for incarnation in self._broken_runs.incarnations():
+        for incarnation in self._pending_runs.incarnations():
             record = record_by_incarnation.get(incarnation)
             if record is None:
                 self.record_end(incarnation, "no longer listed")
             elif record.leaving:
-                runs = self._broken_runs.dismiss(incarnation)
-                self._log_dismissed(incarnation, runs, "the target is leaving")
+                runs = self._pending_runs.take_outlived(incarnation)
+                self._dismiss(incarnation, runs, "the target is leaving")
 
     def record_end(self, incarnation, evidence):
-        """Take the broken runs of a target that has ended for crashes.
+        """Take the pending runs of a target that has ended for crashes.
 
         Parameters
         ----------
@@ -128,7 +142,7 @@
         evidence : str
             How its end was found out, for the log.
         """
-        crashes = self._broken_runs.take_crashes(incarnation)
+        crashes = self._pending_runs.take_crashes(incarnation)
         if not crashes:
             return
         first_ended_at = min(crash.ended_at for _, crash in crashes)
@@ -142,21 +156,26 @@
         )
         self.on_crashes(crashes)
 
-    def _log_dismissed(self, incarnation, runs, cause):
-        if runs:
+    def _dismiss(self, incarnation, runs, cause):
+        """Settle runs that did not end their target."""
+        for run in runs:
+            if run.looks_complete:
+                self.on_completed(run.fingerprint, run.ended_at)
+        broken = [run for run in runs if not run.looks_complete]
+        if broken:
             log.info(
                 "broken runs do not count as crashes",
                 target=incarnation[0],
                 cause=cause,
-                age=round(self.clock() - min(run.ended_at for run in runs), 3),
-                requests=len(runs),
-                fingerprints=_format_some(run.fingerprint for run in runs),
+                age=round(self.clock() - min(run.ended_at for run in broken), 3),
+                requests=len(broken),
+                fingerprints=_format_some(run.fingerprint for run in broken),
             )
 
     def expire(self, now):
         """Forget runs without a verdict in time, and old removals and probes."""
-        for incarnation, runs in self._broken_runs.expire(now).items():
-            self._log_dismissed(incarnation, runs, "the target is still listed")
+        for incarnation, runs in self._pending_runs.expire(now).items():
+            self._dismiss(incarnation, runs, "the target is still listed")
         self._removed_by_target = {
             name: (record, removed_at)
             for name, (record, removed_at) in self._removed_by_target.items()
@@ -174,6 +193,8 @@
         if probed_at > now:
             return
         delay = max(PROBE_DELAY_SECONDS, probed_at + PROBE_INTERVAL_SECONDS - now)
+        if self._pending_runs.has_complete(record.incarnation):
+            delay = max(delay, CLOSING_SECONDS + PROBE_DELAY_SECONDS)
         self._probed_at[record.incarnation] = now + delay
         self._loop.call_soon_threadsafe(self._start_probe, record, delay)
 
@@ -183,6 +204,7 @@
     async def _probe(self, record, delay):
         """Connect to a target to see whether its process is still there."""
         await asyncio.sleep(delay)
+        started_at = self.clock()
         for _ in range(MAX_PROBES):
             try:
                 async with asyncio.timeout(PROBE_TIMEOUT_SECONDS):
@@ -194,13 +216,26 @@
             except OSError as error:
                 log.info("probe of a target failed", target=record.id, cause=str(error))
             else:
-                # This may be a new process, which the list of targets will tell.
+                self._record_probed_alive(record, started_at)
                 writer.close()
                 with contextlib.suppress(OSError):
                     await writer.wait_closed()
             return
         self._record_probed_end(record, "no connection could be made")
 
+    def _record_probed_alive(self, record, at):
+        """Settle the runs that look complete, and probe again if some are too recent.
+
+        A target that crashed with a broken run may have started again before the probe,
+        which the list of targets will tell.
+        """
+        incarnation = record.incarnation
+        with self.lock:
+            runs = self._pending_runs.take_outlived(incarnation, at, only_complete=True)
+            self._dismiss(incarnation, runs, "the target accepts connections")
+            if self._pending_runs.has_complete(incarnation):
+                self._schedule_probe(record, self.clock())
+
     def _record_probed_end(self, record, evidence):
         with self.lock:
             self.record_end(record.incarnation, evidence)
--- a/almondglade/gateway/run.py
+++ b/almondglade/gateway/run.py
@@ -473,7 +473,10 @@
         """Clear the request of crashing targets, unless the target failed."""
         if self.head.status < 500:
             self.scheduler.suspects.record_completed(
-                self.request, self.ticket.target, self.sent_at
+                self.request,
+                self.ticket.target,
+                self.sent_at,
+                is_framed=self.meter.framing != "connection",
             )
 
     def _drop_call(self):
--- a/almondglade/gateway/suspects.py
+++ b/almondglade/gateway/suspects.py
@@ -60,7 +60,9 @@
         self.clock = clock
         self.table = SuspectTable()
         self.gossip: Any = None
-        self._detector = CrashDetector(lock, clock, self._record_crashes)
+        self._detector = CrashDetector(
+            lock, clock, self._record_crashes, self._record_proven
+        )
         self._join_timeout_at = clock() + JOIN_TIMEOUT_SECONDS
         self._informed = threading.Event()
         if first_start:
@@ -129,16 +131,44 @@
             Monotonic time at which the run was dispatched.
         """
         with self.lock:
-            self._detector.record_broken(request.fingerprint, target, started_at)
+            self._detector.record_ended(
+                request.fingerprint, target, started_at, looks_complete=False
+            )
+
+    def record_completed(self, request, target, started_at, is_framed=True):
+        """Record a run that ended with a complete response of the target.
 
-    def record_completed(self, request, target, started_at):
-        """Record a run that ended with a complete response of the target."""
+        It clears the request at once, unless the target may have ended with it: a
+        response that only its connection ends looks complete then, and a suspect may
+        crash the target after a short response.
+
+        Parameters
+        ----------
+        target : str
+            Id of the target.
+        started_at : float
+            Monotonic time at which the run was dispatched.
+        is_framed : bool
+            Whether a length or chunks mark the end of the response.
+        """
+        fingerprint = request.fingerprint
         with self.lock:
             self._detector.record_completed(target, started_at)
-            cleared = self.table.record_completed(request.fingerprint, self.clock())
-        if cleared:
-            self._log_cleared(request.fingerprint, "a run completed here")
-            self._send_soon([request.fingerprint])
+            is_proven = is_framed and not (
+                self.table.has_crashed(fingerprint) and self._detector.is_listed(target)
+            )
+            if is_proven:
+                self._record_proven(fingerprint, self.clock())
+            else:
+                self._detector.record_ended(
+                    fingerprint, target, started_at, looks_complete=True
+                )
+
+    def _record_proven(self, fingerprint, completed_at):
+        """Record that a run was complete; the caller holds the lock."""
+        if self.table.record_completed(fingerprint, completed_at):
+            self._log_cleared(fingerprint, "a run completed here")
+            self._send_soon([fingerprint])
 
     def update_targets(self, records):
         """Replace the list of targets; the caller holds the lock.
--- a/almondglade/placement/suspects.py
+++ b/almondglade/placement/suspects.py
@@ -12,9 +12,8 @@
 
 import enum
 import heapq
-import itertools
 from collections import OrderedDict
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 # Crashes, one after the other, from which a request runs in isolation, and from which
 # it is barred.
@@ -36,10 +35,6 @@
 KEPT_SUSPECTS = 896
 # Number of requests whose last completed run is remembered.
 MAX_COMPLETED = 2048
-# Time within which a target must turn out to have ended for a broken run to count as
-# a crash: its entry expires after three missed heartbeats, and is read somewhat later.
-VERDICT_SECONDS = 6.0
-MAX_BROKEN_RUNS_PER_TARGET = 256
 NEVER = float("-inf")
 
 
@@ -196,13 +191,17 @@
             self.by_fingerprint = self.select(KEPT_SUSPECTS)
         return True
 
-    def record_completed(self, fingerprint, now):
-        """Record that a run completed; return whether this cleared a suspect."""
-        self._completed_at[fingerprint] = now
+    def record_completed(self, fingerprint, completed_at):
+        """Record a completed run; return whether this cleared a suspect."""
+        known_at = self._completed_at.get(fingerprint, NEVER)
+        self._completed_at[fingerprint] = max(completed_at, known_at)
         self._completed_at.move_to_end(fingerprint)
         if len(self._completed_at) > MAX_COMPLETED:
             self._completed_at.popitem(last=False)
-        return self.has_crashed(fingerprint) and self.add(fingerprint, (), now)
+        was_suspect = self.has_crashed(fingerprint)
+        if was_suspect:
+            self.add(fingerprint, (), completed_at)
+        return was_suspect and not self.has_crashed(fingerprint)
 
     def select(self, count, since=NEVER):
         """Return the suspects with the most and then the latest crashes.
@@ -236,93 +235,3 @@
         for fingerprint, suspect in list(self.by_fingerprint.items()):
             if suspect.is_expired(now):
                 del self.by_fingerprint[fingerprint]
-
-
-@dataclass(frozen=True)
-class BrokenRun:
-    """A run without a complete response, of a target that may have ended."""
-
-    fingerprint: int
-    started_at: float
-    ended_at: float
-
-
-@dataclass
-class BrokenRuns:
-    """Broken runs whose targets may have ended, until the verdict on the target.
-
-    A connection also breaks when it is reset on the way, or when a living target
-    fails a single request. Not thread-safe; the caller holds a lock.
-    """
-
-    _runs_by_incarnation: dict[tuple[str, int], list[BrokenRun]] = field(
-        default_factory=dict
-    )
-
-    def add(self, incarnation, run):
-        """Add a broken run of one start of a target."""
-        runs = self._runs_by_incarnation.setdefault(incarnation, [])
-        if len(runs) < MAX_BROKEN_RUNS_PER_TARGET:
-            runs.append(run)
-
-    def incarnations(self):
-        """Return the targets without a verdict, as (id, start)."""
-        return list(self._runs_by_incarnation)
-
-    def has_fingerprint(self, fingerprint):
-        """Return whether a run of a request waits for the verdict on its target."""
-        runs = itertools.chain.from_iterable(self._runs_by_incarnation.values())
-        return any(run.fingerprint == fingerprint for run in runs)
-
-    def take_crashes(self, incarnation):
-        """Remove the runs of a target that has ended.
-
-        Returns
-        -------
-        list of (int, Crash)
-            Their fingerprints and crashes.
-        """
-        target, started_at = incarnation
-        return [
-            (run.fingerprint, Crash(target, started_at, run.started_at, run.ended_at))
-            for run in self._runs_by_incarnation.pop(incarnation, ())
-        ]
-
-    def dismiss(self, incarnation, before=float("inf")):
-        """Remove and return the runs of a target that is known to have lived on.
-
-        Parameters
-        ----------
-        before : float
-            Only runs that broke before this monotonic time.
-
-        Returns
-        -------
-        list of BrokenRun
-        """
-        return self._remove(incarnation, lambda run: run.ended_at < before)
-
-    def expire(self, now):
-        """Remove and return the runs of targets without a verdict in time.
-
-        Returns
-        -------
-        dict of (str, int) to list of BrokenRun
-            By target, as (id, start).
-        """
-        return {
-            incarnation: runs
-            for incarnation in self.incarnations()
-            if (
-                runs := self._remove(
-                    incarnation, lambda run: now - run.ended_at > VERDICT_SECONDS
-                )
-            )
-        }
-
-    def _remove(self, incarnation, condition):
-        runs = self._runs_by_incarnation.pop(incarnation, [])
-        kept = [run for run in runs if not condition(run)]
-        if kept:
-            self._runs_by_incarnation[incarnation] = kept
-        return [run for run in runs if condition(run)]
--- a/test/test_crash_detector.py
+++ b/test/test_crash_detector.py
@@ -17,6 +17,8 @@
 )
 from almondglade.gateway.suspects import SuspectTracker
 from almondglade.metrics import Metrics
+from almondglade.placement.pendingruns import CLOSING_SECONDS
+from almondglade.placement.suspects import Crash
 
 REQUEST = SimpleNamespace(fingerprint=7)
 WAIT_SECONDS = PROBE_DELAY_SECONDS + 0.2
@@ -137,3 +139,33 @@
 
     asyncio.run(run())
     assert "broken runs do not count as crashes" in capsys.readouterr().out
+
+
+def complete_run(record, is_framed, is_suspect):
+    """Let a run look complete; return whether the request has crashed targets."""
+
+    async def run():
+        tracker = make_tracker(record)
+        if is_suspect:
+            now = time.monotonic()
+            tracker.table.add(
+                REQUEST.fingerprint, [Crash("t0", 1, now - 2.0, now - 1.0)], now
+            )
+        tracker.record_completed(REQUEST, "t1", time.monotonic() - 0.1, is_framed)
+        await asyncio.sleep(CLOSING_SECONDS + WAIT_SECONDS)
+        return tracker.table.has_crashed(REQUEST.fingerprint)
+
+    return asyncio.run(run())
+
+
+# A stream without length or chunks that ended with its target counted as complete, and
+# so did a short answer of a suspect that ended its target just afterwards.
+@pytest.mark.parametrize(("is_framed", "is_suspect"), [(False, False), (True, True)])
+def test_a_run_that_looks_complete_is_a_crash_if_its_target_ends(is_framed, is_suspect):
+    assert complete_run(make_record(free_port()), is_framed, is_suspect)
+
+
+@pytest.mark.parametrize(("is_framed", "is_suspect"), [(False, True), (True, True)])
+def test_a_suspect_that_its_target_outlives_is_cleared(listener, is_framed, is_suspect):
+    record = make_record(listener.getsockname()[1])
+    assert not complete_run(record, is_framed, is_suspect)
--- a/test/test_placement_suspects.py
+++ b/test/test_placement_suspects.py
@@ -4,14 +4,17 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from almondglade.placement.pendingruns import (
+    CLOSING_SECONDS,
+    VERDICT_SECONDS,
+    PendingRun,
+    PendingRuns,
+)
 from almondglade.placement.suspects import (
     BAR_SECONDS,
     BARRED_AFTER_CRASHES,
     MAX_CRASHES_PER_SUSPECT,
     MAX_SUSPECTS,
-    VERDICT_SECONDS,
-    BrokenRun,
-    BrokenRuns,
     Crash,
     SuspectTable,
     Suspicion,
@@ -161,15 +164,15 @@
     assert repeat.target
 
 
-def make_broken_runs():
-    runs = BrokenRuns()
-    runs.add(TARGET, BrokenRun(REQUEST, 1.0, 2.0))
+def make_pending_runs(**changes):
+    runs = PendingRuns()
+    runs.add(TARGET, PendingRun(REQUEST, 1.0, 2.0, **changes))
     return runs
 
 
 def test_a_broken_run_is_a_crash_once_its_target_has_ended():
-    runs = make_broken_runs()
-    assert runs.has_fingerprint(REQUEST)
+    runs = make_pending_runs()
+    assert runs.has_broken(REQUEST)
     assert runs.take_crashes(TARGET) == [(REQUEST, Crash("t1", 1, 1.0, 2.0))]
     assert runs.take_crashes(TARGET) == []
 
@@ -177,11 +180,20 @@
 # A connection that is reset on the way, or a target that drops one response, counted
 # as a crash when the target ended later for another reason.
 def test_a_broken_run_of_a_target_that_lives_on_is_no_crash():
-    runs = make_broken_runs()
-    runs.dismiss(TARGET, before=1.5)
+    runs = make_pending_runs()
+    assert not runs.take_outlived(TARGET, 1.5)
     assert runs.incarnations() == [TARGET]
-    runs.dismiss(TARGET, before=2.5)
+    assert runs.take_outlived(TARGET, 2.5)
     assert runs.take_crashes(TARGET) == []
-    runs = make_broken_runs()
+    runs = make_pending_runs()
     runs.expire(2.0 + VERDICT_SECONDS + 0.1)
     assert runs.take_crashes(TARGET) == []
+
+
+# A target that ended just after a short response was taken for one that had lived on.
+def test_a_run_that_looks_complete_is_outlived_only_after_a_while():
+    runs = make_pending_runs(looks_complete=True)
+    assert not runs.has_broken(REQUEST)
+    assert not runs.take_outlived(TARGET, 2.0 + CLOSING_SECONDS)
+    assert runs.take_outlived(TARGET, 2.1 + CLOSING_SECONDS, only_complete=True)
+    assert runs.take_crashes(TARGET) == []
