Do not clear a suspect of serve by a run that only its connection ended

The coordinator of 'almondglade serve' bars a request whose runs broke on two targets, and clears it when a run completes. A response without length or chunks ends with its connection, also when the target has ended, so that such a run cleared the request and it went on to crash targets.

Completion has a new field, which older instances ignore and leave at false. Both new tests fail on the code before: the field is missing, and a suspect is cleared by any completed run. A broken run is recorded by an entry on all paths; that was right.

--- a/almondglade/coordinator/core.py
+++ b/almondglade/coordinator/core.py
@@ -154,7 +154,7 @@
         ran = completion.result not in (Result.UNUSED, Result.REFUSED)
         used = completion.input_tokens + completion.output_tokens
         self.budgets.settle(run.demand.workspace, run.demand.tokens, used, ran)
-        self._update_suspicion(record, run, completion.result)
+        self._update_suspicion(record, run, completion)
         before = record.limit.limit
         record.limit.record_result(completion.result)
         record.limit.complete(completion, running)
@@ -162,15 +162,15 @@
         self.delay.complete(record, run.demand, completion)
         self.choice.complete(run.target, run.demand, completion)
 
-    def _update_suspicion(self, record, run, result):
+    def _update_suspicion(self, record, run, completion):
         fingerprint = run.demand.fingerprint
         alone = record.solo_request_id == run.demand.request_id
-        if result is Result.BROKEN:
+        if completion.result is Result.BROKEN:
             # A broken solo run counts as a second target, so that a suspect is also
             # barred when the pool has only one.
             broken_targets = [run.target] + [f"{run.target}/alone"] * alone
             self.suspects.blame(fingerprint, broken_targets)
-        elif result is Result.COMPLETED:
+        elif completion.result is Result.COMPLETED and not completion.unframed:
             self.suspects.clear(fingerprint)
         self.solo.remove(run.demand.request_id)
 
--- a/almondglade/dispatch/call.py
+++ b/almondglade/dispatch/call.py
@@ -24,6 +24,8 @@
 MAX_STALE_RESPONSE_BYTES = 1 << 20
 # Limit on a body that only the end of its connection ends.
 MAX_UNFRAMED_BODY_BYTES = 64 << 20
+# Framing of a body that only the end of its connection ends.
+UNFRAMED = "connection"
 FINAL_STATUSES = range(200, 600)
 CONTENT_LENGTH = re.compile(r"[0-9]{1,18}")
 READ_ERRORS = (HTTPError, HTTPException, OSError, ValueError)
@@ -189,7 +191,7 @@
             raise IncompleteRead(b"", response.length)
         is_end = not chunk or response.length == 0
         self._body_bytes += len(chunk)
-        if self._body_bytes > MAX_UNFRAMED_BODY_BYTES and self.framing == "connection":
+        if self._body_bytes > MAX_UNFRAMED_BODY_BYTES and self.framing == UNFRAMED:
             raise HTTPException("the body without a length is too long")
         if self._gap_deadline is None and not is_end:
             self._watch_gaps()
@@ -211,15 +213,20 @@
         """
         if splitter.is_within_event:
             raise HTTPException("the stream ended within an event")
-        if not self._body_bytes and self.framing == "connection":
+        if not self._body_bytes and self.framing == UNFRAMED:
             raise HTTPException("the connection ended before the first event")
 
     @property
     def framing(self):
-        """How the end of the body is marked: by a length, chunks or the connection."""
+        """How the end of the body is marked: by a length, chunks or the connection.
+
+        None before a response has begun.
+        """
+        if self._response is None:
+            return None
         if self._response.chunked:
             return "chunked"
-        return "connection" if self._response.length is None else "length"
+        return UNFRAMED if self._response.length is None else "length"
 
     def cancel(self):
         """Shut down the connection in any phase; safe from any thread."""
--- a/almondglade/entry/scheduling.py
+++ b/almondglade/entry/scheduling.py
@@ -7,6 +7,7 @@
 from .. import messages as m
 from ..deadlines import Deadlines
 from ..dispatch.call import (
+    UNFRAMED,
     Call,
     CallCancelledError,
     CallTimeoutError,
@@ -113,6 +114,7 @@
                 usage.output_tokens,
                 self.first_byte_seconds,
                 self._elapsed(),
+                unframed=self.call.framing == UNFRAMED,
             ),
         )
 
--- a/almondglade/gateway/run.py
+++ b/almondglade/gateway/run.py
@@ -4,6 +4,7 @@
 
 from ..declarations.models import TimeLimits
 from ..dispatch.call import (
+    UNFRAMED,
     Call,
     CallCancelledError,
     CallTimeoutError,
@@ -476,7 +477,7 @@
                 self.request,
                 self.ticket.target,
                 self.sent_at,
-                is_framed=self.meter.framing != "connection",
+                is_framed=self.meter.framing != UNFRAMED,
             )
 
     def _drop_call(self):
--- a/almondglade/messages/permits.py
+++ b/almondglade/messages/permits.py
@@ -172,6 +172,9 @@
         As counted by the target.
     first_token, duration : float
         Seconds from dispatch to the first token and to the end.
+    unframed : bool
+        Whether only the end of the connection marked the end of the response, so that
+        it may be incomplete.
     """
 
     request_id: str
@@ -182,6 +185,7 @@
     output_tokens: int = 0
     first_token: float = 0.0
     duration: float = 0.0
+    unframed: bool = False
 
 
 @dataclass(frozen=True)
--- a/almondglade/peers/codec.py
+++ b/almondglade/peers/codec.py
@@ -230,6 +230,7 @@
         output_tokens=message.output_tokens,
         first_token=_to_microseconds(message.first_token),
         duration=_to_microseconds(message.duration),
+        unframed=message.unframed,
     )
 
 
@@ -244,6 +245,7 @@
         wire.output_tokens,
         wire.first_token / MICROSECONDS_PER_SECOND,
         wire.duration / MICROSECONDS_PER_SECOND,
+        wire.unframed,
     )
 
 
--- a/test/test_broken_streams.py
+++ b/test/test_broken_streams.py
@@ -112,3 +112,12 @@
     assert fleet.call("/book/1", method="POST").data == b"done"
     target.answer = lambda request: make_response(request=request)
     assert fleet.call("/book/1", method="POST").data == b"done"
+
+
+# The coordinator was not told that a response had no end but that of its connection.
+def test_an_entry_reports_which_answers_only_their_connection_ended():
+    with FakeTarget(None) as target, Entry({"d1": target.url}) as entry:
+        for framing in FRAMINGS:
+            target.answer = lambda _, f=framing: make_stream(EVENTS, f)
+            assert entry.call("POST", "/v1/chat/completions", PROMPT).body == EVENTS
+        assert [each.unframed for each in entry.broker.released] == [True, False, False]
--- a/test/test_coordinator_suspects.py
+++ b/test/test_coordinator_suspects.py
@@ -137,3 +137,21 @@
     assert successor.retry_after(1999) == BAR_SECONDS / 2
     clock.now += BAR_SECONDS / 2 + 1
     assert successor.suspicion(1999) is Suspicion.NONE
+
+
+# A stream whose connection was closed when its target ended counted as complete, and
+# cleared the request that had ended the target.
+def test_a_run_that_only_its_connection_ended_does_not_clear_a_suspect():
+    simulation = CrashSimulation(seed=1)
+    coordinator = simulation.coordinator
+    coordinator.suspects.blame(CRASHING_FINGERPRINT, ["d1"])
+    for is_unframed in (True, False):
+        simulation.submit(CRASHING_FINGERPRINT)
+        (request_id,) = simulation.running
+        simulation.running.clear()
+        result = m.Result.COMPLETED
+        coordinator.finish(
+            "e1", m.Completion(request_id, "drafts", result, unframed=is_unframed)
+        )
+        suspicion = coordinator.suspects.suspicion(CRASHING_FINGERPRINT)
+        assert suspicion is (Suspicion.SOLO if is_unframed else Suspicion.NONE)
