--- a/almondglade/gateway/run.py
+++ b/almondglade/gateway/run.py
@@ -401,6 +401,7 @@
             "run broke off",
             request=request.request_id,
             fingerprint=format_fingerprint(request.fingerprint),
+            parts=request.caller_headers.prompt_parts,
             target=target,
             attempt=len(request.attempted_targets),
             seconds=round(self.clock() - self.sent_at, 3),
--- a/almondglade/platform/front.py
+++ b/almondglade/platform/front.py
@@ -14,6 +14,7 @@
 RESUMED_REQUEST_HEADER = "resumes"
 TOKEN_USAGE_HEADER = "x-token-usage"
 LENGTH_HINT_HEADER = "x-length-hint"
+PROMPT_PARTS_HEADER = "x-prompt-prefix"
 NOT_EXECUTED_HEADER = "x-not-executed"
 LOAD_HEADER = "x-server-load"
 SEAL_HEADER = "x-response-seal"
@@ -36,6 +37,8 @@
 )
 # Response headers of targets that concern this system only.
 NOT_FOR_CALLERS = frozenset({LOAD_HEADER, "x-instance-id", "x-cold-ms"})
+# Parts beyond these are ignored, so that a header cannot cost much time.
+MAX_PROMPT_PARTS = 64
 TOKEN_COUNTS_PATTERN = re.compile(r"\s*([0-9]{1,9})\s*,\s*([0-9]{1,9})\s*")
 MILLISECONDS_PER_SECOND = 1000.0
 
@@ -62,6 +65,9 @@
     resumed_request : str or None
         Id of the request that brought the first event of a stream that this one
         resumes.
+    prompt_parts : tuple of str
+        Ids of the parts of its prompt, in order; the last is its own or its session's,
+        the others are shared with other requests.
     """
 
     request_id: str | None
@@ -73,6 +79,7 @@
     last_event_id: str | None
     expected_tokens: int | None = None
     resumed_request: str | None = None
+    prompt_parts: tuple[str, ...] = ()
 
 
 def parse_caller_headers(pairs):
@@ -95,9 +102,17 @@
         by_name.get(LAST_EVENT_ID_HEADER.lower()),
         _parse_count(by_name.get(LENGTH_HINT_HEADER)),
         by_name.get(RESUMED_REQUEST_HEADER),
+        _parse_prompt_parts(by_name.get(PROMPT_PARTS_HEADER, "")),
     )
 
 
+def _parse_prompt_parts(value):
+    """Return the ids of comma-separated ``ID:TOKENS`` entries."""
+    entries = value.split(",", MAX_PROMPT_PARTS)
+    ids = (entry.partition(":")[0].strip().lower() for entry in entries)
+    return tuple(part for part in ids if part)
+
+
 def target_headers(pairs, workspace, target, time_left, last_event_id):
     """Return the headers of a request to a target.
 
