--- a/soak/targets.py
+++ b/soak/targets.py
@@ -15,6 +15,9 @@
 SEAL_HEADER = "X-Response-Seal"
 # End of the path of a request that crashes each target that runs it.
 CRASHING_PATH_END = "/crash"
+# Id of a part of prompts that crashes each target that runs a request with it.
+CRASHING_PART = "dead"
+PROMPT_PARTS_HEADER = "X-Prompt-Prefix"
 # In the path of a stream that only the end of its connection ends.
 UNFRAMED_PATH = "/unframed/"
 # Event of a stream after which it crashes its target.
@@ -89,7 +92,7 @@
         workspace = self.headers.get(WORKSPACE_HEADER, "")
         repeatable = kind in ("look", "stream")
         target.ledger.record_run(request_id, target.name, workspace, repeatable)
-        if self.path.endswith(CRASHING_PATH_END):
+        if self._is_crashing():
             if kind in STREAM_KINDS:
                 self._stream(target, request_id, CRASHING_EVENT)
             target.on_crash(target)
@@ -110,6 +113,11 @@
             time.sleep(RESPONSE_SECONDS * target.slowdown)
             self._respond(200, f"{request_id} done".encode(), {SEAL_HEADER: request_id})
 
+    def _is_crashing(self):
+        entries = self.headers.get(PROMPT_PARTS_HEADER, "").split(",")
+        parts = [entry.partition(":")[0] for entry in entries]
+        return self.path.endswith(CRASHING_PATH_END) or CRASHING_PART in parts
+
     def _stream(self, target, request_id, last_event=EVENT_COUNT, partial=b""):
         first_event = int(self.headers.get("Last-Event-Id") or 0) + 1
         stream_id = self.headers.get("Resumes", request_id)
--- a/test/crashingfleet.py
+++ b/test/crashingfleet.py
@@ -15,10 +15,12 @@
 
 # Time from the crash of a target to its next start.
 RESTART_SECONDS = 2.0
-# The documented limit: after a request has crashed `MAX_CRASHES` targets and this time
-# has passed, it may run `MAX_LATE_RUNS` times more.
+# The documented limits: after a request has crashed `MAX_CRASHES` targets, or requests
+# with one part in their prompts `MAX_PART_CRASHES`, and this time has passed, they may
+# run `MAX_LATE_RUNS` times more.
 CONTACT_SECONDS = 3.0
 MAX_CRASHES = 3
+MAX_PART_CRASHES = 5
 MAX_LATE_RUNS = 3
 BYSTANDER_PAUSE_SECONDS = 0.05
 
@@ -114,8 +116,15 @@
         """Start a killed gateway again."""
         self.processes[index] = self._start(self.addresses[index])
 
-    def repeat(self, path, pause, method="GET"):
-        """Send a request again and again in a thread, with new ids, to any gateway."""
+    def repeat(self, path, pause, method="GET", parts=()):
+        """Send a request again and again in a thread, with new ids, to any gateway.
+
+        Parameters
+        ----------
+        parts : tuple of str
+            Ids of the shared parts of its prompt. With any, no two requests are alike:
+            their paths and the last parts of their prompts differ.
+        """
         statuses = self.statuses_by_path.setdefault(path, [])
         rng = random.Random(f"{path} {len(self.threads)}")
 
@@ -124,16 +133,23 @@
                 status = None
                 with contextlib.suppress(urllib3.exceptions.HTTPError):
                     address = rng.choice(self.addresses)
-                    status = self.call(path, address, method).status
+                    status = self._call_once(path, address, method, parts).status
                 statuses.append((time.monotonic(), status))
 
         self._start_thread(run)
 
-    def late_runs(self):
-        """Return the runs of the crashing request after the documented time."""
-        if len(self.crashes) <= MAX_CRASHES:
+    def _call_once(self, path, address, method, parts):
+        if not parts:
+            return self.call(path, address, method)
+        own = f"{time.monotonic_ns():x}"
+        entries = ",".join(f"{part}:100" for part in (*parts, own))
+        return self.call(f"{path}/{own}", address, method, X_Prompt_Prefix=entries)
+
+    def late_runs(self, max_crashes=MAX_CRASHES):
+        """Return the crashing runs after the documented time."""
+        if len(self.crashes) <= max_crashes:
             return []
-        limit = self.crashes[MAX_CRASHES - 1][0] + CONTACT_SECONDS
+        limit = self.crashes[max_crashes - 1][0] + CONTACT_SECONDS
         return [run for run in self.crashes if run[0] > limit]
 
     def served_share(self, path, since):
