Recognise parts of prompts that crash targets

Callers of one route, and of all that shared its targets, saw 502, closed connections and refusals for half a minute at a time: targets ended one after the other under requests no two of which were alike.

Cause: what a suspect is known by was fixed to one request, its workspace, host, method, path and body. Requests that have only a part of their prompts in common never add up.

A run now stands for several fingerprints, its own and one for each part of its prompt but the last. Each counts its crashes in a row, and a completed run clears all that the request consists of, so that parts which sound requests have too stay free. What is barred explains its crashes: they count neither against other requests that ended with the same targets nor against parts that happened to be in all crashing requests. A part that goes on crashing without the barred one is barred itself.

--- a/almondglade/gateway/crashes.py
+++ b/almondglade/gateway/crashes.py
@@ -39,10 +39,10 @@
     clock : callable
         Returns monotonic seconds.
     on_crashes : callable
-        Called with a list of (fingerprint, `Crash`) once a target has ended, with the
-        lock held.
+        Called with a list of (fingerprints, `Crash`), one for each run, once a target
+        has ended, with the lock held.
     on_completed : callable
-        Called with a fingerprint and the end of its run once it is known that a run
+        Called with the fingerprints and the end of a run once it is known that a run
         which looked complete was complete, with the lock held.
     """
 
@@ -57,21 +57,21 @@
         self._probed_at: dict[tuple[str, int], float] = {}
         self._loop = asyncio.get_running_loop()
 
-    def has_broken_run(self, fingerprint):
-        """Return whether a run of a request waits for the verdict on its target."""
-        return self._pending_runs.has_broken(fingerprint)
+    def has_broken_run(self, fingerprints):
+        """Return whether a broken run with one of these waits for a verdict."""
+        return self._pending_runs.has_broken(fingerprints)
 
     def is_listed(self, target):
         """Return whether a target is listed."""
         return target in self._record_by_target
 
-    def record_ended(self, fingerprint, target, started_at, looks_complete):
+    def record_ended(self, fingerprints, target, started_at, looks_complete):
         """Record a run with which its target may have ended, and probe the target.
 
         Parameters
         ----------
-        fingerprint : int
-            Fingerprint of the request.
+        fingerprints : tuple of int
+            Fingerprints of the request and of the shared parts of its prompt.
         target : str
             Id of the target.
         started_at : float
@@ -80,7 +80,7 @@
             Whether the response was complete, unless the target ended with the run.
         """
         now = self.clock()
-        run = PendingRun(fingerprint, started_at, now, looks_complete)
+        run = PendingRun(fingerprints, started_at, now, looks_complete)
         record = self._record_by_target.get(target)
         if record is None:
             self._record_ended_after_removal(target, run, now)
@@ -152,7 +152,7 @@
             evidence=evidence,
             age=round(self.clock() - first_ended_at, 3),
             requests=len(crashes),
-            fingerprints=_format_some(fingerprint for fingerprint, _ in crashes),
+            fingerprints=_format_some(fingerprints for fingerprints, _ in crashes),
         )
         self.on_crashes(crashes)
 
@@ -160,7 +160,7 @@
         """Settle runs that did not end their target."""
         for run in runs:
             if run.looks_complete:
-                self.on_completed(run.fingerprint, run.ended_at)
+                self.on_completed(run.fingerprints, run.ended_at)
         broken = [run for run in runs if not run.looks_complete]
         if broken:
             log.info(
@@ -169,7 +169,7 @@
                 cause=cause,
                 age=round(self.clock() - min(run.ended_at for run in broken), 3),
                 requests=len(broken),
-                fingerprints=_format_some(run.fingerprint for run in broken),
+                fingerprints=_format_some(run.fingerprints for run in broken),
             )
 
     def expire(self, now):
@@ -241,11 +241,12 @@
             self.record_end(record.incarnation, evidence)
 
 
-def _format_some(fingerprints):
-    """Return some of the fingerprints, each once, as they stand in the logs."""
+def _format_some(fingerprints_of_runs):
+    """Return some of the requests' fingerprints, each once, as in the logs."""
+    of_requests = dict.fromkeys(
+        fingerprints[0] for fingerprints in fingerprints_of_runs
+    )
     return [
         format_fingerprint(fingerprint)
-        for fingerprint in itertools.islice(
-            dict.fromkeys(fingerprints), MAX_LOGGED_FINGERPRINTS
-        )
+        for fingerprint in itertools.islice(of_requests, MAX_LOGGED_FINGERPRINTS)
     ]
--- a/almondglade/gateway/requests.py
+++ b/almondglade/gateway/requests.py
@@ -73,6 +73,22 @@
         )
         return xxhash.xxh3_64_intdigest(head.encode() + self.body)
 
+    @cached_property
+    def fingerprints(self):
+        """Hashes by which requests that crash targets are recognised.
+
+        Its own, then one for each part of its prompt that it may share with others.
+        """
+        parts = self.caller_headers.prompt_parts[:-1]
+        return (self.fingerprint, *map(fingerprint_part, dict.fromkeys(parts)))
+
+    def part_with(self, fingerprint):
+        """Return the id of the part of the prompt with a fingerprint, or None."""
+        parts = self.caller_headers.prompt_parts
+        return next(
+            (part for part in parts if fingerprint_part(part) == fingerprint), None
+        )
+
     @property
     def tier(self):
         """Rank: the workspace's tier first, then the route's."""
@@ -109,6 +125,11 @@
         )
 
 
+def fingerprint_part(part):
+    """Return the hash of a part of prompts, given by its id."""
+    return xxhash.xxh3_64_intdigest(f"prompt part\0{part}".encode())
+
+
 def format_fingerprint(fingerprint):
     """Return a request's fingerprint as it stands in the logs."""
     return f"{fingerprint:016x}"
--- a/almondglade/gateway/suspects.py
+++ b/almondglade/gateway/suspects.py
@@ -84,14 +84,16 @@
             self._informed.wait(self._join_timeout_at - self.clock())
         now = self.clock()
         with self.lock:
-            if self.table.suspicion(request.fingerprint, now) is not Suspicion.BARRED:
+            verdict = self.table.verdict(request.fingerprints, now)
+            if verdict.suspicion is not Suspicion.BARRED:
                 return
-            suspect = self.table.by_fingerprint[request.fingerprint]
+            suspect = self.table.by_fingerprint[verdict.fingerprint]
             crashes, retry_after = suspect.crashes, suspect.barred_until - now
         log.info(
             "request refused: it has crashed targets",
             request=request.request_id,
-            fingerprint=format_fingerprint(request.fingerprint),
+            fingerprint=format_fingerprint(verdict.fingerprint),
+            part=request.part_with(verdict.fingerprint),
             targets=[crash.target for crash in crashes],
             ages=[round(now - crash.ended_at, 2) for crash in crashes],
             retry_after=round(retry_after, 2),
@@ -108,17 +110,17 @@
         )
 
     def isolated_fingerprint(self, request):
-        """Return the fingerprint of a request that must run in isolation, or 0."""
+        """Return the fingerprint for which a request must run in isolation, or 0."""
         with self.lock:
-            suspicion = self.table.suspicion(request.fingerprint, self.clock())
-        return request.fingerprint if suspicion is Suspicion.ISOLATED else 0
+            verdict = self.table.verdict(request.fingerprints, self.clock())
+        return verdict.fingerprint if verdict.suspicion is Suspicion.ISOLATED else 0
 
     def is_suspect(self, request):
-        """Return whether a run of a request broke on a target that may have ended."""
+        """Return whether a similar run broke on a target that may have ended."""
         with self.lock:
-            return self.table.has_crashed(
-                request.fingerprint
-            ) or self._detector.has_broken_run(request.fingerprint)
+            return self.table.any_has_crashed(
+                request.fingerprints
+            ) or self._detector.has_broken_run(request.fingerprints)
 
     def record_broken(self, request, target, started_at):
         """Record a run without a complete response.
@@ -132,7 +134,7 @@
         """
         with self.lock:
             self._detector.record_ended(
-                request.fingerprint, target, started_at, looks_complete=False
+                request.fingerprints, target, started_at, looks_complete=False
             )
 
     def record_completed(self, request, target, started_at, is_framed=True):
@@ -151,24 +153,30 @@
         is_framed : bool
             Whether a length or chunks mark the end of the response.
         """
-        fingerprint = request.fingerprint
+        fingerprints = request.fingerprints
         with self.lock:
             self._detector.record_completed(target, started_at)
             is_proven = is_framed and not (
-                self.table.has_crashed(fingerprint) and self._detector.is_listed(target)
+                self.table.any_has_crashed(fingerprints)
+                and self._detector.is_listed(target)
             )
             if is_proven:
-                self._record_proven(fingerprint, self.clock())
+                self._record_proven(fingerprints, self.clock())
             else:
                 self._detector.record_ended(
-                    fingerprint, target, started_at, looks_complete=True
+                    fingerprints, target, started_at, looks_complete=True
                 )
 
-    def _record_proven(self, fingerprint, completed_at):
+    def _record_proven(self, fingerprints, completed_at):
         """Record that a run was complete; the caller holds the lock."""
-        if self.table.record_completed(fingerprint, completed_at):
+        cleared = [
+            fingerprint
+            for fingerprint in fingerprints
+            if self.table.record_completed(fingerprint, completed_at)
+        ]
+        for fingerprint in cleared:
             self._log_cleared(fingerprint, "a run completed here")
-            self._send_soon([fingerprint])
+        self._send_soon(cleared)
 
     def update_targets(self, records):
         """Replace the list of targets; the caller holds the lock.
@@ -191,14 +199,15 @@
 
         Parameters
         ----------
-        crashes : list of (int, Crash)
-            Fingerprints of the requests and their crashes.
+        crashes : list of (tuple of int, Crash)
+            Fingerprints of the runs and their crashes.
         """
         now = self.clock()
         self.metrics.count("target_crashes_total", len(crashes))
         changed = [
             fingerprint
-            for fingerprint, crash in crashes
+            for fingerprints, crash in crashes
+            for fingerprint in fingerprints
             if self._add(fingerprint, [crash], now, "this gateway")
         ]
         self._send_soon(changed)
--- a/almondglade/gossip/messages.py
+++ b/almondglade/gossip/messages.py
@@ -219,12 +219,12 @@
 
 @dataclass(frozen=True)
 class SuspectEvidence:
-    """What the sender knows of a request that may crash targets.
+    """What the sender knows of a request or a part of prompts that may crash targets.
 
     Parameters
     ----------
     fingerprint : int
-        Hash by which the request is recognised when it is repeated.
+        Hash by which the request, or each request with the part, is recognised.
     crashes : tuple of CrashEvidence
         Targets that ended while they ran it.
     cleared_age : float or None
--- a/almondglade/placement/pendingruns.py
+++ b/almondglade/placement/pendingruns.py
@@ -23,15 +23,15 @@
 
     Parameters
     ----------
-    fingerprint : int
-        Fingerprint of the request.
+    fingerprints : tuple of int
+        Fingerprints of the request and of the shared parts of its prompt.
     started_at, ended_at : float
         Monotonic times of the start and the end of the run.
     looks_complete : bool
         Whether the response was complete, unless the target ended with the run.
     """
 
-    fingerprint: int
+    fingerprints: tuple[int, ...]
     started_at: float
     ended_at: float
     looks_complete: bool = False
@@ -62,11 +62,13 @@
         """Return the targets without a verdict, as (id, start)."""
         return list(self._runs_by_incarnation)
 
-    def has_broken(self, fingerprint):
-        """Return whether a broken run of a request waits for a verdict."""
+    def has_broken(self, fingerprints):
+        """Return whether a broken run with one of these waits for a verdict."""
         runs = itertools.chain.from_iterable(self._runs_by_incarnation.values())
         return any(
-            run.fingerprint == fingerprint and not run.looks_complete for run in runs
+            not run.looks_complete
+            and not set(fingerprints).isdisjoint(run.fingerprints)
+            for run in runs
         )
 
     def has_complete(self, incarnation):
@@ -79,12 +81,12 @@
 
         Returns
         -------
-        list of (int, Crash)
+        list of (tuple of int, Crash)
             Their fingerprints and crashes.
         """
         target, started_at = incarnation
         return [
-            (run.fingerprint, Crash(target, started_at, run.started_at, run.ended_at))
+            (run.fingerprints, Crash(target, started_at, run.started_at, run.ended_at))
             for run in self._runs_by_incarnation.pop(incarnation, ())
         ]
 
--- a/almondglade/placement/suspects.py
+++ b/almondglade/placement/suspects.py
@@ -1,13 +1,16 @@
-"""Recognise requests that crash the targets that run them.
+"""Recognise what crashes the targets that run it: a request, or a part of prompts.
 
-Load pattern: a caller sends such a request again and again, with new ids and to any
-instance. Each run ends a target and all requests that run beside it, until no target
-is left. A popular request, and one that runs for long, are hit often without being
-the cause, as are the requests of targets that fail together.
+Load pattern: a caller sends a request again and again, with new ids and to any
+instance, or sends requests that have only one part of their prompts in common. Each
+run ends a target and all requests that run beside it, until no target is left. A
+popular request, and one that runs for long, are hit often without being the cause, as
+are the requests of targets that fail together. Parts of prompts are shared by requests
+that crash targets and others.
 
 So only runs that began after the previous crash was over are counted, one completed
-run clears a request, and a request that is about to be barred does not run beside
-another one.
+run clears all that the request consists of, and a suspect that is about to be barred
+does not run beside another one. What is barred explains its crashes, so that they
+don't count against requests and parts that were only there.
 """
 
 import enum
@@ -38,12 +41,27 @@
 NEVER = float("-inf")
 
 
-class Suspicion(enum.Enum):
+class Suspicion(enum.IntEnum):
     """Whether requests with a fingerprint run normally, in isolation or not at all."""
 
-    NONE = "none"
-    ISOLATED = "isolated"
-    BARRED = "barred"
+    NONE = 0
+    ISOLATED = 1
+    BARRED = 2
+
+
+@dataclass(frozen=True)
+class Verdict:
+    """How a request is handled, and which of its fingerprints is the reason.
+
+    Parameters
+    ----------
+    suspicion : Suspicion
+    fingerprint : int
+        That of the request or of a part of its prompt; 0 if it runs normally.
+    """
+
+    suspicion: Suspicion = Suspicion.NONE
+    fingerprint: int = 0
 
 
 @dataclass(frozen=True)
@@ -73,7 +91,7 @@
 
 @dataclass
 class Suspect:
-    """What is known of a request that ran on targets when they ended.
+    """What is known of a request, or a part, that ran on targets when they ended.
 
     Attributes
     ----------
@@ -113,9 +131,17 @@
             self.changed_at = now
         return changed
 
-    def suspicion(self, now):
-        """Return how requests with this fingerprint are handled now."""
-        count = count_successive(self.crashes)
+    def suspicion(self, now, explained=frozenset()):
+        """Return how requests with this fingerprint are handled now.
+
+        Parameters
+        ----------
+        explained : set of (str, int)
+            Targets, as (id, start), whose ends have another cause.
+        """
+        count = count_successive(
+            crash for crash in self.crashes if crash.incarnation not in explained
+        )
         if count >= BARRED_AFTER_CRASHES and now < self.barred_until:
             return Suspicion.BARRED
         if count >= ISOLATED_AFTER_CRASHES:
@@ -153,7 +179,7 @@
 
 
 class SuspectTable:
-    """Requests that ran on targets when they ended, by fingerprint.
+    """Requests, and parts of prompts, that ran on targets when they ended.
 
     Not thread-safe; the caller holds a lock.
     """
@@ -162,11 +188,59 @@
         self.by_fingerprint: dict[int, Suspect] = {}
         self._completed_at: OrderedDict[int, float] = OrderedDict()
 
+    def verdict(self, fingerprints, now):
+        """Return the `Verdict` on a request.
+
+        Crashes that are explained by something barred count only against requests
+        that have it too.
+
+        Parameters
+        ----------
+        fingerprints : tuple of int
+            Fingerprints of the request and of the shared parts of its prompt.
+        """
+        suspicion_by_fingerprint = {
+            fingerprint: suspicion
+            for fingerprint in fingerprints
+            if (suspicion := self.suspicion(fingerprint, now))
+        }
+        if not suspicion_by_fingerprint:
+            return Verdict()
+        explained = self._explained_crashes(set(fingerprints), now)
+        return max(
+            (
+                Verdict(suspicion, fingerprint)
+                for fingerprint in suspicion_by_fingerprint
+                if (
+                    suspicion := self.by_fingerprint[fingerprint].suspicion(
+                        now, explained
+                    )
+                )
+            ),
+            key=lambda verdict: verdict.suspicion,
+            default=Verdict(),
+        )
+
+    def _explained_crashes(self, fingerprints, now):
+        """Return the targets that something barred ended which is not among these."""
+        return {
+            crash.incarnation
+            for fingerprint, suspect in self.by_fingerprint.items()
+            if fingerprint not in fingerprints
+            and len(suspect.crashes) >= BARRED_AFTER_CRASHES
+            and suspect.suspicion(now) is Suspicion.BARRED
+            for crash in suspect.crashes
+        }
+
     def suspicion(self, fingerprint, now):
         """Return how requests with a fingerprint are handled now."""
         suspect = self.by_fingerprint.get(fingerprint)
         return Suspicion.NONE if suspect is None else suspect.suspicion(now)
 
+    def any_has_crashed(self, fingerprints):
+        """Return whether `has_crashed` holds for one of these."""
+        return any(map(self.has_crashed, fingerprints))
+
     def has_crashed(self, fingerprint):
         """Return whether a request ran on a target when it ended, and no later run."""
         suspect = self.by_fingerprint.get(fingerprint)
--- a/test/test_crash_detector.py
+++ b/test/test_crash_detector.py
@@ -20,7 +20,7 @@
 from almondglade.placement.pendingruns import CLOSING_SECONDS
 from almondglade.placement.suspects import Crash
 
-REQUEST = SimpleNamespace(fingerprint=7)
+REQUEST = SimpleNamespace(fingerprints=(7,))
 WAIT_SECONDS = PROBE_DELAY_SECONDS + 0.2
 
 
@@ -50,7 +50,7 @@
         if records_afterwards is not None:
             tracker.update_targets(records_afterwards)
         await asyncio.sleep(seconds)
-        return tracker.table.has_crashed(REQUEST.fingerprint)
+        return tracker.table.has_crashed(REQUEST.fingerprints[0])
 
     return asyncio.run(run())
 
@@ -109,7 +109,7 @@
         tracker.update_targets([])
         await asyncio.sleep(seconds)
         tracker.record_broken(REQUEST, "t1", time.monotonic() - 0.1)
-        return tracker.table.has_crashed(REQUEST.fingerprint)
+        return tracker.table.has_crashed(REQUEST.fingerprints[0])
 
     assert asyncio.run(run()) == has_crashed
 
@@ -134,7 +134,7 @@
     async def run():
         tracker = make_tracker(make_record(listener.getsockname()[1]))
         tracker.record_broken(REQUEST, "t1", time.monotonic() - 0.1)
-        later = SimpleNamespace(fingerprint=8)
+        later = SimpleNamespace(fingerprints=(8,))
         tracker.record_completed(later, "t1", time.monotonic())
 
     asyncio.run(run())
@@ -149,11 +149,11 @@
         if is_suspect:
             now = time.monotonic()
             tracker.table.add(
-                REQUEST.fingerprint, [Crash("t0", 1, now - 2.0, now - 1.0)], now
+                REQUEST.fingerprints[0], [Crash("t0", 1, now - 2.0, now - 1.0)], now
             )
         tracker.record_completed(REQUEST, "t1", time.monotonic() - 0.1, is_framed)
         await asyncio.sleep(CLOSING_SECONDS + WAIT_SECONDS)
-        return tracker.table.has_crashed(REQUEST.fingerprint)
+        return tracker.table.has_crashed(REQUEST.fingerprints[0])
 
     return asyncio.run(run())
 
--- a/test/test_placement_suspects.py
+++ b/test/test_placement_suspects.py
@@ -19,6 +19,7 @@
     SuspectTable,
     Suspicion,
 )
+from almondglade.platform.front import parse_caller_headers
 
 from .placing import make_pools, record, ticket
 
@@ -96,6 +97,58 @@
     assert table.suspicion(REQUEST, NOW + 1) is Suspicion.BARRED
 
 
+SHARED_PART, CRASHING_PART = 20, 21
+
+
+def crash_all(table, numbers, *fingerprints):
+    """Let runs with some fingerprints crash targets; each is a request of its own."""
+    for number in numbers:
+        for fingerprint in (1000 + number, *fingerprints):
+            table.add(fingerprint, [make_crash(number)], NOW)
+
+
+# No two requests with a crashing part were alike, so that none of them was barred.
+def test_a_part_is_barred_after_successive_crashes_of_different_requests():
+    table = SuspectTable()
+    crash_all(table, range(3), SHARED_PART, CRASHING_PART)
+    verdict = table.verdict((REQUEST, SHARED_PART, CRASHING_PART), NOW)
+    assert verdict.suspicion is Suspicion.BARRED
+
+
+# A part that had been in each crashing request was barred with the part that crashed.
+def test_what_is_barred_explains_the_crashes_of_parts_beside_it():
+    table = SuspectTable()
+    crash_all(table, range(3), SHARED_PART, CRASHING_PART)
+    assert table.verdict((REQUEST, SHARED_PART), NOW).suspicion is Suspicion.NONE
+    table.add(OTHER, [make_crash(number) for number in range(3)], NOW)
+    assert table.verdict((OTHER,), NOW).suspicion is Suspicion.NONE
+
+
+def test_a_part_that_crashes_without_the_barred_one_is_barred_itself():
+    table = SuspectTable()
+    crash_all(table, range(3), SHARED_PART, CRASHING_PART)
+    crash_all(table, range(3, 6), SHARED_PART)
+    verdict = table.verdict((REQUEST, SHARED_PART), NOW)
+    assert verdict.suspicion is Suspicion.BARRED
+
+
+# Requests with the parts of a crashing request were refused with it.
+def test_a_barred_request_does_not_bar_the_parts_of_its_prompt():
+    table = SuspectTable()
+    for fingerprint in (REQUEST, SHARED_PART):
+        table.add(fingerprint, [make_crash(number) for number in range(3)], NOW)
+    assert table.verdict((OTHER, SHARED_PART), NOW).suspicion is Suspicion.NONE
+    verdict = table.verdict((REQUEST, SHARED_PART), NOW)
+    assert verdict.suspicion is Suspicion.BARRED
+
+
+# The last part of a prompt belongs to one request or session and crashes nothing else.
+def test_the_parts_of_a_prompt_but_the_last_are_recognised():
+    headers = parse_caller_headers([("X-Prompt-Prefix", "A1:60, b2:9,c3:700")])
+    assert headers.prompt_parts == ("a1", "b2", "c3")
+    assert parse_caller_headers([]).prompt_parts == ()
+
+
 RUNS = st.tuples(st.integers(0, 60), st.integers(1, 9)).map(
     lambda run: (float(run[0]), float(sum(run)))
 )
@@ -166,14 +219,14 @@
 
 def make_pending_runs(**changes):
     runs = PendingRuns()
-    runs.add(TARGET, PendingRun(REQUEST, 1.0, 2.0, **changes))
+    runs.add(TARGET, PendingRun((REQUEST,), 1.0, 2.0, **changes))
     return runs
 
 
 def test_a_broken_run_is_a_crash_once_its_target_has_ended():
     runs = make_pending_runs()
-    assert runs.has_broken(REQUEST)
-    assert runs.take_crashes(TARGET) == [(REQUEST, Crash("t1", 1, 1.0, 2.0))]
+    assert runs.has_broken((REQUEST,))
+    assert runs.take_crashes(TARGET) == [((REQUEST,), Crash("t1", 1, 1.0, 2.0))]
     assert runs.take_crashes(TARGET) == []
 
 
@@ -193,7 +246,7 @@
 # A target that ended just after a short response was taken for one that had lived on.
 def test_a_run_that_looks_complete_is_outlived_only_after_a_while():
     runs = make_pending_runs(looks_complete=True)
-    assert not runs.has_broken(REQUEST)
+    assert not runs.has_broken((REQUEST,))
     assert not runs.take_outlived(TARGET, 2.0 + CLOSING_SECONDS)
     assert runs.take_outlived(TARGET, 2.1 + CLOSING_SECONDS, only_complete=True)
     assert runs.take_crashes(TARGET) == []
--- a/test/test_suspects.py
+++ b/test/test_suspects.py
@@ -172,7 +172,7 @@
 
 def test_a_run_that_completes_anywhere_clears_a_request_everywhere():
     class Request:
-        fingerprint = REQUEST
+        fingerprints = (REQUEST,)
 
     async def scenario(net, tasks, seeds):
         await settle(net)
