Bar a request that has just completed only after more crashes

Callers of a popular request were refused with a Retry-After of 600 s while the targets of one data centre ended 30 to 150 ms apart: each end counted as a crash after the other, as the request was repeated on the next target.

Cause: three crashes in a row weigh the same against a request that has never completed as against one that completed a moment ago on the same targets. A part of prompts that most requests share is in the same place each time that targets end.

Now five in a row are needed if a run completed within 10 s before the first of them; gateways tell each other of such runs. A request that crashes each target never completes, so nothing changes for it; a part that begins to crash targets which it did not crash before is still barred after five.

--- a/almondglade/gateway/suspects.py
+++ b/almondglade/gateway/suspects.py
@@ -7,7 +7,7 @@
 from ..gossip.messages import CrashEvidence, SuspectEvidence, SuspectReport
 from ..log import get_logger
 from ..outcome import Code, Outcome, RequestError
-from ..placement.suspects import Crash, SuspectTable, Suspicion
+from ..placement.suspects import Crash, SuspectTable, Suspicion, is_established
 from .crashes import CrashDetector
 from .requests import format_fingerprint
 
@@ -252,10 +252,20 @@
                     self._detector.record_end(
                         crash.incarnation, f"report of {report.instance}"
                     )
-                if crashes and not self.table.has_crashed(fingerprint):
-                    # The peer does not know of a run that has completed since.
+                if crashes and self._knows_completed_run(
+                    fingerprint, crashes, cleared_at
+                ):
                     self._send_soon([fingerprint])
 
+    def _knows_completed_run(self, fingerprint, crashes, cleared_at):
+        """Return whether a run that a peer does not know of speaks for a suspect."""
+        suspect = self.table.by_fingerprint.get(fingerprint)
+        if suspect is None or not suspect.crashes:
+            return True
+        return is_established(
+            suspect.crashes, suspect.cleared_at
+        ) and not is_established(crashes, cleared_at)
+
     def _is_informed(self):
         return self._informed.is_set() or self.clock() >= self._join_timeout_at
 
--- a/almondglade/placement/suspects.py
+++ b/almondglade/placement/suspects.py
@@ -22,6 +22,11 @@
 # it is barred.
 ISOLATED_AFTER_CRASHES = 2
 BARRED_AFTER_CRASHES = 3
+# The same if a run completed shortly before the first of them: more likely the targets
+# failed together.
+ISOLATED_AFTER_CRASHES_IF_ESTABLISHED = 3
+BARRED_AFTER_CRASHES_IF_ESTABLISHED = 5
+ESTABLISHED_SECONDS = 10.0
 # Time for which a request is barred after its latest crash. Then one run is allowed.
 BAR_SECONDS = 600.0
 # Suspects without a crash for this long are forgotten.
@@ -142,9 +147,13 @@
         count = count_successive(
             crash for crash in self.crashes if crash.incarnation not in explained
         )
-        if count >= BARRED_AFTER_CRASHES and now < self.barred_until:
+        isolated_after, barred_after = ISOLATED_AFTER_CRASHES, BARRED_AFTER_CRASHES
+        if is_established(self.crashes, self.cleared_at):
+            isolated_after = ISOLATED_AFTER_CRASHES_IF_ESTABLISHED
+            barred_after = BARRED_AFTER_CRASHES_IF_ESTABLISHED
+        if count >= barred_after and now < self.barred_until:
             return Suspicion.BARRED
-        if count >= ISOLATED_AFTER_CRASHES:
+        if count >= isolated_after:
             return Suspicion.ISOLATED
         return Suspicion.NONE
 
@@ -178,6 +187,21 @@
     return count
 
 
+def is_established(crashes, completed_at):
+    """Return whether a run completed shortly before the first of some crashes.
+
+    Parameters
+    ----------
+    crashes : sequence of Crash
+        By their ends.
+    completed_at : float
+        Monotonic time of the latest completed run.
+    """
+    return bool(crashes) and (
+        crashes[0].started_at - completed_at <= ESTABLISHED_SECONDS
+    )
+
+
 class SuspectTable:
     """Requests, and parts of prompts, that ran on targets when they ended.
 
