Settle runs that were complete well before their target ended

A run whose target is watched after it looked complete counted as a crash if the target ended half a second later under another request. The new test fails on the code before (the detector is not told when the target ended).

--- a/almondglade/gateway/crashes.py
+++ b/almondglade/gateway/crashes.py
@@ -132,16 +132,26 @@
                 runs = self._pending_runs.take_outlived(incarnation)
                 self._dismiss(incarnation, runs, "the target is leaving")
 
-    def record_end(self, incarnation, evidence):
+    def record_end(self, incarnation, evidence, ended_at=None):
         """Take the pending runs of a target that has ended for crashes.
 
+        Runs that were complete well before that are none.
+
         Parameters
         ----------
         incarnation : (str, int)
             Id and start of the target.
         evidence : str
             How its end was found out, for the log.
+        ended_at : float or None
+            Monotonic time of its end; None for that of the first broken run.
         """
+        ended_at = ended_at or self._pending_runs.first_broken_at(incarnation)
+        if ended_at is not None:
+            runs = self._pending_runs.take_outlived(
+                incarnation, ended_at, only_complete=True
+            )
+            self._dismiss(incarnation, runs, "the target ended later")
         crashes = self._pending_runs.take_crashes(incarnation)
         if not crashes:
             return
--- a/almondglade/gateway/suspects.py
+++ b/almondglade/gateway/suspects.py
@@ -253,7 +253,9 @@
                 self._add(fingerprint, crashes, now, report.instance, cleared_at)
                 for crash in crashes:
                     self._detector.record_end(
-                        crash.incarnation, f"report of {report.instance}"
+                        crash.incarnation,
+                        f"report of {report.instance}",
+                        crash.ended_at,
                     )
                 if crashes and self._knows_completed_run(
                     fingerprint, crashes, cleared_at
--- a/almondglade/placement/pendingruns.py
+++ b/almondglade/placement/pendingruns.py
@@ -76,6 +76,13 @@
         runs = self._runs_by_incarnation.get(incarnation, ())
         return any(run.looks_complete for run in runs)
 
+    def first_broken_at(self, incarnation):
+        """Return the end of the first broken run, or None without one."""
+        runs = self._runs_by_incarnation.get(incarnation, ())
+        return min(
+            (run.ended_at for run in runs if not run.looks_complete), default=None
+        )
+
     def take_crashes(self, incarnation):
         """Remove the runs of a target that has ended.
 
--- a/test/test_crash_detector.py
+++ b/test/test_crash_detector.py
@@ -169,3 +169,16 @@
 def test_a_suspect_that_its_target_outlives_is_cleared(listener, is_framed, is_suspect):
     record = make_record(listener.getsockname()[1])
     assert not complete_run(record, is_framed, is_suspect)
+
+
+# A run that had completed half a second before its target ended counted as a crash.
+def test_a_run_that_was_complete_well_before_the_end_is_no_crash():
+    async def run():
+        tracker = make_tracker(make_record(free_port()))
+        now = time.monotonic()
+        crash = Crash("t1", 0, now, now + 2 * CLOSING_SECONDS)
+        tracker.record_completed(REQUEST, "t1", now - 0.1, is_framed=False)
+        tracker._detector.record_end(crash.incarnation, "a test", crash.ended_at)
+        return tracker.table.has_crashed(REQUEST.fingerprints[0])
+
+    assert not asyncio.run(run())
