Let the soak crash targets by streams that cannot be resumed and by parts of prompts

In a sequence of its own, so that a seed still selects the same other faults. An innocent request that is barred is a violation now.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -10,7 +10,7 @@
 from test.gatewayfleet import HOST
 
 from .ledger import CallerOutcome
-from .targets import EVENT_COUNT, SEAL_HEADER, make_event
+from .targets import EVENT_COUNT, PROMPT_PARTS_HEADER, SEAL_HEADER, make_event
 
 TIME_LIMIT_SECONDS = 3.0
 # Added to a request's time limit on the caller's side, so that the gateway's timeout
@@ -20,6 +20,8 @@
 # Share of the requests that repeat one that crashes targets, once there is one.
 CRASHING_SHARE = 0.05
 EVENT_PATTERN = re.compile(rb"id: ([0-9]+)\ndata: [^ ]+ [0-9]+ ([^\n ]+)\n\n")
+# A request that crashes targets is refused for longer than any other.
+LONGEST_RETRY_AFTER_SECONDS = 60.0
 REQUEST_KINDS = ("book", "look", "look", "stream", "stream")
 
 
@@ -50,12 +52,21 @@
     def _run(self):
         while not self.stopped.is_set():
             if self.fleet.crashing_paths and self.rng.random() < CRASHING_SHARE:
-                self._call(self.rng.choice(self.fleet.crashing_paths))
+                path = self.rng.choice(self.fleet.crashing_paths)
+                self._send(path, cause=path)
+            elif (
+                self.fleet.kind_by_crashing_part and self.rng.random() < CRASHING_SHARE
+            ):
+                self._send_crashing_part()
             else:
                 kind = self.rng.choice(REQUEST_KINDS)
                 self._call(f"/{kind}/{self.request_count}")
             self.stopped.wait(self.rng.uniform(*PAUSE_SECONDS))
 
+    def _send_crashing_part(self):
+        part, kind = self.rng.choice(list(self.fleet.kind_by_crashing_part.items()))
+        self._send(f"/{kind}/{self.name}-{self.request_count}", cause=part)
+
     def _call(self, path):
         request_id, body, is_complete = self._send(path)
         if path.startswith("/stream/") and not is_complete:
@@ -65,7 +76,7 @@
         """Let another request continue a stream that broke off after some events."""
         received = b"".join(match[0] for match in EVENT_PATTERN.finditer(body))
         self._check_events(stream_id, received)
-        if not received or path in self.fleet.crashing_paths:
+        if not received:
             return
         last_event_id = EVENT_PATTERN.findall(received)[-1][0].decode()
         headers = {"Last-Event-Id": last_event_id, "Resumes": stream_id}
@@ -74,7 +85,7 @@
             rest = b"".join(match[0] for match in EVENT_PATTERN.finditer(rest))
             self._check_events(stream_id, received + rest)
 
-    def _send(self, path, headers=(), received=b""):
+    def _send(self, path, headers=(), received=b"", cause=""):
         """Send a request and check its response.
 
         Parameters
@@ -83,6 +94,9 @@
             Further headers of the request.
         received : bytes
             Events of the stream that were received before.
+        cause : str
+            What of it crashes targets, its path or a part of its prompt; empty if
+            nothing does.
 
         Returns
         -------
@@ -93,7 +107,6 @@
             Whether the response was complete, or failed.
         """
         self.request_count += 1
-        is_crashing = path in self.fleet.crashing_paths
         request_id = f"{self.name}-{self.request_count}"
         key = self.fleet.choose_key(self.rng)
         address = self._choose_address()
@@ -105,13 +118,18 @@
                 timeout=TIME_LIMIT_SECONDS + RESPONSE_GRACE_SECONDS,
             )
         self.ledger.record_request(request_id, key)
-        if is_crashing:
-            self.ledger.record_crashing_request(request_id, path, address)
+        if cause:
+            self.ledger.record_crashing_request(request_id, cause, address)
+        parts = ("common", *([cause] if cause != path and cause else []), request_id)
+        headers = {
+            PROMPT_PARTS_HEADER: ",".join(f"{part}:9" for part in parts),
+            **dict(headers),
+        }
         sent_at = time.monotonic()
         status, body, is_complete = None, b"", True
         with contextlib.suppress(OSError, http.client.HTTPException):
             status, body, is_complete = self._exchange(
-                connection, request_id, path, key, dict(headers), received
+                connection, request_id, path, key, headers, received, cause
             )
             if self.rng.random() < 0.9:
                 self.connection_by_address[address] = connection
@@ -123,7 +141,7 @@
         if (
             undisturbed
             and status is None
-            and not is_crashing
+            and not cause
             # A stream cut by its target ends at its caller too, unless it is resumed.
             and request_id not in self.ledger.cut_streams
         ):
@@ -136,7 +154,7 @@
             return self.rng.choice(list(self.connection_by_address))
         return self.rng.choice(self.fleet.ready or self.fleet.addresses)
 
-    def _exchange(self, connection, request_id, path, key, headers, received):
+    def _exchange(self, connection, request_id, path, key, headers, received, cause):
         headers |= {
             "Host": HOST,
             "X-Request-Id": request_id,
@@ -148,6 +166,12 @@
         connection.request(method, path, headers=headers)
         response = connection.getresponse()
         body, is_complete = read_body(response)
+        if cause:
+            # A stream that its target ended between two events may look complete.
+            return (response.status if is_complete else None), b"", True
+        retry_after = float(response.headers.get("Retry-After", 0.0))
+        if retry_after > LONGEST_RETRY_AFTER_SECONDS:
+            self.ledger.record_violation(f"{request_id} was barred and crashes nothing")
         if response.status != 200:
             return (response.status if is_complete else None), b"", True
         if is_complete:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from .targets import CRASHING_PATH_END
+from .targets import CRASHING_PART, CRASHING_PATH_END
 
 # Limits on response times are not checked for this long after a fault, while the
 # users' documentation still counts an instance as "out of touch".
@@ -173,6 +173,21 @@
     fleet.crashing_paths.append(path)
 
 
+def _send_crashing_stream(fleet, rng):
+    kind = rng.choice(("once", "once/unframed"))
+    fleet.crashing_paths.append(
+        f"/{kind}/{len(fleet.crashing_paths)}{CRASHING_PATH_END}"
+    )
+
+
+def _send_crashing_part(fleet, rng):
+    kind = rng.choice(("look", "stream", "once", "once/unframed"))
+    # Callers send requests with it from now on, no two alike.
+    fleet.kind_by_crashing_part[
+        f"{CRASHING_PART}{len(fleet.kind_by_crashing_part)}"
+    ] = kind
+
+
 FAULT_BY_NAME = {
     "gateway killed": Fault(
         _kill_gateway, lambda fleet, process: fleet.restart(process)
@@ -197,8 +212,12 @@
     "target leaves": Fault(_drain_target, _undrain_targets),
     "key revoked": Fault(_revoke_key),
 }
-# In a sequence of its own, so that a seed still selects the same other faults.
+# In sequences of their own, so that a seed still selects the same other faults.
 CRASHING_REQUEST_BY_NAME = {"request crashes targets": Fault(_send_crashing_request)}
+CRASHING_STREAM_OR_PART_BY_NAME = {
+    "stream crashes targets": Fault(_send_crashing_stream),
+    "part crashes targets": Fault(_send_crashing_part),
+}
 
 # Distinguishes faults of the same name.
 FAULT_NUMBERS = itertools.count(1)
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -37,6 +37,9 @@
         Labels of the faults in progress.
     crashing_paths : list of str
         Paths of the requests that crash each target that runs them.
+    kind_by_crashing_part : dict of str to str
+        First part of the paths of requests, by the part of their prompts that crashes
+        each target that runs one.
     """
 
     ledger: Ledger = field(default_factory=Ledger)
@@ -45,6 +48,7 @@
     fault_events: list = field(default_factory=list)
     active_faults: set = field(default_factory=set)
     crashing_paths: list = field(default_factory=list)
+    kind_by_crashing_part: dict = field(default_factory=dict)
 
     def __enter__(self):
         self.key, self.version = KEY, 1
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -64,7 +64,8 @@
     sent_at : dict of str to (str, float)
         Key and monotonic seconds of a request by its id.
     crashing_request_by_id : dict of str to (str, str)
-        Path of a request that crashes targets, and the gateway that it was sent to.
+        Path of a request that crashes targets, or the part of its prompt that does,
+        and the gateway that it was sent to.
     cut_streams : set of str
         Ids of the requests whose streams a target has cut within an event.
     disturbances : list of (str, float, float)
@@ -92,10 +93,16 @@
         with self._lock:
             self.sent_at[request_id] = (key, time.monotonic())
 
-    def record_crashing_request(self, request_id, path, address):
-        """Record that a request crashes each target that runs it."""
+    def record_crashing_request(self, request_id, cause, address):
+        """Record that a request crashes each target that runs it.
+
+        Parameters
+        ----------
+        cause : str
+            Its path, or the part of its prompt that crashes targets.
+        """
         with self._lock:
-            self.crashing_request_by_id[request_id] = (path, address)
+            self.crashing_request_by_id[request_id] = (cause, address)
 
     def record_cut_stream(self, request_id):
         """Record that a target cuts the stream of a request within an event."""
@@ -205,23 +212,25 @@
                 )
 
     def _find_late_crashing_runs(self, limits):
-        runs_by_path = defaultdict(list)
+        runs_by_cause = defaultdict(list)
         for run in self.runs:
             if run.request_id in self.crashing_request_by_id:
-                path, address = self.crashing_request_by_id[run.request_id]
-                runs_by_path[path].append((run.started_at, address))
-        for path, runs in runs_by_path.items():
+                cause, address = self.crashing_request_by_id[run.request_id]
+                runs_by_cause[cause].append((run.started_at, address))
+        for cause, runs in runs_by_cause.items():
             runs.sort()
-            if len(runs) <= limits.max_crashes:
+            is_path = cause.startswith("/")
+            max_crashes = limits.max_crashes if is_path else limits.max_part_crashes
+            if len(runs) <= max_crashes:
                 continue
-            deadline = runs[limits.max_crashes - 1][0] + limits.contact_seconds
+            deadline = runs[max_crashes - 1][0] + limits.contact_seconds
             late = [
                 round(at - runs[0][0], 2)
                 for at, address in runs
                 if at > deadline and self._is_in_touch(address, at, limits)
             ]
             if len(late) > limits.max_late_runs:
-                yield f"{path} crashed targets again after {late} s"
+                yield f"{cause} crashed targets again after {late} s"
 
     def _is_in_touch(self, address, at, limits):
         return not any(
@@ -252,9 +261,9 @@
         Period in which at most `max_requests_in_window` of its requests may run.
     overage_share, slack_requests : float
         Share of the allowance and number of requests that may run above it.
-    max_crashes, max_late_runs : int
-        Targets that a request may crash, and how often it may run once
-        `contact_seconds` have passed since.
+    max_crashes, max_part_crashes, max_late_runs : int
+        Targets that a request, and a part of prompts, may crash, and how often it may
+        run once `contact_seconds` have passed since.
     contact_seconds : float
         Time after a disturbance in which a gateway need not keep time limits.
     time_limit_seconds, lateness_seconds : float
@@ -271,6 +280,7 @@
     overage_share: float = 0.25
     slack_requests: float = 37.0
     max_crashes: int = 3
+    max_part_crashes: int = 5
     max_late_runs: int = 3
     contact_seconds: float = 3.0
     time_limit_seconds: float = 3.0
--- a/soak/run.py
+++ b/soak/run.py
@@ -8,6 +8,7 @@
 from .faults import (
     CRASHING_REQUEST_BY_NAME,
     CRASHING_REQUEST_PAUSE_SECONDS,
+    CRASHING_STREAM_OR_PART_BY_NAME,
     FaultSequence,
     wait_until,
 )
@@ -60,14 +61,18 @@
             FaultSequence(fleet, random.Random(rng.random()))
             for _ in range(FAULT_SEQUENCE_COUNT)
         ]
-        sequences.append(
+        sequences += [
             FaultSequence(
                 fleet,
                 random.Random(rng.random()),
-                CRASHING_REQUEST_BY_NAME,
+                fault_by_name,
                 CRASHING_REQUEST_PAUSE_SECONDS,
             )
-        )
+            for fault_by_name in (
+                CRASHING_REQUEST_BY_NAME,
+                CRASHING_STREAM_OR_PART_BY_NAME,
+            )
+        ]
         time.sleep(seconds)
         for sequence in sequences:
             sequence.stop()
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -15,7 +15,7 @@
 SEAL_HEADER = "X-Response-Seal"
 # End of the path of a request that crashes each target that runs it.
 CRASHING_PATH_END = "/crash"
-# Id of a part of prompts that crashes each target that runs a request with it.
+# Start of the ids of parts of prompts that crash each target that runs such a request.
 CRASHING_PART = "dead"
 PROMPT_PARTS_HEADER = "X-Prompt-Prefix"
 # In the path of a stream that only the end of its connection ends.
@@ -115,8 +115,9 @@
 
     def _is_crashing(self):
         entries = self.headers.get(PROMPT_PARTS_HEADER, "").split(",")
-        parts = [entry.partition(":")[0] for entry in entries]
-        return self.path.endswith(CRASHING_PATH_END) or CRASHING_PART in parts
+        return self.path.endswith(CRASHING_PATH_END) or any(
+            entry.startswith(CRASHING_PART) for entry in entries
+        )
 
     def _stream(self, target, request_id, last_event=EVENT_COUNT, partial=b""):
         first_event = int(self.headers.get("Last-Event-Id") or 0) + 1
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -92,14 +92,20 @@
 @pytest.mark.parametrize(
     ("disturbances", "count"), [([], 1), ([("g1", 6.5, 9.0)], 0), ([("g2", 0, 9)], 1)]
 )
-def test_late_runs_of_a_crashing_request_are_found(disturbances, count):
-    times = (0.0, 1.0, 2.0, 6.0, 7.0, 8.0, 9.0)
+@pytest.mark.parametrize(
+    ("cause", "crash_times"),
+    [("/look/1/crash", (0.0, 1.0, 2.0)), ("dead0", (0.0, 0.5, 1.0, 1.5, 2.0))],
+)
+def test_late_runs_of_what_crashes_targets_are_found(
+    disturbances, count, cause, crash_times
+):
+    times = (*crash_times, 6.0, 7.0, 8.0, 9.0)
     ledger = Ledger(disturbances=disturbances)
     for number, at in enumerate(times):
         request_id = f"r{number}"
         ledger.runs.append(make_run(request_id, repeatable=True, started_at=at))
         ledger.sent_at[request_id] = ("k", at)
-        ledger.crashing_request_by_id[request_id] = ("/look/1/crash", "g1")
+        ledger.crashing_request_by_id[request_id] = (cause, "g1")
     assert len(ledger.check(GuaranteeLimits())) == count
 
 
