Watch a target after a response only for suspects that crash in a row

A part that most requests share is a suspect whenever a target ends. For as long, each response to it was pending, its target was probed, and each request with it opened a new connection. Now a response clears what has just completed at once, unless it has crashed twice in a row since, and only a suspect request as a whole avoids connections that were open before. A response of a leaving target clears at once as well: its end is no crash, so that a suspect that completed there had stayed a suspect.

--- a/almondglade/gateway/crashes.py
+++ b/almondglade/gateway/crashes.py
@@ -57,13 +57,14 @@
         self._probed_at: dict[tuple[str, int], float] = {}
         self._loop = asyncio.get_running_loop()
 
-    def has_broken_run(self, fingerprints):
-        """Return whether a broken run with one of these waits for a verdict."""
-        return self._pending_runs.has_broken(fingerprints)
+    def has_broken_run(self, fingerprint):
+        """Return whether a broken run of a request waits for the verdict."""
+        return self._pending_runs.has_broken(fingerprint)
 
-    def is_listed(self, target):
-        """Return whether a target is listed."""
-        return target in self._record_by_target
+    def can_crash(self, target):
+        """Return whether an end of a target would be a crash: it is not leaving."""
+        record = self._record_by_target.get(target)
+        return record is not None and not record.leaving
 
     def record_ended(self, fingerprints, target, started_at, looks_complete):
         """Record a run with which its target may have ended, and probe the target.
@@ -146,7 +147,8 @@
         ended_at : float or None
             Monotonic time of its end; None for that of the first broken run.
         """
-        ended_at = ended_at or self._pending_runs.first_broken_at(incarnation)
+        if ended_at is None:
+            ended_at = self._pending_runs.first_broken_at(incarnation)
         if ended_at is not None:
             runs = self._pending_runs.take_outlived(
                 incarnation, ended_at, only_complete=True
--- a/almondglade/gateway/suspects.py
+++ b/almondglade/gateway/suspects.py
@@ -119,11 +119,11 @@
         return verdict.fingerprint if verdict.suspicion is Suspicion.ISOLATED else 0
 
     def is_suspect(self, request):
-        """Return whether a similar run broke on a target that may have ended."""
+        """Return whether a run of a request broke on a target that may have ended."""
         with self.lock:
-            return self.table.any_has_crashed(
-                request.fingerprints
-            ) or self._detector.has_broken_run(request.fingerprints)
+            return self.table.has_crashed(
+                request.fingerprint
+            ) or self._detector.has_broken_run(request.fingerprint)
 
     def record_broken(self, request, target, started_at):
         """Record a run without a complete response.
@@ -160,8 +160,8 @@
         with self.lock:
             self._detector.record_completed(target, started_at)
             is_proven = is_framed and not (
-                self.table.any_has_crashed(fingerprints)
-                and self._detector.is_listed(target)
+                self.table.may_crash_after_response(fingerprints)
+                and self._detector.can_crash(target)
             )
             if is_proven:
                 self._record_proven(fingerprints, self.clock())
--- a/almondglade/placement/pendingruns.py
+++ b/almondglade/placement/pendingruns.py
@@ -62,13 +62,11 @@
         """Return the targets without a verdict, as (id, start)."""
         return list(self._runs_by_incarnation)
 
-    def has_broken(self, fingerprints):
-        """Return whether a broken run with one of these waits for a verdict."""
+    def has_broken(self, fingerprint):
+        """Return whether a broken run of a request waits for a verdict."""
         runs = itertools.chain.from_iterable(self._runs_by_incarnation.values())
         return any(
-            not run.looks_complete
-            and not set(fingerprints).isdisjoint(run.fingerprints)
-            for run in runs
+            fingerprint in run.fingerprints and not run.looks_complete for run in runs
         )
 
     def has_complete(self, incarnation):
--- a/almondglade/placement/suspects.py
+++ b/almondglade/placement/suspects.py
@@ -261,9 +261,22 @@
         suspect = self.by_fingerprint.get(fingerprint)
         return Suspicion.NONE if suspect is None else suspect.suspicion(now)
 
-    def any_has_crashed(self, fingerprints):
-        """Return whether `has_crashed` holds for one of these."""
-        return any(map(self.has_crashed, fingerprints))
+    def may_crash_after_response(self, fingerprints):
+        """Return whether a target may yet end after the whole response to a request.
+
+        That is asked of suspects; of one that has just completed, which may be part of
+        most requests, only after crashes in a row.
+        """
+        suspects = map(self.by_fingerprint.get, fingerprints)
+        return any(
+            suspect is not None
+            and suspect.crashes
+            and (
+                not is_established(suspect.crashes, suspect.cleared_at)
+                or count_successive(suspect.crashes) >= ISOLATED_AFTER_CRASHES
+            )
+            for suspect in suspects
+        )
 
     def has_crashed(self, fingerprint):
         """Return whether a request ran on a target when it ended, and no later run."""
--- a/test/test_crash_detector.py
+++ b/test/test_crash_detector.py
@@ -171,6 +171,13 @@
     assert not complete_run(record, is_framed, is_suspect)
 
 
+# A suspect that completed at a leaving target stayed a suspect.
+def test_a_response_of_a_leaving_target_clears_a_suspect():
+    assert not complete_run(
+        make_record(free_port(), leaving=True), is_framed=True, is_suspect=True
+    )
+
+
 # A run that had completed half a second before its target ended counted as a crash.
 def test_a_run_that_was_complete_well_before_the_end_is_no_crash():
     async def run():
--- a/test/test_placement_suspects.py
+++ b/test/test_placement_suspects.py
@@ -245,7 +245,7 @@
 
 def test_a_broken_run_is_a_crash_once_its_target_has_ended():
     runs = make_pending_runs()
-    assert runs.has_broken((REQUEST,))
+    assert runs.has_broken(REQUEST)
     assert runs.take_crashes(TARGET) == [((REQUEST,), Crash("t1", 1, 1.0, 2.0))]
     assert runs.take_crashes(TARGET) == []
 
@@ -263,10 +263,21 @@
     assert runs.take_crashes(TARGET) == []
 
 
+# Each answer to a popular part was followed by a probe once a target had crashed.
+def test_a_response_to_what_has_just_completed_is_proof_unless_it_crashed_twice():
+    table = make_table(make_crash(1))
+    assert table.may_crash_after_response((OTHER, REQUEST))
+    for count, may_crash in ((1, False), (2, True)):
+        table = SuspectTable()
+        table.record_completed(REQUEST, 0.0)
+        table.add(REQUEST, [make_crash(1 + number) for number in range(count)], NOW)
+        assert table.may_crash_after_response((OTHER, REQUEST)) == may_crash
+
+
 # A target that ended just after a short response was taken for one that had lived on.
 def test_a_run_that_looks_complete_is_outlived_only_after_a_while():
     runs = make_pending_runs(looks_complete=True)
-    assert not runs.has_broken((REQUEST,))
+    assert not runs.has_broken(REQUEST)
     assert not runs.take_outlived(TARGET, 2.0 + CLOSING_SECONDS)
     assert runs.take_outlived(TARGET, 2.1 + CLOSING_SECONDS, only_complete=True)
     assert runs.take_crashes(TARGET) == []
