--- a/almondglade/gateway/suspects.py
+++ b/almondglade/gateway/suspects.py
@@ -4,12 +4,13 @@
 import threading
 from typing import Any
 
-from ..gossip.messages import CrashEvidence, SuspectEvidence, SuspectReport
+from ..gossip.messages import SuspectReport
 from ..log import get_logger
 from ..outcome import Code, Outcome, RequestError
-from ..placement.suspects import Crash, SuspectTable, Suspicion, is_established
+from ..placement.suspects import NEVER, SuspectTable, Suspicion, is_established
 from .crashes import CrashDetector
 from .requests import format_fingerprint
+from .suspectreports import make_reports, to_times
 
 log = get_logger("suspects")
 
@@ -21,14 +22,11 @@
 # Changes are repeated to random peers for this long.
 REPEAT_SECONDS = 20.0
 MAX_REPEATED_SUSPECTS = 4
-# Keeps a message within one packet.
-MAX_SUSPECTS_PER_REPORT = 4
 # Suspects that are sent to a new peer and to one that joins.
 MAX_SUSPECTS_FOR_NEW_PEER = 64
 # An instance that starts in a running fleet holds requests until a peer has told it
 # which are barred, for at most this long; a round trip takes milliseconds.
 JOIN_TIMEOUT_SECONDS = 0.4
-NEVER = float("-inf")
 
 
 class SuspectTracker:
@@ -249,7 +247,7 @@
         with self.lock:
             for evidence in report.suspects:
                 fingerprint = evidence.fingerprint
-                crashes, cleared_at = _to_times(evidence, now)
+                crashes, cleared_at = to_times(evidence, now)
                 self._add(fingerprint, crashes, now, report.instance, cleared_at)
                 for crash in crashes:
                     self._detector.record_end(
@@ -278,7 +276,7 @@
         """Return the `SuspectReport`s of what changed lately."""
         with self.lock:
             since = self.clock() - REPEAT_SECONDS
-            return self._reports(self.table.select(MAX_REPEATED_SUSPECTS, since))
+            return self._make_reports(self.table.select(MAX_REPEATED_SUSPECTS, since))
 
     def reports_for_new_peer(self):
         """Return the `SuspectReport`s for an instance that has just started.
@@ -289,7 +287,7 @@
         if not self._is_informed():
             return []
         with self.lock:
-            reports = self._reports(self.table.select(MAX_SUSPECTS_FOR_NEW_PEER))
+            reports = self._make_reports(self.table.select(MAX_SUSPECTS_FOR_NEW_PEER))
         return reports or [SuspectReport(self.instance, ())]
 
     def _send_soon(self, fingerprints):
@@ -322,61 +320,11 @@
     def _send_to_all(self, fingerprints):
         with self.lock:
             known = self.table.by_fingerprint
-            reports = self._reports(
+            reports = self._make_reports(
                 {name: known[name] for name in fingerprints & known.keys()}
             )
         for report in reports:
             self.gossip.send_to_all_soon(report)
 
-    def _reports(self, suspect_by_fingerprint):
-        """Return the `SuspectReport`s of some suspects; the caller holds the lock."""
-        now = self.clock()
-        evidence = [
-            _to_ages(fingerprint, suspect, now)
-            for fingerprint, suspect in suspect_by_fingerprint.items()
-        ]
-        return [
-            SuspectReport(
-                self.instance, tuple(evidence[start : start + MAX_SUSPECTS_PER_REPORT])
-            )
-            for start in range(0, len(evidence), MAX_SUSPECTS_PER_REPORT)
-        ]
-
-
-def _to_ages(fingerprint, suspect, now):
-    """Return the `SuspectEvidence` of a `Suspect`, as clocks differ between peers."""
-    return SuspectEvidence(
-        fingerprint,
-        tuple(
-            CrashEvidence(
-                crash.target,
-                crash.target_started_at,
-                now - crash.started_at,
-                now - crash.ended_at,
-            )
-            for crash in suspect.crashes
-        ),
-        None if suspect.cleared_at == NEVER else now - suspect.cleared_at,
-    )
-
-
-def _to_times(evidence, now):
-    """Return the crashes and the time of the last completed run of a peer's evidence.
-
-    Returns
-    -------
-    crashes : list of Crash
-    cleared_at : float
-        Monotonic time; minus infinity if the peer knows of no completed run.
-    """
-    crashes = [
-        Crash(
-            crash.target,
-            crash.target_started_at,
-            now - crash.started_age,
-            now - crash.ended_age,
-        )
-        for crash in evidence.crashes
-    ]
-    cleared_age = evidence.cleared_age
-    return crashes, NEVER if cleared_age is None else now - cleared_age
+    def _make_reports(self, suspect_by_fingerprint):
+        return make_reports(self.instance, suspect_by_fingerprint, self.clock())
--- a/almondglade/placement/pendingruns.py
+++ b/almondglade/placement/pendingruns.py
@@ -38,7 +38,8 @@
 
     def is_outlived_by(self, at):
         """Return whether a target that lives at a time has not ended with this run."""
-        return self.ended_at + CLOSING_SECONDS * self.looks_complete < at
+        margin = CLOSING_SECONDS if self.looks_complete else 0.0
+        return self.ended_at + margin < at
 
 
 @dataclass
@@ -111,7 +112,9 @@
         """
         return self._take(
             incarnation,
-            lambda run: run.is_outlived_by(at) and run.looks_complete >= only_complete,
+            lambda run: (
+                run.is_outlived_by(at) and (run.looks_complete or not only_complete)
+            ),
         )
 
     def expire(self, now):
--- a/almondglade/placement/suspects.py
+++ b/almondglade/placement/suspects.py
@@ -22,10 +22,11 @@
 # it is barred.
 ISOLATED_AFTER_CRASHES = 2
 BARRED_AFTER_CRASHES = 3
-# The same if a run completed shortly before the first of them: more likely the targets
-# failed together.
+# The same if a run completed shortly before the first of them: it is more likely then
+# that the targets failed together.
 ISOLATED_AFTER_CRASHES_IF_ESTABLISHED = 3
 BARRED_AFTER_CRASHES_IF_ESTABLISHED = 5
+# How shortly before that is.
 ESTABLISHED_SECONDS = 10.0
 # Time for which a request is barred after its latest crash. Then one run is allowed.
 BAR_SECONDS = 600.0
@@ -41,7 +42,7 @@
 MAX_SUSPECTS = 1024
 # Suspects that are kept when there are too many; dropping many at a time is cheaper.
 KEPT_SUSPECTS = 896
-# Number of requests whose last completed run is remembered.
+# Number of fingerprints whose last completed run is remembered.
 MAX_COMPLETED = 2048
 NEVER = float("-inf")
 
@@ -223,30 +224,25 @@
         fingerprints : tuple of int
             Fingerprints of the request and of the shared parts of its prompt.
         """
-        suspicion_by_fingerprint = {
-            fingerprint: suspicion
-            for fingerprint in fingerprints
-            if (suspicion := self.suspicion(fingerprint, now))
-        }
-        if not suspicion_by_fingerprint:
+        suspects = [each for each in fingerprints if self.suspicion(each, now)]
+        if not suspects:
             return Verdict()
         explained = self._explained_crashes(set(fingerprints), now)
-        return max(
-            (
-                Verdict(suspicion, fingerprint)
-                for fingerprint in suspicion_by_fingerprint
-                if (
-                    suspicion := self.by_fingerprint[fingerprint].suspicion(
-                        now, explained
-                    )
-                )
-            ),
-            key=lambda verdict: verdict.suspicion,
-            default=Verdict(),
+        verdicts = (
+            Verdict(self.by_fingerprint[each].suspicion(now, explained), each)
+            for each in suspects
         )
+        worst = max(verdicts, key=lambda verdict: verdict.suspicion)
+        return worst if worst.suspicion else Verdict()
 
     def _explained_crashes(self, fingerprints, now):
-        """Return the targets that something barred ended which is not among these."""
+        """Return the targets, as (id, start), that something else barred has ended.
+
+        Parameters
+        ----------
+        fingerprints : set of int
+            Those of the request that is asked for, which explain nothing.
+        """
         return {
             crash.incarnation
             for fingerprint, suspect in self.by_fingerprint.items()
