--- a/almondglade/metrics.py
+++ b/almondglade/metrics.py
@@ -33,7 +33,7 @@
     ),
     "target_crashes_total": (
         (),
-        "Broken runs of targets that turned out to have ended.",
+        "Runs of targets that turned out to have ended with them.",
     ),
     "resends_total": (
         ("service", "result"),
