--- a/soak/callers.py
+++ b/soak/callers.py
@@ -120,7 +120,8 @@
         self.ledger.record_request(request_id, key)
         if cause:
             self.ledger.record_crashing_request(request_id, cause, address)
-        parts = ("common", *([cause] if cause != path and cause else []), request_id)
+        crashing_parts = () if cause in ("", path) else (cause,)
+        parts = ("common", *crashing_parts, request_id)
         headers = {
             PROMPT_PARTS_HEADER: ",".join(f"{part}:9" for part in parts),
             **dict(headers),
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -181,11 +181,10 @@
 
 
 def _send_crashing_part(fleet, rng):
+    part = f"{CRASHING_PART}{len(fleet.kind_by_crashing_part)}"
     kind = rng.choice(("look", "stream", "once", "once/unframed"))
     # Callers send requests with it from now on, no two alike.
-    fleet.kind_by_crashing_part[
-        f"{CRASHING_PART}{len(fleet.kind_by_crashing_part)}"
-    ] = kind
+    fleet.kind_by_crashing_part[part] = kind
 
 
 FAULT_BY_NAME = {
--- a/test/crashingfleet.py
+++ b/test/crashingfleet.py
@@ -141,7 +141,7 @@
     def _call_once(self, path, address, method, parts):
         if not parts:
             return self.call(path, address, method)
-        own = f"{time.monotonic_ns():x}"
+        own = f"own-{time.monotonic_ns():x}"
         entries = ",".join(f"{part}:100" for part in (*parts, own))
         return self.call(f"{path}/{own}", address, method, X_Prompt_Prefix=entries)
 
