Log the rate limits that targets name in their responses

Before any change of logic: the logs could not tell whether a target named a limit, so not whether it was read, kept by each instance for itself, or gone around. A line for each change, a gauge (targets_rate_limited) and the dump (rate_limit) now say so. Nothing decides by it yet.

--- a/almondglade/gateway/operators.py
+++ b/almondglade/gateway/operators.py
@@ -3,6 +3,7 @@
 from ..clocks import boottime_clock
 from ..metrics import set_gateway_gauges
 from ..operators import OperatorPages
+from ..placement.ratelimits import format_rate
 
 
 class GatewayOperatorApp(OperatorPages):
@@ -27,6 +28,7 @@
                     name: {
                         "running_here": state.running_here,
                         "limit": state.limit(),
+                        "rate_limit": format_rate(state.named_rate.rate),
                         "paused": state.health.is_paused(now),
                         "failures": state.health.failure_share(now),
                         "slowness": state.health.slowness,
--- a/almondglade/gateway/run.py
+++ b/almondglade/gateway/run.py
@@ -93,6 +93,7 @@
             try:
                 head = self._send()
                 response_info = parse_target_response(head)
+                self._record_rate_limit(response_info)
                 if head.status < 300 and not response_info.sealed:
                     raise TargetError("the target's success bears no seal")
                 if self._is_resume_mismatch(head, response_info):
@@ -125,6 +126,13 @@
                 self.resumable = False
         return self
 
+    def _record_rate_limit(self, response_info):
+        """Record the rate limit that the target names, or that it names none."""
+        if not response_info.misdirected and response_info.rate_limit is not None:
+            self.scheduler.record_rate_limit(
+                self.record, response_info.rate_limit, self.sent_at
+            )
+
     def _is_resume_mismatch(self, head, response_info):
         """Return whether a later response cannot continue an interrupted first one."""
         if self.head is None or not self.has_begun or response_info.not_run:
--- a/almondglade/metrics.py
+++ b/almondglade/metrics.py
@@ -90,6 +90,7 @@
     "requests_waiting": (("service",), "Requests that wait at this gateway."),
     "places_free": (("service",), "Free places of a service, as seen here."),
     "targets_paused": ((), "Targets that this gateway does not use for now."),
+    "targets_rate_limited": ((), "Targets that name a rate limit in their responses."),
     "evidence_age_seconds": (
         (),
         "Seconds since the configuration was surely the newest; API keys are "
@@ -179,6 +180,10 @@
             name: pools.free_slots(name, now) for name in pools.targets.services()
         }
         paused = len(pools.targets.paused_here(now))
+        rate_limited = sum(
+            state.named_rate.is_limited
+            for state in pools.targets.state_by_target.values()
+        )
         evidence_age = node.freshness.age(boottime_clock())
     catalogue = node.registry.catalogue
     metrics.set("active_requests", node.app.active)
@@ -187,6 +192,7 @@
     metrics.set("store_reachable", int(bool(node.discovery.reachable)))
     metrics.set("peers_heard", len(node.gossip.live_peers()))
     metrics.set("targets_paused", paused)
+    metrics.set("targets_rate_limited", rate_limited)
     metrics.set("evidence_age_seconds", min(evidence_age, MAX_AGE_SECONDS))
     metrics.set("log_lines_left_out", dropped_lines())
     for name in ("requests_waiting", "places_free"):
--- a/almondglade/placement/places.py
+++ b/almondglade/placement/places.py
@@ -7,6 +7,7 @@
 from ..catalogue import TargetRecord
 from .cells import Cell
 from .health import Health, TargetStats
+from .ratelimits import NamedRate
 
 
 @dataclass(eq=False)
@@ -115,6 +116,8 @@
         not.
     isolated_here : list of int
         Fingerprints of the requests that this instance runs on it in isolation.
+    named_rate : NamedRate
+        The rate limit that it names in its responses.
     """
 
     record: TargetRecord
@@ -124,6 +127,7 @@
     fleet_stats: TargetStats = TargetStats()
     is_limited: bool = False
     isolated_here: list[int] = field(default_factory=list)
+    named_rate: NamedRate = field(default_factory=NamedRate)
 
     def is_unhealthy(self, now):
         """Return whether it fails often, by this instance's results or by all."""
--- a/almondglade/platform/front.py
+++ b/almondglade/platform/front.py
@@ -1,5 +1,6 @@
 """HTTP headers that callers and targets of the platform use."""
 
+import math
 import re
 from dataclasses import dataclass
 
@@ -17,6 +18,7 @@
 PROMPT_PARTS_HEADER = "x-prompt-prefix"
 NOT_EXECUTED_HEADER = "x-not-executed"
 LOAD_HEADER = "x-server-load"
+RATE_LIMIT_HEADER = "server-limit"
 SEAL_HEADER = "x-response-seal"
 MISDIRECTED_STATUS = 421
 # Request headers that only this system may set; those of callers are dropped.
@@ -39,6 +41,8 @@
 NOT_FOR_CALLERS = frozenset({LOAD_HEADER, "x-instance-id", "x-cold-ms"})
 # Parts beyond these are ignored, so that a header cannot cost much time.
 MAX_PROMPT_PARTS = 64
+# Digits enough for any rate; a longer number could be infinite.
+RATE_PATTERN = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
 TOKEN_COUNTS_PATTERN = re.compile(r"\s*([0-9]{1,9})\s*,\s*([0-9]{1,9})\s*")
 MILLISECONDS_PER_SECOND = 1000.0
 
@@ -160,12 +164,16 @@
         request was then not run either.
     sealed : bool
         Whether it has the target's seal, without which a success status is not valid.
+    rate_limit : float or None
+        Requests per second that the target takes from all instances together;
+        infinite if it names no limit, None if what it names is not usable.
     """
 
     request_id: str | None
     not_run: bool
     misdirected: bool
     sealed: bool
+    rate_limit: float | None = math.inf
 
 
 def parse_target_response(head):
@@ -177,9 +185,19 @@
         misdirected or NOT_EXECUTED_HEADER in by_name,
         misdirected,
         SEAL_HEADER in by_name,
+        _parse_rate_limit(head.headers),
     )
 
 
+def _parse_rate_limit(pairs):
+    """Return the lowest rate that the headers of a response name."""
+    values = [
+        value.strip() for name, value in pairs if name.lower() == RATE_LIMIT_HEADER
+    ]
+    rates = [float(value) for value in values if RATE_PATTERN.fullmatch(value)]
+    return min(rates, default=None if values else math.inf)
+
+
 def _parse_count(text):
     return int(text) if text is not None and text.isdigit() else None
 
