--- /dev/null
+++ b/test/limitedfleet.py
@@ -0,0 +1,127 @@
+"""Gateways under steady load before targets that name limits in their responses."""
+
+import contextlib
+import itertools
+import threading
+import time
+from dataclasses import dataclass, field
+
+import urllib3
+
+from .gatewayfleet import GatewayFleet, make_response
+from .support.targets import FakeTarget
+
+# Documented bounds: from this time after a target first named its rate, it gets in any
+# window no more than the factor times what the rate allows, and the extra requests.
+CONTACT_SECONDS = 3.0
+WINDOW_SECONDS = 4.0
+OVERAGE_FACTOR = 1.5
+EXTRA_REQUESTS = 5
+CALLERS = 8
+CALLER_PAUSE_SECONDS = 0.1
+
+
+def max_requests(rate):
+    """Return how many requests a target that names a rate may get in a window."""
+    return OVERAGE_FACTOR * WINDOW_SECONDS * rate + EXTRA_REQUESTS
+
+
+class LimitedTarget(FakeTarget):
+    """A target that names the value of `limit` in all its responses.
+
+    Attributes
+    ----------
+    limit : str or None
+        Value of the header; None if it is left out.
+    status : str
+        Status of its responses.
+    arrivals : list of float
+        Monotonic times at which requests arrived.
+    """
+
+    def __init__(self, limit=None):
+        super().__init__(self._respond)
+        self.limit = limit
+        self.status = "200 OK"
+        self.arrivals = []
+
+    def _respond(self, request):
+        self.arrivals.append(time.monotonic())
+        headers = "X-Response-Seal: s1\r\n"
+        if self.limit is not None:
+            headers += f"Server-Limit: {self.limit}\r\n"
+        return make_response(status=self.status, headers=headers, request=request)
+
+    def count(self, since, until):
+        """Return the number of requests that arrived in a time span."""
+        return sum(since <= at < until for at in list(self.arrivals))
+
+    def most_in_window(self, since, until):
+        """Return the largest number of requests in any window of a time span."""
+        arrivals = [at for at in list(self.arrivals) if since <= at < until]
+        return max(
+            (
+                sum(start <= at < start + WINDOW_SECONDS for at in arrivals)
+                for start in arrivals
+            ),
+            default=0,
+        )
+
+
+@dataclass
+class LimitedFleet(GatewayFleet):
+    """Gateways whose callers send requests without pause, and limited targets.
+
+    Parameters
+    ----------
+    target_count : int
+
+    Attributes
+    ----------
+    statuses : list of (float, int or None)
+        When each request ended and its status; None without a response.
+    """
+
+    target_count: int = 2
+    statuses: list = field(default_factory=list)
+
+    def __enter__(self):
+        super().__enter__()
+        self.http = urllib3.PoolManager(retries=False, timeout=10.0, maxsize=CALLERS)
+        self.stopped = threading.Event()
+        self.threads = []
+        self.targets = [LimitedTarget() for _ in range(self.target_count)]
+        for number, target in enumerate(self.targets):
+            self.stack.enter_context(target)
+            self.list_target(f"t{number}", target)
+        self.start()
+        return self
+
+    def __exit__(self, *exc):
+        self.stopped.set()
+        for thread in self.threads:
+            thread.join()
+        super().__exit__(*exc)
+
+    def send_requests(self, path="/look/", method="GET", callers=CALLERS):
+        """Send requests in threads, to one gateway after the other."""
+        for number in range(callers):
+            thread = threading.Thread(
+                target=self._send_until_stopped, args=(path, method, number)
+            )
+            thread.start()
+            self.threads.append(thread)
+
+    def _send_until_stopped(self, path, method, first):
+        addresses = itertools.islice(itertools.cycle(self.addresses), first, None)
+        while not self.stopped.wait(CALLER_PAUSE_SECONDS):
+            status = None
+            with contextlib.suppress(urllib3.exceptions.HTTPError):
+                status = self.call(f"{path}{first}", next(addresses), method).status
+            self.statuses.append((time.monotonic(), status))
+
+    def served(self, since, until):
+        """Return how many requests were served in a time span."""
+        return sum(
+            since <= at < until and status == 200 for at, status in list(self.statuses)
+        )
