Keep targets within the rate that they name, over all gateways

The coordinator of a cell now grants what a target names from a token bucket, and every gateway tells the others at once what a target names, or that it no longer does. A response without a limit ends it only if its request was sent after the last one that named it, so that responses which overtake each other do not. One that stands in for the coordinator grants a quarter of the rate while the first choice is live, and the sides of a partition grant shares that sum to 1.25, as neither can hear the other. Waits are expected from the named rates where slots are free, so that callers are refused at once.

--- a/almondglade/gateway/exchange.py
+++ b/almondglade/gateway/exchange.py
@@ -60,6 +60,8 @@
         Tracks the requests that may crash targets; set after it has been created.
     origins : OriginTracker
         Tracks which versions began streams; set after it has been created.
+    limits : LimitTracker
+        Tracks the limits that targets name; set after it has been created.
     leaving : bool
         Whether this instance is about to stop.
     """
@@ -78,6 +80,7 @@
         self.gossip: Any = None
         self.suspects: Any = None
         self.origins: Any = None
+        self.limits: Any = None
         self.match: Any = set
         self.store_revision = 0
         self._last_receivers: set[str] = set()
--- a/almondglade/gateway/node.py
+++ b/almondglade/gateway/node.py
@@ -31,6 +31,7 @@
 from .origins import OriginTracker
 from .scheduling import GatewayScheduler
 from .suspects import SuspectTracker
+from .targetlimits import LimitTracker
 
 log = get_logger("gateway")
 
@@ -124,6 +125,12 @@
         )
         self.origins = OriginTracker(settings.instance, self.metrics, self.clock)
         self.exchange.gossip = self.suspects.gossip = self.origins.gossip = self.gossip
+        self.limits = LimitTracker(
+            settings.instance, self.lock, self.pools.targets, self.clock
+        )
+        self.limits.gossip = self.gossip
+        self.pools.reachable_share = lambda: self.gossip.reachable_share
+        self.exchange.limits = self.limits
         self.exchange.suspects = self.suspects
         self.exchange.origins = self.origins
         self.scheduler = GatewayScheduler(
@@ -131,6 +138,7 @@
             self.allowances,
             self.retry_budget,
             self.suspects,
+            self.limits,
             self.origins,
             self.connections,
             self.lock,
--- a/almondglade/gateway/run.py
+++ b/almondglade/gateway/run.py
@@ -129,7 +129,7 @@
     def _record_rate_limit(self, response_info):
         """Record the rate limit that the target names, or that it names none."""
         if not response_info.misdirected and response_info.rate_limit is not None:
-            self.scheduler.record_rate_limit(
+            self.scheduler.limits.record(
                 self.record, response_info.rate_limit, self.sent_at
             )
 
--- a/almondglade/gateway/scheduling.py
+++ b/almondglade/gateway/scheduling.py
@@ -6,7 +6,6 @@
 from ..log import get_logger
 from ..outcome import Code, Outcome, RequestError
 from ..placement.places import Ticket
-from ..placement.ratelimits import format_rate
 from .run import GatewayRun
 
 log = get_logger("requests")
@@ -50,6 +49,8 @@
         Limits retries; guarded by `lock`.
     suspects : SuspectTracker
         Tracks the requests that may crash targets.
+    limits : LimitTracker
+        Tracks the limits that targets name.
     origins : OriginTracker
         Tracks which versions began streams.
     connections : TargetPools
@@ -75,6 +76,7 @@
         allowances,
         retry_budget,
         suspects,
+        limits,
         origins,
         connections,
         lock,
@@ -88,6 +90,7 @@
         self.allowances = allowances
         self.retry_budget = retry_budget
         self.suspects = suspects
+        self.limits = limits
         self.origins = origins
         self.connections = connections
         self.lock = lock
@@ -339,35 +342,6 @@
             state = self.pools.targets.state_by_target.get(record.id)
             return state is not None and state.record.version != record.version
 
-    def record_rate_limit(self, record, rate, sent_at):
-        """Record the rate limit that a target names in a response.
-
-        Parameters
-        ----------
-        record : TargetRecord
-            The target to which the request was sent.
-        rate : float
-            Requests per second; infinite if it names no limit.
-        sent_at : float
-            Monotonic time at which the request was sent.
-        """
-        now = self.clock()
-        with self.lock:
-            state = self.pools.targets.state_by_target.get(record.id)
-            if state is None or state.record.incarnation != record.incarnation:
-                return
-            former = state.named_rate.rate
-            has_changed = state.named_rate.record(rate, sent_at, now)
-        if has_changed:
-            log.info(
-                "target changed its rate limit",
-                target=record.id,
-                service=record.service,
-                rate=format_rate(rate),
-                former=format_rate(former),
-                age=round(now - sent_at, 3),
-            )
-
     def update_health(self, target, update):
         """Update the health record of a target.
 
--- a/almondglade/gossip/codec.py
+++ b/almondglade/gossip/codec.py
@@ -4,6 +4,7 @@
 that instances of another version can detect messages that they cannot decode.
 """
 
+import math
 from collections.abc import Callable
 from functools import singledispatch
 
@@ -21,6 +22,8 @@
     Grants,
     Member,
     MemberList,
+    NamedLimit,
+    NamedLimits,
     OriginQuery,
     OriginReport,
     Report,
@@ -39,6 +42,7 @@
 SUSPECT_REPORT_KIND = 4
 ORIGIN_REPORT_KIND = 5
 ORIGIN_QUERY_KIND = 6
+NAMED_LIMITS_KIND = 7
 MILLISECONDS_PER_SECOND = 1000.0
 # Upper bound on durations on the wire, which keeps the numbers small. Evidence of this
 # age is worthless anyway.
@@ -137,6 +141,20 @@
     )
 
 
+@encode.register
+def _(message: NamedLimits):
+    limits = [
+        [
+            limit.target,
+            limit.target_started_at,
+            limit.rate,
+            _to_milliseconds(limit.age),
+        ]
+        for limit in message.limits
+    ]
+    return msgpack.packb([FORMAT_VERSION, NAMED_LIMITS_KIND, message.instance, limits])
+
+
 @encode.register
 def _(message: Report):
     return msgpack.packb(
@@ -403,6 +421,24 @@
     return OriginQuery(instance, request_id)
 
 
+def _decode_named_limits(instance, limits):
+    return NamedLimits(
+        instance,
+        tuple(
+            NamedLimit(
+                target, started_at, _decode_rate(rate), age / MILLISECONDS_PER_SECOND
+            )
+            for target, started_at, rate, age in limits
+        ),
+    )
+
+
+def _decode_rate(rate):
+    if rate is not None and not 0.0 <= rate < math.inf:
+        raise PeerError(f"malformed message: a rate limit of {rate}")
+    return rate
+
+
 DECODER_BY_KIND: dict[int, Callable] = {
     REPORT_KIND: _decode_report,
     MEMBER_LIST_KIND: _decode_member_list,
@@ -411,4 +447,5 @@
     SUSPECT_REPORT_KIND: _decode_suspect_report,
     ORIGIN_REPORT_KIND: _decode_origin_report,
     ORIGIN_QUERY_KIND: _decode_origin_query,
+    NAMED_LIMITS_KIND: _decode_named_limits,
 }
--- a/almondglade/gossip/fleet.py
+++ b/almondglade/gossip/fleet.py
@@ -17,6 +17,7 @@
     Grants,
     Member,
     MemberList,
+    NamedLimits,
     OriginQuery,
     OriginReport,
     Report,
@@ -128,6 +129,9 @@
     ----------
     max_instances_seen : int
         Largest number of live instances at one time, including this one.
+    reachable_share : float
+        Share of the instances that are live, of all that have not announced their stop
+        and were heard within `PEER_REMOVAL_SECONDS`.
     """
 
     def __init__(self, settings, exchange, clock, rng):
@@ -143,6 +147,7 @@
         self.rng = rng
         self.peer_by_address: dict[str, Peer] = {}
         self.max_instances_seen = 1
+        self.reachable_share = 1.0
         self._transport: Any = None
         self._report_due = asyncio.Event()
         self._started_at = clock()
@@ -190,6 +195,10 @@
         """Send a report to all live peers, as for a change that concerns each."""
         self._send_to_all(self._report())
 
+    def run_soon(self, callback, *args):
+        """Run a callback on the thread of the event loop; safe from any thread."""
+        self._loop.call_soon_threadsafe(callback, *args)
+
     def call_later(self, seconds, callback):
         """Schedule a callback on the event loop; call only from its thread."""
         self._loop.call_later(seconds, callback)
@@ -280,6 +289,10 @@
     def _(self, message: SuspectReport, peer):
         self.exchange.suspects.handle_report(message)
 
+    @_handle.register
+    def _(self, message: NamedLimits, peer):
+        self.exchange.limits.handle_message(message)
+
     @_handle.register
     def _(self, message: OriginReport, peer):
         self.exchange.origins.handle_report(message)
@@ -303,7 +316,7 @@
             for start in range(0, len(live), MAX_MEMBERS_PER_LIST):
                 chunk = live[start : start + MAX_MEMBERS_PER_LIST]
                 self._send(self._member_list_of(chunk, joining=False), [peer.address])
-            self._send_suspects(peer)
+            self._send_warnings(peer)
 
     @_handle.register
     def _(self, message: Report, peer):
@@ -329,13 +342,16 @@
                 incarnation=message.incarnation,
                 peers=len(self.live_peers()),
             )
-            self._send_suspects(peer)
+            self._send_warnings(peer)
         self.exchange.handle_report(message)
 
-    def _send_suspects(self, peer):
-        """Tell a peer that is new here which requests may crash targets."""
-        for report in self.exchange.suspects.reports_for_new_peer():
-            self._send(report, [peer.address])
+    def _send_warnings(self, peer):
+        """Tell a new peer which requests may crash targets and the targets' limits."""
+        for message in (
+            *self.exchange.suspects.reports_for_new_peer(),
+            *self.exchange.limits.messages(),
+        ):
+            self._send(message, [peer.address])
 
     def _record_sender(self, address):
         peer = self.peer_by_address.get(address)
@@ -369,6 +385,12 @@
         """Pass the live instances that are not leaving to the exchange."""
         live = [peer for peer in self.live_peers() if not peer.leaving]
         self.max_instances_seen = max(self.max_instances_seen, 1 + len(live))
+        staying = [
+            peer
+            for peer in self.peer_by_address.values()
+            if peer.instance and not peer.leaving
+        ]
+        self.reachable_share = (1 + len(live)) / (1 + len(staying))
         info_by_instance = {
             peer.instance: InstanceInfo(peer.data_centre, peer.capacity)
             for peer in live
@@ -508,8 +530,11 @@
                 # network partition.
                 missing = self.rng.sample(missing, min(1, len(missing)))
             self._send(self._member_list(), {*chosen, *missing})
-            for report in self.exchange.suspects.recent_reports():
-                self._send(report, chosen)
+            for message in (
+                *self.exchange.suspects.recent_reports(),
+                *self.exchange.limits.messages(),
+            ):
+                self._send(message, chosen)
             pause = (
                 LARGE_FLEET_MEMBER_LIST_INTERVAL_SECONDS
                 if slow
--- a/almondglade/gossip/messages.py
+++ b/almondglade/gossip/messages.py
@@ -294,6 +294,46 @@
     request_id: str
 
 
+@dataclass(frozen=True)
+class NamedLimit:
+    """What a target last said of its limits, as far as the sender knows.
+
+    Parameters
+    ----------
+    target : str
+        Id of the target.
+    target_started_at : int
+        Unix time of the target's start, milliseconds.
+    rate : float or None
+        Requests per second that it takes from all instances; None without a limit.
+    age : float
+        Seconds since the response that named the limit was received; without a limit,
+        since the request was sent whose response named none.
+    """
+
+    target: str
+    target_started_at: int
+    rate: float | None
+    age: float
+
+
+@dataclass(frozen=True)
+class NamedLimits:
+    """Limits that targets name; sent on changes and to new peers.
+
+    Parameters
+    ----------
+    instance : str
+        The sender.
+    limits : tuple of NamedLimit
+        A part of those that the sender knows, so that the message fits into one
+        packet.
+    """
+
+    instance: str
+    limits: tuple[NamedLimit, ...]
+
+
 @dataclass(frozen=True)
 class Member:
     """An entry of a member list: what the sender knows of an instance.
--- a/almondglade/placement/choice.py
+++ b/almondglade/placement/choice.py
@@ -50,6 +50,7 @@
             (self._cost(ticket, state, load, now), state.record.id, state)
             for state, load in loads
             if load < state.limit()
+            and self._is_within_rate(ticket, state)
             and state.record.id not in avoided
             and state.record.id not in slow
             and (
@@ -61,10 +62,21 @@
 
     def record_choice(self, ticket, state, now):
         """Count a request that is sent to a target."""
+        if state.named_rate.is_limited:
+            state.named_rate.record_granted()
         if self._is_cold(state, now):
             rate = self.cold_rate_by_service[ticket.service]
             self.cold_limiter.record_sent(state.record.id, rate, now)
 
+    def _is_within_rate(self, ticket, state):
+        """Return whether a target may get a request by the rate limit that it names.
+
+        Only the request's coordinator counts what the target has got.
+        """
+        return not state.named_rate.is_limited or (
+            ticket.coordinator == self.instance and state.named_rate.free_requests >= 1
+        )
+
     @staticmethod
     def _cost(ticket, state, load, now):
         is_remote = state.record.data_centre != ticket.data_centre
--- a/almondglade/placement/coordination.py
+++ b/almondglade/placement/coordination.py
@@ -107,6 +107,15 @@
                 return name
         return self.instance
 
+    def is_first_choice(self, service, data_centre=""):
+        """Return whether no live instance comes before this one for a cell.
+
+        Unlike in `choose`, unresponsive instances count while they are live.
+        """
+        key = (service, data_centre)
+        order = self._order_by_cell.get(key) or self._order(service, data_centre)
+        return order[0] == self.instance
+
     def _order(self, service, data_centre):
         unknown = InstanceInfo()
         info_by_instance = {
--- a/almondglade/placement/places.py
+++ b/almondglade/placement/places.py
@@ -160,6 +160,16 @@
         """Return the number of requests that all instances together may run on it."""
         return 1 if self.is_limited else self.record.slots
 
+    def throughput(self, hold_seconds):
+        """Return the requests per second that it can serve.
+
+        Parameters
+        ----------
+        hold_seconds : float
+            Mean time for which a request holds a slot.
+        """
+        return min(self.limit() / hold_seconds, self.named_rate.granted_rate)
+
 
 @dataclass(frozen=True)
 class PeerLoad:
--- a/almondglade/placement/pool.py
+++ b/almondglade/placement/pool.py
@@ -17,6 +17,7 @@
 from .fairness import FairOrder
 from .outlook import OVERFLOW_WAIT_SECONDS, CellLoad, CellReports
 from .places import Ticket
+from .ratelimits import share_of_rate
 from .targets import Targets
 
 # Without a coordinator, an instance leaves a free slot to a better request on a peer
@@ -63,6 +64,8 @@
     on_new_term : callable
         Called without arguments when this instance begins to coordinate a cell of a
         large fleet.
+    reachable_share : callable
+        Returns the share of the fleet's instances that are on this side of a partition.
     tickets_by_service : dict of str to list of Ticket
         Requests that wait on this instance, the best first.
     latest_grant_by_coordinator : dict of str to int
@@ -81,6 +84,7 @@
         self.unanswered = UnansweredRequests()
         self.is_full_mesh = True
         self.on_new_term = lambda: None
+        self.reachable_share = lambda: 1.0
         self.tickets_by_service: dict[str, list[Ticket]] = {}
         self.hold_seconds_by_service: dict[str, float] = {}
         self.latest_grant_by_coordinator: dict[str, int] = {}
@@ -284,6 +288,7 @@
         if not coordinated and not own:
             return
         states = self.targets.usable(cell, now)
+        self._refill_rates(cell, states, now)
         load_of = (
             self.targets.load
             if self._knows_load(cell, now)
@@ -315,6 +320,17 @@
             if free <= 0:
                 return
 
+    def _refill_rates(self, cell, states, now):
+        """Update how many requests may be granted to targets that name rate limits."""
+        limited = [state for state in states if state.named_rate.is_limited]
+        if limited:
+            share = share_of_rate(
+                self.coordinators.is_first_choice(cell.service, cell.data_centre),
+                self.reachable_share(),
+            )
+            for state in limited:
+                state.named_rate.refill(share, now)
+
     def _targets_to_avoid(self, ticket):
         """Return the targets that a request must not get; None if it must wait.
 
@@ -436,21 +452,23 @@
         it; infinite without usable targets.
         """
         states = self.targets.usable(cell, now)
-        slots = sum(state.limit() for state in states)
-        if not slots:
+        if not states:
             return float("inf")
         if not self._knows_load(cell, now):
             return self.cell_reports.expected_wait(cell, tier, now)
-        if self.targets.free_slots(states) > 0:
+        free = [state for state in states if self.targets.load(state) < state.limit()]
+        if any(not state.named_rate.is_limited for state in free):
             return 0.0
+        hold_seconds = self.mean_hold_seconds(cell.service)
+        throughput = sum(state.throughput(hold_seconds) for state in states)
         newest = Ticket(cell.service, tier, now, owner=self.instance)
         ahead = itertools.takewhile(
             lambda ticket: ticket is not newest,
             self._order(states, now).sort([newest, *self._waiting(cell)]),
         )
-        return (
-            (sum(1 for _ in ahead) + 1) * self.mean_hold_seconds(cell.service) / slots
-        )
+        # Of a target with a free slot that names a rate limit, the coordinator alone
+        # knows whether it may get a request now.
+        return (sum(1 for _ in ahead) + (0 if free else 1)) / throughput
 
     def _waiting(self, cell):
         own = self.tickets_by_service.get(cell.service, ())
--- a/almondglade/placement/targets.py
+++ b/almondglade/placement/targets.py
@@ -76,7 +76,13 @@
             Returns the number of requests on a target; `load` if None.
         """
         load_of = load_of or self.load
-        return sum(max(0, state.limit() - load_of(state)) for state in states)
+        return sum(
+            max(
+                0,
+                min(state.limit() - load_of(state), state.named_rate.free_requests),
+            )
+            for state in states
+        )
 
     def load(self, state):
         """Return the number of requests on a target, as reported by all instances."""
--- a/test/limitedfleet.py
+++ b/test/limitedfleet.py
@@ -103,6 +103,15 @@
             thread.join()
         super().__exit__(*exc)
 
+    def kill(self, index):
+        """Kill a gateway."""
+        self.processes[index].kill()
+        self.processes[index].wait()
+
+    def restart(self, index):
+        """Start a killed gateway again."""
+        self.processes[index] = self._start(self.addresses[index])
+
     def send_requests(self, path="/look/", method="GET", callers=CALLERS):
         """Send requests in threads, to one gateway after the other."""
         for number in range(callers):
--- a/test/test_fleet.py
+++ b/test/test_fleet.py
@@ -53,6 +53,7 @@
         self.suspects = SimpleNamespace(
             recent_reports=lambda: (), reports_for_new_peer=lambda: ()
         )
+        self.limits = SimpleNamespace(messages=lambda: ())
         self.coordinators = Coordinators(name)
         self.received_states = []
         self.is_full_mesh = True
--- a/test/test_gossip.py
+++ b/test/test_gossip.py
@@ -14,6 +14,8 @@
     Grants,
     Member,
     MemberList,
+    NamedLimit,
+    NamedLimits,
     OriginQuery,
     OriginReport,
     Report,
@@ -121,13 +123,37 @@
     SuspectReport, NAMES, st.lists(SUSPECTS, max_size=3).map(tuple)
 )
 
+NAMED_LIMITS = st.builds(
+    NamedLimits,
+    NAMES,
+    st.lists(
+        st.builds(
+            NamedLimit,
+            NAMES,
+            st.integers(0, 2**60),
+            st.none() | st.integers(0, 9999).map(lambda value: value / 10),
+            SECONDS,
+        ),
+        max_size=3,
+    ).map(tuple),
+)
 ORIGINS = st.one_of(
     st.builds(OriginReport, NAMES, NAMES, NAMES, NAMES, SECONDS),
     st.builds(OriginQuery, NAMES, NAMES),
 )
 
 
-@given(st.one_of(REPORTS, GRANTS, MEMBER_LISTS, REQUESTS, SUSPECT_REPORTS, ORIGINS))
+@given(
+    st.one_of(
+        REPORTS,
+        GRANTS,
+        MEMBER_LISTS,
+        REQUESTS,
+        SUSPECT_REPORTS,
+        ORIGINS,
+        NAMED_LIMITS,
+    )
+)
 def test_a_decoded_message_equals_the_encoded_one(message):
     assert decode(encode(message)) == message
 
--- a/test/test_named_limits.py
+++ b/test/test_named_limits.py
@@ -32,3 +32,56 @@
     used = sum(target.count(since, until) for target in fleet.targets)
     allowed = len(fleet.targets) * rate * (until - since)
     assert used >= MIN_USED_SHARE * allowed - len(fleet.targets)
+
+
+# Each gateway that begins or ends to coordinate could grant the whole rate anew.
+def test_a_named_rate_holds_while_gateways_are_killed(tmp_path):
+    rate = 4.0
+    with LimitedFleet(tmp_path, 4) as fleet:
+        for target in fleet.targets:
+            target.limit = str(rate)
+        fleet.send_requests()
+        since = time.monotonic() + CONTACT_SECONDS
+        for index in (0, 1, 2, 3):
+            time.sleep(2.0)
+            fleet.kill(index)
+            time.sleep(0.5)
+            fleet.restart(index)
+        until = time.monotonic()
+    for target in fleet.targets:
+        assert target.most_in_window(since, until) <= max_requests(rate)
+
+
+# A limit must not outlast the need of the target that named it.
+def test_a_rate_limit_ends_when_the_target_no_longer_names_it(tmp_path):
+    with LimitedFleet(tmp_path, 3) as fleet:
+        for target in fleet.targets:
+            target.limit = "0.5"
+        fleet.send_requests()
+        time.sleep(4.0)
+        for target in fleet.targets:
+            target.limit = None
+        # The next request to each target, and a resent datagram, tell all gateways.
+        time.sleep(3.0)
+        since = time.monotonic()
+        time.sleep(2.0)
+        until = time.monotonic()
+    statuses = [status for at, status in fleet.statuses if since <= at < until]
+    assert statuses.count(200) >= 0.95 * len(statuses)
+
+
+def test_callers_are_refused_at_once_when_the_named_rates_are_used_up(tmp_path):
+    with LimitedFleet(tmp_path, 1) as fleet:
+        for target in fleet.targets:
+            target.limit = "1"
+        fleet.send_requests()
+        time.sleep(3.0)
+        waits = []
+        for _ in range(10):
+            started_at = time.monotonic()
+            response = fleet.call("/look/1")
+            if response.status != 200:
+                waits.append(time.monotonic() - started_at)
+                assert response.status == 503
+                assert float(response.headers["Retry-After"]) >= 1.0
+    assert sorted(waits)[len(waits) // 2] < 0.1
--- /dev/null
+++ b/test/test_ratelimits.py
@@ -0,0 +1,160 @@
+"""Decisions on targets that name request rates."""
+
+import math
+
+import pytest
+
+from almondglade.dispatch.call import ResponseHead
+from almondglade.placement.ratelimits import (
+    MIN_REQUESTS_PER_SECOND,
+    NO_LIMIT,
+    NamedRate,
+    share_of_rate,
+)
+from almondglade.platform.front import parse_target_response
+
+from .limitedfleet import WINDOW_SECONDS, max_requests
+from .placing import make_pools, record, ticket
+
+TICK_SECONDS = 0.02
+HOLD_SECONDS = 0.05
+MAX_WAITING = 4
+
+
+def name_rate(pools, rate, at=0.0):
+    for state in pools.targets.state_by_target.values():
+        state.named_rate.record(rate, at, at)
+
+
+def grant_times(pools, seconds, arrival_seconds=0.01):
+    """Return when requests are granted if one arrives again and again."""
+    times = []
+    for tick in range(round(seconds / TICK_SECONDS)):
+        now = tick * TICK_SECONDS
+        for _ in range(round(TICK_SECONDS / arrival_seconds)):
+            if len(pools.waiting_here()) < MAX_WAITING:
+                pools.enqueue(ticket(arrived_at=now), now)
+        for granted, _ in pools.match(now):
+            pools.release(granted, HOLD_SECONDS, now)
+            times.append(now)
+    return times
+
+
+def most_in_window(times):
+    return max(sum(t <= at < t + WINDOW_SECONDS for at in times) for t in times)
+
+
+@pytest.mark.parametrize("rate", [0.4, 1.0, 2.6, 20.0])
+def test_a_coordinator_grants_the_named_rate_and_no_more(rate):
+    pools = make_pools(record("t1"))
+    name_rate(pools, rate)
+    times = grant_times(pools, 20.0)
+    assert most_in_window(times) <= max_requests(rate)
+    assert len(times) >= 0.8 * rate * 20.0
+
+
+# Each side of a partition could grant the whole rate.
+@pytest.mark.parametrize("sides", [(5, 4), (3, 3, 3), (8, 1), (1,) * 9])
+@pytest.mark.parametrize("rate", [1.0, 10.0])
+def test_the_sides_of_a_partition_together_grant_no_more_than_allowed(sides, rate):
+    times = []
+    for members in sides:
+        pools = make_pools(record("t1"))
+        pools.reachable_share = lambda members=members: members / sum(sides)
+        name_rate(pools, rate)
+        times += grant_times(pools, 20.0)
+    assert most_in_window(times) <= max_requests(rate)
+
+
+# While instances disagree, the first choice and one that stands in both grant.
+@pytest.mark.parametrize("rate", [0.4, 1.0, 20.0])
+def test_two_coordinators_at_once_grant_no_more_than_allowed(rate):
+    times = []
+    for instance in ("e1", "e2"):
+        pools = make_pools(record("t1"), instance=instance, others=("e1", "e2"))
+        for other in {"e1", "e2"} - {instance}:
+            pools.coordinators.mark_unresponsive(other, 0.0)
+            pools.coordinators.mark_unresponsive(other, 7.0)
+        name_rate(pools, rate)
+        times += grant_times(pools, 8.0)
+    assert most_in_window(times) <= max_requests(rate)
+
+
+def test_an_instance_that_is_not_the_coordinator_places_nothing_on_a_limited_target():
+    pools = make_pools(record("t1"), instance="e1", others=("e2",))
+    name_rate(pools, 5.0)
+    entry = ticket()
+    coordinator = "e2"
+    pools.coordinators.choose = lambda *args: coordinator
+    pools.enqueue(entry, 0.0)
+    assert list(pools.match(3.0)) == []
+
+
+def test_other_targets_get_what_a_limited_one_does_not_take():
+    pools = make_pools(record("t1"), record("t2"))
+    pools.targets.state_by_target["t1"].named_rate.record(1.0, 0.0, 0.0)
+    times = grant_times(pools, 8.0, arrival_seconds=0.02)
+    assert len(times) == 400
+    assert not pools.waiting_here()
+
+
+def test_expected_waits_follow_from_the_named_rates():
+    pools = make_pools(record("t1"), record("t2"))
+    name_rate(pools, 2.0)
+    assert pools.expected_wait("drafts", (0, 0), 0.0) == 0.0
+    for _ in range(4):
+        pools.enqueue(ticket(), 0.0)
+    assert pools.expected_wait("drafts", (0, 0), 0.1) == pytest.approx(1.0)
+
+
+@pytest.mark.parametrize(
+    ("responses", "rate"),
+    [
+        ([(2.0, 0.0, 0.1)], 2.0),
+        ([(2.0, 0.0, 0.1), (NO_LIMIT, 0.2, 0.3)], NO_LIMIT),
+        # Sent before the limit was named.
+        ([(2.0, 0.0, 0.1), (NO_LIMIT, 0.05, 0.3)], 2.0),
+        # Named before the request was sent that got a response without a limit.
+        ([(NO_LIMIT, 0.2, 0.3), (2.0, 0.0, 0.1)], NO_LIMIT),
+        ([(10.0, 0.0, 0.1), (1.0, 0.0, 0.2), (10.0, 0.0, 0.15)], 1.0),
+    ],
+)
+def test_the_newest_statement_applies(responses, rate):
+    named = NamedRate()
+    for response in responses:
+        named.record(*response)
+    assert named.rate == rate
+
+
+@pytest.mark.parametrize("rate", [0.0, 1e-9])
+def test_a_target_that_names_almost_no_rate_is_still_asked(rate):
+    pools = make_pools(record("t1"))
+    name_rate(pools, rate)
+    times = grant_times(pools, 20.0)
+    assert most_in_window(times) <= max_requests(rate)
+    assert len(times) >= 0.8 * MIN_REQUESTS_PER_SECOND * 20.0
+
+
+@pytest.mark.parametrize(
+    ("values", "rate"),
+    [
+        ([], math.inf),
+        (["2.6"], 2.6),
+        ([" 3 "], 3.0),
+        (["5", "2"], 2.0),
+        (["5", "nan"], 5.0),
+        *(([bad], None) for bad in ("", "-1", "nan", "inf", "1e999", "9" * 400)),
+        (["pool 5"], None),
+    ],
+)
+def test_only_usable_rates_are_taken_from_responses(values, rate):
+    headers = tuple(("Server-Limit", value) for value in values)
+    assert parse_target_response(ResponseHead(200, headers)).rate_limit == rate
+
+
+@pytest.mark.parametrize(
+    ("is_first_choice", "reachable_share", "share"),
+    [(True, 1.0, 1.0), (True, 0.9, 1.0), (True, 0.4, 0.5), (False, 1.0, 0.25)],
+)
+def test_shares_of_a_rate(is_first_choice, reachable_share, share):
+    assert share_of_rate(is_first_choice, reachable_share) == pytest.approx(share)
