Keep targets' internal headers from callers

The list of headers that concern only this system was written down and used nowhere, so that callers saw a target's load, and its rate limit since targets name one. The test failed before: X-Server-Load was in the response.

--- a/almondglade/gateway/run.py
+++ b/almondglade/gateway/run.py
@@ -1,5 +1,6 @@
 """Dispatch one request to targets and read the response to its end."""
 
+from dataclasses import replace
 from typing import Any
 
 from ..declarations.models import TimeLimits
@@ -16,7 +17,11 @@
 from ..log import get_logger
 from ..outcome import Code, Outcome, RequestError
 from ..placement.origins import StreamOrigin
-from ..platform.front import parse_target_response, target_headers
+from ..platform.front import (
+    headers_for_callers,
+    parse_target_response,
+    target_headers,
+)
 from .measuring import ResponseMeter
 from .requests import Dispatch, format_fingerprint
 
@@ -121,7 +126,7 @@
                 )
             break
         if self.head is None or not self.has_begun:
-            self.head = head
+            self.head = replace(head, headers=headers_for_callers(head.headers))
             if head.status >= 300 or not self._has_readable_events(head):
                 self.resumable = False
         return self
--- a/almondglade/platform/front.py
+++ b/almondglade/platform/front.py
@@ -38,7 +38,9 @@
     }
 )
 # Response headers of targets that concern this system only.
-NOT_FOR_CALLERS = frozenset({LOAD_HEADER, "x-instance-id", "x-cold-ms"})
+NOT_FOR_CALLERS = frozenset(
+    {LOAD_HEADER, RATE_LIMIT_HEADER, "x-instance-id", "x-cold-ms"}
+)
 # Parts beyond these are ignored, so that a header cannot cost much time.
 MAX_PROMPT_PARTS = 64
 # Digits enough for any rate; a longer number could be infinite.
@@ -176,6 +178,16 @@
     rate_limit: float | None = math.inf
 
 
+def headers_for_callers(pairs):
+    """Return the headers of a target's response that its caller may see.
+
+    Parameters
+    ----------
+    pairs : iterable of (str, str)
+    """
+    return tuple(pair for pair in pairs if pair[0].lower() not in NOT_FOR_CALLERS)
+
+
 def parse_target_response(head):
     """Return the `TargetResponseInfo` of an `ResponseHead`."""
     by_name = {name.lower(): value for name, value in head.headers}
--- a/test/test_gateway_path.py
+++ b/test/test_gateway_path.py
@@ -136,6 +136,18 @@
     assert float(response.headers["Retry-After"]) > 0
 
 
+# They tell of the target's load and limits, and some reached callers.
+def test_headers_that_concern_only_the_gateways_do_not_reach_callers(fleet_with_target):
+    fleet, target = fleet_with_target
+    internal = "X-Server-Load: 3,0,8\r\nServer-Limit: 50\r\nX-Instance-Id: t1\r\n"
+    headers = f"X-Response-Seal: s1\r\nX-Other: 1\r\n{internal}"
+    target.answer = lambda request: make_response(headers=headers, request=request)
+    response = fleet.call("/look/1")
+    assert (response.status, response.headers["X-Other"]) == (200, "1")
+    for name in ("X-Server-Load", "Server-Limit", "X-Instance-Id"):
+        assert name not in response.headers
+
+
 def test_a_response_to_another_request_is_skipped(fleet_with_target):
     fleet, target = fleet_with_target
     extra = make_response(
