Do not count an instance's lost links against targets at the others

The refusals name an infinite expected wait, which means no usable target. Cause: two instances that pause a target took it from all, a coordinator gave its peers no target that it paused itself, and connect failures of some counted as failures of the target at all.

Pauses now bind the instance that made them. Two of them let a target get only single requests from the others, unless it answers somebody or those instances pause all targets of the service, which tells of their links. A failure without a response counts at the others once a later response shows that the link is sound.

--- a/almondglade/placement/fleetload.py
+++ b/almondglade/placement/fleetload.py
@@ -30,14 +30,14 @@
         unconfirmed grants.
     total_by_target : dict of str to int
         The same, summed over route tiers.
-    pause_count_by_target : Counter
-        Number of peers that pause a target.
+    answered_at_by_target : dict of str to float
+        Monotonic times of the newest reports of peers that a target has answered.
     """
 
     def __init__(self):
         self.running_by_target: dict[str, Counter] = {}
         self.total_by_target: dict[str, int] = {}
-        self.pause_count_by_target: Counter = Counter()
+        self.answered_at_by_target: dict[str, float] = {}
         self._load_by_peer: dict[str, PeerLoad] = {}
         self._tickets_by_cell: dict[Cell, dict[tuple[str, int], Ticket]] = {}
         self._unconfirmed_grant_by_request: dict[tuple[str, int], UnconfirmedGrant] = {}
@@ -54,11 +54,12 @@
         known = self._load_by_peer.get(peer)
         if load.stats_by_target is None and known is not None:
             load = replace(load, stats_by_target=known.stats_by_target)
+        elif known is not None:
+            self._record_answers(known.stats_by_target or {}, load)
         self.remove(peer)
         self._load_by_peer[peer] = load
         for target, count_by_route_tier in load.running_by_target.items():
             self._count(target, count_by_route_tier)
-        self.pause_count_by_target.update(load.paused_targets)
         for ticket in load.tickets:
             tickets = self._tickets_by_cell.setdefault(ticket.cell, {})
             tickets[peer, ticket.number] = ticket
@@ -73,7 +74,6 @@
             return
         for target, count_by_route_tier in load.running_by_target.items():
             self._count(target, {tier: -n for tier, n in count_by_route_tier.items()})
-        self.pause_count_by_target.subtract(load.paused_targets)
         for ticket in load.tickets:
             self._tickets_by_cell[ticket.cell].pop((peer, ticket.number), None)
 
@@ -133,6 +133,19 @@
         load = self._load_by_peer.get(peer)
         return load.paused_targets if load else frozenset()
 
+    def paused_targets(self, names):
+        """Yield which of some targets each peer pauses, unless it pauses none."""
+        for load in self._load_by_peer.values():
+            if load.paused_targets:
+                yield load.paused_targets & names
+
+    def _record_answers(self, former_stats_by_target, load):
+        """Record which targets have answered a peer since its last report."""
+        for target, stats in (load.stats_by_target or {}).items():
+            former = former_stats_by_target.get(target, TargetStats())
+            if stats.successes > former.successes:
+                self.answered_at_by_target[target] = load.received_at
+
     def isolated_runs(self):
         """Yield (target, fingerprint) of the requests that peers run in isolation."""
         for load in self._load_by_peer.values():
@@ -149,6 +162,11 @@
         self._stats_merged_at = now
         return True
 
+    def retain(self, targets):
+        """Forget the answers of all targets except some."""
+        for target in self.answered_at_by_target.keys() - set(targets):
+            del self.answered_at_by_target[target]
+
     def merge_stats(self, own):
         """Return the target stats of all instances, merged.
 
--- a/almondglade/placement/health.py
+++ b/almondglade/placement/health.py
@@ -45,6 +45,11 @@
     finished: int = 0
     failures: int = 0
 
+    @property
+    def successes(self):
+        """Requests that did not fail."""
+        return self.finished - self.failures
+
     @property
     def is_unhealthy(self):
         """Whether it fails so often that it should only get single requests."""
@@ -73,6 +78,8 @@
         expected for the size of the request; 0 is not known.
     event_seconds : float
         Smoothed time from one event of a stream to the next; 0 is not known.
+    answered_at : float
+        Monotonic time of the last response.
     """
 
     paused_until: float = 0.0
@@ -81,12 +88,20 @@
     updated_at: float = 0.0
     slowness: float = 0.0
     event_seconds: float = 0.0
+    answered_at: float = float("-inf")
     _recent: deque = field(default_factory=deque)
+    # Times of failures without a response, which only a later response shows to be
+    # those of the target and not of the link to it.
+    _unconfirmed_failures: list[float] = field(default_factory=list)
 
     def stats(self, now):
         """Return the `TargetStats` of this instance."""
-        while self._recent and now - self._recent[0][0] > STATS_WINDOW_SECONDS:
+        since = now - STATS_WINDOW_SECONDS
+        while self._recent and self._recent[0][0] < since:
             self._recent.popleft()
+        self._unconfirmed_failures = [
+            at for at in self._unconfirmed_failures if at >= since
+        ]
         failures = sum(has_failed for _, has_failed in self._recent)
         return TargetStats(
             self.event_seconds, self.slowness, len(self._recent), failures
@@ -109,14 +124,24 @@
         """Record that no connection could be made or that it broke; pause."""
         self.pause = min(max(MIN_PAUSE_SECONDS, 2 * self.pause), MAX_PAUSE_SECONDS)
         self.paused_until = now + self.pause
-        self.record_failure(now)
+        self._smooth_failure(now)
+        self._unconfirmed_failures.append(now)
 
     def record_failure(self, now):
-        """Record a request that failed at the target."""
+        """Record a request that the target itself failed or refused."""
+        self._smooth_failure(now)
+        self._record_answer(now)
+        self._recent.append((now, True))
+
+    def _record_answer(self, now):
+        self.answered_at = now
+        self._recent.extend((at, True) for at in self._unconfirmed_failures)
+        self._unconfirmed_failures.clear()
+
+    def _smooth_failure(self, now):
         share = self.failure_share(now)
         self.smoothed_failures = share + FAILURE_WEIGHT * (1.0 - share)
         self.updated_at = now
-        self._recent.append((now, True))
 
     def record_success(self, now, slowness=None):
         """Record a response and its slowness.
@@ -130,6 +155,7 @@
         share = self.failure_share(now)
         self.smoothed_failures = share * (1.0 - FAILURE_WEIGHT)
         self.updated_at = now
+        self._record_answer(now)
         self._recent.append((now, False))
         self.pause = 0.0
         if slowness is not None:
--- a/almondglade/placement/pool.py
+++ b/almondglade/placement/pool.py
@@ -298,12 +298,13 @@
         if free <= 0:
             return
         order = self._order(states, now)
+        paused_here = frozenset(self.targets.paused_here(now))
         for ticket in order.sort((*coordinated, *own)):
             if ticket.coordinator != self.instance and self._yields(
                 ticket, peer_tickets, free, now
             ):
                 continue
-            avoided = self._targets_to_avoid(ticket)
+            avoided = self._targets_to_avoid(ticket, paused_here)
             if avoided is None:
                 continue
             loads = [
@@ -331,12 +332,22 @@
             for state in limited:
                 state.named_rate.refill(share, now)
 
-    def _targets_to_avoid(self, ticket):
+    def _targets_to_avoid(self, ticket, paused_here):
         """Return the targets that a request must not get; None if it must wait.
 
         A request in isolation waits while another one with its fingerprint runs.
+
+        Parameters
+        ----------
+        paused_here : frozenset of str
+            Targets that this instance pauses, which its own requests must not get.
         """
-        avoided = ticket.attempted_targets | self.fleet.targets_paused_by(ticket.owner)
+        paused = (
+            paused_here
+            if ticket.owner == self.instance
+            else self.fleet.targets_paused_by(ticket.owner)
+        )
+        avoided = ticket.attempted_targets | paused
         if not ticket.isolated_fingerprint:
             return avoided
         runs = self.targets.isolated_runs()
@@ -443,15 +454,25 @@
         tier : tuple of int
             Its tier; only requests ahead of it in the order count.
         """
-        return self.cell_wait(self._choose_cell(service, tier, now), tier, now)
+        return self._wait_here(self._choose_cell(service, tier, now), tier, now)
+
+    def _wait_here(self, cell, tier, now):
+        """Return the expected wait for the targets that this instance can reach."""
+        return self.cell_wait(cell, tier, now, self.targets.usable_here(cell, now))
 
-    def cell_wait(self, cell, tier, now):
+    def cell_wait(self, cell, tier, now, states=None):
         """Return the expected wait in one cell, in seconds.
 
         It is computed here if all load is known, else as its coordinator reported
         it; infinite without usable targets.
+
+        Parameters
+        ----------
+        states : list of TargetState or None
+            The targets that can be used; all usable ones of the cell if None.
         """
-        states = self.targets.usable(cell, now)
+        if states is None:
+            states = self.targets.usable(cell, now)
         if not states:
             return float("inf")
         if not self._knows_load(cell, now):
@@ -489,7 +510,8 @@
             cell
             for cell in cells
             if any(
-                ticket.accepts(state.record) for state in self.targets.usable(cell, now)
+                ticket.accepts(state.record)
+                for state in self.targets.usable_here(cell, now)
             )
         ] or cells
         home = current or Cell(ticket.service, self.data_centre)
@@ -507,11 +529,13 @@
         if len(cells) == 1:
             return cells[0]
         home = current or Cell(service, self.data_centre)
-        wait = self.cell_wait(home, tier, now)
+        wait = self._wait_here(home, tier, now)
         if wait <= OVERFLOW_WAIT_SECONDS:
             return home
         others = [
-            cell for cell in cells if cell != home and self.targets.usable(cell, now)
+            cell
+            for cell in cells
+            if cell != home and self.targets.usable_here(cell, now)
         ]
         other = self.cell_reports.choose_overflow(others, now)
         if other is not None:
--- a/almondglade/placement/targets.py
+++ b/almondglade/placement/targets.py
@@ -4,13 +4,19 @@
 which of them have free slots, so their states are indexed by cell.
 """
 
+import itertools
+from collections import Counter
+
 from .cells import Cell, Cells
 from .fleetload import FleetLoad
 from .health import TargetStats
 from .places import TargetState
 
-# Number of peers that must pause a target before this instance stops using it too.
+# Instances that pause a target before the others send it single requests only.
 PAUSE_QUORUM = 2
+# A target that answered another instance within this time is not failing, whoever
+# pauses it.
+ANSWER_VALIDITY_SECONDS = 1.0
 # Slots of a target that an instance uses without reports of what others run there.
 SLOTS_WITHOUT_REPORTS = 1
 # Largest share of a cell's targets that may be limited because of failures at once.
@@ -59,6 +65,7 @@
             state.record = record
             states[record.id] = state
         self.state_by_target = states
+        self.fleet.retain(states)
         self.cells.set_targets(state.record for state in states.values())
         self.states_by_cell = {}
         for state in states.values():
@@ -99,23 +106,55 @@
     def usable(self, cell, now):
         """Return the states of the targets of a cell that may get requests.
 
-        Also updates which of them are limited to single requests.
+        An instance that pauses one of them does not get it, but others may. Also
+        updates which of them are limited to single requests.
         """
         self._update_fleet_stats(now)
         usable = [
             state
             for state in self.states_by_cell.get(cell, ())
             if self.accepts_work(state)
-            and not state.health.is_paused(now)
-            and self.fleet.pause_count_by_target[state.record.id] < PAUSE_QUORUM
         ]
         unhealthy = [state.is_unhealthy(now) for state in usable]
         # If most are unhealthy, limiting them would not serve any request better.
         may_limit = sum(unhealthy) <= MAX_LIMITED_SHARE * len(usable)
+        pause_counts = self._pause_counts(usable, now)
         for state, is_unhealthy in zip(usable, unhealthy, strict=True):
-            state.is_limited = is_unhealthy and may_limit
+            is_doubtful = (
+                pause_counts[state.record.id] >= PAUSE_QUORUM
+                and now - self._answered_at(state) > ANSWER_VALIDITY_SECONDS
+            )
+            state.is_limited = is_doubtful or (is_unhealthy and may_limit)
         return usable
 
+    def usable_here(self, cell, now):
+        """Return the states of the usable targets that this instance does not pause."""
+        return [
+            state for state in self.usable(cell, now) if not state.health.is_paused(now)
+        ]
+
+    def _pause_counts(self, states, now):
+        """Return how many instances pause each of some targets, by target.
+
+        One that pauses all of them has lost its own links, which says nothing of the
+        targets.
+        """
+        names = {state.record.id for state in states}
+        paused_here = {
+            state.record.id for state in states if state.health.is_paused(now)
+        }
+        pauses = [paused_here, *self.fleet.paused_targets(names)]
+        return Counter(
+            itertools.chain.from_iterable(paused for paused in pauses if paused < names)
+        )
+
+    def _answered_at(self, state):
+        """Return when a target last answered a request of any instance."""
+        return max(
+            state.health.answered_at,
+            self.fleet.answered_at_by_target.get(state.record.id, float("-inf")),
+        )
+
     def accepts_work(self, state):
         """Return whether a target may get work.
 
