Pass requests through peers while no target can be reached

Cause: the links of an instance were its only way to a target.

Such an instance now passes requests to a peer over TCP on the first internal port. It has charged the workspace, decides on retries and tells its caller; the peer routes and authenticates once more, gets a slot as for its own requests, sends to one target, and names it, so that attempts count. One hop only. What is not idempotent goes over a new connection, so that a peer that closes an idle one cannot leave its outcome open; a relay that breaks off is an unknown outcome.

A failed connection, or a service that owes responses and is silent for 0.6 s, starts probes of up to four targets; if all fail, all targets of the service get nothing from here until a probe succeeds, so that no caller's request is spent on finding that out.

--- a/almondglade/dispatch/call.py
+++ b/almondglade/dispatch/call.py
@@ -335,15 +335,16 @@
         now = self.clock()
         since = self._waiting_since
         if since is not None and now - since >= limit:
-            self._expire()
+            self.expire()
         elif not self._ended:
             due = (now if since is None else since) + limit
             self._gap_deadline = self.deadlines.call_at(due, self._check_gap)
 
     def _set_deadline(self, seconds):
-        self._deadline = self.deadlines.call_at(self.started_at + seconds, self._expire)
+        self._deadline = self.deadlines.call_at(self.started_at + seconds, self.expire)
 
-    def _expire(self):
+    def expire(self):
+        """End the call as if its time limit were over; safe from any thread."""
         with self._lock:
             if not self._ended:
                 self._expired = True
--- a/almondglade/dispatch/connections.py
+++ b/almondglade/dispatch/connections.py
@@ -254,6 +254,12 @@
             pool = self.by_url.setdefault(url, pool)
         return pool
 
+    def close_idle(self, url):
+        """Close the idle connections to a target."""
+        pool = self.by_url.pop(url, None)
+        if pool is not None:
+            pool.close()
+
     def retain(self, urls):
         """Close the pools of targets that are no longer declared."""
         for url in self.by_url.keys() - set(urls):
--- a/almondglade/gateway/node.py
+++ b/almondglade/gateway/node.py
@@ -27,8 +27,11 @@
 from .app import GatewayApp
 from .discovery import Discovery, Registry
 from .exchange import Exchange
+from .links import LinkMonitor
 from .operators import GatewayOperatorApp
 from .origins import OriginTracker
+from .relayapp import RelayApp
+from .relaying import RelayPeers
 from .scheduling import GatewayScheduler
 from .suspects import SuspectTracker
 from .targetlimits import LimitTracker
@@ -37,6 +40,7 @@
 
 INITIAL_CALLER_THREADS = 16
 MAX_CALLER_THREADS = 400
+INITIAL_RELAY_THREADS = 1
 # Requests in progress at once; further threads only refuse requests.
 MAX_REQUESTS = 360
 OPERATOR_THREADS = 2
@@ -133,6 +137,15 @@
         self.exchange.limits = self.limits
         self.exchange.suspects = self.suspects
         self.exchange.origins = self.origins
+        self.links = LinkMonitor(
+            self.lock, self.pools.targets, self.connections, self.clock
+        )
+        relays = RelayPeers(
+            settings.data_centre,
+            settings.peer_port,
+            self.gossip.relay_candidates,
+            self.clock,
+        )
         self.scheduler = GatewayScheduler(
             self.pools,
             self.allowances,
@@ -140,6 +153,8 @@
             self.suspects,
             self.limits,
             self.origins,
+            relays,
+            self.links,
             self.connections,
             self.lock,
             lambda: self.gossip.max_instances_seen,
@@ -159,15 +174,27 @@
             lambda: self.gossip.max_instances_seen,
             self._evidence_age,
         )
-        self.app = GatewayApp(
+        app_options = (
             settings.instance,
             f"{self.incarnation:x}",
             self.scheduler,
+        )
+        self.app = GatewayApp(
+            *app_options,
             self.metrics,
             MAX_REQUESTS,
             self.registry,
             self._accepts_keys,
         )
+        # The peers count the requests that they pass on, so that these count once.
+        self.relay_app = RelayApp(
+            *app_options,
+            Metrics(),
+            MAX_REQUESTS,
+            self.registry,
+            self._accepts_keys,
+            is_peer=self.gossip.is_known_address,
+        )
 
     async def run(self):
         """Serve until a stop signal, then wait for requests in progress."""
@@ -183,8 +210,16 @@
             MAX_CALLER_THREADS,
             INITIAL_CALLER_THREADS,
         )
+        relays = HttpServer(
+            settings.address,
+            settings.peer_port,
+            self.relay_app,
+            MAX_CALLER_THREADS,
+            INITIAL_RELAY_THREADS,
+        )
         servers = [
             callers,
+            relays,
             HttpServer(
                 settings.address,
                 settings.ready_port,
@@ -212,6 +247,7 @@
             asyncio.create_task(self._run_periodic_checks()),
             asyncio.create_task(self._watch_settings()),
             asyncio.create_task(self._expire_outdated()),
+            asyncio.create_task(self.links.run()),
         ]
         log.info(
             "started",
@@ -222,24 +258,25 @@
             seeds=settings.seed_addresses,
         )
         await self.stop_requested.wait()
-        await self._drain(callers)
+        await self._drain(callers, relays)
         for task in tasks:
             task.cancel()
         log.info("stopped", instance=settings.instance, cut=self.app.active)
 
-    async def _drain(self, callers):
-        """Stop accepting callers and wait for the requests in progress."""
-        log.info("stopping", active=self.app.active)
+    async def _drain(self, callers, relays):
+        """Stop accepting requests and wait for those in progress."""
+        log.info("stopping", active=self.app.active, relayed=self.relay_app.active)
         self.stopping = self.exchange.leaving = True
         self.gossip.send_report_to_all()
         self.gossip.schedule_report()
         callers.end_keep_alive()
+        relays.end_keep_alive()
         drain_until = self.clock() + DRAIN_SHARE * self.settings.bounds.grace
         await asyncio.sleep(UNREADY_NOTICE_SECONDS)
         # From now on, callers that keep a connection open here are refused with an
         # immediate retry, so that they connect to another instance.
-        self.app.stopping = True
-        while self.app.active and self.clock() < drain_until:
+        self.app.stopping = self.relay_app.stopping = True
+        while (self.app.active or self.relay_app.active) and self.clock() < drain_until:
             await asyncio.sleep(DRAIN_POLL_SECONDS)
 
     def _reload(self):
--- a/almondglade/gateway/requests.py
+++ b/almondglade/gateway/requests.py
@@ -40,6 +40,12 @@
     version : str
         Software version of the targets that may run it, once a stream has begun;
         empty if all may.
+    relayed_by : str
+        Instance that received the request and passed it on; empty if this one did.
+    relay_last_event_id : str or None
+        Id of the event after which that instance wants a stream to go on.
+    attempts_elsewhere : int
+        Number of the attempted targets that other instances sent it to.
     """
 
     request_id: str
@@ -60,6 +66,14 @@
     attempted_targets: list[str] = field(default_factory=list)
     may_have_run: bool = False
     version: str = ""
+    relayed_by: str = ""
+    relay_last_event_id: str | None = None
+    attempts_elsewhere: int = 0
+
+    @property
+    def attempted_here(self):
+        """Targets to which this instance sent it, separated by commas."""
+        return ",".join(self.attempted_targets[self.attempts_elsewhere :])
 
     @cached_property
     def fingerprint(self):
--- a/almondglade/gateway/run.py
+++ b/almondglade/gateway/run.py
@@ -3,51 +3,23 @@
 from dataclasses import replace
 from typing import Any
 
-from ..declarations.models import TimeLimits
-from ..dispatch.call import (
-    UNFRAMED,
-    Call,
-    CallCancelledError,
-    CallTimeoutError,
-    NotSentError,
-)
-from ..dispatch.connections import Attempt, PermitExpiredError
+from ..dispatch.call import UNFRAMED, CallCancelledError, CallTimeoutError
 from ..dispatch.events import has_readable_events, last_event_id
 from ..errors import TargetError
 from ..log import get_logger
 from ..outcome import Code, Outcome, RequestError
 from ..placement.origins import StreamOrigin
-from ..platform.front import (
-    headers_for_callers,
-    parse_target_response,
-    target_headers,
-)
-from .measuring import ResponseMeter
-from .requests import Dispatch, format_fingerprint
+from ..platform.front import headers_for_callers, parse_target_response
+from .dispatching import Dispatcher
+from .requests import format_fingerprint
 
 log = get_logger("requests")
 
-# Time limit for connecting to a target; a round trip takes milliseconds.
-CONNECT_TIMEOUT_SECONDS = 0.4
-# The request's time limit ends this much later here than at the target, so that the
-# target can still respond by itself when its time is over.
-TARGET_RESPONSE_MARGIN_SECONDS = 0.05
-# A resumable stream is continued on another target after a silence of this many times
-# the route's longest pause between events; before the first event, of this many times
-# the route's latency objective.
-GAP_TIMEOUT_OBJECTIVES = 3.0
-FIRST_EVENT_TIMEOUT_OBJECTIVES = 1.5
-MIN_SILENCE_TIMEOUT_SECONDS = 1.0
-# Targets that are tried until one accepts a connection.
-MAX_CONNECT_ATTEMPTS = 3
-# Retry-After time when no target could be reached. Another one may be reachable by
-# then; a failed target is paused for as long.
-NO_TARGET_RETRY_AFTER_SECONDS = 0.25
 # Statuses that tell the caller that its request was not run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 
-class GatewayRun:
+class GatewayRun(Dispatcher):
     """A dispatched request; iterates over the body of its response.
 
     Parameters
@@ -61,30 +33,15 @@
     ----------
     head : ResponseHead
         Head of the first response, which the caller gets; a resumed stream keeps it.
-    resumable : bool
-        Whether the response is a stream that another target can continue.
     has_begun : bool
         Whether the caller has got an event of a resumable stream.
-    last_event_id : str or None
-        Id of the last event of a resumable stream that the caller has got.
     """
 
     def __init__(self, scheduler, request):
-        self.scheduler = scheduler
-        self.request = request
-        self.clock = scheduler.clock
+        super().__init__(scheduler, request)
         self.head: Any = None
-        self.call: Any = None
-        self.ticket: Any = None
-        self.resumable = request.route.resumable
         self.has_begun = bool(request.version)
-        self.record: Any = None
-        self.last_event_id = (
-            request.caller_headers.last_event_id if self.resumable else None
-        )
-        self.sent_at = 0.0
         self.ended = False
-        self.meter: Any = None
 
     def open(self):
         """Dispatch the request until the response of a target begins.
@@ -133,7 +90,11 @@
 
     def _record_rate_limit(self, response_info):
         """Record the rate limit that the target names, or that it names none."""
-        if not response_info.misdirected and response_info.rate_limit is not None:
+        if (
+            self.ticket is not None
+            and not response_info.misdirected
+            and response_info.rate_limit is not None
+        ):
             self.scheduler.limits.record(
                 self.record, response_info.rate_limit, self.sent_at
             )
@@ -150,10 +111,12 @@
     def _should_retry_response(self, head):
         if head.status < 500:
             return False
-        self.scheduler.update_health(
-            self.ticket.target, lambda health, now: health.record_failure(now)
+        self._update_health(lambda health, now: health.record_failure(now))
+        return (
+            self.request.route.idempotent
+            and not self.request.relayed_by
+            and self.scheduler.may_retry(self.request)
         )
-        return self.request.route.idempotent and self.scheduler.may_retry(self.request)
 
     def __iter__(self):
         return self
@@ -226,150 +189,6 @@
             self._drop_call()
             self._finish("cancelled")
 
-    def _send(self):
-        """Send the request to one target and return the head of its response."""
-        request = self.request
-        for _ in range(MAX_CONNECT_ATTEMPTS):
-            self.ticket = self.scheduler.acquire(request)
-            self._check_suspicion()
-            try:
-                return self._dispatch()
-            except (NotSentError, PermitExpiredError) as error:
-                target = self.ticket.target
-                self._release(None)
-                if request.caller_connection.disconnected:
-                    raise self._caller_disconnected_error() from error
-                self.scheduler.update_health(
-                    target, lambda health, now: health.record_unreachable(now)
-                )
-                log.info(
-                    "request could not be sent to the target",
-                    request=request.request_id,
-                    target=target,
-                    cause=str(error),
-                )
-        raise self._no_target_error()
-
-    def _check_suspicion(self):
-        """Refuse a request that was found to crash targets while it waited."""
-        try:
-            self.scheduler.suspects.check(self.request)
-        except RequestError:
-            self._release(None)
-            raise
-
-    def _no_target_error(self):
-        if self.request.may_have_run:
-            return RequestError(
-                Code.TARGET_FAILED, "no target could be reached", Outcome.UNKNOWN
-            )
-        return RequestError(
-            Code.NO_TARGET,
-            "no target could be reached",
-            retry_after=NO_TARGET_RETRY_AFTER_SECONDS,
-        )
-
-    @staticmethod
-    def _caller_disconnected_error():
-        return RequestError(Code.CALLER_GONE, "the caller has gone away")
-
-    def _dispatch(self):
-        request, scheduler = self.request, self.scheduler
-        self.record = record = scheduler.record_for(self.ticket.target)
-        if record is None:
-            raise NotSentError("the target takes no new work")
-        if request.version not in ("", record.version):
-            raise NotSentError("the target has another software version")
-        now = self.clock()
-        time_left = request.deadline - now
-        if time_left <= 0.0:
-            self._release(None)
-            raise RequestError(
-                Code.TARGET_TIMEOUT if request.may_have_run else Code.OVERLOADED,
-                "the caller's time is over",
-                Outcome.UNKNOWN if request.may_have_run else Outcome.NOT_RUN,
-                NO_TARGET_RETRY_AFTER_SECONDS,
-            )
-        headers = target_headers(
-            request.raw_headers,
-            request.workspace.name if request.workspace else None,
-            record.id,
-            time_left,
-            self.last_event_id,
-        )
-        attempt = Attempt(lambda: not request.caller_connection.disconnected)
-        self.call = Call(
-            scheduler.connections.get(f"http://{record.host}:{record.port}"),
-            Dispatch(request.method, request.path, headers, request.body),
-            self._time_limits(time_left, record),
-            attempt,
-            scheduler.deadlines,
-            self.clock,
-            # A reused connection may be that of a target which has ended already.
-            new_connection=scheduler.suspects.is_suspect(request),
-            matches_request=self._is_response_to_request,
-            is_stream_expected=request.route.streaming,
-        )
-        if request.route.repeatable or request.route.streaming:
-            request.caller_connection.on_disconnect(self.call.cancel)
-        self.sent_at = now
-        self.meter = ResponseMeter(now, request.caller_headers.input_tokens or 0)
-        try:
-            head = self.call.open()
-            self.meter.framing = self.call.framing
-        finally:
-            if attempt.dispatched:
-                request.attempted_targets.append(record.id)
-        log.info(
-            "response started",
-            request=request.request_id,
-            workspace=request.workspace.name if request.workspace else None,
-            tier=request.tier,
-            service=request.service,
-            input_tokens=request.caller_headers.input_tokens,
-            output_tokens=request.caller_headers.output_tokens,
-            target=record.id,
-            version=record.version,
-            resumes=request.caller_headers.resumed_request,
-            after=self.last_event_id,
-            status=head.status,
-            framing=self.meter.framing,
-            waited=round(self.sent_at - request.arrived_at, 3),
-            seconds=round(self.clock() - self.sent_at, 3),
-        )
-        return head
-
-    def _time_limits(self, time_left, record):
-        request, route = self.request, self.request.route
-        total = time_left + TARGET_RESPONSE_MARGIN_SECONDS
-        first_event_timeout = gap_timeout = total
-        attempted = {*request.attempted_targets, record.id}
-        if route.resumable and len(attempted) < route.max_attempts:
-            has_other_target = self.scheduler.has_target(
-                request.service, record.version, attempted
-            )
-            if has_other_target:
-                gap_timeout = _silence_timeout(
-                    GAP_TIMEOUT_OBJECTIVES * route.gap_objective, total
-                )
-            if has_other_target or not request.version:
-                first_event_timeout = _silence_timeout(
-                    FIRST_EVENT_TIMEOUT_OBJECTIVES * route.latency_objective, total
-                )
-        return TimeLimits(
-            connect=min(CONNECT_TIMEOUT_SECONDS, total),
-            first_byte=first_event_timeout,
-            between_bytes=gap_timeout,
-            total=total,
-        )
-
-    def _is_response_to_request(self, head):
-        response_request_id = parse_target_response(head).request_id
-        return (
-            response_request_id is None
-            or response_request_id == self.request.request_id
-        )
-
     def _handle_refusal(self, head, response_info):
         """Record that a target did not run the request; raise if it cannot retry.
 
@@ -387,15 +206,15 @@
             status=head.status,
         )
         if response_info.misdirected:
-            self.scheduler.update_health(
-                target, lambda health, now: health.record_unreachable(now)
-            )
+            self.scheduler.record_unreachable(target)
         else:
-            self.scheduler.update_health(
-                target, lambda health, now: health.record_failure(now)
-            )
+            self._update_health(lambda health, now: health.record_failure(now))
         self._drop_call()
-        if self.clock() < request.deadline and self.scheduler.may_retry(request):
+        if (
+            not request.relayed_by
+            and self.clock() < request.deadline
+            and self.scheduler.may_retry(request)
+        ):
             return
         raise self._no_target_error()
 
@@ -405,9 +224,10 @@
         The target may have ended, whether or not the request may be retried.
         """
         request = self.request
-        target = self.ticket.target
         request.may_have_run = True
-        if not isinstance(error, CallCancelledError):
+        is_sent_here = self.ticket is not None
+        target = self.ticket.target if is_sent_here else f"via {self.peer.instance}"
+        if is_sent_here and not isinstance(error, CallCancelledError):
             self.scheduler.suspects.record_broken(request, target, self.sent_at)
         self.scheduler.metrics.count("broken_runs_total", service=request.service)
         log.info(
@@ -428,9 +248,11 @@
         request = self.request
         if request.caller_connection.disconnected or self.clock() >= request.deadline:
             return False
-        self.scheduler.update_health(
-            self.record.id, lambda health, now: health.record_unreachable(now)
-        )
+        if self.peer is None:
+            self.scheduler.record_unreachable(self.record.id)
+        if request.relayed_by:
+            # The instance that received the request decides.
+            return False
         if self.scheduler.suspects.isolated_fingerprint(request):
             # Its last run may have been the third crash, which is not known yet.
             return False
@@ -469,24 +291,28 @@
 
     def _record_chunk(self, chunk):
         slowness = self.meter.feed(chunk, self.clock())
-        if slowness is not None and self.ticket.isolated_fingerprint:
+        if slowness is None or self.ticket is None:
+            return
+        if self.ticket.isolated_fingerprint:
             self.scheduler.end_isolation(self.ticket)
-        if slowness is not None and self.head.status < 500:
-            self.scheduler.update_health(
-                self.ticket.target,
-                lambda health, now: health.record_success(now, slowness),
+        if self.head.status < 500:
+            self._update_health(
+                lambda health, now: health.record_success(now, slowness)
             )
 
     def _record_pace(self):
         pace = self.meter.event_seconds(self.clock())
         if pace is not None:
-            self.scheduler.update_health(
-                self.ticket.target, lambda health, now: health.record_stream(pace)
-            )
+            self._update_health(lambda health, now: health.record_stream(pace))
+
+    def _update_health(self, update):
+        """Update the health of the target, unless a peer reached it."""
+        if self.ticket is not None:
+            self.scheduler.update_health(self.ticket.target, update)
 
     def _record_completed(self):
         """Clear the request of crashing targets, unless the target failed."""
-        if self.head.status < 500:
+        if self.head.status < 500 and self.ticket is not None:
             self.scheduler.suspects.record_completed(
                 self.request,
                 self.ticket.target,
@@ -494,18 +320,6 @@
                 is_framed=self.meter.framing != UNFRAMED,
             )
 
-    def _drop_call(self):
-        if self.call is not None:
-            self.call.close()
-            self.call = None
-        self.request.caller_connection.on_disconnect(None)
-        self._release(None)
-
-    def _release(self, held_seconds):
-        ticket, self.ticket = self.ticket, None
-        if ticket is not None:
-            self.scheduler.release(ticket, held_seconds)
-
     def _finish(self, result):
         if self.ended:
             return
@@ -532,7 +346,3 @@
             "framing": self.meter.framing,
             "body_bytes": self.meter.byte_count,
         }
-
-
-def _silence_timeout(seconds, total):
-    return min(total, max(MIN_SILENCE_TIMEOUT_SECONDS, seconds))
--- a/almondglade/gateway/scheduling.py
+++ b/almondglade/gateway/scheduling.py
@@ -3,6 +3,7 @@
 import threading
 
 from ..deadlines import Deadlines
+from ..dispatch.connections import TargetPools
 from ..log import get_logger
 from ..outcome import Code, Outcome, RequestError
 from ..placement.places import Ticket
@@ -53,6 +54,10 @@
         Tracks the limits that targets name.
     origins : OriginTracker
         Tracks which versions began streams.
+    relays : RelayPeers
+        Chooses peers through which requests are passed.
+    links : LinkMonitor
+        Watches the links to the targets.
     connections : TargetPools
         Connections to the targets.
     lock : threading.Lock
@@ -78,6 +83,8 @@
         suspects,
         limits,
         origins,
+        relays,
+        links,
         connections,
         lock,
         fleet_size,
@@ -87,12 +94,16 @@
         clock,
     ):
         self.pools = pools
+        self.instance = pools.instance
         self.allowances = allowances
         self.retry_budget = retry_budget
         self.suspects = suspects
         self.limits = limits
         self.origins = origins
+        self.relays = relays
+        self.links = links
         self.connections = connections
+        self.peer_connections = TargetPools()
         self.lock = lock
         self.fleet_size = fleet_size
         self.on_change = on_change
@@ -110,6 +121,8 @@
             If the request was refused or no response to it began.
         """
         self.suspects.check(request)
+        if request.relayed_by:
+            return GatewayRun(self, request).open()
         now = self.clock()
         with self.lock:
             self.retry_budget.count_request(request.service, now)
@@ -336,6 +349,26 @@
                 return None
             return self.pools.targets.state_by_target[target].record
 
+    def listed_record(self, target):
+        """Return the record of a target, or None if it is not listed."""
+        with self.lock:
+            state = self.pools.targets.state_by_target.get(target)
+            return state.record if state is not None else None
+
+    def is_cut_off(self, request):
+        """Return whether this instance reaches no target that could run a request."""
+        with self.lock:
+            return self.pools.targets.is_cut_off(
+                request.service, request.version, self.clock()
+            )
+
+    def record_unreachable(self, target):
+        """Pause a target to which a connection failed, and probe its service."""
+        self.update_health(target, lambda health, now: health.record_unreachable(now))
+        record = self.listed_record(target)
+        if record is not None:
+            self.links.record_failure(record.service)
+
     def has_other_version(self, record):
         """Return whether a target has started again with another version since."""
         with self.lock:
--- a/almondglade/gossip/fleet.py
+++ b/almondglade/gossip/fleet.py
@@ -241,10 +241,19 @@
         since = self.clock() - self._peer_timeout_seconds()
         return [
             peer
-            for peer in self.peer_by_address.values()
+            for peer in list(self.peer_by_address.values())
             if peer.instance and peer.heard_at >= since
         ]
 
+    def relay_candidates(self):
+        """Return the live peers to which requests can be passed; from any thread."""
+        return [peer for peer in self.live_peers() if not peer.leaving]
+
+    def is_known_address(self, address):
+        """Return whether an instance of the fleet has this IP address."""
+        peer = self.peer_by_address.get(address)
+        return peer is not None and bool(peer.instance)
+
     def is_full_mesh(self):
         """Return whether the fleet is small enough for each to report to all others."""
         return len(self.peer_by_address) < MAX_FULL_MESH_INSTANCES
--- a/almondglade/metrics.py
+++ b/almondglade/metrics.py
@@ -51,6 +51,10 @@
         ("service",),
         "Times that a gateway ceased to use a target for a while.",
     ),
+    "relays_total": (
+        ("service", "result"),
+        "Requests offered to peers, as no target could be reached, by the outcome.",
+    ),
     "tokens_total": (
         ("service", "kind"),
         "Tokens by kind: input, cached (part of input) and output.",
@@ -90,6 +94,7 @@
     "requests_waiting": (("service",), "Requests that wait at this gateway."),
     "places_free": (("service",), "Free places of a service, as seen here."),
     "targets_paused": ((), "Targets that this gateway does not use for now."),
+    "services_cut_off": ((), "Services none of whose targets can be reached."),
     "targets_rate_limited": ((), "Targets that name a rate limit in their responses."),
     "evidence_age_seconds": (
         (),
@@ -192,6 +197,7 @@
     metrics.set("store_reachable", int(bool(node.discovery.reachable)))
     metrics.set("peers_heard", len(node.gossip.live_peers()))
     metrics.set("targets_paused", paused)
+    metrics.set("services_cut_off", len(node.links.lost_services))
     metrics.set("targets_rate_limited", rate_limited)
     metrics.set("evidence_age_seconds", min(evidence_age, MAX_AGE_SECONDS))
     metrics.set("log_lines_left_out", dropped_lines())
--- a/almondglade/placement/health.py
+++ b/almondglade/placement/health.py
@@ -80,6 +80,9 @@
         Smoothed time from one event of a stream to the next; 0 is not known.
     answered_at : float
         Monotonic time of the last response.
+    is_link_lost : bool
+        Whether this instance has lost its links to all targets of the service; it then
+        gets no requests until a probe or a response shows that the link is back.
     """
 
     paused_until: float = 0.0
@@ -89,6 +92,7 @@
     slowness: float = 0.0
     event_seconds: float = 0.0
     answered_at: float = float("-inf")
+    is_link_lost: bool = False
     _recent: deque = field(default_factory=deque)
     # Times of failures without a response, which only a later response shows to be
     # those of the target and not of the link to it.
@@ -109,7 +113,7 @@
 
     def is_paused(self, now):
         """Return whether the target gets no requests for now."""
-        return now < self.paused_until
+        return self.is_link_lost or now < self.paused_until
 
     def is_unhealthy(self, now):
         """Return whether it fails so often that it only gets single requests."""
@@ -135,6 +139,7 @@
 
     def _record_answer(self, now):
         self.answered_at = now
+        self.is_link_lost = False
         self._recent.extend((at, True) for at in self._unconfirmed_failures)
         self._unconfirmed_failures.clear()
 
--- a/almondglade/placement/targets.py
+++ b/almondglade/placement/targets.py
@@ -165,6 +165,27 @@
             and state.record.data_centre not in self.evacuated_data_centres
         )
 
+    def states_of(self, service, version=""):
+        """Return the states of a service's targets that may get work.
+
+        Parameters
+        ----------
+        version : str
+            Software version of the targets; empty for all.
+        """
+        return [
+            state
+            for state in self.state_by_target.values()
+            if state.record.service == service
+            and version in ("", state.record.version)
+            and self.accepts_work(state)
+        ]
+
+    def is_cut_off(self, service, version, now):
+        """Return whether this instance reaches no target that could run a request."""
+        states = self.states_of(service, version)
+        return bool(states) and all(state.health.is_paused(now) for state in states)
+
     def takes_new_work(self, target):
         """Return whether a target is listed and may get work."""
         state = self.state_by_target.get(target)
--- a/almondglade/platform/front.py
+++ b/almondglade/platform/front.py
@@ -151,6 +151,20 @@
     return tuple(headers)
 
 
+def relay_headers(pairs, relay_header):
+    """Return the headers of a request that is passed to a peer.
+
+    Parameters
+    ----------
+    pairs : iterable of (str, str)
+        Headers of the caller's request.
+    relay_header : (str, str)
+        Header for the peer; one of the same name from the caller is dropped.
+    """
+    dropped = frozenset({"content-length", relay_header[0].lower()})
+    return (*end_to_end(pairs, dropped), relay_header)
+
+
 @dataclass(frozen=True)
 class TargetResponseInfo:
     """Values from the status line and headers of a target's response.
