--- a/test/limitedfleet.py
+++ b/test/limitedfleet.py
@@ -90,13 +90,21 @@
         self.http = urllib3.PoolManager(retries=False, timeout=10.0, maxsize=CALLERS)
         self.stopped = threading.Event()
         self.threads = []
-        self.targets = [LimitedTarget() for _ in range(self.target_count)]
+        self.targets = list(map(self.make_target, range(self.target_count)))
         for number, target in enumerate(self.targets):
             self.stack.enter_context(target)
-            self.list_target(f"t{number}", target)
+            self.list_target(self.target_name(number, target), target)
         self.start()
         return self
 
+    def make_target(self, number):
+        """Return a new target."""
+        return LimitedTarget()
+
+    def target_name(self, number, target):
+        """Return the id under which a target is listed."""
+        return f"t{number}"
+
     def __exit__(self, *exc):
         self.stopped.set()
         for thread in self.threads:
@@ -112,18 +120,24 @@
         """Start a killed gateway again."""
         self.processes[index] = self._start(self.addresses[index])
 
-    def send_requests(self, path="/look/", method="GET", callers=CALLERS):
+    def send_requests(
+        self,
+        path="/look/",
+        method="GET",
+        callers=CALLERS,
+        pause=CALLER_PAUSE_SECONDS,
+    ):
         """Send requests in threads, to one gateway after the other."""
         for number in range(callers):
             thread = threading.Thread(
-                target=self._send_until_stopped, args=(path, method, number)
+                target=self._send_until_stopped, args=(path, method, number, pause)
             )
             thread.start()
             self.threads.append(thread)
 
-    def _send_until_stopped(self, path, method, first):
+    def _send_until_stopped(self, path, method, first, pause):
         addresses = itertools.islice(itertools.cycle(self.addresses), first, None)
-        while not self.stopped.wait(CALLER_PAUSE_SECONDS):
+        while not self.stopped.wait(pause):
             status = None
             with contextlib.suppress(urllib3.exceptions.HTTPError):
                 status = self.call(f"{path}{first}", next(addresses), method).status
