Keep brittle targets from refusing for want of room

Cause: a refusal was counted as a failure of one request, and no gateway took it for a sign that the target has less room than slots.

The gateway that is refused tells all others at once. While a target is brittle, each side of a partition uses a share of its slots, as the other sides do so too. Targets that are not brittle are used as before.

--- a/almondglade/gateway/node.py
+++ b/almondglade/gateway/node.py
@@ -133,7 +133,7 @@
             settings.instance, self.lock, self.pools.targets, self.clock
         )
         self.limits.gossip = self.gossip
-        self.pools.reachable_share = lambda: self.gossip.reachable_share
+        self.pools.targets.reachable_share = lambda: self.gossip.reachable_share
         self.exchange.limits = self.limits
         self.exchange.suspects = self.suspects
         self.exchange.origins = self.origins
--- a/almondglade/gateway/operators.py
+++ b/almondglade/gateway/operators.py
@@ -3,7 +3,7 @@
 from ..clocks import boottime_clock
 from ..metrics import set_gateway_gauges
 from ..operators import OperatorPages
-from ..placement.ratelimits import format_rate
+from ..placement.ratelimits import format_limit
 
 
 class GatewayOperatorApp(OperatorPages):
@@ -28,7 +28,8 @@
                     name: {
                         "running_here": state.running_here,
                         "limit": state.limit(),
-                        "rate_limit": format_rate(state.named_rate.rate),
+                        "rate_limit": format_limit(state.named_rate.value),
+                        "refusal_limit": format_limit(state.room.value),
                         "paused": state.health.is_paused(now),
                         "failures": state.health.failure_share(now),
                         "slowness": state.health.slowness,
--- a/almondglade/gateway/run.py
+++ b/almondglade/gateway/run.py
@@ -55,7 +55,7 @@
             try:
                 head = self._send()
                 response_info = parse_target_response(head)
-                self._record_rate_limit(response_info)
+                self._record_limits(response_info)
                 if head.status < 300 and not response_info.sealed:
                     raise TargetError("the target's success bears no seal")
                 if self._is_resume_mismatch(head, response_info):
@@ -88,15 +88,14 @@
                 self.resumable = False
         return self
 
-    def _record_rate_limit(self, response_info):
-        """Record the rate limit that the target names, or that it names none."""
-        if (
-            self.ticket is not None
-            and not response_info.misdirected
-            and response_info.rate_limit is not None
-        ):
+    def _record_limits(self, response_info):
+        """Record the limits that the target names, or that it names none."""
+        if self.ticket is not None and not response_info.misdirected:
             self.scheduler.limits.record(
-                self.record, response_info.rate_limit, self.sent_at
+                self.record,
+                response_info.rate_limit,
+                response_info.refusal_limit,
+                self.sent_at,
             )
 
     def _is_resume_mismatch(self, head, response_info):
@@ -209,6 +208,7 @@
             self.scheduler.record_unreachable(target)
         else:
             self._update_health(lambda health, now: health.record_failure(now))
+            self.scheduler.limits.record_refusal(self.record)
         self._drop_call()
         if (
             not request.relayed_by
--- a/almondglade/gossip/codec.py
+++ b/almondglade/gossip/codec.py
@@ -148,7 +148,10 @@
             limit.target,
             limit.target_started_at,
             limit.rate,
-            _to_milliseconds(limit.age),
+            _to_milliseconds(limit.rate_age),
+            limit.refusal_limit,
+            _to_milliseconds(limit.refusal_limit_age),
+            _to_milliseconds(limit.refused_age),
         ]
         for limit in message.limits
     ]
@@ -426,17 +429,31 @@
         instance,
         tuple(
             NamedLimit(
-                target, started_at, _decode_rate(rate), age / MILLISECONDS_PER_SECOND
+                target,
+                started_at,
+                _decode_limit(rate),
+                rate_age / MILLISECONDS_PER_SECOND,
+                _decode_limit(refusal_limit),
+                refusal_limit_age / MILLISECONDS_PER_SECOND,
+                refused_age / MILLISECONDS_PER_SECOND,
             )
-            for target, started_at, rate, age in limits
+            for (
+                target,
+                started_at,
+                rate,
+                rate_age,
+                refusal_limit,
+                refusal_limit_age,
+                refused_age,
+            ) in limits
         ),
     )
 
 
-def _decode_rate(rate):
-    if rate is not None and not 0.0 <= rate < math.inf:
-        raise PeerError(f"malformed message: a rate limit of {rate}")
-    return rate
+def _decode_limit(limit):
+    if limit is not None and not 0.0 <= limit < math.inf:
+        raise PeerError(f"malformed message: a limit of {limit}")
+    return limit
 
 
 DECODER_BY_KIND: dict[int, Callable] = {
--- a/almondglade/gossip/messages.py
+++ b/almondglade/gossip/messages.py
@@ -1,5 +1,6 @@
 """Messages that instances exchange by gossip."""
 
+import math
 from dataclasses import dataclass, field
 
 from ..placement.allowance import Scope
@@ -306,15 +307,24 @@
         Unix time of the target's start, milliseconds.
     rate : float or None
         Requests per second that it takes from all instances; None without a limit.
-    age : float
+    rate_age : float
         Seconds since the response that named the limit was received; without a limit,
         since the request was sent whose response named none.
+    refusal_limit : float or None
+        Refusals in a second after which it ends; None if it is not brittle.
+    refusal_limit_age : float
+        The same as `rate_age`.
+    refused_age : float
+        Seconds since it last refused a request for want of room.
     """
 
     target: str
     target_started_at: int
     rate: float | None
-    age: float
+    rate_age: float
+    refusal_limit: float | None = None
+    refusal_limit_age: float = math.inf
+    refused_age: float = math.inf
 
 
 @dataclass(frozen=True)
--- a/almondglade/placement/places.py
+++ b/almondglade/placement/places.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 from ..catalogue import TargetRecord
+from .brittle import TargetRoom
 from .cells import Cell
 from .health import Health, TargetStats
 from .ratelimits import NamedRate
@@ -118,6 +119,10 @@
         Fingerprints of the requests that this instance runs on it in isolation.
     named_rate : NamedRate
         The rate limit that it names in its responses.
+    room : TargetRoom
+        Its room while it is brittle.
+    room_limit : float
+        Requests that it may run at a time because it is brittle; infinite otherwise.
     """
 
     record: TargetRecord
@@ -128,6 +133,8 @@
     is_limited: bool = False
     isolated_here: list[int] = field(default_factory=list)
     named_rate: NamedRate = field(default_factory=NamedRate)
+    room: TargetRoom = field(default_factory=TargetRoom)
+    room_limit: float = float("inf")
 
     def is_unhealthy(self, now):
         """Return whether it fails often, by this instance's results or by all."""
@@ -158,7 +165,7 @@
 
     def limit(self):
         """Return the number of requests that all instances together may run on it."""
-        return 1 if self.is_limited else self.record.slots
+        return min(1 if self.is_limited else self.record.slots, self.room_limit)
 
     def throughput(self, hold_seconds):
         """Return the requests per second that it can serve.
@@ -168,7 +175,8 @@
         hold_seconds : float
             Mean time for which a request holds a slot.
         """
-        return min(self.limit() / hold_seconds, self.named_rate.granted_rate)
+        # A brittle target that gets nothing for a moment gets requests again soon.
+        return min(max(1, self.limit()) / hold_seconds, self.named_rate.granted_rate)
 
 
 @dataclass(frozen=True)
--- a/almondglade/placement/pool.py
+++ b/almondglade/placement/pool.py
@@ -64,8 +64,6 @@
     on_new_term : callable
         Called without arguments when this instance begins to coordinate a cell of a
         large fleet.
-    reachable_share : callable
-        Returns the share of the fleet's instances that are on this side of a partition.
     tickets_by_service : dict of str to list of Ticket
         Requests that wait on this instance, the best first.
     latest_grant_by_coordinator : dict of str to int
@@ -84,7 +82,6 @@
         self.unanswered = UnansweredRequests()
         self.is_full_mesh = True
         self.on_new_term = lambda: None
-        self.reachable_share = lambda: 1.0
         self.tickets_by_service: dict[str, list[Ticket]] = {}
         self.hold_seconds_by_service: dict[str, float] = {}
         self.latest_grant_by_coordinator: dict[str, int] = {}
@@ -327,7 +324,7 @@
         if limited:
             share = share_of_rate(
                 self.coordinators.is_first_choice(cell.service, cell.data_centre),
-                self.reachable_share(),
+                self.targets.reachable_share(),
             )
             for state in limited:
                 state.named_rate.refill(share, now)
--- a/almondglade/placement/ratelimits.py
+++ b/almondglade/placement/ratelimits.py
@@ -37,13 +37,13 @@
 
 
 @dataclass
-class NamedRate:
-    """The rate limit that one target names, and what may be granted of it here.
+class NamedLimit:
+    """A limit that one target names in its responses while it applies.
 
     Attributes
     ----------
-    rate : float
-        Requests per second from all instances; infinite without a limit.
+    value : float
+        The limit; infinite without one.
     named_at : float
         Monotonic time at which the newest response that named a limit was received.
     unlimited_at : float
@@ -51,23 +51,21 @@
         sent.
     """
 
-    rate: float = NO_LIMIT
+    value: float = NO_LIMIT
     named_at: float = -math.inf
     unlimited_at: float = -math.inf
-    _tokens: float = 0.0
-    _refilled_at: float = 0.0
 
     @property
     def is_limited(self):
         """Whether it names a limit at present."""
-        return self.rate < NO_LIMIT
+        return self.value < NO_LIMIT
 
     @property
-    def granted_rate(self):
-        """Requests per second that it gets from all instances together."""
-        return max(self.rate, MIN_REQUESTS_PER_SECOND)
+    def said_at(self):
+        """Monotonic time since which the value is known."""
+        return self.named_at if self.is_limited else self.unlimited_at
 
-    def record(self, rate, sent_at, received_at):
+    def record(self, value, sent_at, received_at):
         """Record what a response says; return whether the limit has changed.
 
         Responses overtake each other. One without a limit ends the limit only if its
@@ -75,22 +73,44 @@
 
         Parameters
         ----------
-        rate : float
-            The rate that it names; infinite if none.
+        value : float
+            The limit that it names; infinite if none.
         sent_at, received_at : float
             Monotonic times of the request and of the response.
         """
-        before = self.rate
-        if rate == NO_LIMIT:
+        before = self.value
+        if value == NO_LIMIT:
             self.unlimited_at = max(self.unlimited_at, sent_at)
             if sent_at > self.named_at:
-                self.rate = NO_LIMIT
+                self.value = NO_LIMIT
         elif received_at > max(self.named_at, self.unlimited_at):
-            self.rate, self.named_at = rate, received_at
-            if before == NO_LIMIT:
-                # It has just got more than it can take.
-                self._tokens, self._refilled_at = 0.0, received_at
-        return self.rate != before
+            self.value, self.named_at = value, received_at
+        return self.value != before
+
+
+@dataclass
+class NamedRate(NamedLimit):
+    """The rate limit that one target names, and what may be granted of it here.
+
+    Its value is in requests per second from all instances.
+    """
+
+    _tokens: float = 0.0
+    _refilled_at: float = 0.0
+
+    @property
+    def granted_rate(self):
+        """Requests per second that it gets from all instances together."""
+        return max(self.value, MIN_REQUESTS_PER_SECOND)
+
+    def record(self, value, sent_at, received_at):
+        """Record what a response says; return whether the limit has changed."""
+        was_limited = self.is_limited
+        has_changed = super().record(value, sent_at, received_at)
+        if has_changed and not was_limited:
+            # It has just got more than it can take.
+            self._tokens, self._refilled_at = 0.0, received_at
+        return has_changed
 
     def refill(self, share, now):
         """Add what may be granted since the last call.
@@ -115,6 +135,6 @@
         self._tokens -= 1.0
 
 
-def format_rate(rate):
-    """Return a rate for logs, dumps and messages; None without a limit."""
-    return rate if rate < NO_LIMIT else None
+def format_limit(value):
+    """Return a limit for logs, dumps and messages; None without one."""
+    return value if value < NO_LIMIT else None
--- a/almondglade/placement/targets.py
+++ b/almondglade/placement/targets.py
@@ -39,6 +39,8 @@
         Data centres that are out of service; their targets get no requests.
     states_by_cell : dict of Cell to list of TargetState
         States of the targets of each cell.
+    reachable_share : callable
+        Returns the share of the fleet's instances that are on this side of a partition.
     """
 
     def __init__(self):
@@ -47,6 +49,7 @@
         self.fleet = FleetLoad()
         self.evacuated_data_centres: frozenset[str] = frozenset()
         self.states_by_cell: dict[Cell, list[TargetState]] = {}
+        self.reachable_share = lambda: 1.0
 
     def replace(self, records):
         """Replace the list of targets.
@@ -125,6 +128,11 @@
                 and now - self._answered_at(state) > ANSWER_VALIDITY_SECONDS
             )
             state.is_limited = is_doubtful or (is_unhealthy and may_limit)
+            state.room_limit = (
+                state.room.limit(state.record.slots, self.reachable_share(), now)
+                if state.room.is_limited
+                else float("inf")
+            )
         return usable
 
     def usable_here(self, cell, now):
--- a/almondglade/platform/front.py
+++ b/almondglade/platform/front.py
@@ -19,6 +19,8 @@
 NOT_EXECUTED_HEADER = "x-not-executed"
 LOAD_HEADER = "x-server-load"
 RATE_LIMIT_HEADER = "server-limit"
+# How many refusals in a second a brittle target bears.
+REFUSAL_LIMIT_HEADER = "server-brittle"
 SEAL_HEADER = "x-response-seal"
 MISDIRECTED_STATUS = 421
 # Request headers that only this system may set; those of callers are dropped.
@@ -39,12 +41,18 @@
 )
 # Response headers of targets that concern this system only.
 NOT_FOR_CALLERS = frozenset(
-    {LOAD_HEADER, RATE_LIMIT_HEADER, "x-instance-id", "x-cold-ms"}
+    {
+        LOAD_HEADER,
+        RATE_LIMIT_HEADER,
+        REFUSAL_LIMIT_HEADER,
+        "x-instance-id",
+        "x-cold-ms",
+    }
 )
 # Parts beyond these are ignored, so that a header cannot cost much time.
 MAX_PROMPT_PARTS = 64
-# Digits enough for any rate; a longer number could be infinite.
-RATE_PATTERN = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
+# Digits enough for any limit; a longer number could be infinite.
+LIMIT_PATTERN = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
 TOKEN_COUNTS_PATTERN = re.compile(r"\s*([0-9]{1,9})\s*,\s*([0-9]{1,9})\s*")
 MILLISECONDS_PER_SECOND = 1000.0
 
@@ -183,6 +191,9 @@
     rate_limit : float or None
         Requests per second that the target takes from all instances together;
         infinite if it names no limit, None if what it names is not usable.
+    refusal_limit : float or None
+        Refusals in a second after which the target ends; infinite if it is not
+        brittle, None if what it names is not usable.
     """
 
     request_id: str | None
@@ -190,6 +201,7 @@
     misdirected: bool
     sealed: bool
     rate_limit: float | None = math.inf
+    refusal_limit: float | None = math.inf
 
 
 def headers_for_callers(pairs):
@@ -211,17 +223,16 @@
         misdirected or NOT_EXECUTED_HEADER in by_name,
         misdirected,
         SEAL_HEADER in by_name,
-        _parse_rate_limit(head.headers),
+        _parse_limit(head.headers, RATE_LIMIT_HEADER),
+        _parse_limit(head.headers, REFUSAL_LIMIT_HEADER),
     )
 
 
-def _parse_rate_limit(pairs):
-    """Return the lowest rate that the headers of a response name."""
-    values = [
-        value.strip() for name, value in pairs if name.lower() == RATE_LIMIT_HEADER
-    ]
-    rates = [float(value) for value in values if RATE_PATTERN.fullmatch(value)]
-    return min(rates, default=None if values else math.inf)
+def _parse_limit(pairs, header):
+    """Return the lowest limit that the headers of one name state."""
+    values = [value.strip() for name, value in pairs if name.lower() == header]
+    limits = [float(value) for value in values if LIMIT_PATTERN.fullmatch(value)]
+    return min(limits, default=None if values else math.inf)
 
 
 def _parse_count(text):
--- a/test/test_gossip.py
+++ b/test/test_gossip.py
@@ -123,6 +123,7 @@
     SuspectReport, NAMES, st.lists(SUSPECTS, max_size=3).map(tuple)
 )
 
+LIMITS = st.none() | st.integers(0, 9999).map(lambda value: value / 10)
 NAMED_LIMITS = st.builds(
     NamedLimits,
     NAMES,
@@ -131,7 +132,10 @@
             NamedLimit,
             NAMES,
             st.integers(0, 2**60),
-            st.none() | st.integers(0, 9999).map(lambda value: value / 10),
+            LIMITS,
+            SECONDS,
+            LIMITS,
+            SECONDS,
             SECONDS,
         ),
         max_size=3,
--- a/test/test_ratelimits.py
+++ b/test/test_ratelimits.py
@@ -60,7 +60,8 @@
     times = []
     for members in sides:
         pools = make_pools(record("t1"))
-        pools.reachable_share = lambda members=members: members / sum(sides)
+        share = members / sum(sides)
+        pools.targets.reachable_share = lambda share=share: share
         name_rate(pools, rate)
         times += grant_times(pools, 20.0)
     assert most_in_window(times) <= max_requests(rate)
@@ -123,7 +124,7 @@
     named = NamedRate()
     for response in responses:
         named.record(*response)
-    assert named.rate == rate
+    assert named.value == rate
 
 
 @pytest.mark.parametrize("rate", [0.0, 1e-9])
