Do not take lost links for crashes of targets

Cause: a probe that cannot connect was evidence against the target, whatever the state of the gateway's own links.

Before that verdict, another target of the service must accept a connection. If none does, the runs stay pending, and the list of targets tells within their time limit whether the target has ended.

--- a/almondglade/gateway/crashes.py
+++ b/almondglade/gateway/crashes.py
@@ -44,6 +44,12 @@
     on_completed : callable
         Called with the fingerprints and the end of a run once it is known that a run
         which looked complete was complete, with the lock held.
+
+    Attributes
+    ----------
+    reaches_another : callable
+        Takes a `TargetRecord` and returns an awaitable that tells whether this
+        instance can connect to another target of its service, if there is one.
     """
 
     def __init__(self, lock, clock, on_crashes, on_completed):
@@ -55,6 +61,7 @@
         self._record_by_target: dict[str, TargetRecord] = {}
         self._removed_by_target: dict[str, tuple[TargetRecord, float]] = {}
         self._probed_at: dict[tuple[str, int], float] = {}
+        self.reaches_another = _assume_sound_links
         self._loop = asyncio.get_running_loop()
 
     def has_broken_run(self, fingerprint):
@@ -224,7 +231,7 @@
             except TimeoutError:
                 continue
             except ConnectionRefusedError:
-                self._record_probed_end(record, "connection refused")
+                await self._record_probed_end(record, "connection refused")
             except OSError as error:
                 log.info("probe of a target failed", target=record.id, cause=str(error))
             else:
@@ -233,7 +240,7 @@
                 with contextlib.suppress(OSError):
                     await writer.wait_closed()
             return
-        self._record_probed_end(record, "no connection could be made")
+        await self._record_probed_end(record, "no connection could be made")
 
     def _record_probed_alive(self, record, at):
         """Settle the runs that look complete, and probe again if some are too recent.
@@ -248,11 +255,27 @@
             if self._pending_runs.has_complete(incarnation):
                 self._schedule_probe(record, self.clock())
 
-    def _record_probed_end(self, record, evidence):
+    async def _record_probed_end(self, record, evidence):
+        """Record that a target has ended, unless the links to all are lost.
+
+        The list of targets then tells later whether it has.
+        """
+        if not await self.reaches_another(record):
+            log.info(
+                "end of a target is not certain: no other one can be reached either",
+                target=record.id,
+                service=record.service,
+                evidence=evidence,
+            )
+            return
         with self.lock:
             self.record_end(record.incarnation, evidence)
 
 
+async def _assume_sound_links(record):
+    return True
+
+
 def _format_some(fingerprints_of_runs):
     """Return some of the requests' fingerprints, each once, as in the logs."""
     of_requests = dict.fromkeys(
--- a/almondglade/gateway/links.py
+++ b/almondglade/gateway/links.py
@@ -126,6 +126,23 @@
     def _states(self, service):
         return self.targets.states_of(service)
 
+    async def reaches_another(self, record):
+        """Return whether another target of the same service accepts a connection.
+
+        Returns
+        -------
+        bool
+            True if there is no other target to tell.
+        """
+        with self.lock:
+            others = [
+                state.record
+                for state in self._states(record.service)
+                if state.record.id != record.id
+            ]
+        chosen = self._rng.sample(others, min(PROBED_TARGETS, len(others)))
+        return not chosen or any(await asyncio.gather(*map(self._can_connect, chosen)))
+
     def _start_probe(self, service):
         """Start to probe a service, unless that was done within the interval."""
         now = self.clock()
--- a/almondglade/gateway/node.py
+++ b/almondglade/gateway/node.py
@@ -140,6 +140,7 @@
         self.links = LinkMonitor(
             self.lock, self.pools.targets, self.connections, self.clock
         )
+        self.suspects.set_link_check(self.links.reaches_another)
         relays = RelayPeers(
             settings.data_centre,
             settings.peer_port,
--- a/almondglade/gateway/suspects.py
+++ b/almondglade/gateway/suspects.py
@@ -71,6 +71,16 @@
         self._unsent_fingerprints: set[int] = set()
         self._loop = asyncio.get_running_loop()
 
+    def set_link_check(self, reaches_another):
+        """Set how to find out whether the links to other targets are sound.
+
+        Parameters
+        ----------
+        reaches_another : callable
+            As of `CrashDetector`.
+        """
+        self._detector.reaches_another = reaches_another
+
     def check(self, request):
         """Refuse a request that has crashed several targets.
 
--- a/test/test_cut_links.py
+++ b/test/test_cut_links.py
@@ -85,3 +85,11 @@
     assert not [name for name in runs if name.startswith(once) and runs[name] > 1]
     refused = {r.request_id for r in fleet.results if r.status == 503}
     assert not [name for name in refused & runs.keys() if name.startswith(once)]
+
+
+# Runs that broke with the links were taken for crashes, and their requests isolated.
+def test_lost_links_are_not_taken_for_crashes_of_targets(fleet_and_times):
+    fleet, *_ = fleet_and_times
+    logs = [fleet.log(address) for address in fleet.addresses]
+    for event in ("target ended while it ran requests", "it may crash targets"):
+        assert [log.count(event) for log in logs] == [0] * len(logs)
