Cut links of gateways in the soak, and let targets name limits

Each gateway reaches the targets through links of its own, which are cut in three ways: open connections hang, are reset, or live on while new ones are refused. Targets name rates, or have no queue and end when they must refuse more than four requests in a second. Sequences of their own inject this, so that a seed selects the same other faults.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from .links import CUT_MODES
 from .targets import CRASHING_PART, CRASHING_PATH_END
 
 # Limits on response times are not checked for this long after a fault, while the
@@ -31,10 +32,13 @@
         subject, such as a process or proxy.
     end : callable
         Takes the fleet and the subject that `begin` returned, and removes the fault.
+    seconds : (float, float)
+        Range of its duration.
     """
 
     begin: Callable
     end: Callable = lambda fleet, subject: None
+    seconds: tuple[float, float] = DURATION_SECONDS
 
 
 def _pick_gateway(fleet, rng):
@@ -187,6 +191,47 @@
     fleet.kind_by_crashing_part[part] = kind
 
 
+def _cut_links(fleet, rng):
+    count = rng.randint(1, len(fleet.addresses) - 1)
+    addresses = tuple(rng.sample(fleet.addresses, count))
+    mode = rng.choice(CUT_MODES)
+    for address in addresses:
+        fleet.links_by_address[address].cut(mode)
+    return addresses
+
+
+def _heal_links(fleet, addresses):
+    for address in addresses:
+        fleet.links_by_address[address].heal()
+
+
+def _name_rates(fleet, rng):
+    targets = tuple(rng.sample(fleet.targets, rng.randint(1, len(fleet.targets))))
+    started_at = time.monotonic()
+    for target in targets:
+        target.rate_limit = rng.choice((0.4, 1.0, 2.6, 10.0))
+    return started_at, targets
+
+
+def _end_rates(fleet, subject):
+    started_at, targets = subject
+    for target in targets:
+        fleet.ledger.record_named_rate(target.name, target.rate_limit, started_at)
+        target.rate_limit = None
+
+
+def _make_brittle(fleet, rng):
+    for target in fleet.targets:
+        target.is_brittle = True
+    return time.monotonic()
+
+
+def _end_brittle(fleet, started_at):
+    for target in fleet.targets:
+        target.is_brittle = False
+    fleet.ledger.record_brittle_time(started_at, len(fleet.targets))
+
+
 FAULT_BY_NAME = {
     "gateway killed": Fault(
         _kill_gateway, lambda fleet, process: fleet.restart(process)
@@ -211,6 +256,15 @@
     "target leaves": Fault(_drain_target, _undrain_targets),
     "key revoked": Fault(_revoke_key),
 }
+LIMITS_SECONDS = (4.0, 9.0)
+LINKS_SECONDS = (0.5, 6.0)
+LINK_FAULT_BY_NAME = {
+    "links of gateways lost": Fault(_cut_links, _heal_links, LINKS_SECONDS)
+}
+LIMIT_FAULT_BY_NAME = {
+    "targets name rates": Fault(_name_rates, _end_rates, LIMITS_SECONDS),
+    "targets brittle": Fault(_make_brittle, _end_brittle, LIMITS_SECONDS),
+}
 # In sequences of their own, so that a seed still selects the same other faults.
 CRASHING_REQUEST_BY_NAME = {"request crashes targets": Fault(_send_crashing_request)}
 CRASHING_STREAM_OR_PART_BY_NAME = {
@@ -255,7 +309,7 @@
             started_at = time.monotonic()
             subject = fault.begin(self.fleet, self.rng)
             addresses = self.fleet.disturbed_addresses(name, subject)
-            self.stopped.wait(self.rng.uniform(*DURATION_SECONDS))
+            self.stopped.wait(self.rng.uniform(*fault.seconds))
             fault.end(self.fleet, subject)
             self.fleet.record_fault_end(label)
             self.fleet.ledger.record_disturbance(addresses, started_at)
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -10,6 +10,7 @@
 
 from .faults import SETTLE_SECONDS
 from .ledger import GuaranteeLimits, Ledger
+from .links import GatewayLinks
 from .proxy import Proxy
 from .targets import SoakTarget
 
@@ -56,6 +57,7 @@
         self.proxy_by_address = {}
         self.bounds = self.bounds | {"quotaSlack": self.limits.slack_requests}
         super().__enter__()
+        self.links_by_address = {}
         self.targets = [
             SoakTarget(f"t{number}", self.ledger, version=f"v{number % VERSION_COUNT}")
             for number in range(TARGET_COUNT)
@@ -63,6 +65,10 @@
         for target in self.targets:
             target.on_crash = self.restart_target
             self.stack.callback(target.close)
+        for address in self.addresses:
+            links = GatewayLinks(self.app, [target.url for target in self.targets])
+            self.links_by_address[address] = links
+            self.stack.callback(links.close)
         self.write_target_entries()
         self.replace_key(initial=True)
         self.start()
@@ -79,7 +85,8 @@
     def store_address(self, address):
         """Return the address at which a gateway reads the store, a proxy of its own."""
         if address not in self.proxy_by_address:
-            proxy = self.proxy_by_address[address] = Proxy(self.store.port)
+            port = self.links_by_address[address].store_port
+            proxy = self.proxy_by_address[address] = Proxy(port)
             self.stack.callback(proxy.close)
         return f"127.0.0.1:{self.proxy_by_address[address].port}"
 
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -70,6 +70,14 @@
         Ids of the requests whose streams a target has cut within an event.
     disturbances : list of (str, float, float)
         Gateways that were disturbed, or cut off from the store, from when to when.
+    arrivals : list of (str, float)
+        Targets to which requests were sent, and when.
+    named_rates : list of (str, float, float, float)
+        Targets, the requests per second that they named, from when to when.
+    falls : list of float
+        When brittle targets ended as they had to refuse too often.
+    brittle_times : list of (float, float, int)
+        From when to when targets were brittle, and how many.
     """
 
     runs: list[Run] = field(default_factory=list)
@@ -80,6 +88,10 @@
     crashing_request_by_id: dict[str, tuple[str, str]] = field(default_factory=dict)
     cut_streams: set[str] = field(default_factory=set)
     disturbances: list[tuple[str, float, float]] = field(default_factory=list)
+    arrivals: list[tuple[str, float]] = field(default_factory=list)
+    named_rates: list[tuple[str, float, float, float]] = field(default_factory=list)
+    falls: list[float] = field(default_factory=list)
+    brittle_times: list[tuple[float, float, int]] = field(default_factory=list)
     _lock: threading.Lock = field(default_factory=threading.Lock)
 
     def record_run(self, request_id, target, workspace, repeatable):
@@ -115,6 +127,26 @@
         with self._lock:
             self.disturbances += [(address, started_at, now) for address in addresses]
 
+    def record_arrival(self, target):
+        """Record that a request arrived at a target."""
+        with self._lock:
+            self.arrivals.append((target, time.monotonic()))
+
+    def record_named_rate(self, target, rate, started_at):
+        """Record that a target has named a rate from some time until now."""
+        with self._lock:
+            self.named_rates.append((target, rate, started_at, time.monotonic()))
+
+    def record_fall(self, target):
+        """Record that a brittle target has ended."""
+        with self._lock:
+            self.falls.append(time.monotonic())
+
+    def record_brittle_time(self, started_at, targets):
+        """Record that a number of targets were brittle until now."""
+        with self._lock:
+            self.brittle_times.append((started_at, time.monotonic(), targets))
+
     def record_outcome(self, outcome):
         """Record how a request ended for its caller."""
         with self._lock:
@@ -145,6 +177,8 @@
             *self._find_allowance_excess(limits),
             *self._find_late_responses(limits),
             *self._find_late_crashing_runs(limits),
+            *self._find_named_rate_excess(limits),
+            *self._find_falls(limits),
         ]
 
     @staticmethod
@@ -232,6 +266,37 @@
             if len(late) > limits.max_late_runs:
                 yield f"{cause} crashed targets again after {late} s"
 
+    def _find_named_rate_excess(self, limits):
+        for target, rate, started_at, ended_at in self.named_rates:
+            times = [
+                at
+                for name, at in self.arrivals
+                if name == target
+                and started_at + limits.contact_seconds <= at <= ended_at
+            ]
+            most = max(
+                (
+                    sum(
+                        start <= at < start + limits.rate_window_seconds for at in times
+                    )
+                    for start in times
+                ),
+                default=0,
+            )
+            allowed = (
+                limits.rate_factor * limits.rate_window_seconds * rate
+                + limits.rate_extra_requests
+            )
+            if most > allowed:
+                yield f"{target} named {rate} a second and got {most} in 4 s"
+
+    def _find_falls(self, limits):
+        for started_at, ended_at, targets in self.brittle_times:
+            since = started_at + limits.contact_seconds
+            falls = sum(since <= at <= ended_at for at in self.falls)
+            if falls > limits.max_falls + limits.max_falls_share * targets:
+                yield f"{falls} of {targets} brittle targets fell over"
+
     def _is_in_touch(self, address, at, limits):
         return not any(
             name == address and start <= at <= end + limits.contact_seconds
@@ -266,6 +331,13 @@
         run once `contact_seconds` have passed since.
     contact_seconds : float
         Time after a disturbance in which a gateway need not keep time limits.
+    rate_window_seconds, rate_factor : float
+        A target that names a rate gets in a window at most this many times the rate.
+    rate_extra_requests : int
+        Requests that it may get beyond that.
+    max_falls, max_falls_share : int, float
+        How often brittle targets may fall over in one time, and for which share of them
+        once more.
     time_limit_seconds, lateness_seconds : float
         Time limit of a request, and how much later its response may end while no
         fault is active or recent.
@@ -283,6 +355,11 @@
     max_part_crashes: int = 5
     max_late_runs: int = 3
     contact_seconds: float = 3.0
+    rate_window_seconds: float = 4.0
+    rate_factor: float = 1.5
+    rate_extra_requests: int = 5
+    max_falls: int = 2
+    max_falls_share: float = 0.1
     time_limit_seconds: float = 3.0
     lateness_seconds: float = 0.5
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -9,6 +9,8 @@
     CRASHING_REQUEST_BY_NAME,
     CRASHING_REQUEST_PAUSE_SECONDS,
     CRASHING_STREAM_OR_PART_BY_NAME,
+    LIMIT_FAULT_BY_NAME,
+    LINK_FAULT_BY_NAME,
     FaultSequence,
     wait_until,
 )
@@ -73,6 +75,10 @@
                 CRASHING_STREAM_OR_PART_BY_NAME,
             )
         ]
+        sequences += [
+            FaultSequence(fleet, random.Random(rng.random()), fault_by_name)
+            for fault_by_name in (LINK_FAULT_BY_NAME, LIMIT_FAULT_BY_NAME)
+        ]
         time.sleep(seconds)
         for sequence in sequences:
             sequence.stop()
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -27,6 +27,8 @@
 PARTIAL_EVENT = b"id: 6\nda"
 # First parts of the paths of streams that may be resumed and that may not.
 STREAM_KINDS = ("stream", "once")
+# Refusals in a second that a brittle target bears.
+REFUSAL_LIMIT = 4
 # Every other stream that is cut has neither a length nor chunks. All others have: a
 # reset begins with a shutdown here, after which a stream without them would look whole.
 UNFRAMED_STREAM_INTERVAL = 2
@@ -73,12 +75,15 @@
         if expected != target.name:
             self._respond(421, b"", {"X-Not-Executed": "1"})
             return
+        target.ledger.record_arrival(target.name)
         if self.headers.get("X-Credential"):
             target.ledger.record_violation(
                 f"{request_id} was forwarded with its API key"
             )
         if not target.acquire_slot():
             self._respond(503, b"", {"X-Not-Executed": "1"})
+            if target.must_fall():
+                target.on_crash(target)
             return
         try:
             self._run(target, request_id)
@@ -129,6 +134,7 @@
         self.send_response(200)
         self.send_header("X-Request-Id", request_id)
         self.send_header(SEAL_HEADER, request_id)
+        self._send_limits()
         self.send_header("Content-Type", "text/event-stream")
         if is_chunked:
             self.send_header("Transfer-Encoding", "chunked")
@@ -144,8 +150,16 @@
     def _write_part(self, data, is_chunked):
         self.wfile.write(b"%x\r\n%b\r\n" % (len(data), data) if is_chunked else data)
 
+    def _send_limits(self):
+        target = self.server.target
+        if target.rate_limit is not None:
+            self.send_header("Server-Limit", str(target.rate_limit))
+        if target.is_brittle:
+            self.send_header("Server-Brittle", str(REFUSAL_LIMIT))
+
     def _respond(self, status, body, headers):
         self.send_response(status)
+        self._send_limits()
         self.send_header("X-Request-Id", self.headers.get("X-Request-Id", ""))
         for name, value in headers.items():
             self.send_header(name, value)
@@ -166,6 +180,11 @@
         within an event; other requests are reset.
     on_crash : callable
         Called with the target when a request crashes it.
+    rate_limit : float or None
+        Requests per second that it names in its responses; None if it names none.
+    is_brittle : bool
+        Whether it has no queue and ends after more than `REFUSAL_LIMIT` refusals in a
+        second, which it says in its responses.
     """
 
     def __init__(self, name, ledger, slots=4, version="v1"):
@@ -175,6 +194,9 @@
         self.start_count = 0
         self.failure_mode = ""
         self.slowdown = 1.0
+        self.rate_limit = None
+        self.is_brittle = False
+        self._refused_at = []
         self._in_progress = 0
         self._request_count = 0
         self._cut_count = 0
@@ -223,11 +245,25 @@
         """Return whether a request may run or queue, and count it if so."""
         with self._lock:
             self._in_progress += 1
-            if self._in_progress <= 3 * self.slots:
+            room = self.slots if self.is_brittle else 3 * self.slots
+            if self._in_progress <= room:
                 return True
             self._in_progress -= 1
             return False
 
+    def must_fall(self):
+        """Record a refusal and return whether the target ends because of it."""
+        now = time.monotonic()
+        with self._lock:
+            recent = [at for at in self._refused_at if now - at < 1.0]
+            self._refused_at = [*recent, now]
+            must_fall = self.is_brittle and len(self._refused_at) > REFUSAL_LIMIT
+            if must_fall:
+                self._refused_at = []
+        if must_fall:
+            self.ledger.record_fall(self.name)
+        return must_fall
+
     def release_slot(self):
         """Release the slot of a request that ended."""
         with self._lock:
--- a/test/cutfleet.py
+++ b/test/cutfleet.py
@@ -1,22 +1,18 @@
 """Gateways of which some lose their links to all targets, and to nothing else."""
 
 import contextlib
-import socket
 import threading
 import time
 from collections import Counter
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 
-import orjson
 import urllib3
 
-from almondglade.httpserver import HttpServer
 from soak.ledger import Ledger
-from soak.proxy import LOOPBACK, Proxy
-from standin.platform import PlatformApp
+from soak.links import GatewayLinks
 
 from .crashingfleet import CrashingTarget
-from .gatewayfleet import STORE_THREADS, GatewayFleet
+from .gatewayfleet import GatewayFleet
 
 # Documented bounds: from this time after a cut began, requests at cut gateways are
 # served at least this share as often as those at the others, or at most this many and
@@ -26,93 +22,6 @@
 MAX_FAILED_REQUESTS = 10
 MAX_FAILED_SHARE = 1 / 50
 CALLER_PAUSE_SECONDS = 0.15
-CUT_MODES = ("hang", "reset", "live")
-
-
-class LinkProxy(Proxy):
-    """The link from one gateway to one target, which can be cut and healed."""
-
-    def __init__(self, port):
-        super().__init__(port)
-        self._fillers = []
-
-    def cut(self, mode):
-        """Cut the link.
-
-        Parameters
-        ----------
-        mode : {"hang", "reset", "live"}
-            What becomes of open connections. New ones hang in the first case and are
-            refused in the others.
-        """
-        self._close_listener()
-        if mode == "hang":
-            self.silence("in", "out")
-            self._listener = socket.create_server((LOOPBACK, self.port), backlog=0)
-            # With its queue full, the listener drops the packets of new connections.
-            for _ in range(3):
-                filler = socket.socket()
-                filler.setblocking(False)
-                filler.connect_ex((LOOPBACK, self.port))
-                self._fillers.append(filler)
-        elif mode == "reset":
-            self.reset()
-
-    def heal(self):
-        """Forward connections again."""
-        for filler in self._fillers:
-            filler.close()
-        self._fillers = []
-        self._close_listener()
-        self.silent_directions = frozenset()
-        self._listener = socket.create_server((LOOPBACK, self.port), backlog=128)
-        self._start_thread(self._accept_connections)
-
-    def close(self):
-        """Stop the proxy and reset its connections."""
-        self._close_listener()
-        self.reset()
-
-    def _close_listener(self):
-        with contextlib.suppress(OSError):
-            self._listener.shutdown(socket.SHUT_RDWR)
-        self._listener.close()
-
-
-class StoreView(PlatformApp):
-    """The store as one gateway reads it, with other addresses of the targets.
-
-    Parameters
-    ----------
-    app : PlatformApp
-        The store.
-    address_by_address : dict of str to str
-    """
-
-    def __init__(self, app, address_by_address):
-        super().__init__()
-        self.app = app
-        self.address_by_address = address_by_address
-        self._changed = app._changed
-
-    def _behaviour(self, caller):
-        return self.app._behaviour(caller)
-
-    def _visible_contents(self, caller):
-        contents = self.app._visible_contents(caller)
-        items = {
-            key: (self._translate(key, value), revision)
-            for key, (value, revision) in contents.other_items_by_key.items()
-        }
-        return replace(contents, other_items_by_key=items)
-
-    def _translate(self, key, value):
-        if not key.startswith("servers/") or value is None:
-            return value
-        entry = orjson.loads(value)
-        address = entry["address"]
-        entry["address"] = self.address_by_address.get(address, address)
-        return orjson.dumps(entry)
 
 
 @dataclass
@@ -151,7 +60,7 @@
     results: list = field(default_factory=list)
 
     def __enter__(self):
-        self.port_by_gateway = {}
+        self.links_by_gateway = {}
         super().__enter__()
         self.stopped = threading.Event()
         self.threads = []
@@ -160,20 +69,10 @@
             CrashingTarget(f"t{number}", self.ledger, slots=self.slots)
             for number in range(self.target_count)
         ]
-        self.proxies = []
         for address in self.cut_addresses:
-            proxies = [LinkProxy(t._server.server_port) for t in self.targets]
-            self.proxies += proxies
-            addresses = {
-                target.url.removeprefix("http://"): f"{LOOPBACK}:{proxy.port}"
-                for target, proxy in zip(self.targets, proxies, strict=True)
-            }
-            view = HttpServer(
-                LOOPBACK, 0, StoreView(self.app, addresses), STORE_THREADS
-            )
-            view.start()
-            self.stack.callback(view.stop)
-            self.port_by_gateway[address] = view.port
+            links = GatewayLinks(self.app, [target.url for target in self.targets])
+            self.links_by_gateway[address] = links
+            self.stack.callback(links.close)
         for target in self.targets:
             self.stack.callback(target.close)
             self.list_target(target.name, target, slots=self.slots)
@@ -184,8 +83,6 @@
         self.stopped.set()
         for thread in self.threads:
             thread.join()
-        for proxy in self.proxies:
-            proxy.close()
         super().__exit__(*exc)
 
     @property
@@ -195,19 +92,18 @@
 
     def store_address(self, address):
         """Return the address at which a gateway reads its view of the store."""
-        if address in self.port_by_gateway:
-            return f"{LOOPBACK}:{self.port_by_gateway[address]}"
-        return super().store_address(address)
+        links = self.links_by_gateway.get(address)
+        return links.store_address if links else super().store_address(address)
 
     def cut_links(self, mode):
         """Cut all links of the gateways that reach targets through proxies."""
-        for proxy in self.proxies:
-            proxy.cut(mode)
+        for links in self.links_by_gateway.values():
+            links.cut(mode)
 
     def heal_links(self):
         """Heal all links."""
-        for proxy in self.proxies:
-            proxy.heal()
+        for links in self.links_by_gateway.values():
+            links.heal()
 
     def send_requests(self):
         """Send requests of each kind to each gateway, in threads."""
--- a/test/test_cut_links.py
+++ b/test/test_cut_links.py
@@ -4,9 +4,10 @@
 
 import pytest
 
+from soak.links import CUT_MODES
+
 from .cutfleet import (
     CONTACT_SECONDS,
-    CUT_MODES,
     MAX_FAILED_REQUESTS,
     MAX_FAILED_SHARE,
     MIN_SERVED_SHARE,
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -23,6 +23,8 @@
     pytest.param(111, id="one gateway ended twice"),
     # Streams went on at targets of another software version.
     pytest.param(754872, id="streams of two versions"),
+    # Links of gateways, rates that targets name and brittle targets, at a time.
+    pytest.param(5000, id="links and limits"),
 ]
 
 
@@ -109,6 +111,19 @@
     assert len(ledger.check(GuaranteeLimits())) == count
 
 
+def test_too_many_requests_to_a_target_that_names_a_rate_are_found():
+    arrivals = [("t1", 5.0 + 0.2 * number) for number in range(12)]
+    for rate, count in ((1.0, 1), (2.0, 0)):
+        ledger = Ledger(arrivals=arrivals, named_rates=[("t1", rate, 1.0, 9.0)])
+        assert len(ledger.check(GuaranteeLimits())) == count
+
+
+@pytest.mark.parametrize(("falls", "count"), [(2, 0), (3, 1)])
+def test_too_many_falls_of_brittle_targets_are_found(falls, count):
+    ledger = Ledger(falls=[5.0] * falls, brittle_times=[(1.0, 9.0, 4)])
+    assert len(ledger.check(GuaranteeLimits())) == count
+
+
 def test_documented_exceptions_are_not_reported():
     entries = [
         make_outcome(),
