Do not pause a target for all entries when one cannot connect to it

The refused connection of one entry does not count any more while the target has completed a run of another one within the last second. Without such an answer it counts as before.

--- a/almondglade/coordinator/core.py
+++ b/almondglade/coordinator/core.py
@@ -64,6 +64,8 @@
     def leave(self, entry):
         """Remove an entry; its permits in progress stay counted as lost."""
         self.takeover.leave(entry)
+        for record in self.targets_by_id.values():
+            record.completed_at_by_entry.pop(entry, None)
 
     def is_joined(self, entry):
         """Return whether an entry has joined, even if its lease has expired."""
@@ -155,6 +157,13 @@
         used = completion.input_tokens + completion.output_tokens
         self.budgets.settle(run.demand.workspace, run.demand.tokens, used, ran)
         self._update_suspicion(record, run, completion)
+        now = self.clock()
+        if completion.result is Result.COMPLETED:
+            record.completed_at_by_entry[run.entry] = now
+        elif completion.result is Result.REFUSED and record.answers_another(
+            run.entry, now
+        ):
+            return
         before = record.limit.limit
         record.limit.record_result(completion.result)
         record.limit.complete(completion, running)
--- a/almondglade/coordinator/targets.py
+++ b/almondglade/coordinator/targets.py
@@ -9,6 +9,9 @@
 # A granted request has reached its target within this time, or never will: the
 # validity of a permit plus the time to connect and to send the request.
 MAX_DISPATCH_DELAY_SECONDS = 2.5
+# A target that has completed a run of another entry within this time accepts
+# connections, so that one which is refused has lost its own link.
+ANSWER_VALIDITY_SECONDS = 1.0
 
 
 @dataclass
@@ -86,6 +89,8 @@
     limit_lowered : bool
         Whether the limit was lowered here; a limit handed over by a former
         coordinator is then not adopted.
+    completed_at_by_entry : dict of str to float
+        Clock reading when the latest run of each entry completed.
     """
 
     name: str
@@ -99,6 +104,7 @@
     foreign_permits: ForeignPermitTracker = field(default_factory=ForeignPermitTracker)
     solo_request_id: str = ""
     limit_lowered: bool = False
+    completed_at_by_entry: dict[str, float] = field(default_factory=dict)
     _previous: TimedReport | None = None
 
     @property
@@ -111,6 +117,14 @@
         """What the next coordinator needs to continue from the present state."""
         return replace(self.limit.state, running=self.running)
 
+    def answers_another(self, entry, now):
+        """Return whether the target has recently answered other entries than one."""
+        return any(
+            now - completed_at <= ANSWER_VALIDITY_SECONDS
+            for name, completed_at in self.completed_at_by_entry.items()
+            if name != entry
+        )
+
     def start(self, run):
         """Count a permit as in progress."""
         self.running_by_request[run.demand.request_id] = run
