--- a/almondglade/gateway/links.py
+++ b/almondglade/gateway/links.py
@@ -22,6 +22,9 @@
 PROBE_INTERVAL_SECONDS = 0.5
 # A service whose targets send no first byte for this long is probed.
 SILENCE_SECONDS = 0.6
+# A repeatable request that has waited for this long when the links are lost is sent
+# another way; a sound target may be silent for about a second.
+GIVE_UP_SECONDS = 1.2
 # Targets that are probed at a time; all must fail before the links count as lost.
 PROBED_TARGETS = 4
 PROBE_TIMEOUT_SECONDS = 0.3
@@ -219,7 +222,7 @@
                 for awaited in self._awaited
                 if awaited.service == service
                 and awaited.repeatable
-                and now - awaited.sent_at > SILENCE_SECONDS
+                and now - awaited.sent_at > GIVE_UP_SECONDS
             ]
         for awaited in stuck:
             awaited.give_up()
--- a/almondglade/gateway/relaying.py
+++ b/almondglade/gateway/relaying.py
@@ -76,8 +76,8 @@
 
 def relay_outcome(head: ResponseHead):
     """Return the `Outcome` that a peer states in its response; None if it does not."""
-    values = {value for name, value in head.headers if name == OUTCOME_HEADER}
-    return Outcome(values.pop()) if len(values) == 1 else None
+    values = [value for name, value in head.headers if name == OUTCOME_HEADER]
+    return next((outcome for outcome in Outcome if values == [outcome.value]), None)
 
 
 def relay_attempts(head: ResponseHead):
