Wait for short pauses of targets if no peer takes the request

A stream that broke off was refused instead of resumed when the other target of its version was paused for 0.25 s: with all targets paused, the request was offered to peers only. A request now waits as before if no peer takes it, unless probes have found that the links are lost.

--- a/almondglade/gateway/dispatching.py
+++ b/almondglade/gateway/dispatching.py
@@ -109,8 +109,11 @@
         """Send the request to one target and return the head of its response."""
         request = self.request
         for _ in range(MAX_CONNECT_ATTEMPTS):
-            if self.scheduler.is_cut_off(request):
-                return self._send_through_peers()
+            head = self._send_through_peers()
+            if head is not None:
+                return head
+            if self.scheduler.links.is_lost(request.service):
+                raise self._no_target_error()
             self.ticket = self.scheduler.acquire(request)
             self.peer = None
             self._check_suspicion()
@@ -128,9 +131,10 @@
                     target=target,
                     cause=str(error),
                 )
-        if self.scheduler.is_cut_off(request):
-            return self._send_through_peers()
-        raise self._no_target_error()
+        head = self._send_through_peers()
+        if head is None:
+            raise self._no_target_error()
+        return head
 
     def _check_suspicion(self):
         """Refuse a request that was found to crash targets while it waited."""
@@ -247,18 +251,25 @@
         )
 
     def _send_through_peers(self):
-        """Pass the request to a peer that reaches targets; return the response's head.
+        """Pass the request to a peer if no target can be reached from here.
 
         A relayed request is not passed on once more.
 
+        Returns
+        -------
+        ResponseHead or None
+            Head of the response; None if a target may be reached, or no peer took it.
+
         Raises
         ------
         TargetError
             If it may have run and no response began.
         """
         request, relays = self.request, self.scheduler.relays
+        if request.relayed_by or not self.scheduler.is_cut_off(request):
+            return None
         tried: set[str] = set()
-        while not request.relayed_by and len(tried) < MAX_RELAY_ATTEMPTS:
+        while len(tried) < MAX_RELAY_ATTEMPTS:
             self.peer = relays.choose(request.service, tried)
             if self.peer is None:
                 break
@@ -281,7 +292,7 @@
                 self._log_response_started(head)
                 return without_relay_header(head)
             self._handle_peer_refusal(head, outcome)
-        raise self._no_target_error()
+        return None
 
     def _dispatch_to_peer(self):
         request, scheduler = self.request, self.scheduler
--- a/almondglade/gateway/links.py
+++ b/almondglade/gateway/links.py
@@ -85,6 +85,10 @@
         """Services none of whose targets can be reached, as a set of names."""
         return frozenset(self._lost_services)
 
+    def is_lost(self, service):
+        """Return whether probes have found no target of a service reachable."""
+        return service in self._lost_services
+
     @contextlib.contextmanager
     def awaiting(self, service, give_up, repeatable):
         """Watch for the silence of a service while a response is awaited."""
