Do not count a run that broke before its target answered elsewhere

Traced: a run of it broke with a lost link of its gateway, and stayed pending; 1.3 s later its target was crashed by another request, which the list of targets told, so that the earlier run counted too. Two more targets then ended under the request by that other one.

The reports of peers tell when a target has last answered them. Runs that broke before that are none.

--- a/almondglade/gateway/crashes.py
+++ b/almondglade/gateway/crashes.py
@@ -50,6 +50,9 @@
     reaches_another : callable
         Takes a `TargetRecord` and returns an awaitable that tells whether this
         instance can connect to another target of its service, if there is one.
+    lived_at : callable
+        Takes the id of a target and returns a monotonic time at which it surely
+        answered another instance; minus infinity if none is known.
     """
 
     def __init__(self, lock, clock, on_crashes, on_completed):
@@ -62,6 +65,7 @@
         self._removed_by_target: dict[str, tuple[TargetRecord, float]] = {}
         self._probed_at: dict[tuple[str, int], float] = {}
         self.reaches_another = _assume_sound_links
+        self.lived_at = lambda target: float("-inf")
         self._loop = asyncio.get_running_loop()
 
     def has_broken_run(self, fingerprint):
@@ -143,7 +147,8 @@
     def record_end(self, incarnation, evidence, ended_at=None):
         """Take the pending runs of a target that has ended for crashes.
 
-        Runs that were complete well before that are none.
+        Runs that were complete well before that are none, nor are those that broke
+        before it answered another instance, as with a lost link.
 
         Parameters
         ----------
@@ -154,6 +159,10 @@
         ended_at : float or None
             Monotonic time of its end; None for that of the first broken run.
         """
+        outlived = self._pending_runs.take_outlived(
+            incarnation, self.lived_at(incarnation[0])
+        )
+        self._dismiss(incarnation, outlived, "it answered another instance later")
         if ended_at is None:
             ended_at = self._pending_runs.first_broken_at(incarnation)
         if ended_at is not None:
--- a/almondglade/gateway/node.py
+++ b/almondglade/gateway/node.py
@@ -140,7 +140,9 @@
         self.links = LinkMonitor(
             self.lock, self.pools.targets, self.connections, self.clock
         )
-        self.suspects.set_link_check(self.links.reaches_another)
+        self.suspects.set_link_evidence(
+            self.links.reaches_another, self.pools.targets.fleet.surely_answered_at
+        )
         relays = RelayPeers(
             settings.data_centre,
             settings.peer_port,
--- a/almondglade/gateway/suspects.py
+++ b/almondglade/gateway/suspects.py
@@ -71,15 +71,16 @@
         self._unsent_fingerprints: set[int] = set()
         self._loop = asyncio.get_running_loop()
 
-    def set_link_check(self, reaches_another):
-        """Set how to find out whether the links to other targets are sound.
+    def set_link_evidence(self, reaches_another, lived_at):
+        """Set how lost links are told from ended targets.
 
         Parameters
         ----------
-        reaches_another : callable
+        reaches_another, lived_at : callable
             As of `CrashDetector`.
         """
         self._detector.reaches_another = reaches_another
+        self._detector.lived_at = lived_at
 
     def check(self, request):
         """Refuse a request that has crashed several targets.
--- a/almondglade/placement/fleetload.py
+++ b/almondglade/placement/fleetload.py
@@ -16,6 +16,8 @@
 PEER_EXPIRY_SECONDS = 1.5
 # A grant that the peer has not confirmed counts as a running request for this long.
 GRANT_EXPIRY_SECONDS = 0.5
+# Longest time between the reports of a peer that hold target stats, and their delay.
+STATS_REPORT_SECONDS = 0.8
 # Interval at which the target stats of all instances are merged.
 STATS_MERGE_SECONDS = 0.25
 
@@ -146,6 +148,14 @@
             if stats.successes > former.successes:
                 self.answered_at_by_target[target] = load.received_at
 
+    def surely_answered_at(self, target):
+        """Return a monotonic time at which a target answered a peer, or minus infinity.
+
+        It did so at that time or later, as a report tells of what came since the last.
+        """
+        answered_at = self.answered_at_by_target.get(target, float("-inf"))
+        return answered_at - STATS_REPORT_SECONDS
+
     def isolated_runs(self):
         """Yield (target, fingerprint) of the requests that peers run in isolation."""
         for load in self._load_by_peer.values():
--- a/test/test_crash_detector.py
+++ b/test/test_crash_detector.py
@@ -77,6 +77,27 @@
 
 
 # A target that ends as planned cuts off its longest runs.
+# Runs that broke with a link were taken for crashes when the target ended later.
+@pytest.mark.parametrize(("lived_for", "has_crashed"), [(0.2, False), (-0.2, True)])
+def test_a_target_that_answers_another_instance_has_outlived_a_broken_run(
+    lived_for, has_crashed
+):
+    async def run():
+        record = make_record(free_port())
+        tracker = make_tracker(record)
+        lived_at = time.monotonic() + lived_for
+        tracker.set_link_evidence(reach_another, lambda target: lived_at)
+        tracker.record_broken(REQUEST, "t1", time.monotonic() - 0.1)
+        tracker.update_targets([])
+        return tracker.table.has_crashed(REQUEST.fingerprints[0])
+
+    assert asyncio.run(run()) == has_crashed
+
+
+async def reach_another(record):
+    return True
+
+
 def test_a_leaving_target_has_not_crashed():
     record = make_record(free_port(), leaving=True)
     assert not run_broken(record)
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -25,6 +25,8 @@
     pytest.param(754872, id="streams of two versions"),
     # Links of gateways, rates that targets name and brittle targets, at a time.
     pytest.param(5000, id="links and limits"),
+    # A run that broke with a link counted as a crash when its target ended later.
+    pytest.param(61027, id="barred after a lost link"),
 ]
 
 
