Tolerate half-read requests in the test of a killed gateway's streams

One of 6 runs of test_a_stream_of_a_killed_gateway_goes_on_at_its_version failed with KeyError: the target's list of requests has an entry without a head for a moment, or for good if its gateway is killed while it sends.

--- a/test/test_stream_versions.py
+++ b/test/test_stream_versions.py
@@ -99,7 +99,7 @@
         target.version
         for target in targets
         for request in target.seen
-        if parse_headers(request)["x-request-id"] == request_id
+        if parse_headers(request).get("x-request-id") == request_id
     )
 
 
@@ -139,7 +139,7 @@
                 target.version
                 for target in targets
                 for request in target.seen
-                if parse_headers(request)["x-request-id"] == request_id
+                if parse_headers(request).get("x-request-id") == request_id
             }
         assert all(len(versions) == 1 for versions in versions_by_request.values())
 
