Take links that accept connections in vain for lost

Cause: the probe after a silence only opened a connection. Something before the targets (a sidecar, a balancer, a full proxy) may accept it and pass nothing on, so that the links never counted as lost and no request went through a peer.

Change: after a silence, and while the links of a service are lost, a probe sends the status check and needs the first byte of any response within 0.9 s. After a refused connection a connection is still enough. One probe of a service at a time.

--- a/almondglade/catalogue.py
+++ b/almondglade/catalogue.py
@@ -84,6 +84,8 @@
         limit.
     tokens_per_event : float
         Number of tokens in one event of a stream.
+    health_path : str
+        Path of the status check of its targets; empty if they have none.
     """
 
     name: str
@@ -91,6 +93,7 @@
     max_connections: int = 64
     cold_rate: float = 0.0
     tokens_per_event: float = 1.0
+    health_path: str = ""
 
 
 @dataclass(frozen=True)
--- a/almondglade/gateway/links.py
+++ b/almondglade/gateway/links.py
@@ -1,8 +1,9 @@
 """Find out which services this instance can reach, by the state of its own links.
 
 Load pattern: an instance loses its links to all targets while everything else goes on.
-Open connections hang, are reset, or live on while new ones are refused; later the links
-are back. Callers' requests must not be used to find that out.
+Open connections hang, are reset, or live on while new ones are refused, or something
+before the targets accepts new ones and then passes nothing on; later the links are
+back. Callers' requests must not be used to find that out.
 """
 
 import asyncio
@@ -11,6 +12,7 @@
 import threading
 from collections.abc import Callable
 from dataclasses import dataclass
+from enum import Enum
 
 from ..log import get_logger
 
@@ -28,6 +30,26 @@
 # Targets that are probed at a time; all must fail before the links count as lost.
 PROBED_TARGETS = 4
 PROBE_TIMEOUT_SECONDS = 0.3
+# A status check waits for a slot, so that a busy target answers later than it accepts.
+PROBE_RESPONSE_SECONDS = 0.9
+
+
+class Reach(Enum):
+    """What a probe of a target has found.
+
+    Attributes
+    ----------
+    ANSWERED
+        It has responded, or it has accepted the connection and has no status check.
+    SILENT
+        Something has accepted the connection, and no response came.
+    UNREACHABLE
+        No connection could be opened, or it was closed before a response.
+    """
+
+    ANSWERED = "answered"
+    SILENT = "accepts and is silent"
+    UNREACHABLE = "unreachable"
 
 
 @dataclass(frozen=True)
@@ -63,21 +85,25 @@
         All listed targets.
     connections : TargetPools
         Connections to the targets.
+    health_path : callable
+        Takes a service and returns the path of the status check of its targets; empty
+        if they have none.
     clock : callable
         Returns monotonic seconds.
     """
 
-    def __init__(self, lock, targets, connections, clock):
+    def __init__(self, lock, targets, connections, health_path, clock):
         self.lock = lock
         self.targets = targets
         self.connections = connections
+        self.health_path = health_path
         self.clock = clock
         self._rng = random.Random()
         self._awaited_lock = threading.Lock()
         self._awaited: set[AwaitedResponse] = set()
         self._probed_at: dict[str, float] = {}
         self._lost_services: set[str] = set()
-        self._tasks: set[asyncio.Task] = set()
+        self._task_by_service: dict[str, asyncio.Task] = {}
         self._loop = asyncio.get_running_loop()
 
     @property
@@ -103,14 +129,14 @@
 
     def record_failure(self, service):
         """Probe a service as a connection to a target failed; from any thread."""
-        self._loop.call_soon_threadsafe(self._start_probe, service)
+        self._loop.call_soon_threadsafe(self._start_probe, service, False)
 
     async def run(self):
         """Watch the links until cancelled."""
         while True:
             await asyncio.sleep(WATCH_SECONDS)
             for service in self._lost_services | self._silent_services():
-                self._start_probe(service)
+                self._start_probe(service, True)
 
     def _silent_services(self):
         """Return the services that owe responses and have sent none for too long."""
@@ -150,59 +176,108 @@
         chosen = self._rng.sample(others, min(PROBED_TARGETS, len(others)))
         return not chosen or any(await asyncio.gather(*map(self._can_connect, chosen)))
 
-    def _start_probe(self, service):
-        """Start to probe a service, unless that was done within the interval."""
+    def _start_probe(self, service, needs_response):
+        """Start to probe a service, unless that is being or was just done."""
         now = self.clock()
-        if now - self._probed_at.get(service, float("-inf")) < PROBE_INTERVAL_SECONDS:
+        if (
+            service in self._task_by_service
+            or now - self._probed_at.get(service, float("-inf"))
+            < PROBE_INTERVAL_SECONDS
+        ):
             return
         self._probed_at[service] = now
-        task = self._loop.create_task(self._probe(service, now))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task = self._loop.create_task(self._probe(service, needs_response, now))
+        self._task_by_service[service] = task
+        task.add_done_callback(lambda _: self._task_by_service.pop(service))
+
+    async def _probe(self, service, needs_response, started_at):
+        """Probe some targets, and decide whether the service can be reached.
 
-    async def _probe(self, service, started_at):
-        """Connect to some targets, and decide whether the service can be reached."""
+        Parameters
+        ----------
+        needs_response : bool
+            Whether targets must respond to a status check. It costs them a slot, and
+            tells more than a connection only where connections are accepted.
+        """
         with self.lock:
             records = [state.record for state in self._states(service)]
         chosen = self._rng.sample(records, min(PROBED_TARGETS, len(records)))
         if not chosen:
             self._lost_services.discard(service)
             return
-        results = await asyncio.gather(*map(self._can_connect, chosen))
-        if any(results):
+        path = self.health_path(service) if needs_response else ""
+        results = await asyncio.gather(
+            *(self._probe_target(record, path) for record in chosen)
+        )
+        if Reach.ANSWERED in results:
             self._record_reachable(service, chosen, results)
         elif self._answered_at(service) < started_at:
-            self._record_lost(service)
+            self._record_lost(service, results)
+
+    async def _can_connect(self, record):
+        async with self._connection(record) as streams:
+            return streams is not None
+
+    async def _probe_target(self, record, path):
+        """Return the `Reach` of a target; only connect if the path is empty."""
+        async with self._connection(record) as streams:
+            if streams is None:
+                return Reach.UNREACHABLE
+            if not path:
+                return Reach.ANSWERED
+            return await self._request_status(record, path, *streams)
 
     @staticmethod
-    async def _can_connect(record):
+    @contextlib.asynccontextmanager
+    async def _connection(record):
+        """Open a connection to a target; yield its streams, or None if that fails."""
         try:
             async with asyncio.timeout(PROBE_TIMEOUT_SECONDS):
-                _, writer = await asyncio.open_connection(record.host, record.port)
+                streams = await asyncio.open_connection(record.host, record.port)
+        except OSError:
+            yield None
+            return
+        _, writer = streams
+        try:
+            yield streams
+        finally:
+            writer.close()
+
+    @staticmethod
+    async def _request_status(record, path, reader, writer):
+        """Return the `Reach` of a target by the first bytes of any response."""
+        head = (
+            f"GET {path} HTTP/1.1\r\n"
+            f"Host: {record.host}:{record.port}\r\n"
+            "Connection: close\r\n\r\n"
+        )
+        writer.write(head.encode())
+        try:
+            async with asyncio.timeout(PROBE_RESPONSE_SECONDS):
+                has_answered = bool(await reader.read(1))
+        except TimeoutError:
+            return Reach.SILENT
         except OSError:
-            return False
-        writer.close()
-        with contextlib.suppress(OSError):
-            await writer.wait_closed()
-        return True
+            return Reach.UNREACHABLE
+        return Reach.ANSWERED if has_answered else Reach.UNREACHABLE
 
     def _record_reachable(self, service, records, results):
         now = self.clock()
-        reached_by_target = {
+        reach_by_target = {
             record.id: result for record, result in zip(records, results, strict=True)
         }
         with self.lock:
             for state in self._states(service):
                 health = state.health
                 health.is_link_lost = False
-                is_reached = reached_by_target.get(state.record.id)
-                if is_reached is False and not health.is_paused(now):
+                reach = reach_by_target.get(state.record.id)
+                if reach is Reach.UNREACHABLE and not health.is_paused(now):
                     health.record_unreachable(now)
         if service in self._lost_services:
             self._lost_services.discard(service)
             log.info("links to a service are back", service=service)
 
-    def _record_lost(self, service):
+    def _record_lost(self, service, results):
         with self.lock:
             states = self._states(service)
             for state in states:
@@ -214,7 +289,7 @@
                 "no target of a service can be reached",
                 service=service,
                 targets=len(records),
-                probed=min(PROBED_TARGETS, len(records)),
+                probes=[result.value for result in results],
             )
         # Connections that hang may look usable.
         for record in records:
--- a/almondglade/gateway/node.py
+++ b/almondglade/gateway/node.py
@@ -138,7 +138,11 @@
         self.exchange.suspects = self.suspects
         self.exchange.origins = self.origins
         self.links = LinkMonitor(
-            self.lock, self.pools.targets, self.connections, self.clock
+            self.lock,
+            self.pools.targets,
+            self.connections,
+            self._health_path,
+            self.clock,
         )
         self.suspects.set_link_evidence(
             self.links.reaches_another, self.pools.targets.fleet.surely_answered_at
@@ -348,6 +352,12 @@
             f"http://{record.host}:{record.port}" for record in records
         )
 
+    def _health_path(self, service):
+        """Return the path of the status check of a service's targets, or ""."""
+        catalogue = self.registry.catalogue
+        terms = catalogue.service_by_name.get(service) if catalogue else None
+        return terms.health_path if terms else ""
+
     def _confirm_configuration(self, as_of):
         with self.lock:
             self.freshness.confirm(self.registry.catalogue_revision, as_of)
--- a/almondglade/platform/wire.py
+++ b/almondglade/platform/wire.py
@@ -91,6 +91,7 @@
     name: str
     max_connections: int = Field(64, alias="maxConnections")
     cold_rate: float = Field(0.0, alias="coldPerS")
+    health_path: str = Field("", alias="healthPath", pattern=r"^(/[!-~]*)?$")
     engine: _Engine | None = None
 
     def decode(self):
@@ -101,6 +102,7 @@
             self.max_connections,
             self.cold_rate,
             self.engine.stride if self.engine else 1.0,
+            self.health_path,
         )
 
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from .links import CUT_MODES
+from .links import CUT_MODES, MUTE
 from .targets import CRASHING_PART, CRASHING_PATH_END
 
 # Limits on response times are not checked for this long after a fault, while the
@@ -195,6 +195,10 @@
     count = rng.randint(1, len(fleet.addresses) - 1)
     addresses = tuple(rng.sample(fleet.addresses, count))
     mode = rng.choice(CUT_MODES)
+    fleet.cut_count += 1
+    # By count, so that a seed still selects the same other faults.
+    if fleet.cut_count % MUTE_INTERVAL == 0:
+        mode = MUTE
     for address in addresses:
         fleet.links_by_address[address].cut(mode)
     return addresses
@@ -258,6 +262,8 @@
 }
 LIMITS_SECONDS = (4.0, 9.0)
 LINKS_SECONDS = (0.5, 6.0)
+# Every so many cuts of links, connections are accepted in vain.
+MUTE_INTERVAL = 3
 LINK_FAULT_BY_NAME = {
     "links of gateways lost": Fault(_cut_links, _heal_links, LINKS_SECONDS)
 }
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -41,6 +41,8 @@
     kind_by_crashing_part : dict of str to str
         First part of the paths of requests, by the part of their prompts that crashes
         each target that runs one.
+    cut_count : int
+        How often the links of gateways were cut.
     """
 
     ledger: Ledger = field(default_factory=Ledger)
@@ -50,6 +52,7 @@
     active_faults: set = field(default_factory=set)
     crashing_paths: list = field(default_factory=list)
     kind_by_crashing_part: dict = field(default_factory=dict)
+    cut_count: int = 0
 
     def __enter__(self):
         self.key, self.version = KEY, 1
--- a/soak/links.py
+++ b/soak/links.py
@@ -12,6 +12,8 @@
 from .proxy import LOOPBACK, Proxy
 
 CUT_MODES = ("hang", "reset", "live")
+# Connections are accepted, and nothing passes on them.
+MUTE = "mute"
 # Reads of the store by one gateway at a time: a watch, and some reads.
 STORE_THREADS = 8
 
@@ -24,7 +26,10 @@
         self._fillers = []
 
     def stop_accepting(self, mode):
-        """Let new connections hang, or refuse them unless the mode is "hang"."""
+        """Let new connections hang or be accepted in vain, or refuse them."""
+        if mode == MUTE:
+            self.is_mute = True
+            return
         self._close_listener()
         if mode == "hang":
             self._listener = socket.create_server((LOOPBACK, self.port), backlog=0)
@@ -37,7 +42,7 @@
 
     def disturb(self, mode):
         """Silence or reset the open connections, or let them live on."""
-        if mode == "hang":
+        if mode in ("hang", MUTE):
             self.silence("in", "out")
         elif mode == "reset":
             self.reset()
@@ -48,6 +53,7 @@
             filler.close()
         self._fillers = []
         self._close_listener()
+        self.is_mute = False
         self.silent_directions = frozenset()
         self._listener = socket.create_server((LOOPBACK, self.port), backlog=128)
         self._start_thread(self._accept_connections)
@@ -139,7 +145,7 @@
         return f"{LOOPBACK}:{self._store.port}"
 
     def cut(self, mode):
-        """Cut all links, in one of `CUT_MODES`.
+        """Cut all links, in one of `CUT_MODES` or `MUTE`.
 
         No connection is disturbed before all links refuse new ones: a target behind a
         link that is still whole would tell that only another target has ended.
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -31,6 +31,8 @@
         they begin after the fault.
     is_refusing : bool
         Whether new connections are reset.
+    is_mute : bool
+        Whether new connections are accepted and then forward nothing.
     """
 
     def __init__(self, port):
@@ -38,6 +40,7 @@
         self.delay = 0.0
         self.silent_directions = frozenset()
         self.is_refusing = False
+        self.is_mute = False
         self._silenced_sockets = set()
         self._sockets = set()
         self._lock = threading.Lock()
@@ -75,6 +78,10 @@
                 if self.is_refusing:
                     reset(client)
                     continue
+                if self.is_mute:
+                    with self._lock:
+                        self._sockets.add(client)
+                    continue
                 try:
                     upstream = socket.create_connection((LOOPBACK, self.upstream_port))
                 except OSError:
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -13,6 +13,7 @@
 EVENT_SECONDS = 0.02
 RESPONSE_SECONDS = 0.03
 SEAL_HEADER = "X-Response-Seal"
+HEALTH_PATH = "/health"
 # End of the path of a request that crashes each target that runs it.
 CRASHING_PATH_END = "/crash"
 # Start of the ids of parts of prompts that crash each target that runs such a request.
@@ -71,6 +72,9 @@
         length = int(self.headers.get("Content-Length") or 0)
         self.rfile.read(length)
         request_id = self.headers.get("X-Request-Id", "")
+        if self.path == HEALTH_PATH:
+            self._respond(200, b"", {"X-Instance-Id": target.name})
+            return
         expected = self.headers.get("X-Expect-Instance")
         if expected != target.name:
             self._respond(421, b"", {"X-Not-Executed": "1"})
--- a/test/gatewayfleet.py
+++ b/test/gatewayfleet.py
@@ -143,7 +143,9 @@
             {
                 "version": version,
                 "routes": routes or default_routes,
-                "services": [{"name": "plain", "maxConnections": 64}],
+                "services": [
+                    {"name": "plain", "maxConnections": 64, "healthPath": "/health"}
+                ],
                 "limits": {"maxBodyBytes": 1 << 20},
                 "tenants": [tenant, *others],
             },
--- a/test/test_cut_links.py
+++ b/test/test_cut_links.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from soak.links import CUT_MODES
+from soak.links import CUT_MODES, MUTE
 
 from .cutfleet import (
     CONTACT_SECONDS,
@@ -23,8 +23,8 @@
 
 @pytest.fixture(
     scope="module",
-    params=[*((mode, 3) for mode in CUT_MODES), ("hang", 4)],
-    ids=[*CUT_MODES, "hang at most gateways"],
+    params=[*((mode, 3) for mode in (*CUT_MODES, MUTE)), ("hang", 4)],
+    ids=[*CUT_MODES, MUTE, "hang at most gateways"],
 )
 def fleet_and_times(request, tmp_path_factory):
     """A fleet of which some gateways were cut off from all targets for a while."""
