Keep rates that targets name in their failures alone

Cause: one response without the header ended a limit, whatever kind of response it was, so that with a limit in every third response (500 and 503) each success ended it. A success that was sent before the news of the limit arrived even kept a gateway from applying it at all.

Change: what successes and what failures say is recorded apart, and sent so. A response ends only a limit that its own kind has named.

--- a/almondglade/gateway/node.py
+++ b/almondglade/gateway/node.py
@@ -58,7 +58,7 @@
 LOG_FLUSH_SECONDS = 0.3
 # Interval at which the settings are checked, as they may change without a signal.
 SETTINGS_POLL_SECONDS = 2.0
-# Interval at which outdated suspects and origins of streams are removed.
+# Interval at which outdated suspects, origins of streams and limits are removed.
 EXPIRY_POLL_SECONDS = 1.0
 # The first grant number grows by this for each millisecond of the start time, so that
 # it is above all numbers of an earlier start.
@@ -130,7 +130,11 @@
         self.origins = OriginTracker(settings.instance, self.metrics, self.clock)
         self.exchange.gossip = self.suspects.gossip = self.origins.gossip = self.gossip
         self.limits = LimitTracker(
-            settings.instance, self.lock, self.pools.targets, self.clock
+            settings.instance,
+            self.lock,
+            self.pools.targets,
+            self.pools.coordinators_of,
+            self.clock,
         )
         self.limits.gossip = self.gossip
         self.pools.targets.reachable_share = lambda: self.gossip.reachable_share
@@ -313,6 +317,7 @@
             await asyncio.sleep(EXPIRY_POLL_SECONDS)
             self.suspects.expire()
             self.origins.expire()
+            self.limits.expire()
 
     async def _run_periodic_checks(self):
         while True:
--- a/almondglade/gateway/run.py
+++ b/almondglade/gateway/run.py
@@ -96,6 +96,7 @@
                 response_info.rate_limit,
                 response_info.refusal_limit,
                 self.sent_at,
+                is_failure=response_info.is_failure,
             )
 
     def _is_resume_mismatch(self, head, response_info):
--- a/almondglade/gateway/targetlimits.py
+++ b/almondglade/gateway/targetlimits.py
@@ -1,5 +1,6 @@
 """Track the limits that targets name in responses, and share them with the peers."""
 
+import math
 from typing import Any
 
 from ..gossip.messages import NamedLimit, NamedLimits
@@ -16,6 +17,9 @@
 
 # A change is sent again after these times, as datagrams are lost.
 RESEND_SECONDS = (0.3, 0.8, 2.0)
+# Interval at which coordinators hear that failures still name a limit; well below the
+# time after which it would grow.
+REFRESH_SECONDS = 0.5
 # Keeps a message within one packet.
 MAX_LIMITS_PER_MESSAGE = 16
 
@@ -31,6 +35,9 @@
         Guards the targets.
     targets : Targets
         All listed targets.
+    coordinators_of : callable
+        Takes a `TargetRecord` and the time, and returns the set of the instances that
+        grant the target's slots; called with the lock held.
     clock : callable
         Returns monotonic seconds.
 
@@ -40,14 +47,16 @@
         Sends the messages; set after it has been created.
     """
 
-    def __init__(self, instance, lock, targets, clock):
+    def __init__(self, instance, lock, targets, coordinators_of, clock):
         self.instance = instance
         self.lock = lock
         self.targets = targets
+        self.coordinators_of = coordinators_of
         self.clock = clock
         self.gossip: Any = None
+        self._refreshed_at_by_target: dict[str, float] = {}
 
-    def record(self, record, rate, refusal_limit, sent_at):
+    def record(self, record, rate, refusal_limit, sent_at, is_failure):
         """Record the limits that a target named in a response to this instance.
 
         Parameters
@@ -61,6 +70,8 @@
             it is not known.
         sent_at : float
             Monotonic time at which the request was sent.
+        is_failure : bool
+            Whether the target refused or failed the request.
         """
         now = self.clock()
         with self.lock:
@@ -68,14 +79,35 @@
             if state is None:
                 return
             changes = [
-                self._update(limit, name, value, sent_at, now)
+                self._update(limit, name, value, (sent_at, now, is_failure))
                 for limit, name, value in (
                     (state.named_rate, RATE, rate),
                     (state.room, REFUSAL_LIMIT, refusal_limit),
                 )
                 if value is not None
             ]
-        self._announce(record, changes)
+            coordinators = self._coordinators_to_refresh(state, is_failure, now)
+        if any(changes):
+            self._announce(record, changes)
+        elif coordinators:
+            self._send(record.incarnation, coordinators)
+
+    def _coordinators_to_refresh(self, state, is_failure, now):
+        """Return who must hear that failures still name a limit.
+
+        It would end at the coordinator otherwise; the others only follow.
+        """
+        limits = (state.named_rate, state.room)
+        if not is_failure or not any(
+            limit.is_limited and limit.is_from_failures and limit.said_at == now
+            for limit in limits
+        ):
+            return frozenset()
+        refreshed_at = self._refreshed_at_by_target.get(state.record.id, -math.inf)
+        if now - refreshed_at < REFRESH_SECONDS:
+            return frozenset()
+        self._refreshed_at_by_target[state.record.id] = now
+        return self.coordinators_of(state.record, now) - {self.instance}
 
     def record_refusal(self, record):
         """Record that a target refused a request for want of room."""
@@ -95,17 +127,22 @@
         self._send(record.incarnation)
 
     @staticmethod
-    def _update(limit, name, value, sent_at, received_at):
-        """Return the change that a response makes to a limit, or None."""
+    def _update(limit, name, value, response):
+        """Return the change that a response makes to a limit, or None.
+
+        Parameters
+        ----------
+        response : (float, float, bool)
+            When its request was sent, when it was received, and whether it is a
+            failure.
+        """
         former = limit.value
-        if not limit.record(value, sent_at, received_at):
+        if not limit.record(value, *response):
             return None
         return name, former, value
 
     def _announce(self, record, changes):
         """Log the changes of a target's limits, and tell the peers."""
-        if not any(changes):
-            return
         self._log(record, changes, self.instance, 0.0)
         self._send(record.incarnation)
         self.gossip.run_soon(self._schedule_resends, record.incarnation)
@@ -133,14 +170,47 @@
         for seconds in RESEND_SECONDS:
             self.gossip.call_later(seconds, lambda: self._send(incarnation))
 
-    def _send(self, incarnation):
-        """Tell all peers what is known of a target's limits."""
+    def _send(self, incarnation, names=None):
+        """Tell peers what is known of a target's limits; all of them if None."""
         with self.lock:
             state = self._state(incarnation)
             if state is None:
                 return
             limits = limits_of(state, self.clock())
-        self.gossip.send_to_all_soon(NamedLimits(self.instance, (limits,)))
+        message = NamedLimits(self.instance, (limits,))
+        if names is None:
+            self.gossip.send_to_all_soon(message)
+        else:
+            self.gossip.send_soon(names, message)
+
+    def expire(self):
+        """End the limits that failures alone named, and not for a while."""
+        now = self.clock()
+        with self.lock:
+            self._refreshed_at_by_target = {
+                name: at
+                for name, at in self._refreshed_at_by_target.items()
+                if now - at < REFRESH_SECONDS
+            }
+            changes_by_target = {
+                name: [
+                    (limit_name, former, NO_LIMIT)
+                    for limit_name, limit in (
+                        (RATE, state.named_rate),
+                        (REFUSAL_LIMIT, state.room),
+                    )
+                    for former in (limit.value,)
+                    if limit.expire(now)
+                ]
+                for name, state in self.targets.state_by_target.items()
+            }
+            ended = [
+                (self.targets.state_by_target[name].record, changes)
+                for name, changes in changes_by_target.items()
+                if changes
+            ]
+        for record, changes in ended:
+            self._log(record, changes, "expiry", 0.0)
 
     def messages(self):
         """Return messages with all limits in force."""
@@ -167,14 +237,26 @@
                 if state is None:
                     continue
                 changes = [
-                    self._update(limit, name, parse_limit(value), now - age, now - age)
-                    for limit, name, value, age in (
-                        (state.named_rate, RATE, limits.rate, limits.rate_age),
+                    self._update(
+                        limit,
+                        name,
+                        parse_limit(value),
+                        (now - age, now - age, is_from_failures),
+                    )
+                    for limit, name, value, age, is_from_failures in (
+                        (
+                            state.named_rate,
+                            RATE,
+                            limits.rate,
+                            limits.rate_age,
+                            limits.is_rate_from_failures,
+                        ),
                         (
                             state.room,
                             REFUSAL_LIMIT,
                             limits.refusal_limit,
                             limits.refusal_limit_age,
+                            limits.is_refusal_limit_from_failures,
                         ),
                     )
                 ]
@@ -198,6 +280,8 @@
         format_limit(room.value),
         now - room.said_at,
         now - room.refused_at,
+        rate.is_from_failures,
+        room.is_from_failures,
     )
 
 
--- a/almondglade/gossip/codec.py
+++ b/almondglade/gossip/codec.py
@@ -152,6 +152,8 @@
             limit.refusal_limit,
             _to_milliseconds(limit.refusal_limit_age),
             _to_milliseconds(limit.refused_age),
+            limit.is_rate_from_failures,
+            limit.is_refusal_limit_from_failures,
         ]
         for limit in message.limits
     ]
@@ -436,6 +438,8 @@
                 _decode_limit(refusal_limit),
                 refusal_limit_age / MILLISECONDS_PER_SECOND,
                 refused_age / MILLISECONDS_PER_SECOND,
+                is_rate_from_failures is True,
+                is_refusal_limit_from_failures is True,
             )
             for (
                 target,
@@ -445,6 +449,8 @@
                 refusal_limit,
                 refusal_limit_age,
                 refused_age,
+                is_rate_from_failures,
+                is_refusal_limit_from_failures,
             ) in limits
         ),
     )
--- a/almondglade/gossip/messages.py
+++ b/almondglade/gossip/messages.py
@@ -316,6 +316,8 @@
         The same as `rate_age`.
     refused_age : float
         Seconds since it last refused a request for want of room.
+    is_rate_from_failures, is_refusal_limit_from_failures : bool
+        Whether only its failures have told this.
     """
 
     target: str
@@ -325,6 +327,8 @@
     refusal_limit: float | None = None
     refusal_limit_age: float = math.inf
     refused_age: float = math.inf
+    is_rate_from_failures: bool = False
+    is_refusal_limit_from_failures: bool = False
 
 
 @dataclass(frozen=True)
--- a/almondglade/placement/pool.py
+++ b/almondglade/placement/pool.py
@@ -136,6 +136,14 @@
         """Return the instance that grants the slots of a cell."""
         return self.coordinators.choose(cell.service, now, cell.data_centre)
 
+    def coordinators_of(self, record, now):
+        """Return the set of the instances that grant the slots of a target."""
+        return {
+            self.coordinator(cell, now)
+            for cell in self.targets.cells.for_service(record.service)
+            if cell.covers(record.data_centre)
+        }
+
     def _waiting_report_seconds(self):
         return (
             WAITING_REPORT_SECONDS
--- a/almondglade/platform/front.py
+++ b/almondglade/platform/front.py
@@ -23,6 +23,7 @@
 REFUSAL_LIMIT_HEADER = "server-brittle"
 SEAL_HEADER = "x-response-seal"
 MISDIRECTED_STATUS = 421
+FIRST_FAILURE_STATUS = 400
 # Request headers that only this system may set; those of callers are dropped.
 NOT_FOR_TARGETS = frozenset(
     {
@@ -194,6 +195,8 @@
     refusal_limit : float or None
         Refusals in a second after which the target ends; infinite if it is not
         brittle, None if what it names is not usable.
+    is_failure : bool
+        Whether the target refused or failed the request.
     """
 
     request_id: str | None
@@ -202,6 +205,7 @@
     sealed: bool
     rate_limit: float | None = math.inf
     refusal_limit: float | None = math.inf
+    is_failure: bool = False
 
 
 def headers_for_callers(pairs):
@@ -225,6 +229,7 @@
         SEAL_HEADER in by_name,
         _parse_limit(head.headers, RATE_LIMIT_HEADER),
         _parse_limit(head.headers, REFUSAL_LIMIT_HEADER),
+        head.status >= FIRST_FAILURE_STATUS,
     )
 
 
--- a/test/limitedfleet.py
+++ b/test/limitedfleet.py
@@ -17,6 +17,8 @@
 WINDOW_SECONDS = 4.0
 OVERAGE_FACTOR = 1.5
 EXTRA_REQUESTS = 5
+# Every so many responses of a target that fails are failures.
+FAILURE_INTERVAL = 3
 CALLERS = 8
 CALLER_PAUSE_SECONDS = 0.1
 
@@ -27,7 +29,7 @@
 
 
 class LimitedTarget(FakeTarget):
-    """A target that names the value of `limit` in all its responses.
+    """A target that names the value of `limit` in all its responses, or in failures.
 
     Attributes
     ----------
@@ -35,6 +37,9 @@
         Value of the header; None if it is left out.
     status : str
         Status of its responses.
+    failure_statuses : tuple of str
+        If given, every third response has one of these statuses in turn, and only
+        these responses name the limit.
     arrivals : list of float
         Monotonic times at which requests arrived.
     """
@@ -43,14 +48,26 @@
         super().__init__(self._respond)
         self.limit = limit
         self.status = "200 OK"
+        self.failure_statuses = ()
         self.arrivals = []
 
     def _respond(self, request):
         self.arrivals.append(time.monotonic())
         headers = "X-Response-Seal: s1\r\n"
-        if self.limit is not None:
+        status = self._failure_status() or self.status
+        is_named = not self.failure_statuses or status != self.status
+        if self.limit is not None and is_named:
             headers += f"Server-Limit: {self.limit}\r\n"
-        return make_response(status=self.status, headers=headers, request=request)
+        if status.startswith("503"):
+            headers += "X-Not-Executed: 1\r\n"
+        return make_response(status=status, headers=headers, request=request)
+
+    def _failure_status(self):
+        """Return the status of the response if it must be a failure, or None."""
+        interval, is_last = divmod(len(self.arrivals), FAILURE_INTERVAL)
+        if is_last or not self.failure_statuses:
+            return None
+        return self.failure_statuses[interval % len(self.failure_statuses)]
 
     def count(self, since, until):
         """Return the number of requests that arrived in a time span."""
--- a/test/test_named_limits.py
+++ b/test/test_named_limits.py
@@ -4,11 +4,15 @@
 
 import pytest
 
+from almondglade.placement.ratelimits import EXPIRY_SECONDS
+
 from .limitedfleet import CONTACT_SECONDS, LimitedFleet, max_requests
 
 OBSERVED_SECONDS = 8.0
 # A limit is to be used as far as it goes.
 MIN_USED_SHARE = 0.8
+# A limit that only failures named ends this long after the last of them.
+MAX_EXPIRY_SECONDS = 10.0
 
 
 # A target got its usual rate whatever it named, as nothing read the header.
@@ -52,6 +56,55 @@
         assert target.most_in_window(since, until) <= max_requests(rate)
 
 
+# Each success without the header ended a limit that only failures named.
+@pytest.mark.parametrize("rate", [2.6, 0.4])
+def test_a_rate_that_only_failures_name_holds(tmp_path, rate):
+    with LimitedFleet(tmp_path, 3, target_count=8) as fleet:
+        fleet.send_requests()
+        time.sleep(1.0)
+        for target in fleet.targets:
+            target.limit = str(rate)
+            target.failure_statuses = ("500 Failed", "503 Busy")
+        since = time.monotonic() + CONTACT_SECONDS
+        time.sleep(CONTACT_SECONDS + OBSERVED_SECONDS)
+        until = time.monotonic()
+    for target in fleet.targets:
+        assert target.most_in_window(since, until) <= max_requests(rate)
+    used = sum(target.count(since, until) for target in fleet.targets)
+    allowed = len(fleet.targets) * rate * (until - since)
+    assert used >= MIN_USED_SHARE * allowed - len(fleet.targets)
+
+
+# Peers heard of the limit when it was named first, and no more of it.
+def test_coordinators_hear_that_failures_still_name_a_rate(tmp_path):
+    with LimitedFleet(tmp_path, 3) as fleet:
+        for target in fleet.targets:
+            target.limit = "2"
+            target.failure_statuses = ("500 Failed",)
+        fleet.send_requests()
+        time.sleep(EXPIRY_SECONDS + 2.0)
+        logs = "".join(map(fleet.log, fleet.addresses))
+    assert "limit of a target changed" in logs
+    assert '"source": "expiry"' not in logs
+
+
+def test_a_rate_that_only_failures_named_ends_without_failures(tmp_path):
+    with LimitedFleet(tmp_path, 3) as fleet:
+        for target in fleet.targets:
+            target.limit = "0.4"
+            target.failure_statuses = ("500 Failed",)
+        fleet.send_requests()
+        time.sleep(4.0)
+        for target in fleet.targets:
+            target.limit, target.failure_statuses = None, ()
+        time.sleep(MAX_EXPIRY_SECONDS)
+        since = time.monotonic()
+        time.sleep(2.0)
+        until = time.monotonic()
+    statuses = [status for at, status in fleet.statuses if since <= at < until]
+    assert statuses.count(200) >= 0.95 * len(statuses)
+
+
 # A limit must not outlast the need of the target that named it.
 def test_a_rate_limit_ends_when_the_target_no_longer_names_it(tmp_path):
     with LimitedFleet(tmp_path, 3) as fleet:
--- a/test/test_ratelimits.py
+++ b/test/test_ratelimits.py
@@ -6,8 +6,10 @@
 
 from almondglade.dispatch.call import ResponseHead
 from almondglade.placement.ratelimits import (
+    EXPIRY_SECONDS,
     MIN_REQUESTS_PER_SECOND,
     NO_LIMIT,
+    QUIET_SECONDS,
     NamedRate,
     share_of_rate,
 )
@@ -127,6 +129,45 @@
     assert named.value == rate
 
 
+@pytest.mark.parametrize(
+    ("responses", "rate"),
+    [
+        # Responses: the limit, when sent, when received, and whether a failure.
+        ([(2.0, 0.0, 0.1, True), (NO_LIMIT, 0.2, 0.3, False)], 2.0),
+        ([(NO_LIMIT, 0.2, 0.3, False), (2.0, 0.0, 0.1, True)], 2.0),
+        ([(2.0, 0.0, 0.1, True), (NO_LIMIT, 0.2, 0.3, True)], NO_LIMIT),
+        ([(2.0, 0.0, 0.1, False), (NO_LIMIT, 0.2, 0.3, True)], 2.0),
+        # It named its limit in successes too.
+        (
+            [
+                (2.0, 0.0, 0.1, True),
+                (2.0, 0.1, 0.2, False),
+                (NO_LIMIT, 0.3, 0.4, False),
+            ],
+            NO_LIMIT,
+        ),
+    ],
+)
+def test_only_responses_of_a_kind_that_named_it_end_a_limit(responses, rate):
+    named = NamedRate()
+    for response in responses:
+        named.record(*response)
+    assert named.value == rate
+
+
+# A target that fails no more cannot say that its limit has ended.
+def test_a_rate_that_failures_no_longer_name_grows_and_ends():
+    pools = make_pools(record("t1"))
+    state = pools.targets.state_by_target["t1"]
+    state.named_rate.record(0.4, 0.0, 0.0, is_failure=True)
+    times = grant_times(pools, EXPIRY_SECONDS)
+    assert sum(at < QUIET_SECONDS for at in times) <= max_requests(0.4)
+    assert len(times) > 20
+    assert not state.named_rate.expire(EXPIRY_SECONDS - 0.1)
+    assert state.named_rate.expire(EXPIRY_SECONDS)
+    assert not state.named_rate.is_limited
+
+
 @pytest.mark.parametrize("rate", [0.0, 1e-9])
 def test_a_target_that_names_almost_no_rate_is_still_asked(rate):
     pools = make_pools(record("t1"))
