--- a/almondglade/dispatch/call.py
+++ b/almondglade/dispatch/call.py
@@ -55,6 +55,28 @@
     headers: tuple[tuple[str, str], ...]
 
 
+@dataclass(frozen=True)
+class CallLimits:
+    """Time limits of one call, in seconds.
+
+    Parameters
+    ----------
+    connect : float
+        Until a connection is open.
+    first_byte : float
+        From the request to the first byte of the body.
+    between_bytes : float
+        Longest gap between two reads of the body.
+    total : float
+        From the request to the end of the response.
+    """
+
+    connect: float
+    first_byte: float
+    between_bytes: float
+    total: float
+
+
 class Call:
     """One HTTP exchange with a target.
 
@@ -64,8 +86,8 @@
         Connections to the target.
     request : IncomingRequest
         Request to send.
-    limits : TimeLimits
-        Time limits of the service.
+    limits : CallLimits or TimeLimits
+        Time limits, here or as declared for the service.
     attempt : Attempt
         Marked as dispatched immediately before the first byte is written.
     deadlines : Deadlines
--- a/almondglade/gateway/calls.py
+++ b/almondglade/gateway/calls.py
@@ -2,7 +2,7 @@
 
 from typing import Any
 
-from ..declarations.models import TimeLimits
+from ..dispatch.call import CallLimits
 from ..dispatch.connections import Attempt
 from ..log import get_logger
 from ..outcome import Code, Outcome, RequestError
@@ -140,7 +140,7 @@
         )
 
     def _time_limits(self, total, version, target=None):
-        """Return the `TimeLimits` of one call.
+        """Return the `CallLimits` of one call.
 
         Parameters
         ----------
@@ -169,7 +169,7 @@
                 first_event_timeout = _silence_timeout(
                     FIRST_EVENT_TIMEOUT_OBJECTIVES * route.latency_objective, total
                 )
-        return TimeLimits(
+        return CallLimits(
             connect=min(CONNECT_TIMEOUT_SECONDS, total),
             first_byte=first_event_timeout,
             between_bytes=gap_timeout,
--- a/almondglade/gateway/node.py
+++ b/almondglade/gateway/node.py
@@ -14,6 +14,7 @@
 from ..errors import SettingsError
 from ..gossip.fleet import GossipProtocol
 from ..httpserver import HttpServer
+from ..imports import enable_collections
 from ..log import flush_logs, get_logger
 from ..metrics import Metrics
 from ..placement.allowance import SharedAllowances
@@ -395,6 +396,7 @@
     SettingsError
         If the settings cannot be used.
     """
+    enable_collections()
     settings = load_settings()
     with contextlib.suppress(KeyboardInterrupt):
         asyncio.run(_run(settings, load_settings, read_settings_fingerprint))
--- a/almondglade/log.py
+++ b/almondglade/log.py
@@ -7,7 +7,11 @@
 import time
 from typing import Any
 
-import structlog
+from .imports import without_module
+
+with without_module("rich"):
+    # Only its console renderer would use it.
+    import structlog
 
 # Capacity of the output queue in lines; about two seconds of output.
 MAX_QUEUED_LINES = 2000
--- a/almondglade/node.py
+++ b/almondglade/node.py
@@ -24,6 +24,7 @@
 from .entry.tally import count_usage
 from .errors import SettingsError
 from .httpserver import HttpServer
+from .imports import enable_collections
 from .keys.assembly import assemble_keys
 from .loads import LoadPoller
 from .log import get_logger
@@ -320,6 +321,7 @@
     SettingsError
         If a port cannot be bound.
     """
+    enable_collections()
 
     async def main():
         if await Node(settings).run():
--- a/almondglade/platform/deployfile.py
+++ b/almondglade/platform/deployfile.py
@@ -9,7 +9,8 @@
 from ..errors import DeclarationError
 from ..gateway.settings import METRICS_PORT
 
-PROGRAM_COMMAND = ["python3", "-m", "almondglade"]
+# From the repository, and from the folder that `deploy/build_app.sh` makes.
+PROGRAM_COMMANDS = (["python3", "-m", "almondglade"], ["python3", "target/app"])
 # Traffic classes from outside that a role may serve: requests of callers, and messages
 # of peers.
 CALLER_TRAFFIC = "edge"
@@ -85,9 +86,13 @@
 
 def _role_problems(role, commands, root):
     words = role.run.split()
-    if words[: len(PROGRAM_COMMAND)] != PROGRAM_COMMAND:
-        yield f"run must begin with {' '.join(PROGRAM_COMMAND)}"
-    elif not commands & set(words[len(PROGRAM_COMMAND) : len(PROGRAM_COMMAND) + 1]):
+    program = next(
+        (program for program in PROGRAM_COMMANDS if words[: len(program)] == program),
+        None,
+    )
+    if program is None:
+        yield f"run must begin with {' or '.join(map(' '.join, PROGRAM_COMMANDS))}"
+    elif not commands & set(words[len(program) : len(program) + 1]):
         yield f"run names no command of the program: {role.run}"
     if (role.share is None) == (role.count is None):
         yield "either share or count is needed"
