Do not wait for each other after all gateways have started again

Cause: a gateway that starts in a running fleet holds requests for up to 0.4 s until a peer has told it which requests crash targets.

Change: who has just started itself says so to a new peer (StartNotice). Once all seeds have said it, nobody is left to ask, and requests go on.

--- a/almondglade/gateway/suspects.py
+++ b/almondglade/gateway/suspects.py
@@ -4,7 +4,7 @@
 import threading
 from typing import Any
 
-from ..gossip.messages import SuspectReport
+from ..gossip.messages import StartNotice, SuspectReport
 from ..log import get_logger
 from ..outcome import Code, Outcome, RequestError
 from ..placement.suspects import NEVER, SuspectTable, Suspicion, is_established
@@ -280,6 +280,10 @@
             suspect.crashes, suspect.cleared_at
         ) and not is_established(crashes, cleared_at)
 
+    def record_no_informed_peer(self):
+        """Stop waiting: the peers that could tell have all just started, too."""
+        self._informed.set()
+
     def _is_informed(self):
         return self._informed.is_set() or self.clock() >= self._join_timeout_at
 
@@ -292,11 +296,11 @@
     def reports_for_new_peer(self):
         """Return the `SuspectReport`s for an instance that has just started.
 
-        There is an empty one if no request is suspect, and none from an instance that
-        has just started itself.
+        There is an empty one if no request is suspect, and a `StartNotice` instead from
+        an instance that has just started itself.
         """
         if not self._is_informed():
-            return []
+            return [StartNotice(self.instance)]
         with self.lock:
             reports = self._make_reports(self.table.select(MAX_SUSPECTS_FOR_NEW_PEER))
         return reports or [SuspectReport(self.instance, ())]
--- a/almondglade/gossip/codec.py
+++ b/almondglade/gossip/codec.py
@@ -29,6 +29,7 @@
     Report,
     ReportRequest,
     SharedState,
+    StartNotice,
     SuspectEvidence,
     SuspectReport,
     WaitingRequest,
@@ -43,6 +44,7 @@
 ORIGIN_REPORT_KIND = 5
 ORIGIN_QUERY_KIND = 6
 NAMED_LIMITS_KIND = 7
+START_NOTICE_KIND = 8
 MILLISECONDS_PER_SECOND = 1000.0
 # Upper bound on durations on the wire, which keeps the numbers small. Evidence of this
 # age is worthless anyway.
@@ -84,6 +86,11 @@
     return msgpack.packb([FORMAT_VERSION, REPORT_REQUEST_KIND, message.instance])
 
 
+@encode.register
+def _(message: StartNotice):
+    return msgpack.packb([FORMAT_VERSION, START_NOTICE_KIND, message.instance])
+
+
 @encode.register
 def _(message: Grants):
     grants = [[grant.number, grant.request, grant.target] for grant in message.grants]
@@ -467,6 +474,7 @@
     MEMBER_LIST_KIND: _decode_member_list,
     GRANTS_KIND: _decode_grants,
     REPORT_REQUEST_KIND: ReportRequest,
+    START_NOTICE_KIND: StartNotice,
     SUSPECT_REPORT_KIND: _decode_suspect_report,
     ORIGIN_REPORT_KIND: _decode_origin_report,
     ORIGIN_QUERY_KIND: _decode_origin_query,
--- a/almondglade/gossip/fleet.py
+++ b/almondglade/gossip/fleet.py
@@ -22,6 +22,7 @@
     OriginReport,
     Report,
     ReportRequest,
+    StartNotice,
     SuspectReport,
 )
 
@@ -156,6 +157,8 @@
         self._grant_ack_timer: Any = None
         self._relay = ""
         self._relay_since = 0.0
+        # Addresses of peers that knew no suspects when this instance started.
+        self._started_peers: set[str] = set()
         self._loop = asyncio.get_running_loop()
 
     async def run(self):
@@ -294,6 +297,12 @@
     def _(self, message: ReportRequest, peer):
         self._send(self._report(), [peer.address])
 
+    @_handle.register
+    def _(self, message: StartNotice, peer):
+        self._started_peers.add(peer.address)
+        if self._started_peers.issuperset(self.seeds):
+            self.exchange.suspects.record_no_informed_peer()
+
     @_handle.register
     def _(self, message: SuspectReport, peer):
         self.exchange.suspects.handle_report(message)
--- a/almondglade/gossip/messages.py
+++ b/almondglade/gossip/messages.py
@@ -198,6 +198,19 @@
     instance: str
 
 
+@dataclass(frozen=True)
+class StartNotice:
+    """Tells a new peer that the sender has just started too and knows no suspects yet.
+
+    Parameters
+    ----------
+    instance : str
+        The sender.
+    """
+
+    instance: str
+
+
 @dataclass(frozen=True)
 class CrashEvidence:
     """The end of a target while it ran a request.
--- a/test/test_suspects.py
+++ b/test/test_suspects.py
@@ -8,7 +8,7 @@
 import pytest
 
 from almondglade.gateway.crashes import PROBE_DELAY_SECONDS
-from almondglade.gateway.suspects import SuspectTracker
+from almondglade.gateway.suspects import JOIN_TIMEOUT_SECONDS, SuspectTracker
 from almondglade.gossip.codec import decode
 from almondglade.gossip.fleet import MEMBER_LIST_FANOUT
 from almondglade.gossip.messages import SuspectReport
@@ -214,3 +214,56 @@
         return net.largest
 
     assert run_fleet(9, scenario, LossyNetwork) <= 1400
+
+
+class RestartedNetwork(LossyNetwork):
+    """Instances that start in a fleet that has run before."""
+
+    def start(self, number, seeds):
+        tasks = super().start(number, SEEDS)
+        gossip = list(self.gossip_by_address.values())[-1]
+        tracker = SuspectTracker(
+            gossip.instance, threading.Lock(), Metrics(), now, first_start=False
+        )
+        tracker.gossip = gossip
+        gossip.exchange.suspects = tracker
+        return tasks
+
+
+SEEDS = ("10.0.0.1", "10.0.0.2", "10.0.0.3")
+
+
+async def count_informed(net):
+    await asyncio.sleep(JOIN_TIMEOUT_SECONDS / 2)
+    return sum(tracker._informed.is_set() for tracker in net.trackers())
+
+
+# After a loss of all gateways, each waited in vain for one that knew the suspects.
+@pytest.mark.parametrize("count", [3, 6, 9])
+def test_gateways_that_all_start_again_do_not_wait_for_each_other(count):
+    async def scenario(net, tasks, seeds):
+        return await count_informed(net)
+
+    assert run_fleet(count, scenario, RestartedNetwork) == count
+
+
+# Those that run may know suspects, though no seed does.
+def test_a_gateway_waits_while_a_seed_does_not_answer():
+    async def scenario(net, tasks, seeds):
+        net.unreachable.add(SEEDS[2])
+        return await count_informed(net)
+
+    assert run_fleet(6, scenario, RestartedNetwork) == 0
+
+
+def test_a_gateway_that_starts_alone_hears_of_suspects_before_it_serves():
+    async def scenario(net, tasks, seeds):
+        await settle(net)
+        add_crashes(net.tracker(4), 3)
+        await asyncio.sleep(CONTACT_SECONDS)
+        tasks += net.start(9, seeds)
+        await asyncio.sleep(JOIN_TIMEOUT_SECONDS / 2)
+        tracker = net.tracker(9)
+        return tracker._informed.is_set(), is_barred(tracker)
+
+    assert run_fleet(9, scenario, RestartedNetwork) == (True, True)
