Count waiting requests ahead where a slot is free

Cause: the expected wait was 0 as long as any slot was free.

Change: those that wait get the free slots first; only what is left is free for a new request.

Result: test_placement_pool.py (a free slot and six that wait: 0 s before).

--- a/almondglade/placement/pool.py
+++ b/almondglade/placement/pool.py
@@ -482,19 +482,32 @@
             return float("inf")
         if not self._knows_load(cell, now):
             return self.cell_reports.expected_wait(cell, tier, now)
-        free = [state for state in states if self.targets.load(state) < state.limit()]
-        if any(not state.named_rate.is_limited for state in free):
+        free_by_is_limited: Counter = Counter()
+        for state in states:
+            free = max(0, state.limit() - self.targets.load(state))
+            free_by_is_limited[state.named_rate.is_limited] += free
+        # Of a target with a free slot that names a rate limit, the coordinator alone
+        # knows whether it may get a request now.
+        needed = 0 if free_by_is_limited[True] else 1
+        # Those that wait get the free slots first.
+        position = self._count_ahead(cell, tier, states, now) + needed
+        if position <= free_by_is_limited[False]:
             return 0.0
         hold_seconds = self.mean_hold_seconds(cell.service)
         throughput = sum(state.throughput(hold_seconds) for state in states)
+        return (position - free_by_is_limited[False]) / throughput
+
+    def _count_ahead(self, cell, tier, states, now):
+        """Return how many requests wait ahead of a new one of a tier."""
+        waiting = self._waiting(cell)
+        if not waiting:
+            return 0
         newest = Ticket(cell.service, tier, now, owner=self.instance)
         ahead = itertools.takewhile(
             lambda ticket: ticket is not newest,
-            self._order(states, now).sort([newest, *self._waiting(cell)]),
+            self._order(states, now).sort([newest, *waiting]),
         )
-        # Of a target with a free slot that names a rate limit, the coordinator alone
-        # knows whether it may get a request now.
-        return (sum(1 for _ in ahead) + (0 if free else 1)) / throughput
+        return sum(1 for _ in ahead)
 
     def _waiting(self, cell):
         own = self.tickets_by_service.get(cell.service, ())
--- a/test/test_placement_pool.py
+++ b/test/test_placement_pool.py
@@ -25,6 +25,21 @@
 ENGINES = [record(f"t{number}") for number in range(5)]
 
 
+# In an overload a slot is free for a moment, again and again, while requests wait; an
+# instance expected no wait then, and let its callers wait in vain.
+def test_a_free_slot_belongs_to_those_that_wait():
+    pools = make_pools(record("t1", slots=4), others=("e2",))
+    pools.coordinators.choose = lambda *args: "e2"
+    hold_seconds = pools.mean_hold_seconds("drafts")
+    for number in range(6):
+        pools.enqueue(ticket(arrived_at=0.01 * number), 0.1)
+    pools.targets.state_by_target["t1"].running_here = 3
+    assert pools.expected_wait("drafts", (0, 0), 0.1) == pytest.approx(
+        6 * hold_seconds / 4
+    )
+    assert pools.expected_wait("drafts", (-1, -1), 0.1) == 0.0
+
+
 def test_no_target_runs_more_requests_than_its_slots():
     pools = make_pools(*ENGINES)
     for number in range(100):
