End bodies without a length after 16 MB

Change: 16 MB, four times the largest request that the platform takes; its answers have kilobytes. The bound of the test stays.

--- a/almondglade/dispatch/call.py
+++ b/almondglade/dispatch/call.py
@@ -23,7 +23,7 @@
 MAX_STALE_RESPONSES = 3
 MAX_STALE_RESPONSE_BYTES = 1 << 20
 # Limit on a body that only the end of its connection ends.
-MAX_UNFRAMED_BODY_BYTES = 64 << 20
+MAX_UNFRAMED_BODY_BYTES = 16 << 20
 # Framing of a body that only the end of its connection ends.
 UNFRAMED = "connection"
 FINAL_STATUSES = range(200, 600)
