Order the waiting requests once for several arrivals

Cause: with the requests ahead counted where a slot is free, each arrival of an overload ordered all that wait (0.9 ms for 100), once more when it had got its slot.

Change: a wait that was counted in the last 30 ms is used again, as coordinators do for their peers, and none is counted for a request that got its slot.

Result: test_placement_pool.py (one order for 20 arrivals).

--- a/almondglade/gateway/exchange.py
+++ b/almondglade/gateway/exchange.py
@@ -15,6 +15,7 @@
 from ..log import get_logger
 from ..placement.allowance import Scope
 from ..placement.cells import Cell
+from ..placement.outlook import RecentWaits
 from ..placement.places import PeerLoad, Ticket
 
 log = get_logger("exchange")
@@ -24,9 +25,6 @@
 # A coordinator of a large fleet makes one decision for all reports that arrive within
 # this time; a decision takes about a quarter of it while hundreds of requests wait.
 BATCH_SECONDS = 0.004
-# A computed expected wait is reused for this long, for several decisions of a
-# coordinator.
-WAIT_CACHE_SECONDS = 0.03
 
 
 class Exchange:
@@ -86,7 +84,7 @@
         self._last_receivers: set[str] = set()
         self._load_by_requester: dict[str, PeerLoad] = {}
         self._is_batch_scheduled = False
-        self._cached_waits: dict[tuple, tuple[float, float]] = {}
+        self._recent_waits = RecentWaits()
         pools.on_new_term = self._request_reports
 
     def make_report(self, sequence_number, scope=None, receiver="", with_stats=False):
@@ -318,11 +316,9 @@
         )
 
     def _expected_wait(self, cell, tier, now):
-        cached = self._cached_waits.get((cell, tier))
-        if cached is None or now - cached[1] > WAIT_CACHE_SECONDS:
-            cached = (self.pools.cell_wait(cell, tier, now), now)
-            self._cached_waits[cell, tier] = cached
-        return cached[0]
+        return self._recent_waits.get(
+            (cell, tier), now, lambda: self.pools.cell_wait(cell, tier, now)
+        )
 
     @staticmethod
     def _tickets_from(report, now):
--- a/almondglade/gateway/scheduling.py
+++ b/almondglade/gateway/scheduling.py
@@ -206,9 +206,10 @@
             request.caller_connection.on_disconnect(None)
         with self.lock:
             still_waiting = self.pools.withdraw(ticket)
-            expected_wait = self.pools.expected_wait(
-                request.service, request.tier, self.clock()
-            )
+            if still_waiting:
+                expected_wait = self.pools.expected_wait(
+                    request.service, request.tier, self.clock()
+                )
         if still_waiting:
             self.on_change()
         if request.caller_connection.disconnected:
--- a/almondglade/placement/outlook.py
+++ b/almondglade/placement/outlook.py
@@ -13,6 +13,8 @@
 # A reported wait is used for this long: several reply intervals of a busy
 # coordinator.
 WAIT_VALIDITY_SECONDS = 0.25
+# A wait that was counted here is used for this long.
+WAIT_CACHE_SECONDS = 0.03
 # A reported load of a cell is used for this long: several report intervals.
 LOAD_VALIDITY_SECONDS = 1.5
 # Requests overflow to another data centre when the wait in their own exceeds this.
@@ -41,6 +43,32 @@
     age: float = 0.0
 
 
+class RecentWaits:
+    """Expected waits that were counted a moment ago.
+
+    While many requests wait, counting those ahead of a new one orders all of them, and
+    several new ones arrive before the order changes much.
+    """
+
+    def __init__(self):
+        self._wait_by_key: dict[tuple, tuple[float, float]] = {}
+
+    def get(self, key, now, count):
+        """Return the recent wait of a key in seconds, or count it.
+
+        Parameters
+        ----------
+        key : tuple
+            Cell and tier.
+        count : callable
+            Returns the wait.
+        """
+        known = self._wait_by_key.get(key)
+        if known is None or now - known[1] > WAIT_CACHE_SECONDS:
+            known = self._wait_by_key[key] = (count(), now)
+        return known[0]
+
+
 @dataclass
 class CellReports:
     """The newest wait and load that coordinators have reported for each cell.
--- a/almondglade/placement/pool.py
+++ b/almondglade/placement/pool.py
@@ -15,7 +15,7 @@
 from .cells import Cell
 from .coordination import CoordinationTerms, Coordinators, UnansweredRequests
 from .fairness import FairOrder
-from .outlook import OVERFLOW_WAIT_SECONDS, CellLoad, CellReports
+from .outlook import OVERFLOW_WAIT_SECONDS, CellLoad, CellReports, RecentWaits
 from .places import Ticket
 from .ratelimits import share_of_rate
 from .targets import Targets
@@ -85,6 +85,7 @@
         self.tickets_by_service: dict[str, list[Ticket]] = {}
         self.hold_seconds_by_service: dict[str, float] = {}
         self.latest_grant_by_coordinator: dict[str, int] = {}
+        self._recent_waits = RecentWaits()
         self._numbers = itertools.count(1)
         self._grant_numbers = itertools.count(grant_number_base + 1)
 
@@ -459,7 +460,19 @@
         tier : tuple of int
             Its tier; only requests ahead of it in the order count.
         """
-        return self._wait_here(self._choose_cell(service, tier, now), tier, now)
+        cell = self._choose_cell(service, tier, now)
+        if not self._has_waiting(cell):
+            return self._wait_here(cell, tier, now)
+        return self._recent_waits.get(
+            (cell, tier), now, lambda: self._wait_here(cell, tier, now)
+        )
+
+    def _has_waiting(self, cell):
+        """Return whether requests wait for the slots of a cell."""
+        return bool(
+            self.tickets_by_service.get(cell.service)
+            or self.fleet.waiting_tickets(cell)
+        )
 
     def _wait_here(self, cell, tier, now):
         """Return the expected wait for the targets that this instance can reach."""
--- a/test/test_placement_pool.py
+++ b/test/test_placement_pool.py
@@ -326,3 +326,18 @@
     assert pools.free_slots(SERVICE, 0.0) == 2 * 99 - count
     pools.reassign_waiting(1.1 * PEER_EXPIRY_SECONDS)
     assert pools.free_slots(SERVICE, 1.1 * PEER_EXPIRY_SECONDS) == 2 * 99
+
+
+# Each arrival ordered all waiting requests, which took a busy instance's processor.
+def test_arrivals_within_a_moment_order_the_waiting_requests_once():
+    pools = make_pools(record("t1", slots=1), others=("e2",))
+    pools.coordinators.choose = lambda *args: "e2"
+    for number in range(50):
+        pools.enqueue(ticket(arrived_at=0.001 * number), 0.1)
+    orders = []
+    order = pools._order
+    pools._order = lambda *args: orders.append(args) or order(*args)
+    waits = {pools.expected_wait("drafts", (0, 0), 0.1 + 0.001 * n) for n in range(20)}
+    assert len(orders) == len(waits) == 1
+    assert pools.expected_wait("drafts", (0, 0), 0.2) > 0.0
+    assert len(orders) == 2
