Tell requests over their allowance to come back one after the other

Cause: each request over its workspace's allowance was told when enough for it alone would be refilled.

Change: a refused request is told to come back after those that were refused before it here, by up to 4 s later, as some never come back.

--- a/almondglade/placement/allowance.py
+++ b/almondglade/placement/allowance.py
@@ -13,6 +13,10 @@
 # allowance bound covers four at once.
 RESTART_BURST_SHARE = 0.5
 
+# Those that were told to come back delay the next ones by no more than this, as some
+# never do.
+MAX_RETURN_SECONDS = 4.0
+
 # A peer that was silent for longer has reported to another relay in the meantime.
 # Longer than two report intervals.
 REPORT_GAP_SECONDS = 1.1
@@ -42,6 +46,8 @@
     level: float
     updated_at: float
     consumed_here: float = 0.0
+    # Monotonic time for which the last refused request was told to come back.
+    last_return_at: float = float("-inf")
 
 
 class SharedAllowances:
@@ -77,7 +83,8 @@
         Returns
         -------
         float
-            0 if it was taken, else the seconds until enough has been refilled.
+            0 if it was taken, else the seconds until enough has been refilled for it
+            and for those that were told to come back before it.
         """
         if terms.rate <= 0.0:
             return 0.0
@@ -85,7 +92,14 @@
         # A request larger than the whole burst passes when the bucket is full.
         needed = min(amount, terms.burst)
         if bucket.level < needed:
-            return (needed - bucket.level) / terms.rate
+            bucket.last_return_at = max(
+                now + (needed - bucket.level) / terms.rate,
+                min(
+                    bucket.last_return_at + needed / terms.rate,
+                    now + MAX_RETURN_SECONDS,
+                ),
+            )
+            return bucket.last_return_at - now
         bucket.level -= amount
         bucket.consumed_here += amount
         return 0.0
