Revert "Tell requests over their allowance to come back one after the other"

Who repeats at once, without waiting, was counted as one more that will come back: test_a_workspace_over_its_allowance_gets_a_retry_after_time, where one caller asks twice, was told 1.94 s with a token each second. Nothing tells a repeat from another request, so the time must stay that until enough is refilled for one.

--- a/almondglade/placement/allowance.py
+++ b/almondglade/placement/allowance.py
@@ -13,10 +13,6 @@
 # allowance bound covers four at once.
 RESTART_BURST_SHARE = 0.5
 
-# Those that were told to come back delay the next ones by no more than this, as some
-# never do.
-MAX_RETURN_SECONDS = 4.0
-
 # A peer that was silent for longer has reported to another relay in the meantime.
 # Longer than two report intervals.
 REPORT_GAP_SECONDS = 1.1
@@ -46,8 +42,6 @@
     level: float
     updated_at: float
     consumed_here: float = 0.0
-    # Monotonic time for which the last refused request was told to come back.
-    last_return_at: float = float("-inf")
 
 
 class SharedAllowances:
@@ -83,8 +77,7 @@
         Returns
         -------
         float
-            0 if it was taken, else the seconds until enough has been refilled for it
-            and for those that were told to come back before it.
+            0 if it was taken, else the seconds until enough has been refilled.
         """
         if terms.rate <= 0.0:
             return 0.0
@@ -92,14 +85,7 @@
         # A request larger than the whole burst passes when the bucket is full.
         needed = min(amount, terms.burst)
         if bucket.level < needed:
-            bucket.last_return_at = max(
-                now + (needed - bucket.level) / terms.rate,
-                min(
-                    bucket.last_return_at + needed / terms.rate,
-                    now + MAX_RETURN_SECONDS,
-                ),
-            )
-            return bucket.last_return_at - now
+            return (needed - bucket.level) / terms.rate
         bucket.level -= amount
         bucket.consumed_here += amount
         return 0.0
