End stalled streams, and give long prompts the time that they take

Cause: the limit on gaps began anew with each byte, so that a stream whose target sends comments or parts of an event now and then went on until its whole time was over.

Change: only an event ends a gap, over several reads. A target may take three times as long until the first event as its pace so far and the size of the prompt let expect.

--- a/almondglade/dispatch/call.py
+++ b/almondglade/dispatch/call.py
@@ -15,7 +15,7 @@
 from ..errors import TargetError
 from ..sockets import reset_on_close, shut_down
 from .connections import Attempt, PermitExpiredError
-from .events import EventSplitter, has_readable_events
+from .events import EventSplitter, has_events, has_readable_events
 
 MAX_READ_BYTES = 1 << 16
 # Limits on responses to earlier requests that are skipped on a connection: their
@@ -139,8 +139,10 @@
         self._ended = False
         self._reusable = True
         # Time counts towards the gap limit only while a read waits for the target, not
-        # while the caller of `read` is busy.
+        # while the caller of `read` is busy. What a read without an event has waited
+        # counts for the next one too.
         self._waiting_since: float | None = None
+        self._stalled_seconds = 0.0
         self._lock = threading.Lock()
         self._connection: Any = None
         # Kept separately, because the connection drops its reference when the target
@@ -186,6 +188,8 @@
         BrokenCallError, CallTimeoutError, CallCancelledError
             If the response is incomplete.
         """
+        started_at = self.clock() - self._stalled_seconds
+        self._waiting_since = started_at
         try:
             chunk, is_end = self._read_chunk()
             while not chunk and not is_end:
@@ -195,6 +199,8 @@
             raise self._translate(error) from error
         if is_end:
             self._complete()
+        has_progress = self._splitter is None or has_events(chunk)
+        self._stalled_seconds = 0.0 if has_progress else self.clock() - started_at
         self._waiting_since = None
         return chunk
 
@@ -207,7 +213,6 @@
             If the response is incomplete.
         """
         response = self._response
-        self._waiting_since = self.clock()
         chunk = response.read1(MAX_READ_BYTES)
         if not chunk and response.length:
             raise IncompleteRead(b"", response.length)
@@ -215,11 +220,11 @@
         self._body_bytes += len(chunk)
         if self._body_bytes > MAX_UNFRAMED_BODY_BYTES and self.framing == UNFRAMED:
             raise HTTPException("the body without a length is too long")
-        if self._gap_deadline is None and not is_end:
+        events = chunk if self._splitter is None else self._splitter.feed(chunk)
+        if self._gap_deadline is None and not is_end and events:
             self._watch_gaps()
         if self._splitter is None:
             return chunk, is_end
-        events = self._splitter.feed(chunk)
         if is_end:
             self._check_stream_end(self._splitter)
             events += self._splitter.flush()
@@ -345,7 +350,7 @@
         return ResponseHead(response.status, tuple(response.headers.items()))
 
     def _watch_gaps(self):
-        """Limit each gap and the total time, from the first byte of the body on."""
+        """Limit each gap and the total time, from the first part of the body on."""
         self._waiting_since = None
         self._deadline.cancel()
         self._set_deadline(self.limits.total)
--- a/almondglade/dispatch/events.py
+++ b/almondglade/dispatch/events.py
@@ -46,6 +46,11 @@
     return sum(1 for _ in EVENT_END_PATTERN.finditer(chunk))
 
 
+def has_events(chunk):
+    """Return whether a chunk holds more than comments and blank lines."""
+    return BLANK_PATTERN.fullmatch(chunk) is None
+
+
 def last_event_id(events):
     """Return the last event id in whole events, or None if they have none."""
     ids = EVENT_ID_PATTERN.findall(events)
--- a/almondglade/gateway/calls.py
+++ b/almondglade/gateway/calls.py
@@ -7,7 +7,7 @@
 from ..log import get_logger
 from ..outcome import Code, Outcome, RequestError
 from ..platform.front import parse_target_response
-from .measuring import ResponseMeter
+from .measuring import ResponseMeter, expected_first_byte_seconds
 
 log = get_logger("requests")
 
@@ -19,6 +19,9 @@
 GAP_TIMEOUT_OBJECTIVES = 3.0
 FIRST_EVENT_TIMEOUT_OBJECTIVES = 1.5
 MIN_SILENCE_TIMEOUT_SECONDS = 1.0
+# A target may take this many times as long until the first event as its pace so far and
+# the size of the prompt let expect: it reads several prompts at a time.
+FIRST_EVENT_MARGIN = 3.0
 # Retry-After time when no target could be reached. Another one may be reachable by
 # then; a failed target is paused for as long.
 NO_TARGET_RETRY_AFTER_SECONDS = 0.25
@@ -167,7 +170,11 @@
                 )
             if has_other_target or not self.request.version:
                 first_event_timeout = _silence_timeout(
-                    FIRST_EVENT_TIMEOUT_OBJECTIVES * route.latency_objective, total
+                    max(
+                        FIRST_EVENT_TIMEOUT_OBJECTIVES * route.latency_objective,
+                        self._expected_silence(target),
+                    ),
+                    total,
                 )
         return CallLimits(
             connect=min(CONNECT_TIMEOUT_SECONDS, total),
@@ -176,6 +183,12 @@
             total=total,
         )
 
+    def _expected_silence(self, target):
+        """Return for how long a sound target may read the prompt, in seconds."""
+        tokens = self.request.caller_headers.input_tokens or 0
+        slowness = self.scheduler.slowness_of(target)
+        return FIRST_EVENT_MARGIN * slowness * expected_first_byte_seconds(tokens)
+
     def _is_response_to_request(self, head):
         response_request_id = parse_target_response(head).request_id
         return (
--- a/almondglade/gateway/measuring.py
+++ b/almondglade/gateway/measuring.py
@@ -10,6 +10,14 @@
 MIN_PACE_EVENTS = 8
 
 
+def expected_first_byte_seconds(prompt_tokens):
+    """Return the time to the first byte that a prompt of some size is expected to take.
+
+    It is a relative measure; the slowness of a target is a multiple of it.
+    """
+    return BASE_FIRST_BYTE_SECONDS + FIRST_BYTE_SECONDS_PER_PROMPT_TOKEN * prompt_tokens
+
+
 class ResponseMeter:
     """Times one response from the dispatch of its request to its end.
 
@@ -30,10 +38,7 @@
 
     def __init__(self, sent_at, prompt_tokens):
         self.sent_at = sent_at
-        self.expected_seconds = (
-            BASE_FIRST_BYTE_SECONDS
-            + FIRST_BYTE_SECONDS_PER_PROMPT_TOKEN * prompt_tokens
-        )
+        self.expected_seconds = expected_first_byte_seconds(prompt_tokens)
         self.first_byte_at = None
         self.event_count = 0
         self.framing = None
--- a/almondglade/gateway/scheduling.py
+++ b/almondglade/gateway/scheduling.py
@@ -356,6 +356,12 @@
             state = self.pools.targets.state_by_target.get(target)
             return state.record if state is not None else None
 
+    def slowness_of(self, target):
+        """Return the slowness of a target; 1 if not known, as where a peer chooses."""
+        with self.lock:
+            state = self.pools.targets.state_by_target.get(target)
+            return state.slowness if state is not None else 1.0
+
     def is_cut_off(self, request):
         """Return whether this instance reaches no target that could run a request."""
         with self.lock:
