--- a/almondglade/gateway/targetlimits.py
+++ b/almondglade/gateway/targetlimits.py
@@ -192,26 +192,23 @@
                 for name, at in self._refreshed_at_by_target.items()
                 if now - at < REFRESH_SECONDS
             }
-            changes_by_target = {
-                name: [
-                    (limit_name, former, NO_LIMIT)
-                    for limit_name, limit in (
-                        (RATE, state.named_rate),
-                        (REFUSAL_LIMIT, state.room),
-                    )
-                    for former in (limit.value,)
-                    if limit.expire(now)
-                ]
-                for name, state in self.targets.state_by_target.items()
-            }
             ended = [
-                (self.targets.state_by_target[name].record, changes)
-                for name, changes in changes_by_target.items()
-                if changes
+                (state.record, self._expire_limits(state, now))
+                for state in self.targets.state_by_target.values()
             ]
         for record, changes in ended:
             self._log(record, changes, "expiry", 0.0)
 
+    @staticmethod
+    def _expire_limits(state, now):
+        """End the outdated limits of a target and return these changes."""
+        changes = []
+        for name, limit in ((RATE, state.named_rate), (REFUSAL_LIMIT, state.room)):
+            former = limit.value
+            if limit.expire(now):
+                changes.append((name, former, NO_LIMIT))
+        return changes
+
     def messages(self):
         """Return messages with all limits in force."""
         now = self.clock()
--- a/almondglade/gossip/fleet.py
+++ b/almondglade/gossip/fleet.py
@@ -230,10 +230,10 @@
         self._loop.call_soon_threadsafe(self._send_to_holders, key, message, counts)
 
     def send_to_holders(self, key, message, counts):
-        """Do the same, and return once the message is on its way.
+        """Send a message like `send_to_holders_soon`; return once it is on its way.
 
-        That takes until the event loop has done what it was busy with, but no longer
-        than `MAX_SEND_WAIT_SECONDS`. Call it from another thread.
+        Call it from another thread than the event loop's, which may be busy: it is
+        waited for, but no longer than `MAX_SEND_WAIT_SECONDS`.
         """
         sent = threading.Event()
 
--- a/test/test_named_limits.py
+++ b/test/test_named_limits.py
@@ -15,6 +15,14 @@
 MAX_EXPIRY_SECONDS = 10.0
 
 
+def check_rate_is_held_and_used(targets, rate, since, until):
+    for target in targets:
+        assert target.most_in_window(since, until) <= max_requests(rate)
+    used = sum(target.count(since, until) for target in targets)
+    allowed = len(targets) * rate * (until - since)
+    assert used >= MIN_USED_SHARE * allowed - len(targets)
+
+
 # A target got its usual rate whatever it named, as nothing read the header.
 @pytest.mark.parametrize(
     ("rate", "path", "method"),
@@ -31,11 +39,7 @@
         since = time.monotonic() + CONTACT_SECONDS
         time.sleep(CONTACT_SECONDS + OBSERVED_SECONDS)
         until = time.monotonic()
-    for target in fleet.targets:
-        assert target.most_in_window(since, until) <= max_requests(rate)
-    used = sum(target.count(since, until) for target in fleet.targets)
-    allowed = len(fleet.targets) * rate * (until - since)
-    assert used >= MIN_USED_SHARE * allowed - len(fleet.targets)
+    check_rate_is_held_and_used(fleet.targets, rate, since, until)
 
 
 # Each gateway that begins or ends to coordinate could grant the whole rate anew.
@@ -68,11 +72,7 @@
         since = time.monotonic() + CONTACT_SECONDS
         time.sleep(CONTACT_SECONDS + OBSERVED_SECONDS)
         until = time.monotonic()
-    for target in fleet.targets:
-        assert target.most_in_window(since, until) <= max_requests(rate)
-    used = sum(target.count(since, until) for target in fleet.targets)
-    allowed = len(fleet.targets) * rate * (until - since)
-    assert used >= MIN_USED_SHARE * allowed - len(fleet.targets)
+    check_rate_is_held_and_used(fleet.targets, rate, since, until)
 
 
 # Peers heard of the limit when it was named first, and no more of it.
