Let only a response end the loss of links

Cause: in the first whole run beside load (8 to 11 on 6 cores) the cases of test_cut_links.py with links that accept in vain failed again. Links that were lost at 32.286 s were back at 32.292 s: a request that broke off with them started a probe as after a failed connection, for which an accepted connection is enough.

Change: while the links of a service are lost, each probe needs a response.

--- a/almondglade/gateway/links.py
+++ b/almondglade/gateway/links.py
@@ -186,6 +186,8 @@
         ):
             return
         self._probed_at[service] = now
+        # What accepts connections in vain does not end the loss.
+        needs_response = needs_response or self.is_lost(service)
         task = self._loop.create_task(self._probe(service, needs_response, now))
         self._task_by_service[service] = task
         task.add_done_callback(lambda _: self._task_by_service.pop(service))
