--- a/almondglade/placement/pool.py
+++ b/almondglade/placement/pool.py
@@ -495,20 +495,22 @@
             return float("inf")
         if not self._knows_load(cell, now):
             return self.cell_reports.expected_wait(cell, tier, now)
-        free_by_is_limited: Counter = Counter()
-        for state in states:
-            free = max(0, state.limit() - self.targets.load(state))
-            free_by_is_limited[state.named_rate.is_limited] += free
+        free = self.targets.free_slots(
+            state for state in states if not state.named_rate.is_limited
+        )
         # Of a target with a free slot that names a rate limit, the coordinator alone
         # knows whether it may get a request now.
-        needed = 0 if free_by_is_limited[True] else 1
+        may_be_free = any(
+            state.named_rate.is_limited and self.targets.load(state) < state.limit()
+            for state in states
+        )
         # Those that wait get the free slots first.
-        position = self._count_ahead(cell, tier, states, now) + needed
-        if position <= free_by_is_limited[False]:
+        position = self._count_ahead(cell, tier, states, now) + (not may_be_free)
+        if position <= free:
             return 0.0
         hold_seconds = self.mean_hold_seconds(cell.service)
         throughput = sum(state.throughput(hold_seconds) for state in states)
-        return (position - free_by_is_limited[False]) / throughput
+        return (position - free) / throughput
 
     def _count_ahead(self, cell, tier, states, now):
         """Return how many requests wait ahead of a new one of a tier."""
