--- a/standin/platform.py
+++ b/standin/platform.py
@@ -16,7 +16,14 @@
 
 @dataclass(frozen=True)
 class StoreContents:
-    """Contents of the store at one revision."""
+    """Contents of the store at one revision.
+
+    Parameters
+    ----------
+    era : int or None
+        Number of times that the store came back from a copy, which it states in all
+        its responses; None if it does not.
+    """
 
     document: bytes = b""
     document_revision: int = 0
@@ -25,6 +32,7 @@
     other_items_by_key: dict[str, tuple[bytes | None, int]] = field(
         default_factory=dict
     )
+    era: int | None = None
 
     @property
     def revision(self):
@@ -96,6 +104,7 @@
         self.contents = StoreContents()
         self.behaviour = StoreBehaviour()
         self.behaviour_by_caller: dict[str, StoreBehaviour] = {}
+        self._copy = self.contents
         self.calls_by_caller: Counter = Counter()
         self._changed = threading.Condition()
 
@@ -111,6 +120,7 @@
         time.sleep(self._behaviour(caller).delay)
         with self._changed:
             cherrypy.response.headers["Content-Type"] = "application/json"
+            self._state_era(caller)
             match parts:
                 case ("api", "kv-key"):
                     return self._read_item(caller, query["key"])
@@ -149,14 +159,35 @@
 
         timeout = min(int(waitMs) / 1000, MAX_WATCH_SECONDS)
         self._require_up(caller)
-        self._changed.wait_for(lambda: changes() or self._is_down(caller), timeout)
+        self._require_known(caller, int(after))
+        era = self._visible_contents(caller).era
+        self._changed.wait_for(
+            lambda: (
+                changes()
+                or self._is_down(caller)
+                or self._visible_contents(caller).era != era
+            ),
+            timeout,
+        )
+        self._state_era(caller)
         self._require_up(caller)
-        if int(after) < self._behaviour(caller).forgotten:
-            raise cherrypy.HTTPError(410)
+        self._require_known(caller, int(after))
         return orjson.dumps(
             {"events": changes(), "at": self._visible_contents(caller).revision}
         )
 
+    def _state_era(self, caller):
+        era = self._visible_contents(caller).era
+        if era is not None:
+            cherrypy.response.headers["Store-Era"] = str(era)
+
+    def _require_known(self, caller, revision):
+        """Reject a watch from a revision that is forgotten or not reached yet."""
+        contents = self._visible_contents(caller)
+        is_unknown = contents.era is not None and revision > contents.revision
+        if is_unknown or revision < self._behaviour(caller).forgotten:
+            raise cherrypy.HTTPError(410)
+
     def _is_down(self, caller):
         return self._behaviour(caller).down
 
@@ -198,6 +229,14 @@
                         other_items_by_key=self.contents.other_items_by_key
                         | {query["key"]: (None, self.revision)},
                     )
+                case "copy":
+                    self._copy = self.contents
+                case "restore":
+                    era = (self.contents.era or 0) + 1
+                    self.contents = replace(self._copy, era=era)
+                    self.revision = self.contents.revision
+                case "era":
+                    self.contents = replace(self.contents, era=int(query["number"]))
                 case "state":
                     self._set_behaviour(**orjson.loads(body))
                 case "calls":
--- a/test/test_fleet.py
+++ b/test/test_fleet.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from almondglade.gossip.codec import encode
 from almondglade.gossip.fleet import (
     JOIN_SECONDS,
     MAX_FULL_MESH_INSTANCES,
@@ -20,6 +21,7 @@
 DATA_CENTRES = ("north", "south", "east", "west")
 STALE_SEED = "10.9.9.9"
 CONVERGE_SECONDS = 6.0
+FIRST_INCARNATION = 10_000
 
 
 class SimulatedTimeLoop(asyncio.SelectorEventLoop):
@@ -56,6 +58,7 @@
         self.limits = SimpleNamespace(messages=lambda: ())
         self.coordinators = Coordinators(name)
         self.received_states = []
+        self.incarnation = FIRST_INCARNATION
         self.is_full_mesh = True
 
     def report_receivers(self):
@@ -77,7 +80,11 @@
     def make_report(self, sequence_number, scope=None, receiver="", with_stats=False):
         shared_state = SharedState(scope=scope) if scope is not None else None
         return Report(
-            self.name, self.data_centre, 1, sequence_number, shared_state=shared_state
+            self.name,
+            self.data_centre,
+            self.incarnation,
+            sequence_number,
+            shared_state=shared_state,
         )
 
     def handle_report(self, report):
@@ -297,7 +304,9 @@
         await wait_until_known(net, 24)
         leaving = net.gossip_by_address["10.0.0.2"]
         leaving.exchange.leaving = True
-        report = Report(leaving.instance, "south", 1, 10**6, leaving=True)
+        report = Report(
+            leaving.instance, "south", FIRST_INCARNATION, 10**6, leaving=True
+        )
         leaving.exchange.make_report = lambda *args: report
         leaving.send_report_to_all()
         await asyncio.sleep(0.1)
@@ -321,3 +330,34 @@
     assert names[0] == "e0"
     assert len(set(names)) == 8
     assert not list(itertools.filterfalse(bool, names))
+
+
+def test_reports_after_a_restart_with_a_clock_set_back_are_applied():
+    # Peers ordered the starts of an instance by its clock, and ignored all reports of
+    # one that had started again while its clock was behind.
+    async def scenario(net, tasks, seeds):
+        await wait_until_known(net, 3)
+        await asyncio.sleep(1.2)
+        restarted = net.gossip_by_address["10.0.0.2"]
+        restarted.exchange.incarnation -= 4_000
+        restarted._sequence_number = 0
+        peer = net.gossip_by_address["10.0.0.1"]
+        peer.exchange.received_states.clear()
+        await asyncio.sleep(3.0)
+        return peer.exchange.received_states
+
+    assert ("e1", Scope.OWN) in run_fleet(3, scenario)
+
+
+def test_a_report_of_an_earlier_start_is_dropped():
+    async def scenario(net, tasks, seeds):
+        await wait_until_known(net, 2)
+        await asyncio.sleep(1.2)
+        peer = net.gossip_by_address["10.0.0.1"]
+        received = peer.exchange.received_states
+        before = len(received)
+        late = Report("e1", "south", 0, 10**6, shared_state=SharedState())
+        peer.datagram_received(encode(late), ("10.0.0.2", 1))
+        return len(received) - before
+
+    assert run_fleet(2, scenario) == 0
--- /dev/null
+++ b/test/test_restored_store.py
@@ -0,0 +1,163 @@
+"""The store comes back from an older copy, so that its revisions go back."""
+
+import contextlib
+import time
+
+import pytest
+
+from .storefleet import (
+    APPLY_SECONDS,
+    DRAIN_SECONDS,
+    REVOKE_SECONDS,
+    REWRITE_SECONDS,
+    StoreFleet,
+    make_target,
+)
+
+
+@pytest.fixture
+def fleet_and_target(tmp_path):
+    with StoreFleet(tmp_path, count=2) as fleet, make_target() as target:
+        fleet.list_target("t1", target)
+        fleet.configure_routes(1)
+        fleet.start()
+        yield fleet, target
+
+
+def test_a_configuration_written_after_the_return_is_in_force(fleet_and_target):
+    # Its revision was lower than those known, so that it was never applied.
+    fleet, target = fleet_and_target
+    fleet.control("copy")
+    fleet.write_changes(target)
+    fleet.configure_routes(3, added=[3])
+    assert fleet.wait_for_statuses("/added3/1", 200, APPLY_SECONDS)
+    fleet.restore_after_outage()
+    time.sleep(REWRITE_SECONDS)
+    fleet.configure_routes(3, added=[3])
+    fleet.list_target("t1", target)
+    time.sleep(REWRITE_SECONDS)
+    fleet.configure_routes(7, added=[3, 7])
+    assert fleet.wait_for_statuses("/added7/1", 200, APPLY_SECONDS)
+
+
+def test_a_target_that_leaves_after_the_return_gets_no_request(fleet_and_target):
+    fleet, target = fleet_and_target
+    fleet.control("copy")
+    fleet.write_changes(target)
+    with make_target() as other:
+        fleet.list_target("t2", other)
+        time.sleep(REWRITE_SECONDS)
+        fleet.restore_after_outage()
+        fleet.list_target("t1", target)
+        fleet.list_target("t2", other)
+        time.sleep(REWRITE_SECONDS)
+        fleet.list_target("t1", target, state="draining")
+        time.sleep(DRAIN_SECONDS)
+        seen = len(target.seen)
+        statuses = [status for _ in range(20) for status in fleet.statuses("/look/1")]
+        assert len(target.seen) == seen
+        assert statuses.count(200) == len(statuses)
+
+
+def test_an_older_copy_brings_no_removed_route_back(fleet_and_target):
+    fleet, target = fleet_and_target
+    fleet.configure_routes(2, added=[2])
+    fleet.control("copy")
+    fleet.configure_routes(4, added=[4])
+    assert fleet.wait_for_statuses("/added4/1", 200, APPLY_SECONDS)
+    fleet.restore_after_outage()
+    end = time.monotonic() + 2 * APPLY_SECONDS
+    while time.monotonic() < end:
+        # 503 promises nothing false while the newest version may be another one.
+        assert set(fleet.statuses("/added2/1")) <= {404, 503}
+        assert set(fleet.statuses("/added4/1")) <= {200, 503}
+        time.sleep(0.1)
+
+
+def test_an_older_copy_does_not_prove_that_keys_are_current(fleet_and_target):
+    # Each reading of the copy confirmed the configuration in force, so that a key that
+    # the lost version had revoked worked for as long as the copy stayed.
+    fleet, target = fleet_and_target
+    fleet.control("copy")
+    fleet.configure_routes(4)
+    time.sleep(REWRITE_SECONDS)
+    fleet.set_store_state(down=True)
+    lost_at = time.monotonic()
+    time.sleep(0.5)
+    fleet.control("restore")
+    fleet.set_store_state(down=False)
+    time.sleep(max(0.0, lost_at + REVOKE_SECONDS - time.monotonic()))
+    assert set(fleet.statuses("/look/1")) == {503}
+    fleet.configure_routes(4)
+    assert fleet.wait_for_statuses("/look/1", 200, APPLY_SECONDS)
+
+
+def test_a_response_of_an_earlier_era_proves_nothing(fleet_and_target):
+    # A part of the store that has not heard of the return still serves what it had.
+    fleet, target = fleet_and_target
+    fleet.configure_routes(2)
+    fleet.control("copy")
+    fleet.restore_after_outage(0.2)
+    assert fleet.wait_for_statuses("/look/1", 200, REVOKE_SECONDS)
+    fleet.control("era", number=1)
+    for address in fleet.addresses:
+        fleet.proxy_by_address[address].reset()
+    time.sleep(REVOKE_SECONDS)
+    assert set(fleet.statuses("/look/1")) == {503}
+    fleet.control("era", number=2)
+    assert fleet.wait_for_statuses("/look/1", 200, APPLY_SECONDS)
+
+
+def test_configurations_are_in_force_after_several_returns(fleet_and_target):
+    fleet, target = fleet_and_target
+    fleet.control("copy")
+    for version in range(2, 5):
+        fleet.write_changes(target)
+        fleet.configure_routes(version, added=range(2, version + 1))
+        path = f"/added{version}/1"
+        assert fleet.wait_for_statuses(path, 200, APPLY_SECONDS)
+        fleet.restore_after_outage(0.5)
+        fleet.list_target("t1", target)
+        fleet.configure_routes(version, added=range(2, version + 1))
+        # Keys may pause until the return has settled.
+        assert fleet.wait_for_statuses(path, 200, REVOKE_SECONDS)
+
+
+def test_a_gateway_cut_off_during_the_return_applies_the_next_version(
+    fleet_and_target,
+):
+    fleet, target = fleet_and_target
+    cut = fleet.addresses[1]
+    fleet.control("copy")
+    fleet.write_changes(target)
+    fleet.turn_away(cut)
+    fleet.restore_after_outage(0.5)
+    fleet.list_target("t1", target)
+    time.sleep(2 * APPLY_SECONDS)
+    fleet.configure_routes(5, added=[5])
+    fleet.let_in(cut)
+    assert fleet.wait_for_statuses("/added5/1", 200, APPLY_SECONDS)
+
+
+def test_a_gateway_that_starts_during_the_return_asks_its_peers(fleet_and_target):
+    # The copy alone would let it accept a key that the lost version had revoked.
+    fleet, target = fleet_and_target
+    started = fleet.addresses[1]
+    fleet.configure_routes(2, added=[2], keys=["key-of-w1", "revoked"])
+    fleet.control("copy")
+    fleet.write_changes(target)
+    fleet.configure_routes(4, added=[4])
+    assert fleet.wait_for_statuses("/added4/1", 200, APPLY_SECONDS)
+    revoked_at = time.monotonic()
+    fleet.processes[1].kill()
+    fleet.processes[1].wait()
+    fleet.restore_after_outage(0.5)
+    fleet.processes[1] = fleet._start(started)
+    ran = 0
+    while time.monotonic() < revoked_at + 2 * REVOKE_SECONDS:
+        with contextlib.suppress(Exception):
+            response = fleet.call("/look/1", started, key="revoked")
+            ran += response.status == 200
+        time.sleep(0.05)
+    assert ran == 0
+    assert fleet.call("/added4/1", started).status in {200, 503}
