Order what the store publishes by its era before its revisions

Callers saw a configuration that was acknowledged and never came into force (404 on a route that it adds), and requests at targets that had left, once the store had come back from an older copy.

Cause: revisions go back with the copy and are given out again, while a gateway dropped each update whose revision was not above the last one, and kept the larger of two revisions to watch from. A counter was compared across a reset of its source.

The era that the store states in each response now comes first in that order; responses of an earlier era are rejected, a watch across eras reads everything anew. Between eras versions order configurations, and a target's start and sequence number its entries. Targets that the copy lacks have the time of an outage to be listed again; it lists none again that had gone, takes back no leaving, and ends no evacuation before the operator could write it again. `almondglade serve` reads single keys the same way.

--- a/almondglade/feed.py
+++ b/almondglade/feed.py
@@ -54,9 +54,12 @@
         Whether it contains the complete published state rather than only changes.
     as_of : float
         Clock reading at which the result was certainly current, seconds.
+    era : int
+        Era of the store in which all these revisions count.
     """
 
     updates: tuple[Update, ...]
     revision: int
     is_snapshot: bool
     as_of: float
+    era: int = 0
--- a/almondglade/gateway/discovery.py
+++ b/almondglade/gateway/discovery.py
@@ -1,10 +1,8 @@
-"""Track what the platform publishes, and keep it while the store is unreachable."""
+"""Read and watch what the platform publishes in its store."""
 
 import threading
-from functools import singledispatchmethod
 
 from ..errors import PlatformError
-from ..feed import CatalogueUpdate, EvacuationUpdate, TargetUpdate
 from ..log import get_logger
 from ..platform.connection import HistoryLostError
 
@@ -28,178 +26,6 @@
 MAX_COALESCE_SECONDS = 0.7
 MIN_BACKOFF_SECONDS = 0.1
 MAX_BACKOFF_SECONDS = 0.8
-# Live targets are listed again within two seconds of the end of a store outage.
-RELIST_SECONDS = 2.2
-
-
-class Registry:
-    """The current catalogue, the listed targets and the evacuated data centres.
-
-    Parameters
-    ----------
-    clock : callable
-        Returns monotonic seconds.
-    on_change : callable
-        Called after changes, in the thread that made them.
-
-    Attributes
-    ----------
-    catalogue : Catalogue or None
-        Newest version received; an older version never replaces it.
-    catalogue_revision : int
-        Revision of the store at which the catalogue was written.
-    """
-
-    def __init__(self, clock, on_change=lambda: None):
-        self.clock = clock
-        self.on_change = on_change
-        self.catalogue = None
-        self.catalogue_revision = 0
-        self.record_by_target: dict = {}
-        self.evacuated_data_centres: set[str] = set()
-        self.store_recovered_at = float("-inf")
-        self._missing_since: dict[str, float] = {}
-        self._revision_by_target: dict[str, int] = {}
-        self._revision_by_data_centre: dict[str, int] = {}
-        self._lock = threading.Lock()
-
-    def apply_batch(self, batch):
-        """Apply a `Batch`; updates older than the present state are ignored."""
-        with self._lock:
-            for update in batch.updates:
-                self._apply_update(update)
-            if batch.is_snapshot:
-                self._drop_unlisted(batch)
-        self.on_change()
-
-    def note_store_recovered(self):
-        """Record that the store answers again after an outage."""
-        self.store_recovered_at = self.clock()
-
-    def expire(self):
-        """Drop targets that were not listed again in time after a store outage."""
-        now = self.clock()
-        if now - self.store_recovered_at < RELIST_SECONDS:
-            return
-        with self._lock:
-            missing = list(self._missing_since)
-            for name in missing:
-                self._drop(name, "not listed again after an outage")
-        if missing:
-            self.on_change()
-
-    @singledispatchmethod
-    def _apply_update(self, update):
-        raise TypeError(f"unknown update type: {update!r}")
-
-    @_apply_update.register
-    def _(self, update: CatalogueUpdate):
-        current = self.catalogue
-        if update.revision <= self.catalogue_revision or (
-            current is not None and update.catalogue.version < current.version
-        ):
-            if current is not None and update.catalogue.version != current.version:
-                log.warning(
-                    "configuration ignored: it is older than the one in force",
-                    version=update.catalogue.version,
-                    revision=update.revision,
-                    version_in_force=current.version,
-                    revision_in_force=self.catalogue_revision,
-                )
-            return
-        self.catalogue = update.catalogue
-        self.catalogue_revision = update.revision
-        log.info(
-            "configuration applied",
-            version=update.catalogue.version,
-            revision=update.revision,
-            routes=sum(map(len, update.catalogue.routes_by_host.values())),
-            keys=len(update.catalogue.workspace_by_key),
-        )
-
-    @_apply_update.register
-    def _(self, update: EvacuationUpdate):
-        known = self._revision_by_data_centre.get(update.data_centre, 0)
-        if update.revision <= known:
-            return
-        self._revision_by_data_centre[update.data_centre] = update.revision
-        change = (
-            self.evacuated_data_centres.add
-            if update.is_evacuated
-            else (self.evacuated_data_centres.discard)
-        )
-        change(update.data_centre)
-        log.info(
-            "data centre evacuated"
-            if update.is_evacuated
-            else "data centre back in service",
-            data_centre=update.data_centre,
-            revision=update.revision,
-        )
-
-    @_apply_update.register
-    def _(self, update: TargetUpdate):
-        name, record = update.target, update.record
-        if update.revision <= self._revision_by_target.get(name, 0):
-            return
-        self._revision_by_target[name] = update.revision
-        known = self.record_by_target.get(name)
-        if record is None:
-            self._handle_unlisted(name)
-            return
-        if known is not None and (record.started_at, record.sequence) < (
-            known.started_at,
-            known.sequence,
-        ):
-            return
-        self._missing_since.pop(name, None)
-        self.record_by_target[name] = record
-        if known is None or known.leaving != record.leaving:
-            log.info(
-                "target listed",
-                target=name,
-                service=record.service,
-                leaving=record.leaving,
-                version=record.version,
-                revision=update.revision,
-            )
-
-    def _drop_unlisted(self, batch):
-        listed = {
-            update.target
-            for update in batch.updates
-            if isinstance(update, TargetUpdate)
-        }
-        for name in self.record_by_target.keys() - listed:
-            if self._revision_by_target.get(name, 0) <= batch.revision:
-                self._handle_unlisted(name)
-        evacuated = {
-            update.data_centre
-            for update in batch.updates
-            if isinstance(update, EvacuationUpdate)
-        }
-        for name in self.evacuated_data_centres - evacuated:
-            if self._revision_by_data_centre.get(name, 0) <= batch.revision:
-                self.evacuated_data_centres.discard(name)
-                self._revision_by_data_centre[name] = batch.revision
-
-    def _handle_unlisted(self, name):
-        """Drop an unlisted target, or mark it as missing after a store outage.
-
-        Entries expire during an outage of the store, so that a live target may be
-        missing until it is listed again.
-        """
-        if name not in self.record_by_target:
-            return
-        if self.clock() - self.store_recovered_at < RELIST_SECONDS:
-            self._missing_since.setdefault(name, self.clock())
-            return
-        self._drop(name, "no longer listed")
-
-    def _drop(self, name, reason):
-        self._missing_since.pop(name, None)
-        self.record_by_target.pop(name, None)
-        log.info("target dropped", target=name, reason=reason)
 
 
 class Discovery:
@@ -287,7 +113,8 @@
                 self.registry.note_store_recovered()
             self.reachable = True
             log.info("store reachable", revision=batch.revision)
-        self.registry.apply_batch(batch)
+        if not self.registry.apply_batch(batch):
+            raise PlatformError("the reading is of an earlier era")
         self.confirm(batch.as_of)
         if batch.updates:
             self._stopped.wait(self._coalesce_seconds())
--- a/almondglade/gateway/node.py
+++ b/almondglade/gateway/node.py
@@ -26,11 +26,12 @@
 from ..platform.questions import ReadinessEndpoint
 from ..platform.store import StoreClient
 from .app import GatewayApp
-from .discovery import Discovery, Registry
+from .discovery import Discovery
 from .exchange import Exchange
 from .links import LinkMonitor
 from .operators import GatewayOperatorApp
 from .origins import OriginTracker
+from .registry import Registry
 from .relayapp import RelayApp
 from .relaying import RelayPeers
 from .scheduling import GatewayScheduler
--- /dev/null
+++ b/almondglade/gateway/registry.py
@@ -0,0 +1,288 @@
+"""What the platform has published, as far as this gateway knows."""
+
+import threading
+from dataclasses import dataclass
+from functools import singledispatchmethod
+
+from ..feed import CatalogueUpdate, EvacuationUpdate, TargetUpdate
+from ..log import get_logger
+
+log = get_logger("discovery")
+
+# Live targets are listed again within two seconds of the end of a store outage. After
+# a return from an older copy, operators have written again by then too.
+RELIST_SECONDS = 2.2
+# How long a dropped target is remembered, so that an older copy does not list it again.
+DROPPED_RETENTION_SECONDS = 60.0
+
+
+@dataclass(frozen=True)
+class DroppedTarget:
+    """A target that has gone: its last report, and when it was dropped."""
+
+    started_at: int
+    sequence: int
+    dropped_at: float
+
+
+class Registry:
+    """The current catalogue, the listed targets and the evacuated data centres.
+
+    Revisions order updates within one era of the store only. Versions of the catalogue
+    and the targets' own sequence numbers order them across eras.
+
+    Parameters
+    ----------
+    clock : callable
+        Returns monotonic seconds.
+    on_change : callable
+        Called after changes, in the thread that made them.
+
+    Attributes
+    ----------
+    catalogue : Catalogue or None
+        Newest version received; an older version never replaces it.
+    catalogue_revision : int
+        Revision of the store at which the catalogue was written.
+    era : int or None
+        Newest era of the store that was read; None before the first reading.
+    """
+
+    def __init__(self, clock, on_change=lambda: None):
+        self.clock = clock
+        self.on_change = on_change
+        self.catalogue = None
+        self.catalogue_revision = 0
+        self.record_by_target: dict = {}
+        self.evacuated_data_centres: set[str] = set()
+        self.era: int | None = None
+        self.store_recovered_at = float("-inf")
+        self._era_began_at = float("-inf")
+        self._missing_since: dict[str, float] = {}
+        self._lapsed_evacuations: set[str] = set()
+        self._dropped_by_target: dict[str, DroppedTarget] = {}
+        # Position (era and revision) of the newest update of each.
+        self._catalogue_position = (0, 0)
+        self._position_by_target: dict[str, tuple[int, int]] = {}
+        self._position_by_data_centre: dict[str, tuple[int, int]] = {}
+        self._lock = threading.Lock()
+
+    def apply_batch(self, batch):
+        """Apply a `Batch`; updates older than the present state are ignored.
+
+        Returns
+        -------
+        bool
+            False if the whole batch is of an earlier era.
+        """
+        with self._lock:
+            if self.era is not None and batch.era < self.era:
+                log.warning("reading ignored", era=batch.era, current_era=self.era)
+                return False
+            is_copy = self.era is not None and batch.era > self.era
+            if is_copy:
+                self._begin_era(batch)
+            self.era = batch.era
+            for update in batch.updates:
+                self._apply_update(update, (batch.era, update.revision), is_copy)
+            if batch.is_snapshot:
+                self._drop_unlisted(batch)
+        self.on_change()
+        return True
+
+    def note_store_recovered(self):
+        """Record that the store answers again after an outage."""
+        self.store_recovered_at = self.clock()
+
+    def _begin_era(self, batch):
+        """Record that the store has come back from an older copy."""
+        self.store_recovered_at = self._era_began_at = self.clock()
+        log.warning(
+            "the store came back from an older copy",
+            era=batch.era,
+            former_era=self.era,
+            revision=batch.revision,
+            version=self.catalogue.version if self.catalogue else None,
+            targets=len(self.record_by_target),
+            evacuated=sorted(self.evacuated_data_centres),
+        )
+
+    def expire(self):
+        """Drop what was not written again in time after an outage of the store."""
+        if self.clock() - self.store_recovered_at < RELIST_SECONDS:
+            return
+        with self._lock:
+            missing, lapsed = list(self._missing_since), list(self._lapsed_evacuations)
+            for name in missing:
+                self._drop(name, "not listed again after an outage")
+            for name in lapsed:
+                self._end_evacuation(name, (self.era or 0, 0))
+        if missing or lapsed:
+            self.on_change()
+
+    @singledispatchmethod
+    def _apply_update(self, update, position, is_copy):
+        """Apply an update that was read at a position of the store.
+
+        Parameters
+        ----------
+        is_copy : bool
+            Whether it was read from the copy with which an era begins.
+        """
+        raise TypeError(f"unknown update type: {update!r}")
+
+    @_apply_update.register
+    def _(self, update: CatalogueUpdate, position, is_copy):
+        current = self.catalogue
+        version = update.catalogue.version
+        if current is not None and version < current.version:
+            log.warning(
+                "configuration ignored: it is older than the one in force",
+                version=version,
+                era=position[0],
+                revision=update.revision,
+                version_in_force=current.version,
+                revision_in_force=self.catalogue_revision,
+            )
+            return
+        if position <= self._catalogue_position:
+            return
+        self.catalogue = update.catalogue
+        self.catalogue_revision = update.revision
+        self._catalogue_position = position
+        log.info(
+            "configuration applied",
+            version=version,
+            era=position[0],
+            revision=update.revision,
+            routes=sum(map(len, update.catalogue.routes_by_host.values())),
+            keys=len(update.catalogue.workspace_by_key),
+        )
+
+    @_apply_update.register
+    def _(self, update: EvacuationUpdate, position, is_copy):
+        name = update.data_centre
+        if position <= self._position_by_data_centre.get(name, (0, 0)):
+            return
+        if not update.is_evacuated:
+            self._end_evacuation(name, position)
+            return
+        self._position_by_data_centre[name] = position
+        self._lapsed_evacuations.discard(name)
+        self.evacuated_data_centres.add(name)
+        log.info(
+            "data centre evacuated",
+            data_centre=name,
+            era=position[0],
+            revision=update.revision,
+        )
+
+    def _end_evacuation(self, name, position):
+        self._position_by_data_centre[name] = position
+        self._lapsed_evacuations.discard(name)
+        self.evacuated_data_centres.discard(name)
+        log.info(
+            "data centre back in service",
+            data_centre=name,
+            era=position[0],
+            revision=position[1],
+        )
+
+    @_apply_update.register
+    def _(self, update: TargetUpdate, position, is_copy):
+        name, record = update.target, update.record
+        if position <= self._position_by_target.get(name, (0, 0)):
+            return
+        self._position_by_target[name] = position
+        if record is None:
+            self._handle_unlisted(name)
+            return
+        if self._is_older(name, record, is_copy):
+            return
+        known = self.record_by_target.get(name)
+        self._missing_since.pop(name, None)
+        self._dropped_by_target.pop(name, None)
+        self.record_by_target[name] = record
+        if known is None or known.leaving != record.leaving:
+            log.info(
+                "target listed",
+                target=name,
+                service=record.service,
+                leaving=record.leaving,
+                version=record.version,
+                era=position[0],
+                revision=update.revision,
+            )
+
+    def _is_older(self, name, record, is_copy):
+        """Return whether an entry says less than what is known of its target.
+
+        What a copy holds may be older than the end of the target, or than the report
+        that it is leaving.
+        """
+        reported = (record.started_at, record.sequence)
+        known = self.record_by_target.get(name)
+        if known is not None:
+            last = (known.started_at, known.sequence)
+            is_older = reported < last or (
+                is_copy and reported == last and known.leaving
+            )
+        else:
+            dropped = self._dropped_by_target.get(name)
+            is_older = (
+                is_copy
+                and dropped is not None
+                and reported <= (dropped.started_at, dropped.sequence)
+            )
+        if is_older and is_copy:
+            log.info("entry of the copy ignored", target=name, sequence=record.sequence)
+        return is_older
+
+    def _drop_unlisted(self, batch):
+        end = (batch.era, batch.revision)
+        listed = {
+            update.target
+            for update in batch.updates
+            if isinstance(update, TargetUpdate)
+        }
+        for name in self.record_by_target.keys() - listed:
+            if self._position_by_target.get(name, (0, 0)) <= end:
+                self._handle_unlisted(name)
+        evacuated = {
+            update.data_centre
+            for update in batch.updates
+            if isinstance(update, EvacuationUpdate)
+        }
+        for name in self.evacuated_data_centres - evacuated:
+            if self._position_by_data_centre.get(name, (0, 0)) > end:
+                continue
+            if self.clock() - self._era_began_at < RELIST_SECONDS:
+                # The operator may have to write it again.
+                self._lapsed_evacuations.add(name)
+            else:
+                self._end_evacuation(name, end)
+
+    def _handle_unlisted(self, name):
+        """Drop an unlisted target, or mark it as missing after a store outage.
+
+        Entries expire during an outage of the store, so that a live target may be
+        missing until it is listed again.
+        """
+        if name not in self.record_by_target:
+            return
+        if self.clock() - self.store_recovered_at < RELIST_SECONDS:
+            self._missing_since.setdefault(name, self.clock())
+            return
+        self._drop(name, "no longer listed")
+
+    def _drop(self, name, reason):
+        now = self.clock()
+        self._missing_since.pop(name, None)
+        record = self.record_by_target.pop(name, None)
+        if record is not None:
+            self._dropped_by_target = {
+                other: dropped
+                for other, dropped in self._dropped_by_target.items()
+                if now - dropped.dropped_at < DROPPED_RETENTION_SECONDS
+            } | {name: DroppedTarget(record.started_at, record.sequence, now)}
+        log.info("target dropped", target=name, reason=reason)
--- a/almondglade/platform/client.py
+++ b/almondglade/platform/client.py
@@ -1,6 +1,6 @@
 """Read and watch single keys of the platform's store."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import orjson
 
@@ -24,11 +24,14 @@
         The value, or None if the key does not exist.
     fresh : bool
         False if the store is behind a revision already read.
+    era : int
+        Era of the store in which the revision counts.
     """
 
     revision: int
     value: object
     fresh: bool = True
+    era: int = 0
 
 
 class PlatformClient:
@@ -97,11 +100,11 @@
         """
         response = self.read_document(INSTANCES_PREFIX + service, revision, wait)
         if response.value is None:
-            return VersionedValue(response.revision, [])
+            return replace(response, value=[])
         try:
             entries = orjson.loads(response.value)
-            return VersionedValue(
-                response.revision, [_decode_instance(entry) for entry in entries]
+            return replace(
+                response, value=[_decode_instance(entry) for entry in entries]
             )
         except (KeyError, TypeError, ValueError) as error:
             raise PlatformError(f"invalid list of instances: {error}") from error
@@ -109,12 +112,12 @@
     def _read(self, key):
         item = self.connection.read_item(key)
         if item is None:
-            return VersionedValue(1, None)
-        return VersionedValue(item["revision"], decode_value(item))
+            return VersionedValue(1, None, era=self.connection.era)
+        return VersionedValue(item["revision"], decode_value(item), era=item["era"])
 
     def _watch(self, key, revision, wait, last):
         try:
-            response = self.connection.watch(key, revision, wait)
+            response = self.connection.watch(key, revision, wait, last.era)
         except HistoryLostError:
             return self._read(key)
         if response["at"] < revision:
@@ -122,11 +125,10 @@
             return self._read(key)
         events = [event for event in response["events"] if event["key"] == key]
         if not events:
-            return VersionedValue(max(revision, last.revision), last.value)
+            return replace(last, revision=max(revision, last.revision))
         newest = events[-1]
-        if newest.get("deleted"):
-            return VersionedValue(newest["revision"], None)
-        return VersionedValue(newest["revision"], decode_value(newest))
+        value = None if newest.get("deleted") else decode_value(newest)
+        return VersionedValue(newest["revision"], value, era=last.era)
 
 
 def _decode_instance(entry):
--- a/almondglade/platform/connection.py
+++ b/almondglade/platform/connection.py
@@ -1,7 +1,9 @@
 """HTTP calls to the platform's key-value store, which is read-only for instances.
 
 Each item has a key and the revision of its last change; each response contains the
-store revision at which it is current.
+store revision at which it is current. Revisions go back when the store comes back from
+an older copy, so that they can be compared within one era only, which each response
+states. Decoded responses hold it as ``era``.
 """
 
 import re
@@ -88,7 +90,7 @@
             self._call("/api/kv-range", query, RESPONSE_TIMEOUT_SECONDS)
         )
 
-    def watch(self, prefix, revision, wait):
+    def watch(self, prefix, revision, wait, era):
         """Return the changes after a revision, as soon as there are any.
 
         Parameters
@@ -100,11 +102,14 @@
         wait : float
             Longest time to wait for a change, in seconds; limited to what the store
             accepts.
+        era : int
+            Era in which the revision was read.
 
         Raises
         ------
         HistoryLostError
-            If the changes are no longer available, so that all must be read again.
+            If the changes are no longer available, or the revision is of an earlier
+            era, so that all must be read again.
         PlatformError
             If the store cannot be reached or its response is invalid.
         """
@@ -114,9 +119,11 @@
             "after": str(revision),
             "waitMs": str(round(wait * MILLISECONDS_PER_SECOND)),
         }
-        return self._decode(
-            self._call("/api/kv-watch", query, wait + RESPONSE_TIMEOUT_SECONDS)
-        )
+        response = self._call("/api/kv-watch", query, wait + RESPONSE_TIMEOUT_SECONDS)
+        content = self._decode(response)
+        if content["era"] != era:
+            raise HistoryLostError("the store has come back from an older copy")
+        return content
 
     def _call(self, path, query, timeout):
         self.calls += 1
@@ -129,13 +136,16 @@
             )
         except (HTTPError, OSError) as error:
             raise PlatformError(f"call to the store failed: {error}") from error
-        self._note_era(response)
+        era = parse_era(response.headers.get(ERA_HEADER))
+        if era < self.era:
+            raise PlatformError(f"the response is of era {era}, before {self.era}")
+        self.require_era(era)
         return response
 
-    def _note_era(self, response):
-        era = parse_era(response.headers.get(ERA_HEADER))
-        if era != self.era:
-            log.warning("the store states another era", era=era, former=self.era)
+    def require_era(self, era):
+        """Reject the responses of earlier eras from now on."""
+        if era > self.era:
+            log.warning("the store is in a new era", era=era, former=self.era)
             self.era = era
 
     @staticmethod
@@ -152,7 +162,7 @@
             raise PlatformError("the store's response is not JSON") from error
         if not isinstance(content, dict) or not isinstance(content.get("at"), int):
             raise PlatformError("the store's response has no revision")
-        return content
+        return content | {"era": parse_era(response.headers.get(ERA_HEADER))}
 
 
 def parse_era(text):
--- a/almondglade/platform/store.py
+++ b/almondglade/platform/store.py
@@ -6,7 +6,7 @@
 from ..errors import PlatformError
 from ..feed import Batch, CatalogueUpdate, EvacuationUpdate, TargetUpdate
 from ..log import get_logger
-from .connection import StoreConnection
+from .connection import HistoryLostError, StoreConnection
 from .wire import (
     CONFIGURATION_KEY,
     EVACUATION_PREFIX,
@@ -36,6 +36,7 @@
         self.clock = clock
         self.monotonic_clock = monotonic_clock
         self.connection = StoreConnection(f"http://{address}")
+        self._era = 0
 
     @property
     def calls(self):
@@ -47,22 +48,21 @@
 
         Raises
         ------
+        HistoryLostError
+            If the store came back from an older copy meanwhile.
         PlatformError
             If the store cannot be reached or its response is invalid.
         """
         requested_at = self.clock()
-        items: list[dict] = []
-        revision = None
-        after = ""
-        while True:
-            response = self.connection.read_range("", after)
-            if revision is None:
-                revision = response["at"]
+        first = response = self.connection.read_range("")
+        items = list(first["items"])
+        while response["hasMore"] and response["items"]:
+            response = self.connection.read_range("", items[-1]["key"])
+            if response["era"] != first["era"]:
+                raise HistoryLostError("the store has come back from an older copy")
             items += response["items"]
-            if not response["hasMore"] or not response["items"]:
-                break
-            after = response["items"][-1]["key"]
-        return Batch(self._decode(items), revision, True, requested_at)
+        self._era = first["era"]
+        return Batch(self._decode(items), first["at"], True, requested_at, self._era)
 
     def watch(self, revision, wait):
         """Return a `Batch` of the changes after a revision, once there are any.
@@ -82,7 +82,7 @@
             If the store cannot be reached or its response is invalid.
         """
         requested_at = self.clock()
-        response = self.connection.watch("", revision, wait)
+        response = self.connection.watch("", revision, wait, self._era)
         events = response["events"]
         # The store sends a response without changes only at the end of the wait.
         as_of = requested_at if events else requested_at + wait
@@ -91,6 +91,7 @@
             max(revision, response["at"]),
             False,
             min(as_of, self.clock()),
+            self._era,
         )
 
     def _decode(self, items):
--- a/almondglade/watching.py
+++ b/almondglade/watching.py
@@ -29,7 +29,7 @@
     on_change : callable
         Called with each newer `VersionedValue`, on the event loop.
     """
-    revision, backoff = 0, MIN_BACKOFF_SECONDS
+    revision, era, backoff = 0, 0, MIN_BACKOFF_SECONDS
     while True:
         try:
             wait = WATCH_SECONDS if revision else 0.0
@@ -40,7 +40,8 @@
             backoff = min(2 * backoff, MAX_BACKOFF_SECONDS)
             continue
         backoff = MIN_BACKOFF_SECONDS
-        if response.value is not None and response.revision != revision:
+        has_changed = (response.era, response.revision) != (era, revision)
+        if response.value is not None and has_changed:
             on_change(response)
-        revision = response.revision
+        revision, era = response.revision, response.era
         await asyncio.sleep(random.uniform(0.2, 1.0) * MAX_PAUSE_SECONDS)
--- a/test/test_discovery.py
+++ b/test/test_discovery.py
@@ -11,8 +11,8 @@
     FLEET_CALLS_PER_SECOND,
     MAX_COALESCE_SECONDS,
     Discovery,
-    Registry,
 )
+from almondglade.gateway.registry import Registry
 from almondglade.placement.freshness import EVIDENCE_VALIDITY_SHARE
 
 # Shortest time limits that operators set: until a revoked key stops working, and
--- /dev/null
+++ b/test/test_registry.py
@@ -0,0 +1,142 @@
+"""What a gateway keeps of the published state when the store goes back to a copy."""
+
+import pytest
+
+from almondglade.catalogue import Catalogue, TargetRecord
+from almondglade.feed import Batch, CatalogueUpdate, EvacuationUpdate, TargetUpdate
+from almondglade.gateway.registry import RELIST_SECONDS, Registry
+
+
+class Clock:
+    """A clock that is set by hand."""
+
+    def __init__(self):
+        self.now = 100.0
+
+    def __call__(self):
+        return self.now
+
+
+def make_target(name, sequence=1, leaving=False, started_at=1):
+    return TargetRecord(
+        name,
+        "drafts",
+        "10.0.0.1",
+        80,
+        "north",
+        4,
+        leaving=leaving,
+        started_at=started_at,
+        sequence=sequence,
+    )
+
+
+def snapshot(revision, *updates, era=1):
+    return Batch(tuple(updates), revision, True, 0.0, era)
+
+
+def changes(revision, *updates, era=1):
+    return Batch(tuple(updates), revision, False, 0.0, era)
+
+
+@pytest.fixture
+def registry():
+    return Registry(Clock())
+
+
+def listed(registry):
+    return set(registry.record_by_target)
+
+
+def test_a_copy_does_not_list_a_target_again_that_has_gone(registry):
+    entry = TargetUpdate(3, "t1", make_target("t1", sequence=5))
+    registry.apply_batch(snapshot(3, entry))
+    registry.apply_batch(changes(9, TargetUpdate(9, "t1", None)))
+    registry.apply_batch(snapshot(3, entry, era=2))
+    assert not listed(registry)
+    registry.clock.now += 2 * RELIST_SECONDS
+    registry.apply_batch(snapshot(3, entry, era=2))
+    assert not listed(registry)
+    again = TargetUpdate(4, "t1", make_target("t1", sequence=6))
+    registry.apply_batch(changes(4, again, era=2))
+    assert listed(registry) == {"t1"}
+
+
+def test_a_copy_does_not_take_back_that_a_target_is_leaving(registry):
+    ready = TargetUpdate(3, "t1", make_target("t1", sequence=5))
+    registry.apply_batch(snapshot(3, ready))
+    leaving = make_target("t1", sequence=5, leaving=True)
+    registry.apply_batch(changes(4, TargetUpdate(4, "t1", leaving)))
+    registry.apply_batch(snapshot(3, ready, era=2))
+    assert registry.record_by_target["t1"].leaving
+
+
+def test_a_target_that_the_copy_lacks_is_dropped_if_it_is_not_listed_again(registry):
+    first, second = (TargetUpdate(3, name, make_target(name)) for name in ("t1", "t2"))
+    registry.apply_batch(snapshot(3, first, second))
+    registry.apply_batch(snapshot(1, era=2))
+    assert listed(registry) == {"t1", "t2"}
+    again = TargetUpdate(2, "t1", make_target("t1", sequence=2))
+    registry.apply_batch(changes(2, again, era=2))
+    registry.expire()
+    assert listed(registry) == {"t1", "t2"}
+    registry.clock.now += RELIST_SECONDS
+    registry.expire()
+    assert listed(registry) == {"t1"}
+
+
+def test_a_restarted_target_replaces_the_entry_of_its_former_start(registry):
+    registry.apply_batch(
+        snapshot(3, TargetUpdate(3, "t1", make_target("t1", sequence=9, leaving=True)))
+    )
+    started = make_target("t1", sequence=1, started_at=2)
+    registry.apply_batch(snapshot(2, TargetUpdate(2, "t1", started), era=2))
+    assert not registry.record_by_target["t1"].leaving
+
+
+def test_an_evacuation_that_the_copy_lacks_stays_until_it_could_be_written_again(
+    registry,
+):
+    registry.apply_batch(snapshot(3, EvacuationUpdate(3, "north", True)))
+    registry.apply_batch(snapshot(1, era=2))
+    assert registry.evacuated_data_centres == {"north"}
+    registry.expire()
+    assert registry.evacuated_data_centres == {"north"}
+    registry.apply_batch(changes(2, EvacuationUpdate(2, "north", True), era=2))
+    registry.clock.now += RELIST_SECONDS
+    registry.expire()
+    assert registry.evacuated_data_centres == {"north"}
+    registry.apply_batch(changes(3, EvacuationUpdate(3, "north", False), era=2))
+    assert not registry.evacuated_data_centres
+
+
+def test_an_evacuation_that_is_not_written_again_ends(registry):
+    registry.apply_batch(snapshot(3, EvacuationUpdate(3, "north", True)))
+    registry.apply_batch(snapshot(1, era=2))
+    registry.clock.now += RELIST_SECONDS
+    registry.expire()
+    assert not registry.evacuated_data_centres
+
+
+def test_an_evacuation_of_the_copy_holds_until_the_operator_ends_it_again(registry):
+    registry.apply_batch(snapshot(3, EvacuationUpdate(3, "north", True)))
+    registry.apply_batch(changes(4, EvacuationUpdate(4, "north", False)))
+    registry.apply_batch(snapshot(3, EvacuationUpdate(3, "north", True), era=2))
+    assert registry.evacuated_data_centres == {"north"}
+    registry.apply_batch(changes(4, EvacuationUpdate(4, "north", False), era=2))
+    assert not registry.evacuated_data_centres
+
+
+def test_a_version_above_the_one_in_force_applies_whatever_its_revision(registry):
+    registry.apply_batch(snapshot(50, CatalogueUpdate(50, Catalogue(4))))
+    registry.apply_batch(snapshot(8, CatalogueUpdate(8, Catalogue(2)), era=2))
+    assert registry.catalogue.version == 4
+    registry.apply_batch(changes(9, CatalogueUpdate(9, Catalogue(5)), era=2))
+    assert registry.catalogue.version == 5
+
+
+def test_a_reading_of_an_earlier_era_changes_nothing(registry):
+    registry.apply_batch(snapshot(3, CatalogueUpdate(3, Catalogue(2)), era=2))
+    late = snapshot(90, CatalogueUpdate(90, Catalogue(9)), era=1)
+    assert not registry.apply_batch(late)
+    assert registry.catalogue.version == 2
--- a/test/test_restored_store.py
+++ b/test/test_restored_store.py
@@ -5,6 +5,8 @@
 
 import pytest
 
+from almondglade.platform.client import PlatformClient
+
 from .storefleet import (
     APPLY_SECONDS,
     DRAIN_SECONDS,
@@ -161,3 +163,18 @@
         time.sleep(0.05)
     assert ran == 0
     assert fleet.call("/added4/1", started).status in {200, 503}
+
+
+def test_a_document_written_after_the_return_is_read_despite_its_revision(tmp_path):
+    # `almondglade serve` reads single keys, and would wait for a higher revision.
+    with StoreFleet(tmp_path) as fleet:
+        client = PlatformClient(f"http://127.0.0.1:{fleet.store.port}")
+        fleet.control("copy")
+        fleet.put("document", "first")
+        first = client.read_document("document")
+        fleet.control("restore")
+        fleet.put("document", "second")
+        second = client.read_document("document", first.revision, 1.0)
+        assert (first.revision, first.value) == (second.revision, b'"first"')
+        assert second.value == b'"second"'
+        assert second.era > first.era
