Decide out of a configuration only while it is surely the newest

Callers were refused with 404 or 401 out of a document that was up to 19 s older than that of other gateways, while the store turned their gateway away, and keys that a lost version had revoked went on working while the store showed an older copy.

Cause: a gateway counted each response of the store, and each report of a peer with the same revision, as evidence that its document was the newest, whatever version the response held; the evidence guarded keys alone; and reports told which gateways knew more, but nobody asked them. The class: a decision out of state whose age is not part of the decision.

Evidence is for a version now. The store gives it while it lists the version in force, and after its return from a copy once the operator has written again or the time for it is over. Who knows from a peer that a newer version exists takes no evidence for its own, and reads the published state (configuration, targets, evacuations) from that peer, as does a gateway that cannot read the store. 401 and 404 need evidence like keys do; without it callers get 503, which promises nothing false, and come back. A gateway that starts in a running fleet hears from its peers before it believes the store. Reports of earlier releases are read and name no version; theirs still find the revision.

--- a/almondglade/feed.py
+++ b/almondglade/feed.py
@@ -1,38 +1,49 @@
 """Updates that are decoded from the state which a platform publishes."""
 
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, field
 
 from .catalogue import Catalogue, TargetRecord
 
 
 @dataclass(frozen=True)
-class CatalogueUpdate:
-    """A new declared document.
+class PublishedItem:
+    """Something that the platform publishes, as of its last change.
 
     Parameters
     ----------
     revision : int
-        Revision of the store at which the document was written.
+        Revision of the store at which it was written.
+    era : int or None
+        Era of the store in which that revision counts; None for that of the batch.
+    item : mapping or None
+        The item from which it was decoded, to pass it on to peers.
     """
 
     revision: int
+    era: int | None = field(default=None, kw_only=True)
+    item: Mapping | None = field(default=None, kw_only=True, compare=False)
+
+
+@dataclass(frozen=True)
+class CatalogueUpdate(PublishedItem):
+    """A new declared document."""
+
     catalogue: Catalogue
 
 
 @dataclass(frozen=True)
-class EvacuationUpdate:
+class EvacuationUpdate(PublishedItem):
     """A data centre is evacuated, or is put back into service."""
 
-    revision: int
     data_centre: str
     is_evacuated: bool
 
 
 @dataclass(frozen=True)
-class TargetUpdate:
+class TargetUpdate(PublishedItem):
     """A target was added or changed, or was removed (record is None)."""
 
-    revision: int
     target: str
     record: TargetRecord | None
 
@@ -55,7 +66,9 @@
     as_of : float
         Clock reading at which the result was certainly current, seconds.
     era : int
-        Era of the store in which all these revisions count.
+        Era of the store in which these revisions count.
+    is_from_store : bool
+        Whether it was read from the store, and not from a peer.
     """
 
     updates: tuple[Update, ...]
@@ -63,3 +76,4 @@
     is_snapshot: bool
     as_of: float
     era: int = 0
+    is_from_store: bool = True
--- a/almondglade/gateway/app.py
+++ b/almondglade/gateway/app.py
@@ -29,6 +29,9 @@
     accepts_keys : callable
         Returns whether the catalogue is known to be recent enough to check API keys
         against it.
+    may_deny : callable
+        Returns whether the catalogue is known to be recent enough to tell callers that
+        a route or a key does not exist.
     """
 
     sends_error_event = False
@@ -42,10 +45,12 @@
         max_requests,
         registry,
         accepts_keys,
+        may_deny,
     ):
         super().__init__(instance, incarnation, scheduler, metrics, max_requests)
         self.registry = registry
         self.accepts_keys = accepts_keys
+        self.may_deny = may_deny
 
     def request_id(self, http):
         """Return the caller's id of the request, or a new one if that is not usable."""
@@ -61,6 +66,7 @@
     def _handle(self, http, request_id, response, request_metrics):
         arrived_at = time.monotonic()
         self._check_capacity()
+        self.scheduler.suspects.wait_until_informed()
         caller_headers = parse_caller_headers(http.header_pairs)
         catalogue = self.registry.catalogue
         path = http.uri.decode("latin-1")
@@ -92,10 +98,10 @@
         request_metrics.service, request_metrics.tier = request.service, route.tier
         return self._run(http, request, response, request_metrics)
 
-    @staticmethod
-    def _find_route(catalogue, caller_headers, path):
+    def _find_route(self, catalogue, caller_headers, path):
         route = catalogue.find_route(caller_headers.host, path.partition("?")[0])
         if route is None:
+            self._require_current(catalogue, caller_headers, self.may_deny)
             log.info(
                 "request refused: no matching route",
                 request=caller_headers.request_id,
@@ -123,19 +129,10 @@
         """Return the workspace of a request, or None if the route is public."""
         if route.public or not catalogue.requires_keys:
             return None
-        if not self.accepts_keys():
-            log.info(
-                "request refused: the configuration may be out of date",
-                request=caller_headers.request_id,
-                version=catalogue.version,
-            )
-            raise RequestError(
-                Code.NO_COORDINATOR,
-                "the configuration may be out of date",
-                retry_after=BUSY_RETRY_AFTER_SECONDS,
-            )
+        self._require_current(catalogue, caller_headers, self.accepts_keys)
         workspace = catalogue.workspace_by_key.get(caller_headers.api_key or "")
         if workspace is None:
+            self._require_current(catalogue, caller_headers, self.may_deny)
             log.info(
                 "request refused: unknown API key",
                 request=caller_headers.request_id,
@@ -144,6 +141,21 @@
             raise RequestError(Code.UNAUTHENTICATED, "the API key is not known")
         return workspace
 
+    def _require_current(self, catalogue, caller_headers, is_current):
+        """Refuse a request for now if another configuration may decide it otherwise."""
+        if is_current():
+            return
+        log.info(
+            "request refused: the configuration may be out of date",
+            request=caller_headers.request_id,
+            version=catalogue.version,
+        )
+        raise RequestError(
+            Code.NO_COORDINATOR,
+            "the configuration may be out of date",
+            retry_after=BUSY_RETRY_AFTER_SECONDS,
+        )
+
     def _refuse(self, response, error, request_id, request_metrics):
         super()._refuse(response, error, request_id, request_metrics)
         if error.retry_after is not None:
--- a/almondglade/gateway/exchange.py
+++ b/almondglade/gateway/exchange.py
@@ -44,6 +44,8 @@
         Token buckets of the workspaces.
     freshness : Freshness
         Evidence of how recent the configuration is.
+    registry : Registry
+        What was read of the store.
     clock : callable
         Returns monotonic seconds.
 
@@ -60,12 +62,14 @@
         Tracks which versions began streams; set after it has been created.
     limits : LimitTracker
         Tracks the limits that targets name; set after it has been created.
+    peer_states : PeerStateReader
+        Reads the published state from peers; set after it has been created.
     leaving : bool
         Whether this instance is about to stop.
     """
 
     def __init__(
-        self, settings, incarnation, lock, pools, allowances, freshness, clock
+        self, settings, incarnation, lock, pools, allowances, freshness, registry, clock
     ):
         self.settings = settings
         self.incarnation = incarnation
@@ -73,14 +77,15 @@
         self.pools = pools
         self.allowances = allowances
         self.freshness = freshness
+        self.registry = registry
         self.clock = clock
         self.leaving = False
         self.gossip: Any = None
         self.suspects: Any = None
         self.origins: Any = None
         self.limits: Any = None
+        self.peer_states: Any = None
         self.match: Any = set
-        self.store_revision = 0
         self._last_receivers: set[str] = set()
         self._load_by_requester: dict[str, PeerLoad] = {}
         self._is_batch_scheduled = False
@@ -143,9 +148,8 @@
         for load in loads:
             self.pools.cell_reports.record_load(load, now)
         return SharedState(
-            self.freshness.revision,
+            self.registry.catalogue_revision,
             self.freshness.age(boottime_clock()),
-            self.store_revision,
             scope,
             self.allowances.counters_for(scope, receiver),
             tuple(
@@ -153,6 +157,8 @@
                 if scope is Scope.OWN
                 else self.pools.cell_reports.recent_loads(now)
             ),
+            self.freshness.version,
+            self.registry.position,
         )
 
     def report_receivers(self):
@@ -278,12 +284,25 @@
             None if self.pools.is_full_mesh else now,
             self._is_counted(report, shared_state.scope, now),
         )
-        self.freshness.confirm(
-            shared_state.revision, boottime_clock() - shared_state.evidence_age
-        )
+        self._apply_configuration_evidence(report.instance, shared_state)
         for cell_load in shared_state.cells:
             self.pools.cell_reports.record_load(cell_load, now)
 
+    def _apply_configuration_evidence(self, peer, shared_state):
+        was_outdated = self.freshness.is_outdated
+        self.freshness.confirm(
+            shared_state.version, boottime_clock() - shared_state.evidence_age
+        )
+        self.peer_states.record(peer, shared_state.version, shared_state.store_position)
+        if self.freshness.is_outdated and not was_outdated:
+            log.info(
+                "a peer has a newer configuration",
+                peer=peer,
+                version=shared_state.version,
+                version_in_force=self.freshness.version,
+                evidence_age=round(shared_state.evidence_age, 3),
+            )
+
     def _is_counted(self, report, scope, now):
         """Return whether the consumption in a report is to be counted.
 
--- a/almondglade/gateway/node.py
+++ b/almondglade/gateway/node.py
@@ -31,6 +31,7 @@
 from .links import LinkMonitor
 from .operators import GatewayOperatorApp
 from .origins import OriginTracker
+from .peerstate import PeerStateReader
 from .registry import Registry
 from .relayapp import RelayApp
 from .relaying import RelayPeers
@@ -95,6 +96,8 @@
         rng = random.Random()
         self.metrics = Metrics()
         self.freshness = Freshness(bounds.revoke)
+        # Version that the store proves to be the newest, and when.
+        self._unjoined_evidence: tuple[int, float] | None = None
         self.pools = Pools(
             settings.instance,
             settings.data_centre,
@@ -112,6 +115,7 @@
             restarted_at=float("-inf") if settings.first_start else self.clock(),
         )
         self.connections = TargetPools()
+        self.registry = Registry(self.clock, self._apply_registry)
         self.exchange = Exchange(
             settings,
             self.incarnation,
@@ -119,6 +123,7 @@
             self.pools,
             self.allowances,
             self.freshness,
+            self.registry,
             self.clock,
         )
         self.gossip = GossipProtocol(settings, self.exchange, self.clock, rng)
@@ -177,7 +182,6 @@
             self.clock,
         )
         self.exchange.match = self.scheduler.match
-        self.registry = Registry(self.clock, self._apply_registry)
         self.store = StoreClient(settings.store_address, boottime_clock, self.clock)
         self.discovery = Discovery(
             self.store,
@@ -187,6 +191,15 @@
             lambda: self.gossip.max_instances_seen,
             self._evidence_age,
         )
+        self.exchange.peer_states = PeerStateReader(
+            settings,
+            self.registry,
+            self.store.decode_items,
+            self.gossip.live_peers,
+            lambda: self.discovery.reachable,
+            self.metrics,
+            self.clock,
+        )
         app_options = (
             settings.instance,
             f"{self.incarnation:x}",
@@ -198,6 +211,7 @@
             MAX_REQUESTS,
             self.registry,
             self._accepts_keys,
+            self._may_deny,
         )
         # The peers count the requests that they pass on, so that these count once.
         self.relay_app = RelayApp(
@@ -206,6 +220,7 @@
             MAX_REQUESTS,
             self.registry,
             self._accepts_keys,
+            self._may_deny,
             is_peer=self.gossip.is_known_address,
         )
 
@@ -338,17 +353,18 @@
     def _apply_registry(self):
         """Apply the published catalogue, targets and evacuations to scheduling."""
         registry = self.registry
-        catalogue = registry.catalogue
         now = self.clock()
-        records = list(registry.record_by_target.values())
+        # Readings of the store and of peers end in different threads.
         with self.lock:
+            catalogue = registry.catalogue
+            records = list(registry.record_by_target.values())
             self.pools.set_targets(records)
             self.suspects.update_targets(records)
             self.pools.targets.evacuated_data_centres = frozenset(
                 registry.evacuated_data_centres
             )
             if catalogue is not None:
-                self.freshness.set_revision(registry.catalogue_revision)
+                self.freshness.set_version(catalogue.version)
                 self.pools.selector.cold_rate_by_service = {
                     name: terms.cold_rate
                     for name, terms in catalogue.service_by_name.items()
@@ -367,14 +383,34 @@
 
     def _confirm_configuration(self, as_of):
         with self.lock:
-            self.freshness.confirm(self.registry.catalogue_revision, as_of)
+            version = self.registry.newest_listed_version()
+            if version is not None:
+                self._unjoined_evidence = (version, as_of)
+                self._use_evidence()
+
+    def _use_evidence(self):
+        """Use the evidence of the store, once peers could tell of a newer version.
+
+        The caller must hold the lock. An instance that has just started cannot tell
+        an older copy of the store from its newest state.
+        """
+        if self._unjoined_evidence is not None and self.suspects.is_informed():
+            self.freshness.confirm(*self._unjoined_evidence)
+            self._unjoined_evidence = None
 
     def _evidence_age(self):
         with self.lock:
+            self._use_evidence()
             return self.freshness.age(boottime_clock())
 
+    def _may_deny(self):
+        with self.lock:
+            self._use_evidence()
+            return self.freshness.may_deny(boottime_clock())
+
     def _accepts_keys(self):
         with self.lock:
+            self._use_evidence()
             return self.freshness.accepts_keys(boottime_clock())
 
     def is_ready(self):
--- a/almondglade/gateway/registry.py
+++ b/almondglade/gateway/registry.py
@@ -1,6 +1,7 @@
 """What the platform has published, as far as this gateway knows."""
 
 import threading
+from collections.abc import Mapping
 from dataclasses import dataclass
 from functools import singledispatchmethod
 
@@ -46,6 +47,10 @@
         Revision of the store at which the catalogue was written.
     era : int or None
         Newest era of the store that was read; None before the first reading.
+    revision : int
+        Revision of that era up to which the store was read.
+    listed_version : int or None
+        Version of the configuration that the store lists; None if it lists none.
     """
 
     def __init__(self, clock, on_change=lambda: None):
@@ -56,8 +61,14 @@
         self.record_by_target: dict = {}
         self.evacuated_data_centres: set[str] = set()
         self.era: int | None = None
+        self.revision = 0
+        # Era of the copy, or of the first state, that was read from the store itself.
+        self._store_era: int | None = None
+        self.listed_version: int | None = None
         self.store_recovered_at = float("-inf")
         self._era_began_at = float("-inf")
+        self._is_written_again = False
+        self._listed_position = (0, 0)
         self._missing_since: dict[str, float] = {}
         self._lapsed_evacuations: set[str] = set()
         self._dropped_by_target: dict[str, DroppedTarget] = {}
@@ -65,8 +76,34 @@
         self._catalogue_position = (0, 0)
         self._position_by_target: dict[str, tuple[int, int]] = {}
         self._position_by_data_centre: dict[str, tuple[int, int]] = {}
+        # Items as they were read, by the type and the name of their subject.
+        self._item_by_subject: dict[tuple[type, str], Mapping] = {}
         self._lock = threading.Lock()
 
+    @property
+    def position(self):
+        """Era and revision up to which the store was read."""
+        return (self.era or 0, self.revision)
+
+    def newest_listed_version(self):
+        """Return the version in force if the store proves that it is the newest.
+
+        It does not while it lists another one. Shortly after its return from a copy, it
+        may lack one that was acknowledged, until the operator has written it again.
+
+        Returns
+        -------
+        int or None
+        """
+        with self._lock:
+            if self.catalogue is None or self.catalogue.version != self.listed_version:
+                return None
+            is_proof = self._is_written_again or self._is_settled()
+            return self.listed_version if is_proof else None
+
+    def _is_settled(self):
+        return self.clock() - self._era_began_at >= RELIST_SECONDS
+
     def apply_batch(self, batch):
         """Apply a `Batch`; updates older than the present state are ignored.
 
@@ -79,17 +116,46 @@
             if self.era is not None and batch.era < self.era:
                 log.warning("reading ignored", era=batch.era, current_era=self.era)
                 return False
-            is_copy = self.era is not None and batch.era > self.era
-            if is_copy:
+            if self.era is not None and batch.era > self.era:
                 self._begin_era(batch)
             self.era = batch.era
+            self.revision = max(self.revision, batch.revision)
+            is_copy = batch.is_from_store and self._is_first_of_era(batch)
             for update in batch.updates:
-                self._apply_update(update, (batch.era, update.revision), is_copy)
+                era = batch.era if update.era is None else update.era
+                position = (era, update.revision)
+                if batch.is_from_store and isinstance(update, CatalogueUpdate):
+                    self._record_listed(update, position, is_copy)
+                self._apply_update(update, position, is_copy)
             if batch.is_snapshot:
                 self._drop_unlisted(batch)
         self.on_change()
         return True
 
+    def _is_first_of_era(self, batch):
+        """Return whether the store is read for the first time after its return."""
+        is_first = self._store_era is not None and batch.era > self._store_era
+        self._store_era = batch.era
+        return is_first
+
+    def _record_listed(self, update, position, is_copy):
+        if position > self._listed_position:
+            self.listed_version = update.catalogue.version
+            self._listed_position = position
+            self._is_written_again = not is_copy
+
+    def published_items(self):
+        """Return what is known of the published state, for peers.
+
+        Returns
+        -------
+        era, revision : int
+            Position up to which the store was read.
+        items : list of mapping
+        """
+        with self._lock:
+            return *self.position, list(self._item_by_subject.values())
+
     def note_store_recovered(self):
         """Record that the store answers again after an outage."""
         self.store_recovered_at = self.clock()
@@ -97,6 +163,8 @@
     def _begin_era(self, batch):
         """Record that the store has come back from an older copy."""
         self.store_recovered_at = self._era_began_at = self.clock()
+        self.listed_version, self._is_written_again = None, False
+        self.revision = 0
         log.warning(
             "the store came back from an older copy",
             era=batch.era,
@@ -150,6 +218,7 @@
         self.catalogue = update.catalogue
         self.catalogue_revision = update.revision
         self._catalogue_position = position
+        self._keep_item(update, "")
         log.info(
             "configuration applied",
             version=version,
@@ -170,6 +239,7 @@
         self._position_by_data_centre[name] = position
         self._lapsed_evacuations.discard(name)
         self.evacuated_data_centres.add(name)
+        self._keep_item(update, name)
         log.info(
             "data centre evacuated",
             data_centre=name,
@@ -181,6 +251,7 @@
         self._position_by_data_centre[name] = position
         self._lapsed_evacuations.discard(name)
         self.evacuated_data_centres.discard(name)
+        self._item_by_subject.pop((EvacuationUpdate, name), None)
         log.info(
             "data centre back in service",
             data_centre=name,
@@ -203,6 +274,7 @@
         self._missing_since.pop(name, None)
         self._dropped_by_target.pop(name, None)
         self.record_by_target[name] = record
+        self._keep_item(update, name)
         if known is None or known.leaving != record.leaving:
             log.info(
                 "target listed",
@@ -238,6 +310,10 @@
             log.info("entry of the copy ignored", target=name, sequence=record.sequence)
         return is_older
 
+    def _keep_item(self, update, name):
+        if update.item is not None:
+            self._item_by_subject[type(update), name] = update.item
+
     def _drop_unlisted(self, batch):
         end = (batch.era, batch.revision)
         listed = {
@@ -256,7 +332,7 @@
         for name in self.evacuated_data_centres - evacuated:
             if self._position_by_data_centre.get(name, (0, 0)) > end:
                 continue
-            if self.clock() - self._era_began_at < RELIST_SECONDS:
+            if not self._is_settled():
                 # The operator may have to write it again.
                 self._lapsed_evacuations.add(name)
             else:
@@ -279,6 +355,7 @@
         now = self.clock()
         self._missing_since.pop(name, None)
         record = self.record_by_target.pop(name, None)
+        self._item_by_subject.pop((TargetUpdate, name), None)
         if record is not None:
             self._dropped_by_target = {
                 other: dropped
--- a/almondglade/gateway/relayapp.py
+++ b/almondglade/gateway/relayapp.py
@@ -11,6 +11,7 @@
 from ..outcome import Code, RequestError
 from ..platform.front import parse_caller_headers
 from .app import GatewayApp
+from .peerstate import encode_state, is_state_request
 from .relaying import ATTEMPTED_HEADER, RELAY_HEADER, RelayTerms
 from .requests import GatewayRequest
 
@@ -39,6 +40,7 @@
 
     A request is routed and authenticated once more, by the configuration in force here.
     The peer has charged its workspace, decides on retries, and tells its caller.
+    Peers that cannot read the store get what it has published.
 
     Parameters
     ----------
@@ -53,6 +55,9 @@
         self.is_peer = is_peer
 
     def _handle(self, http, request_id, response, request_metrics):
+        self._require_peer()
+        if is_state_request(http.header_pairs):
+            return self._published_state(response)
         request = self._read_request(http, request_id)
         try:
             body = self._run(http, request, response, request_metrics)
@@ -67,11 +72,20 @@
         response.header_pairs.append((ATTEMPTED_HEADER, request.attempted_here))
         return body
 
-    def _read_request(self, http, request_id):
+    def _require_peer(self):
         address = cherrypy.serving.request.remote.ip
         if not self.is_peer(address):
-            log.warning("refused a relayed request of a stranger", address=address)
-            raise RequestError(Code.FORBIDDEN, "only peers may pass requests on")
+            log.warning("refused a request of a stranger", address=address)
+            raise RequestError(Code.FORBIDDEN, "only peers may call this port")
+
+    def _published_state(self, response):
+        """Return what the platform has published, as far as it is known here."""
+        self._check_capacity()
+        response.status = 200
+        response.header_pairs = [("Content-Type", "application/json")]
+        return encode_state(self.registry)
+
+    def _read_request(self, http, request_id):
         self._check_capacity()
         arrived_at = self.scheduler.clock()
         terms = self._read_terms(http, request_id)
--- a/almondglade/gateway/suspects.py
+++ b/almondglade/gateway/suspects.py
@@ -92,8 +92,7 @@
         RequestError
             If it is barred.
         """
-        if not self._is_informed():
-            self._informed.wait(self._join_timeout_at - self.clock())
+        self.wait_until_informed()
         now = self.clock()
         with self.lock:
             verdict = self.table.verdict(request.fingerprints, now)
@@ -121,6 +120,11 @@
             Code.BARRED, "the request crashes targets", retry_after=retry_after
         )
 
+    def wait_until_informed(self):
+        """Wait until a peer has told what it knows; only shortly after the start."""
+        if not self.is_informed():
+            self._informed.wait(self._join_timeout_at - self.clock())
+
     def isolated_fingerprint(self, request):
         """Return the fingerprint for which a request must run in isolation, or 0."""
         with self.lock:
@@ -284,7 +288,8 @@
         """Stop waiting: the peers that could tell have all just started, too."""
         self._informed.set()
 
-    def _is_informed(self):
+    def is_informed(self):
+        """Return whether a peer has told what it knows, or none can."""
         return self._informed.is_set() or self.clock() >= self._join_timeout_at
 
     def recent_reports(self):
@@ -299,7 +304,7 @@
         There is an empty one if no request is suspect, and a `StartNotice` instead from
         an instance that has just started itself.
         """
-        if not self._is_informed():
+        if not self.is_informed():
             return [StartNotice(self.instance)]
         with self.lock:
             reports = self._make_reports(self.table.select(MAX_SUSPECTS_FOR_NEW_PEER))
--- a/almondglade/gossip/codec.py
+++ b/almondglade/gossip/codec.py
@@ -240,7 +240,8 @@
     return [
         shared_state.revision,
         _to_milliseconds(shared_state.evidence_age),
-        shared_state.store_revision,
+        # Earlier releases have a number here, which they ignore.
+        [shared_state.version, *shared_state.store_position],
         int(shared_state.scope),
         {
             name: round(consumed)
@@ -343,12 +344,12 @@
 
 
 def _unpack_shared_state(
-    revision, evidence_age, store_revision, scope, consumed_by_workspace, cells
+    revision, evidence_age, position, scope, consumed_by_workspace, cells
 ):
+    version, era, store_revision = position if isinstance(position, list) else (0, 0, 0)
     return SharedState(
         revision,
         evidence_age / MILLISECONDS_PER_SECOND,
-        store_revision,
         Scope(scope),
         consumed_by_workspace,
         tuple(
@@ -360,9 +361,17 @@
             )
             for service, data_centre, free, slots, load_age in cells
         ),
+        _decode_count(version),
+        (_decode_count(era), _decode_count(store_revision)),
     )
 
 
+def _decode_count(number):
+    if not isinstance(number, int):
+        raise PeerError("malformed message: a count is not a number")
+    return number
+
+
 def _decode_member_list(instance, members, joining):
     return MemberList(
         instance,
--- a/almondglade/gossip/fleet.py
+++ b/almondglade/gossip/fleet.py
@@ -392,8 +392,12 @@
         self.exchange.handle_report(message)
 
     def _send_warnings(self, peer):
-        """Tell a new peer which requests may crash targets and the targets' limits."""
+        """Tell a new peer the newest configuration, suspects and targets' limits.
+
+        The configuration comes first, as the peer waits for the suspects.
+        """
         for message in (
+            self._report(Scope.OWN),
             *self.exchange.suspects.reports_for_new_peer(),
             *self.exchange.limits.messages(),
         ):
--- a/almondglade/gossip/messages.py
+++ b/almondglade/gossip/messages.py
@@ -59,11 +59,10 @@
     Parameters
     ----------
     revision : int
-        Revision of the configuration in use on the sender.
+        Revision of the store at which the configuration in use on the sender was
+        written; peers of an earlier release compare it with their own.
     evidence_age : float
-        Seconds since that revision was last known to be the newest.
-    store_revision : int
-        Revision up to which the sender has read the store.
+        Seconds since that configuration was last known to be the newest.
     scope : Scope
         Whose consumption is reported.
     consumed_by_workspace : dict of str to float
@@ -71,14 +70,20 @@
         in tokens or requests.
     cells : tuple of CellLoad
         Loads of the cells that the sender coordinates or has received from others.
+    version : int
+        Version of the configuration in use on the sender; 0 if it has none, or is of
+        an earlier release.
+    store_position : (int, int)
+        Era and revision of the store up to which the sender has read it.
     """
 
     revision: int = 0
     evidence_age: float = 0.0
-    store_revision: int = 0
     scope: Scope = Scope.OWN
     consumed_by_workspace: dict[str, float] = field(default_factory=dict)
     cells: tuple[CellLoad, ...] = ()
+    version: int = 0
+    store_position: tuple[int, int] = (0, 0)
 
 
 @dataclass(frozen=True)
--- a/almondglade/metrics.py
+++ b/almondglade/metrics.py
@@ -55,6 +55,10 @@
         ("service", "result"),
         "Requests offered to peers, as no target could be reached, by the outcome.",
     ),
+    "peer_state_readings_total": (
+        ("result",),
+        "Readings of the published state from a peer that knew a newer one.",
+    ),
     "tokens_total": (
         ("service", "kind"),
         "Tokens by kind: input, cached (part of input) and output.",
@@ -101,6 +105,10 @@
         "Seconds since the configuration was surely the newest; API keys are "
         "refused when it is too old.",
     ),
+    "configuration_outdated": (
+        (),
+        "Whether a peer has a newer configuration in force.",
+    ),
     "store_era": (
         (),
         "How often the store has come back from an older copy, as it states; 0 if "
@@ -195,9 +203,11 @@
             for state in pools.targets.state_by_target.values()
         )
         evidence_age = node.freshness.age(boottime_clock())
+        is_outdated = node.freshness.is_outdated
     catalogue = node.registry.catalogue
     metrics.set("active_requests", node.app.active)
     metrics.set("configuration_version", catalogue.version if catalogue else 0)
+    metrics.set("configuration_outdated", int(is_outdated))
     metrics.set("platform_calls", node.store.calls)
     metrics.set("store_era", node.store.connection.era)
     metrics.set("store_reachable", int(bool(node.discovery.reachable)))
--- a/almondglade/placement/freshness.py
+++ b/almondglade/placement/freshness.py
@@ -1,17 +1,21 @@
 """Track how old the configuration in use may be.
 
-Load pattern: keys are revoked while some instances cannot read the store. These
-must stop accepting keys unless a peer confirms that their configuration is current.
+Load pattern: keys are revoked and routes added while some instances cannot read the
+store, or read an older copy of it. These must stop accepting keys, and stop denying
+routes, unless a peer confirms that their configuration is current.
 """
 
 # Share of the revocation bound for which a confirmation is valid. The rest, 1.2 s of
 # 5 s, covers the time until a request reaches its target and a store watch that
 # misses changes for a second.
 EVIDENCE_VALIDITY_SHARE = 0.76
+# How long after a confirmation requests are refused for good out of the configuration.
+# Readings of a sound store confirm it every 3.2 s at least.
+DENIAL_VALIDITY_SECONDS = 3.8
 
 
 class Freshness:
-    """The configuration revision in use, and when it was last known to be the newest.
+    """The configuration version in use, and when it was last known to be the newest.
 
     Times are of a clock that also runs while the host is suspended.
 
@@ -22,30 +26,31 @@
 
     Attributes
     ----------
-    revision : int
-        Revision of the configuration in use on this instance.
+    version : int
+        Version of the configuration in use on this instance.
+    newest_known_version : int
+        Newest version that this instance or a peer has had in use.
     """
 
     def __init__(self, revocation_bound):
         self.revocation_bound = revocation_bound
-        self.revision = 0
+        self.version = 0
+        self.newest_known_version = 0
         self._confirmed_at = float("-inf")
-        self._newest_known_revision = 0
 
-    def set_revision(self, revision):
-        """Set the revision in use; a lower one than before is ignored."""
-        self.revision = max(self.revision, revision)
-        self._newest_known_revision = max(self._newest_known_revision, self.revision)
+    def set_version(self, version):
+        """Set the version in use; a lower one than before is ignored."""
+        self.version = max(self.version, version)
+        self.newest_known_version = max(self.newest_known_version, self.version)
 
-    def confirm(self, revision, at):
-        """Record evidence that `revision` was the newest one at a time.
+    def confirm(self, version, at):
+        """Record evidence that `version` was the newest one at a time.
 
-        A newer revision only marks the one in use as outdated.
-        Evidence for an older one is ignored.
+        A newer version only marks the one in use as outdated. Evidence for one that is
+        known to be outdated is ignored: it is as old as its source.
         """
-        if revision > self.revision:
-            self._newest_known_revision = max(self._newest_known_revision, revision)
-        elif revision == self.revision:
+        self.newest_known_version = max(self.newest_known_version, version)
+        if version == self.version and not self.is_outdated:
             self._confirmed_at = max(self._confirmed_at, at)
 
     def age(self, now):
@@ -54,14 +59,21 @@
 
     @property
     def is_outdated(self):
-        """Whether a revision newer than the one in use is known to exist."""
-        return self._newest_known_revision > self.revision
+        """Whether a version newer than the one in use is known to exist."""
+        return self.newest_known_version > self.version
 
     def accepts_keys(self, now):
         """Return whether API keys may be accepted."""
         if self.revocation_bound is None:
-            return self.revision > 0
+            return self.version > 0
         return (
-            self.revision > 0
+            self.version > 0
             and self.age(now) <= EVIDENCE_VALIDITY_SHARE * self.revocation_bound
         )
+
+    def may_deny(self, now):
+        """Return whether a request may be told that its route or key does not exist.
+
+        Another version may have it, so that the caller should come back.
+        """
+        return not self.is_outdated and self.age(now) <= DENIAL_VALIDITY_SECONDS
--- a/almondglade/platform/store.py
+++ b/almondglade/platform/store.py
@@ -62,7 +62,8 @@
                 raise HistoryLostError("the store has come back from an older copy")
             items += response["items"]
         self._era = first["era"]
-        return Batch(self._decode(items), first["at"], True, requested_at, self._era)
+        updates = self.decode_items(items, self._era)
+        return Batch(updates, first["at"], True, requested_at, self._era)
 
     def watch(self, revision, wait):
         """Return a `Batch` of the changes after a revision, once there are any.
@@ -87,35 +88,52 @@
         # The store sends a response without changes only at the end of the wait.
         as_of = requested_at if events else requested_at + wait
         return Batch(
-            self._decode(events),
+            self.decode_items(events, self._era),
             max(revision, response["at"]),
             False,
             min(as_of, self.clock()),
             self._era,
         )
 
-    def _decode(self, items):
-        items = sorted(items, key=lambda item: item["revision"])
-        updates = (self._decode_item(item) for item in items)
+    def decode_items(self, items, era):
+        """Return the updates in some items, which may be passed on by a peer.
+
+        Parameters
+        ----------
+        items : list of dict
+            Items of the store. Those of peers that were written in an earlier era
+            hold it.
+        era : int
+            Era of the others.
+
+        Raises
+        ------
+        KeyError, TypeError
+            If one has no key or no revision.
+        """
+        items = sorted(items, key=lambda item: (item.get("era", era), item["revision"]))
+        updates = (self._decode_item(item, item.get("era", era)) for item in items)
         return tuple(update for update in updates if update is not None)
 
-    def _decode_item(self, item):
+    def _decode_item(self, item, era):
         key, revision = item["key"], item["revision"]
         deleted = bool(item.get("deleted"))
+        origin = {"era": era, "item": item | {"era": era}}
         try:
             if key == CONFIGURATION_KEY:
                 if deleted:
                     raise PlatformError("the document was deleted")
-                return CatalogueUpdate(revision, decode_catalogue(decode_value(item)))
+                catalogue = decode_catalogue(decode_value(item))
+                return CatalogueUpdate(revision, catalogue, **origin)
             if key.startswith(EVACUATION_PREFIX):
                 data_centre = key.removeprefix(EVACUATION_PREFIX)
-                return EvacuationUpdate(revision, data_centre, not deleted)
+                return EvacuationUpdate(revision, data_centre, not deleted, **origin)
             if key.startswith(TARGET_PREFIX):
                 name = key.removeprefix(TARGET_PREFIX)
                 if deleted:
-                    return TargetUpdate(revision, name, None)
+                    return TargetUpdate(revision, name, None, **origin)
                 record = decode_target(key, decode_value(item), self.monotonic_clock())
-                return TargetUpdate(revision, name, record)
+                return TargetUpdate(revision, name, record, **origin)
         except PlatformError as error:
             log.warning(
                 "an entry is not usable", key=key, revision=revision, cause=str(error)
--- a/test/test_gossip.py
+++ b/test/test_gossip.py
@@ -1,5 +1,7 @@
 """Encoding and decoding of the gossip messages."""
 
+from dataclasses import replace
+
 import msgpack
 import pytest
 from hypothesis import given
@@ -52,10 +54,11 @@
     SharedState,
     st.integers(0, 2**60),
     SECONDS,
-    st.integers(0, 2**60),
     st.sampled_from(Scope),
     st.dictionaries(NAMES, COUNTS.map(float), max_size=3),
     st.lists(LOADS, max_size=3).map(tuple),
+    st.integers(0, 2**60),
+    st.tuples(st.integers(0, 2**60), st.integers(0, 2**60)),
 )
 STATS = st.builds(
     TargetStats,
@@ -190,3 +193,13 @@
 def test_malformed_messages_raise_peer_errors(data):
     with pytest.raises(PeerError):
         decode(data)
+
+
+def test_shared_state_of_an_earlier_release_names_no_version():
+    state = SharedState(7, 0.5, version=3, store_position=(2, 9))
+    fields = msgpack.unpackb(encode(Report("e1", "north", 1, 1, shared_state=state)))
+    shared_state = next(field for field in fields if field and type(field) is list)
+    assert shared_state[2] == [3, 2, 9]
+    shared_state[2] = 0
+    decoded = decode(msgpack.packb(fields)).shared_state
+    assert decoded == replace(state, version=0, store_position=(0, 0))
--- a/test/test_registry.py
+++ b/test/test_registry.py
@@ -135,6 +135,47 @@
     assert registry.catalogue.version == 5
 
 
+def catalogue(revision, version):
+    return CatalogueUpdate(revision, Catalogue(version))
+
+
+def test_a_copy_with_another_version_proves_nothing(registry):
+    registry.apply_batch(snapshot(50, catalogue(50, 4)))
+    assert registry.newest_listed_version() == 4
+    registry.apply_batch(snapshot(8, catalogue(8, 2), era=2))
+    registry.clock.now += 10 * RELIST_SECONDS
+    registry.apply_batch(snapshot(8, catalogue(8, 2), era=2))
+    assert registry.newest_listed_version() is None
+    registry.apply_batch(changes(9, catalogue(9, 4), era=2))
+    assert registry.newest_listed_version() == 4
+
+
+def test_a_copy_of_the_version_in_force_proves_nothing_until_it_could_be_replaced(
+    registry,
+):
+    # A newer version may have been acknowledged and lost.
+    registry.apply_batch(snapshot(50, catalogue(50, 4)))
+    for _ in range(2):
+        registry.apply_batch(snapshot(50, catalogue(50, 4), era=2))
+        assert registry.newest_listed_version() is None
+    registry.clock.now += RELIST_SECONDS
+    assert registry.newest_listed_version() == 4
+
+
+def test_a_version_that_is_written_again_proves_that_it_is_the_newest(registry):
+    registry.apply_batch(snapshot(50, catalogue(50, 4)))
+    registry.apply_batch(snapshot(50, catalogue(50, 4), era=2))
+    registry.apply_batch(changes(51, catalogue(51, 4), era=2))
+    assert registry.newest_listed_version() == 4
+
+
+def test_a_store_that_lists_no_configuration_proves_nothing(registry):
+    registry.apply_batch(snapshot(50, catalogue(50, 4)))
+    registry.apply_batch(snapshot(3, era=2))
+    registry.clock.now += 10 * RELIST_SECONDS
+    assert registry.newest_listed_version() is None
+
+
 def test_a_reading_of_an_earlier_era_changes_nothing(registry):
     registry.apply_batch(snapshot(3, CatalogueUpdate(3, Catalogue(2)), era=2))
     late = snapshot(90, CatalogueUpdate(90, Catalogue(9)), era=1)
