Apply the reports of a peer that starts again with its clock set back

A gateway that restarted while its time of day was behind was ignored by its peers for as long as it ran: its consumption did not count against allowances, its evidence and its requests for slots reached nobody.

Cause: reports were ordered by the sender's start time first, and only a higher one was taken. A lower start time is now believed once no report of the higher one has arrived for the time after which a peer counts as lost; the numbers of a coordinator's grants, which follow the same clock, are forgotten with its former start.

A late report of an earlier start is still dropped.

--- a/almondglade/gateway/exchange.py
+++ b/almondglade/gateway/exchange.py
@@ -87,6 +87,7 @@
         self.peer_states: Any = None
         self.match: Any = set
         self._last_receivers: set[str] = set()
+        self._incarnation_by_peer: dict[str, int] = {}
         self._load_by_requester: dict[str, PeerLoad] = {}
         self._is_batch_scheduled = False
         self._recent_waits = RecentWaits()
@@ -236,6 +237,7 @@
             ticket.cell for ticket in load.tickets if ticket.coordinator == own
         }
         with self.lock:
+            self._note_incarnation(report)
             self.pools.fleet.update(report.instance, load)
             if report.shared_state is not None:
                 self._apply_shared_state(report, report.shared_state, now)
@@ -250,6 +252,16 @@
             self._is_batch_scheduled = True
             self.gossip.call_later(BATCH_SECONDS, self._answer_batch)
 
+    def _note_incarnation(self, report):
+        """Forget which grants of a peer were received before it started again.
+
+        Their numbers follow its clock, which may have been set back.
+        """
+        former = self._incarnation_by_peer.get(report.instance)
+        self._incarnation_by_peer[report.instance] = report.incarnation
+        if former not in (None, report.incarnation):
+            self.pools.latest_grant_by_coordinator.pop(report.instance, None)
+
     def _answer_batch(self):
         self._is_batch_scheduled = False
         with self.lock:
--- a/almondglade/gossip/fleet.py
+++ b/almondglade/gossip/fleet.py
@@ -359,10 +359,7 @@
 
     @_handle.register
     def _(self, message: Report, peer):
-        if (message.incarnation, message.sequence_number) <= (
-            peer.incarnation,
-            peer.sequence_number,
-        ):
+        if not self._is_newer(message, peer):
             log.debug(
                 "report ignored: it is older than the last one",
                 peer=message.instance,
@@ -391,6 +388,19 @@
             self._send_warnings(peer)
         self.exchange.handle_report(message)
 
+    def _is_newer(self, report, peer):
+        """Return whether a report is newer than the last one of a peer.
+
+        A peer that starts again while its clock is set back has a lower incarnation
+        than before. Reports of its former start have ended then.
+        """
+        if report.incarnation < peer.incarnation:
+            return self.clock() - peer.reported_at > PEER_TIMEOUT_SECONDS
+        return (report.incarnation, report.sequence_number) > (
+            peer.incarnation,
+            peer.sequence_number,
+        )
+
     def _send_warnings(self, peer):
         """Tell a new peer the newest configuration, suspects and targets' limits.
 
--- a/test/test_cells.py
+++ b/test/test_cells.py
@@ -343,6 +343,7 @@
         Registry(time.monotonic),
         time.monotonic,
     )
+    exchange.peer_states = SimpleNamespace(record=lambda *position: None)
     exchange.set_instances(info_by_instance, is_full_mesh=False)
     return exchange, allowances
 
@@ -446,3 +447,15 @@
     cells = [SOUTH, Cell(SERVICE, "east")]
     chosen = [pools.cell_reports.choose_overflow(cells, 0.0) for _ in range(500)]
     assert 0.1 < chosen.count(SOUTH) / 500 < 0.3
+
+
+def test_grants_after_a_restart_of_their_coordinator_are_not_acknowledged_early():
+    # Its grants have lower numbers than before if its clock was set back.
+    exchange, _ = make_exchange("e1", "north", {"s1": InstanceInfo("south")})
+    exchange.gossip = SimpleNamespace(call_later=lambda seconds, callback: None)
+    exchange.handle_report(Report("s1", "south", 2000, 1))
+    exchange.pools.latest_grant_by_coordinator["s1"] = 200_005
+    exchange.handle_report(Report("s1", "south", 2000, 2))
+    assert exchange.pools.latest_grant_by_coordinator["s1"] == 200_005
+    exchange.handle_report(Report("s1", "south", 1000, 1))
+    assert "s1" not in exchange.pools.latest_grant_by_coordinator
