Take no entry for a target that no target could have written

An entry of another writer with port 99999 or 0, address 999.1.1.1, an infinite or NaN cold time, or 2^62 slots was listed, and requests were sent there: with 33 odd entries at once a route that was added was not served within 4 s, as requests waited for targets that cannot exist. An entry that became unreadable was kept or dropped depending on whether a watch or a whole reading brought it.

Cause: the entry's model checked the form of its fields, not their range. Address, port, slots, counts, cold time and the length of names have bounds now, and no number may be infinite.

--- a/almondglade/feed.py
+++ b/almondglade/feed.py
@@ -42,10 +42,17 @@
 
 @dataclass(frozen=True)
 class TargetUpdate(PublishedItem):
-    """A target was added or changed, or was removed (record is None)."""
+    """A target was added or changed, or was removed (record is None).
+
+    Parameters
+    ----------
+    is_readable : bool
+        False if the entry of the target cannot be decoded.
+    """
 
     target: str
     record: TargetRecord | None
+    is_readable: bool = field(default=True, kw_only=True)
 
 
 Update = CatalogueUpdate | EvacuationUpdate | TargetUpdate
--- a/almondglade/gateway/registry.py
+++ b/almondglade/gateway/registry.py
@@ -177,12 +177,16 @@
 
     def expire(self):
         """Drop what was not written again in time after an outage of the store."""
-        if self.clock() - self.store_recovered_at < RELIST_SECONDS:
+        if not self._missing_since and not self._lapsed_evacuations:
             return
+        until = self.clock() - RELIST_SECONDS
         with self._lock:
-            missing, lapsed = list(self._missing_since), list(self._lapsed_evacuations)
+            missing = [
+                name for name, since in self._missing_since.items() if since <= until
+            ]
+            lapsed = list(self._lapsed_evacuations) if self._is_settled() else []
             for name in missing:
-                self._drop(name, "not listed again after an outage")
+                self._drop(name, "not listed again in time")
             for name in lapsed:
                 self._end_evacuation(name, (self.era or 0, 0))
         if missing or lapsed:
@@ -265,6 +269,11 @@
         if position <= self._position_by_target.get(name, (0, 0)):
             return
         self._position_by_target[name] = position
+        if not update.is_readable:
+            # Another writer may have replaced the entry; a live target writes again.
+            if name in self.record_by_target:
+                self._missing_since.setdefault(name, self.clock())
+            return
         if record is None:
             self._handle_unlisted(name)
             return
--- a/almondglade/platform/store.py
+++ b/almondglade/platform/store.py
@@ -132,10 +132,19 @@
                 name = key.removeprefix(TARGET_PREFIX)
                 if deleted:
                     return TargetUpdate(revision, name, None, **origin)
-                record = decode_target(key, decode_value(item), self.monotonic_clock())
-                return TargetUpdate(revision, name, record, **origin)
+                return self._decode_target(key, name, revision, item, origin)
         except PlatformError as error:
             log.warning(
                 "an entry is not usable", key=key, revision=revision, cause=str(error)
             )
         return None
+
+    def _decode_target(self, key, name, revision, item, origin):
+        try:
+            record = decode_target(key, decode_value(item), self.monotonic_clock())
+        except PlatformError as error:
+            log.warning("an entry is not usable", key=key, cause=str(error))
+            return TargetUpdate(
+                revision, name, None, era=origin["era"], is_readable=False
+            )
+        return TargetUpdate(revision, name, record, **origin)
--- a/almondglade/platform/wire.py
+++ b/almondglade/platform/wire.py
@@ -5,10 +5,12 @@
 
 import base64
 import binascii
+import ipaddress
 from types import MappingProxyType
+from typing import Annotated
 
 import orjson
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import BaseModel, BeforeValidator, ConfigDict, Field, ValidationError
 
 from ..catalogue import (
     CallerLimits,
@@ -31,12 +33,18 @@
 READY = "ready"
 DRAINING = "draining"
 MILLISECONDS_PER_SECOND = 1000.0
+# Limits of a target's entry; one beyond them was not written by a target.
+MAX_NAME_CHARACTERS = 256
+MAX_PORT = 65_535
+MAX_SLOTS = 1 << 16
+MAX_COUNT = 1 << 53
+MAX_COLD_MS = 3_600_000.0
 # Timeout of routes that declare none.
 DEFAULT_TIMEOUT_MS = 30_000.0
 
 
 class _PlatformModel(BaseModel):
-    model_config = ConfigDict(extra="ignore", frozen=True)
+    model_config = ConfigDict(extra="ignore", frozen=True, allow_inf_nan=False)
 
 
 class _Share(_PlatformModel):
@@ -139,17 +147,42 @@
     tenants: list[_Tenant] | None = None
 
 
+def _parse_address(value):
+    """Return host and port of an address that a target can have.
+
+    Raises
+    ------
+    ValueError
+        If it is not an IPv4 address of one host and a port.
+    """
+    if not isinstance(value, str):
+        raise ValueError("the address is not a text")
+    host, _, port = value.rpartition(":")
+    address = ipaddress.IPv4Address(host)
+    if address.is_unspecified or address.is_multicast or address.is_reserved:
+        raise ValueError(f"{host} is not the address of a host")
+    if not (port.isascii() and port.isdigit() and 0 < int(port) <= MAX_PORT):
+        raise ValueError(f"{port[:MAX_NAME_CHARACTERS]} is not a port")
+    return str(address), int(port)
+
+
+Name = Annotated[str, Field(strict=True, max_length=MAX_NAME_CHARACTERS)]
+Count = Annotated[int, Field(strict=True, ge=0, le=MAX_COUNT)]
+
+
 class _Target(_PlatformModel):
-    service: str = Field(min_length=1, strict=True)
-    address: str = Field(pattern=r"^[0-9.]+:[0-9]{1,5}$", strict=True)
-    zone: str = Field(strict=True)
-    slots: int = Field(ge=1, strict=True)
+    service: Name = Field(min_length=1)
+    address: Annotated[tuple[str, int], BeforeValidator(_parse_address)]
+    zone: Name
+    slots: int = Field(ge=1, le=MAX_SLOTS, strict=True)
     state: str = Field(pattern=f"^({READY}|{DRAINING})$", strict=True)
-    cold_remaining_ms: float = Field(0.0, alias="coldRemainingMs")
-    sequence: int = Field(0, strict=True)
+    cold_remaining_ms: float = Field(
+        0.0, alias="coldRemainingMs", ge=0.0, le=MAX_COLD_MS, strict=True
+    )
+    sequence: Count = 0
     # Version of the target's software, not of its model's weights.
-    version: str = Field("", strict=True)
-    born: int = Field(0, strict=True)
+    version: Name = ""
+    born: Count = 0
 
 
 def decode_catalogue(document):
@@ -209,12 +242,10 @@
         parsed = _Target.model_validate(orjson.loads(document))
     except (orjson.JSONDecodeError, ValidationError) as error:
         raise PlatformError(f"the entry {key} is not valid: {error}") from error
-    host, _, port = parsed.address.rpartition(":")
     return TargetRecord(
         key.removeprefix(TARGET_PREFIX),
         parsed.service,
-        host,
-        int(port),
+        *parsed.address,
         parsed.zone,
         parsed.slots,
         parsed.state == DRAINING,
--- a/test/storefleet.py
+++ b/test/storefleet.py
@@ -66,6 +66,11 @@
         response = self.http.request("POST", f"{url}?{urlencode(query)}")
         assert response.status == 200
 
+    def put_bytes(self, key, document):
+        """Write an item that need not be JSON."""
+        url = f"http://127.0.0.1:{self.store.port}/standin/item?key={key}"
+        self.http.request("POST", url, body=document)
+
     def turn_away(self, address):
         """Cut a gateway off from the store."""
         proxy = self.proxy_by_address[address]
--- a/test/test_registry.py
+++ b/test/test_registry.py
@@ -85,6 +85,26 @@
     assert listed(registry) == {"t1"}
 
 
+def test_a_target_whose_entry_became_unreadable_has_time_to_write_it_again(registry):
+    # A change dropped nothing, and a whole reading dropped it at once.
+    registry.apply_batch(snapshot(3, TargetUpdate(3, "t1", make_target("t1"))))
+    odd = TargetUpdate(4, "t1", None, is_readable=False)
+    for batch in (changes(4, odd), snapshot(4, odd)):
+        registry.apply_batch(batch)
+        registry.expire()
+        assert listed(registry) == {"t1"}
+    registry.clock.now += RELIST_SECONDS / 2
+    again = TargetUpdate(5, "t1", make_target("t1", sequence=2))
+    registry.apply_batch(changes(5, again))
+    registry.clock.now += RELIST_SECONDS
+    registry.expire()
+    assert listed(registry) == {"t1"}
+    registry.apply_batch(changes(6, TargetUpdate(6, "t1", None, is_readable=False)))
+    registry.clock.now += RELIST_SECONDS
+    registry.expire()
+    assert not listed(registry)
+
+
 def test_a_restarted_target_replaces_the_entry_of_its_former_start(registry):
     registry.apply_batch(
         snapshot(3, TargetUpdate(3, "t1", make_target("t1", sequence=9, leaving=True)))
