Judge which request a refusal belongs to, by more than the id in it

Cause: a response without an id was taken for that of any request, and one with the right id for the newest one. Evidence was believed by a name that is not unique to what it is about. What a target said before now decides with it: one that names requests is not believed without, and a second refusal of the same request is doubtful. A doubtful one is skipped; if no answer follows in 0.5 s the outcome is unknown.

--- a/almondglade/dispatch/call.py
+++ b/almondglade/dispatch/call.py
@@ -1,5 +1,6 @@
 """Dispatch one request: write it and read the response to its last byte."""
 
+import math
 import re
 import threading
 import time
@@ -14,6 +15,7 @@
 from ..deadlines import Deadlines
 from ..errors import TargetError
 from ..sockets import reset_on_close, shut_down
+from .attribution import Verdict
 from .connections import Attempt, PermitExpiredError
 from .events import EventSplitter, has_events, has_readable_events
 
@@ -22,6 +24,8 @@
 # number, and the length of each body.
 MAX_STALE_RESPONSES = 3
 MAX_STALE_RESPONSE_BYTES = 1 << 20
+# Longest wait for the answer that may follow a repeated refusal.
+DOUBT_SECONDS = 0.5
 # Limit on a body that only the end of its connection ends.
 MAX_UNFRAMED_BODY_BYTES = 16 << 20
 # Framing of a body that only the end of its connection ends.
@@ -97,9 +101,9 @@
     new_connection : bool
         Whether to open a new connection. An idle one may be closed by the target
         while the request is in transit.
-    matches_request : callable or None
-        Takes a `ResponseHead` and returns whether it belongs to this request. A
-        stale response to another request on the connection is skipped.
+    judge_response : callable or None
+        Takes a `ResponseHead`, and whether the connection has carried other requests;
+        returns the `Verdict`. A stale response on the connection is skipped.
     is_stream_expected : bool
         Whether a success without a content type is an event stream.
 
@@ -120,7 +124,7 @@
         deadlines: Deadlines,
         clock=time.monotonic,
         new_connection=False,
-        matches_request=None,
+        judge_response=None,
         is_stream_expected=False,
     ):
         self.pool = pool
@@ -130,7 +134,7 @@
         self.deadlines = deadlines
         self.clock = clock
         self.new_connection = new_connection
-        self.matches_request = matches_request
+        self.judge_response = judge_response
         self.is_stream_expected = is_stream_expected
         self.started_at = clock()
         self.cancelled = False
@@ -138,6 +142,7 @@
         self._expired = False
         self._ended = False
         self._reusable = True
+        self._is_reused = False
         # Time counts towards the gap limit only while a read waits for the target, not
         # while the caller of `read` is busy. What a read without an event has waited
         # counts for the next one too.
@@ -276,6 +281,7 @@
 
     def _connect(self):
         connection = None if self.new_connection else self.pool.take()
+        self._is_reused = connection is not None
         try:
             connection = connection or self.pool.connect(self.limits.connect)
         except READ_ERRORS as error:
@@ -293,7 +299,11 @@
     def _mark_dispatched(self):
         self.attempt.mark_dispatched()
         self.started_at = self.clock()
-        self._set_deadline(min(self.limits.first_byte, self.limits.total))
+        self._set_deadline(self._first_byte_seconds)
+
+    @property
+    def _first_byte_seconds(self):
+        return min(self.limits.first_byte, self.limits.total)
 
     def _buffer_request(self):
         """Buffer the bytes of the request; nothing is written yet."""
@@ -323,9 +333,15 @@
     def _receive_head(self):
         response = self._connection.read_head()
         head = self._check_head(response)
+        is_doubtful = False
         for _ in range(MAX_STALE_RESPONSES):
-            if self.matches_request is None or self.matches_request(head):
+            verdict = self._judge(head)
+            if verdict is Verdict.OURS:
                 break
+            if verdict is Verdict.DOUBTFUL:
+                # If the target has refused the request once more, no answer follows.
+                is_doubtful = True
+                self._limit_wait(DOUBT_SECONDS)
             # The connection is out of step and must not be reused for other requests.
             self._reusable = False
             response = self._connection.read_next_head(
@@ -334,6 +350,8 @@
             head = self._check_head(response)
         else:
             raise HTTPException("the answers belong to other requests")
+        if is_doubtful:
+            self._limit_wait(math.inf)
         with self._lock:
             if self.cancelled or self._expired:
                 raise OSError("the connection was shut down")
@@ -345,6 +363,17 @@
         self._connection.note_keep_alive(response.headers.get("keep-alive", ""))
         return head
 
+    def _judge(self, head):
+        if self.judge_response is None:
+            return Verdict.OURS
+        return self.judge_response(head, self._is_reused)
+
+    def _limit_wait(self, seconds):
+        """End the call unless its first byte arrives within some seconds."""
+        left = self.started_at + self._first_byte_seconds - self.clock()
+        self._deadline.cancel()
+        self._set_deadline(self.clock() - self.started_at + min(seconds, left))
+
     def _check_head(self, response):
         check_framing(response, self.request.method)
         return ResponseHead(response.status, tuple(response.headers.items()))
--- a/almondglade/dispatch/connections.py
+++ b/almondglade/dispatch/connections.py
@@ -13,6 +13,7 @@
 
 from ..errors import AlmondgladeError
 from ..sockets import TCP_OPTIONS
+from .attribution import Attribution
 from .responses import StrictResponse, UnclosableReader
 
 DEFAULT_PORT = 80
@@ -154,6 +155,11 @@
         Prefix of the path of each request.
     clock : callable
         Returns monotonic seconds.
+
+    Attributes
+    ----------
+    attribution : Attribution
+        Decides which requests the target's responses belong to.
     """
 
     def __init__(self, host, port, prefix="", clock=time.monotonic):
@@ -161,6 +167,7 @@
         self.port = port
         self.prefix = prefix
         self.clock = clock
+        self.attribution = Attribution(clock)
         self.closed = False
         self._idle: deque[TargetConnection] = deque()
         self._lock = threading.Lock()
--- a/almondglade/gateway/calls.py
+++ b/almondglade/gateway/calls.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+from ..dispatch.attribution import Claim, Verdict
 from ..dispatch.call import CallLimits
 from ..dispatch.connections import Attempt
 from ..log import get_logger
@@ -189,12 +190,25 @@
         slowness = self.scheduler.slowness_of(target)
         return FIRST_EVENT_MARGIN * slowness * expected_first_byte_seconds(tokens)
 
-    def _is_response_to_request(self, head):
-        response_request_id = parse_target_response(head).request_id
-        return (
-            response_request_id is None
-            or response_request_id == self.request.request_id
-        )
+    def _judge_response(self, head, is_reused):
+        """Return the `Verdict` on a response that arrived on the connection."""
+        request_id = self.request.request_id
+        info = parse_target_response(head)
+        claim = Claim(info.request_id, info.not_run)
+        attribution = self.call.pool.attribution
+        verdict = attribution.judge(claim, request_id, is_reused)
+        if verdict is not Verdict.OURS:
+            log.info(
+                "response skipped: it may belong to another request",
+                request=request_id,
+                named=info.request_id,
+                status=head.status,
+                verdict=verdict.value,
+                target=self.record.id if self.record else None,
+            )
+        elif info.not_run:
+            attribution.record_refused(request_id)
+        return verdict
 
     def _drop_call(self):
         if self.call is not None:
--- a/almondglade/gateway/dispatching.py
+++ b/almondglade/gateway/dispatching.py
@@ -81,7 +81,7 @@
             self.clock,
             # A reused connection may be that of a target which has ended already.
             new_connection=scheduler.suspects.is_suspect(request),
-            matches_request=self._is_response_to_request,
+            judge_response=self._judge_response,
             is_stream_expected=request.route.streaming,
         )
         try:
--- a/almondglade/gateway/peercalls.py
+++ b/almondglade/gateway/peercalls.py
@@ -119,7 +119,7 @@
             self.clock,
             # The peer may close an idle connection while a request is in transit.
             new_connection=not request.route.repeatable,
-            matches_request=self._is_response_to_request,
+            judge_response=self._judge_response,
             is_stream_expected=request.route.streaming,
         )
         try:
