Let streams go on after the loss of all gateways, where targets prove their version

What gateways know of a stream is told to up to eight peers and is gone when all are lost at once: a fact that ends with the processes that hold it.

Targets still know. With the last part of a prompt, which is the request's own, they keep what they generated. A gateway that finds no peer which knows asks the listed targets of the route's services. The origin has read the whole prompt and generated the events that the caller names; a target that had only read it, as one that was silent until another began the stream, has not. If exactly one version is possible, counting targets that do not tell, the stream goes on there, and peers hear of it. More than 16 targets are not asked.

--- a/almondglade/gateway/app.py
+++ b/almondglade/gateway/app.py
@@ -32,6 +32,8 @@
     may_deny : callable
         Returns whether the catalogue is known to be recent enough to tell callers that
         a route or a key does not exist.
+    origin_search : OriginSearch
+        Finds out which version began a stream that no gateway knows.
     """
 
     sends_error_event = False
@@ -46,11 +48,13 @@
         registry,
         accepts_keys,
         may_deny,
+        origin_search,
     ):
         super().__init__(instance, incarnation, scheduler, metrics, max_requests)
         self.registry = registry
         self.accepts_keys = accepts_keys
         self.may_deny = may_deny
+        self.origin_search = origin_search
 
     def request_id(self, http):
         """Return the caller's id of the request, or a new one if that is not usable."""
@@ -110,11 +114,23 @@
             raise RequestError(Code.NOT_FOUND, "no route for this host and path")
         return route
 
+    def _tokens_per_event(self, service):
+        terms = self.registry.catalogue.service_by_name.get(service)
+        return terms.tokens_per_event if terms else 1.0
+
     def _find_origin(self, route, caller_headers, request_id):
         """Return the `StreamOrigin` of a stream that goes on, or None for a new one."""
         if not route.streaming or not caller_headers.last_event_id:
             return None
-        origin = self.scheduler.origins.find(request_id, caller_headers.resumed_request)
+        origin = self.scheduler.origins.find(
+            request_id,
+            caller_headers.resumed_request,
+            lambda: self.origin_search.infer(
+                route.weight_by_service,
+                caller_headers,
+                min(self._tokens_per_event(name) for name in route.weight_by_service),
+            ),
+        )
         if origin.service not in route.weight_by_service:
             log.info(
                 "request refused: the route no longer leads to the stream's service",
--- a/almondglade/gateway/node.py
+++ b/almondglade/gateway/node.py
@@ -23,6 +23,7 @@
 from ..placement.freshness import Freshness
 from ..placement.pool import Pools
 from ..placement.resends import RetryBudget
+from ..platform.promptcache import PromptCacheClient
 from ..platform.questions import ReadinessEndpoint
 from ..platform.store import StoreClient
 from .app import GatewayApp
@@ -31,6 +32,7 @@
 from .links import LinkMonitor
 from .operators import GatewayOperatorApp
 from .origins import OriginTracker
+from .originsearch import OriginSearch
 from .peerstate import PeerStateReader
 from .registry import Registry
 from .relayapp import RelayApp
@@ -200,6 +202,9 @@
             self.metrics,
             self.clock,
         )
+        origin_search = OriginSearch(
+            self.lock, self.pools.targets, PromptCacheClient().read, self.clock
+        )
         app_options = (
             settings.instance,
             f"{self.incarnation:x}",
@@ -212,6 +217,7 @@
             self.registry,
             self._accepts_keys,
             self._may_deny,
+            origin_search,
         )
         # The peers count the requests that they pass on, so that these count once.
         self.relay_app = RelayApp(
@@ -221,6 +227,7 @@
             self.registry,
             self._accepts_keys,
             self._may_deny,
+            origin_search,
             is_peer=self.gossip.is_known_address,
         )
 
--- a/almondglade/gateway/origins.py
+++ b/almondglade/gateway/origins.py
@@ -57,7 +57,7 @@
         # A gateway may be killed as soon as its caller has got the event.
         self.gossip.send_to_holders(request_id, report, TOLD_PEERS)
 
-    def find(self, request_id, resumed_request):
+    def find(self, request_id, resumed_request, infer=lambda: None):
         """Return the `StreamOrigin` of a stream that a caller takes up.
 
         Asks the peers if it is not known here.
@@ -68,6 +68,8 @@
             Id of the caller's request.
         resumed_request : str or None
             Id of the request that brought the first event of the stream.
+        infer : callable
+            Called if no gateway knows; returns the origin that targets prove, or None.
 
         Raises
         ------
@@ -85,6 +87,10 @@
                     )
                     found, source = self._wait_for(resumed_request, timeout), "peers"
         origin, age = found or (None, None)
+        if origin is None:
+            origin, source = infer(), "targets"
+            if origin is not None:
+                self.record(resumed_request or request_id, origin)
         result = source if origin is not None else "unknown"
         self.metrics.count("stream_resumes_total", result=result)
         log.info(
--- /dev/null
+++ b/almondglade/gateway/originsearch.py
@@ -0,0 +1,151 @@
+"""Find out which software version began a stream that no gateway knows.
+
+Load pattern: all gateways are lost at once while targets of several versions serve, and
+hundreds of callers take their streams up again within a second. What gateways knew of
+the streams is gone; the targets still keep the prompts that they read and what they
+generated.
+"""
+
+import threading
+from collections.abc import Mapping
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+
+from ..errors import PlatformError
+from ..log import get_logger
+from ..placement.origins import infer_origin
+
+log = get_logger("origins")
+
+# A target's list serves all streams that are taken up within this time.
+LIST_VALIDITY_SECONDS = 0.3
+# Targets that are asked; with more of them, a loss of all gateways would make each ask
+# hundreds, and a list delays the work of its target.
+MAX_ASKED_TARGETS = 16
+
+
+@dataclass
+class Listing:
+    """Tokens that a target keeps by part, None if it did not tell, and when."""
+
+    tokens_by_part: Mapping[str, int] | None
+    asked_at: float
+
+
+class OriginSearch:
+    """Asks targets for the prompt of a stream.
+
+    Parameters
+    ----------
+    lock : threading.Lock
+        Guards the targets.
+    targets : Targets
+        The listed targets.
+    read_parts : callable
+        Takes a `TargetRecord` and returns the tokens that it keeps by part.
+    clock : callable
+        Returns monotonic seconds.
+    """
+
+    def __init__(self, lock, targets, read_parts, clock):
+        self.lock = lock
+        self.targets = targets
+        self.read_parts = read_parts
+        self.clock = clock
+        self._asking = threading.Lock()
+        self._listing_by_incarnation: dict[tuple[str, int], Listing] = {}
+        self._executor: ThreadPoolExecutor | None = None
+
+    def infer(self, services, caller_headers, tokens_per_event):
+        """Return the `StreamOrigin` that the targets' memory proves, or None.
+
+        Parameters
+        ----------
+        services : collection of str
+            Services that may have begun the stream.
+        caller_headers : CallerHeaders
+            Of the request that takes it up; it names the parts of its prompt.
+        tokens_per_event : float
+            Tokens in one event of the stream.
+        """
+        needed = tokens_of_origin(caller_headers, tokens_per_event)
+        if needed is None:
+            return None
+        with self.lock:
+            records = [
+                state.record
+                for state in self.targets.state_by_target.values()
+                if state.record.service in services
+            ]
+        if not 0 < len(records) <= MAX_ASKED_TARGETS:
+            return None
+        own_part = caller_headers.prompt_parts[-1]
+        kept_by_target = self._ask(records, own_part)
+        silent = [record for record in records if kept_by_target[record.id] is None]
+        holders = [
+            record
+            for record in records
+            if record not in silent and kept_by_target[record.id] >= needed
+        ]
+        origin = infer_origin(holders, silent)
+        log.info(
+            "targets asked for the prompt of a stream",
+            request=caller_headers.request_id,
+            prompt_part=own_part,
+            needed=needed,
+            kept={name: kept for name, kept in kept_by_target.items() if kept},
+            silent=[record.id for record in silent],
+            asked=len(records),
+            version=origin.version if origin else None,
+        )
+        return origin
+
+    def _ask(self, records, part):
+        """Return the tokens that targets keep of a part, by target.
+
+        None stands for a target that did not tell.
+        """
+        with self._asking:
+            now = self.clock()
+            listings = self._listing_by_incarnation = {
+                key: listing
+                for key, listing in self._listing_by_incarnation.items()
+                if now - listing.asked_at < LIST_VALIDITY_SECONDS
+            }
+            missing = [r for r in records if r.incarnation not in listings]
+            if missing:
+                if self._executor is None:
+                    self._executor = ThreadPoolExecutor(MAX_ASKED_TARGETS)
+                for record, parts in zip(
+                    missing, self._executor.map(self._read, missing), strict=True
+                ):
+                    listings[record.incarnation] = Listing(parts, now)
+            kept = {r.id: listings[r.incarnation].tokens_by_part for r in records}
+        return {
+            name: None if tokens_by_part is None else tokens_by_part.get(part, 0)
+            for name, tokens_by_part in kept.items()
+        }
+
+    def _read(self, record):
+        try:
+            return self.read_parts(record)
+        except PlatformError as error:
+            log.info(
+                "target did not tell its parts", target=record.id, cause=str(error)
+            )
+            return None
+
+
+def tokens_of_origin(caller_headers, tokens_per_event):
+    """Return how many tokens of the last part the origin of a stream keeps at least.
+
+    It has read the whole prompt and generated the events that the caller got, of which
+    the last may not be counted yet. None if the request does not tell.
+    """
+    last_event = caller_headers.last_event_id or ""
+    if not caller_headers.prompt_parts or not caller_headers.last_part_tokens:
+        return None
+    if not (last_event.isascii() and last_event.isdigit()) or int(last_event) < 1:
+        return None
+    generated = (int(last_event) - 1) * tokens_per_event
+    return caller_headers.last_part_tokens + max(1, int(generated))
--- a/almondglade/placement/origins.py
+++ b/almondglade/placement/origins.py
@@ -22,6 +22,26 @@
     version: str
 
 
+def infer_origin(holders, silent):
+    """Return the only `StreamOrigin` that is possible, or None.
+
+    Parameters
+    ----------
+    holders : iterable of TargetRecord
+        Targets that have read the whole prompt of the stream.
+    silent : iterable of TargetRecord
+        Targets that may have read it.
+    """
+    known = {StreamOrigin(record.service, record.version) for record in holders}
+    possible = known | {
+        StreamOrigin(record.service, record.version) for record in silent
+    }
+    if len(possible) != 1 or possible != known:
+        return None
+    (origin,) = possible
+    return origin if origin.version else None
+
+
 class OriginTable:
     """Origins of recent streams, by the id of the request that began them.
 
--- a/almondglade/platform/front.py
+++ b/almondglade/platform/front.py
@@ -83,6 +83,8 @@
     prompt_parts : tuple of str
         Ids of the parts of its prompt, in order; the last is its own or its session's,
         the others are shared with other requests.
+    last_part_tokens : int or None
+        Tokens of the last of these parts.
     """
 
     request_id: str | None
@@ -95,6 +97,7 @@
     expected_tokens: int | None = None
     resumed_request: str | None = None
     prompt_parts: tuple[str, ...] = ()
+    last_part_tokens: int | None = None
 
 
 def parse_caller_headers(pairs):
@@ -118,6 +121,7 @@
         _parse_count(by_name.get(LENGTH_HINT_HEADER)),
         by_name.get(RESUMED_REQUEST_HEADER),
         _parse_prompt_parts(by_name.get(PROMPT_PARTS_HEADER, "")),
+        _parse_count(by_name.get(PROMPT_PARTS_HEADER, "").rpartition(":")[2].strip()),
     )
 
 
