Believe a target that says that it leaves, or for how long it wants no requests

A target that said Server-Leaving in all its answers while its entry was ready got 405 of 557 and 452 of 645 requests later than drainMs after the first such answer, and one that refused with Retry-After up to five of a gateway's requests within that time, as both headers were read nowhere.

Any response or probe that bears the first marks that start of the target as leaving on this gateway, whatever the list says; only a later start ends it. A 503 with Retry-After (seconds, up to 60) keeps this gateway's requests, retries, relayed requests and probes away. Peers are not told: reports already name the targets that an instance does not use, so that its coordinator grants it others, and each gateway hears a target itself. A target that wants nothing is not out of reach: its requests are not passed to peers, and callers learn the rest of that time. Whether a target may get a request is decided in one place, placement/eligibility.py.

--- a/almondglade/gateway/links.py
+++ b/almondglade/gateway/links.py
@@ -15,6 +15,8 @@
 from enum import Enum
 
 from ..log import get_logger
+from ..placement.eligibility import Obstacle
+from ..platform.front import states_leaving
 
 log = get_logger("links")
 
@@ -32,6 +34,8 @@
 PROBE_TIMEOUT_SECONDS = 0.3
 # A status check waits for a slot, so that a busy target answers later than it accepts.
 PROBE_RESPONSE_SECONDS = 0.9
+# The head of a response to a status check is shorter.
+MAX_PROBE_BYTES = 1 << 14
 
 
 class Reach(Enum):
@@ -98,6 +102,7 @@
         self.connections = connections
         self.health_path = health_path
         self.clock = clock
+        self.on_leaving = lambda record, source: None
         self._rng = random.Random()
         self._awaited_lock = threading.Lock()
         self._awaited: set[AwaitedResponse] = set()
@@ -159,6 +164,18 @@
     def _states(self, service):
         return self.targets.states_of(service)
 
+    def _probed_states(self, service):
+        """Return the states of the targets that may be probed.
+
+        A probe counts as a request where a target wants none for a while.
+        """
+        now = self.clock()
+        return [
+            state
+            for state in self._states(service)
+            if self.targets.obstacle(state, now) is not Obstacle.BACKING_OFF
+        ]
+
     async def reaches_another(self, record):
         """Return whether another target of the same service accepts a connection.
 
@@ -202,7 +219,7 @@
             tells more than a connection only where connections are accepted.
         """
         with self.lock:
-            records = [state.record for state in self._states(service)]
+            records = [state.record for state in self._probed_states(service)]
         chosen = self._rng.sample(records, min(PROBED_TARGETS, len(records)))
         if not chosen:
             self._lost_services.discard(service)
@@ -245,8 +262,7 @@
         finally:
             writer.close()
 
-    @staticmethod
-    async def _request_status(record, path, reader, writer):
+    async def _request_status(self, record, path, reader, writer):
         """Return the `Reach` of a target by the first bytes of any response."""
         head = (
             f"GET {path} HTTP/1.1\r\n"
@@ -256,12 +272,14 @@
         writer.write(head.encode())
         try:
             async with asyncio.timeout(PROBE_RESPONSE_SECONDS):
-                has_answered = bool(await reader.read(1))
+                response = await reader.read(MAX_PROBE_BYTES)
         except TimeoutError:
             return Reach.SILENT
         except OSError:
             return Reach.UNREACHABLE
-        return Reach.ANSWERED if has_answered else Reach.UNREACHABLE
+        if states_leaving(response):
+            self.on_leaving(record, "probe")
+        return Reach.ANSWERED if response else Reach.UNREACHABLE
 
     def _record_reachable(self, service, records, results):
         now = self.clock()
--- a/almondglade/gateway/node.py
+++ b/almondglade/gateway/node.py
@@ -184,6 +184,7 @@
             self.clock,
         )
         self.exchange.match = self.scheduler.match
+        self.links.on_leaving = self.scheduler.record_leaving
         self.store = StoreClient(settings.store_address, boottime_clock, self.clock)
         self.discovery = Discovery(
             self.store,
@@ -366,7 +367,8 @@
             catalogue = registry.catalogue
             records = list(registry.record_by_target.values())
             self.pools.set_targets(records)
-            self.suspects.update_targets(records)
+            states = self.pools.targets.state_by_target.values()
+            self.suspects.update_targets([state.record for state in states])
             self.pools.targets.evacuated_data_centres = frozenset(
                 registry.evacuated_data_centres
             )
--- a/almondglade/gateway/operators.py
+++ b/almondglade/gateway/operators.py
@@ -33,6 +33,7 @@
                         "rate_limit": format_limit(state.named_rate.value),
                         "refusal_limit": format_limit(state.room.value),
                         "paused": state.health.is_paused(now),
+                        "obstacle": _text(node.pools.targets.obstacle(state, now)),
                         "failures": state.health.failure_share(now),
                         "slowness": state.health.slowness,
                         "event_seconds": state.health.event_seconds,
@@ -41,3 +42,7 @@
                 },
                 "drawn": node.allowances.consumed_here(),
             }
+
+
+def _text(obstacle):
+    return obstacle.value if obstacle else None
--- a/almondglade/gateway/run.py
+++ b/almondglade/gateway/run.py
@@ -56,6 +56,7 @@
                 head = self._send()
                 response_info = parse_target_response(head)
                 self._record_limits(response_info)
+                self._record_statements(response_info)
                 if head.status < 300 and not response_info.sealed:
                     raise TargetError("the target's success bears no seal")
                 if self._is_resume_mismatch(head, response_info):
@@ -99,6 +100,11 @@
                 is_failure=response_info.is_failure,
             )
 
+    def _record_statements(self, response_info):
+        """Record what the target says of itself, unless a peer reached it."""
+        if self.ticket is not None:
+            self.scheduler.record_statements(self.request, self.record, response_info)
+
     def _is_resume_mismatch(self, head, response_info):
         """Return whether a later response cannot continue an interrupted first one."""
         if self.head is None or not self.has_begun or response_info.not_run:
--- a/almondglade/gateway/scheduling.py
+++ b/almondglade/gateway/scheduling.py
@@ -190,7 +190,7 @@
         )
         max_wait = self._max_wait(request, now)
         with self.lock:
-            expected_wait = self.pools.expected_wait(request.service, request.tier, now)
+            expected_wait = self._expected_wait(request, now)
             # A stream that has begun waits in any case.
             is_begun = bool(request.attempted_targets or request.version)
             if expected_wait <= max_wait or is_begun:
@@ -207,9 +207,7 @@
         with self.lock:
             still_waiting = self.pools.withdraw(ticket)
             if still_waiting:
-                expected_wait = self.pools.expected_wait(
-                    request.service, request.tier, self.clock()
-                )
+                expected_wait = self._expected_wait(request, self.clock())
         if still_waiting:
             self.on_change()
         if request.caller_connection.disconnected:
@@ -228,6 +226,13 @@
         )
         return ticket
 
+    def _expected_wait(self, request, now):
+        """Return the expected wait of a new request; the caller must hold the lock."""
+        backoff = self.pools.targets.backoff_seconds(
+            request.service, request.version, now
+        )
+        return backoff or self.pools.expected_wait(request.service, request.tier, now)
+
     def _max_wait(self, request, now):
         time_left = request.deadline - now
         if request.attempted_targets:
@@ -343,6 +348,48 @@
             )
         return granted
 
+    def record_statements(self, request, record, response_info):
+        """Record that a target says that it is leaving, or wants no requests.
+
+        Parameters
+        ----------
+        request : GatewayRequest
+            Request that it answered.
+        record : TargetRecord
+        response_info : TargetResponseInfo
+        """
+        if response_info.is_leaving:
+            self.record_leaving(record, request.request_id)
+        if response_info.backoff is None or response_info.misdirected:
+            return
+        with self.lock:
+            targets = self.pools.targets
+            is_longer = targets.record_backoff(
+                record.incarnation, response_info.backoff, self.clock()
+            )
+        if is_longer:
+            self.metrics.count("target_backoffs_total", service=record.service)
+            log.info(
+                "target wants no requests for a while",
+                request=request.request_id,
+                target=record.id,
+                seconds=response_info.backoff,
+            )
+
+    def record_leaving(self, record, source):
+        """Record that a target says that it is leaving, in a response or a probe."""
+        with self.lock:
+            targets = self.pools.targets
+            if not targets.record_leaving(record.incarnation):
+                return
+            self.suspects.update_targets(
+                [state.record for state in targets.state_by_target.values()]
+            )
+        self.metrics.count("targets_leaving_total", service=record.service)
+        log.info("target says that it is leaving", target=record.id, source=source)
+        # Coordinators must not grant it to this instance any more.
+        self.on_change()
+
     def record_for(self, target):
         """Return the record of a target that accepts new requests, or None."""
         with self.lock:
--- a/almondglade/metrics.py
+++ b/almondglade/metrics.py
@@ -55,6 +55,14 @@
         ("service", "result"),
         "Requests offered to peers, as no target could be reached, by the outcome.",
     ),
+    "targets_leaving_total": (
+        ("service",),
+        "Targets that said in a response that they are leaving.",
+    ),
+    "target_backoffs_total": (
+        ("service",),
+        "Refusals in which a target named a time without requests.",
+    ),
     "peer_state_readings_total": (
         ("result",),
         "Readings of the published state from a peer that knew a newer one.",
--- a/almondglade/placement/places.py
+++ b/almondglade/placement/places.py
@@ -123,6 +123,11 @@
         Its room while it is brittle.
     room_limit : float
         Requests that it may run at a time because it is brittle; infinite otherwise.
+    has_said_leaving : bool
+        Whether one of its responses said that it is leaving. Only a new start of it
+        ends that.
+    backs_off_until : float
+        Monotonic time until which it wants no request of this instance.
     """
 
     record: TargetRecord
@@ -135,6 +140,8 @@
     named_rate: NamedRate = field(default_factory=NamedRate)
     room: TargetRoom = field(default_factory=TargetRoom)
     room_limit: float = float("inf")
+    has_said_leaving: bool = False
+    backs_off_until: float = float("-inf")
 
     def is_unhealthy(self, now):
         """Return whether it fails often, by this instance's results or by all."""
--- a/almondglade/placement/targets.py
+++ b/almondglade/placement/targets.py
@@ -5,9 +5,11 @@
 """
 
 import itertools
-from collections import Counter
+from collections import Counter, OrderedDict
+from dataclasses import replace
 
 from .cells import Cell, Cells
+from .eligibility import Obstacle, backoff_end, find_obstacle
 from .fleetload import FleetLoad
 from .health import TargetStats
 from .places import TargetState
@@ -21,6 +23,8 @@
 SLOTS_WITHOUT_REPORTS = 1
 # Largest share of a cell's targets that may be limited because of failures at once.
 MAX_LIMITED_SHARE = 0.5
+# Targets that are remembered to have said that they are leaving.
+MAX_LEAVING_INCARNATIONS = 1024
 
 
 class Targets:
@@ -50,6 +54,7 @@
         self.evacuated_data_centres: frozenset[str] = frozenset()
         self.states_by_cell: dict[Cell, list[TargetState]] = {}
         self.reachable_share = lambda: 1.0
+        self._leaving_incarnations: OrderedDict[tuple[str, int], None] = OrderedDict()
 
     def replace(self, records):
         """Replace the list of targets.
@@ -66,6 +71,7 @@
             if state is None or state.record.started_at != record.started_at:
                 state = TargetState(record)
             state.record = record
+            self._apply_statement(state)
             states[record.id] = state
         self.state_by_target = states
         self.fleet.retain(states)
@@ -138,7 +144,7 @@
     def usable_here(self, cell, now):
         """Return the states of the usable targets that this instance does not pause."""
         return [
-            state for state in self.usable(cell, now) if not state.health.is_paused(now)
+            state for state in self.usable(cell, now) if not self.obstacle(state, now)
         ]
 
     def _pause_counts(self, states, now):
@@ -148,9 +154,7 @@
         targets.
         """
         names = {state.record.id for state in states}
-        paused_here = {
-            state.record.id for state in states if state.health.is_paused(now)
-        }
+        paused_here = {state.record.id for state in states if self.obstacle(state, now)}
         pauses = [paused_here, *self.fleet.paused_targets(names)]
         return Counter(
             itertools.chain.from_iterable(paused for paused in pauses if paused < names)
@@ -163,15 +167,72 @@
             self.fleet.answered_at_by_target.get(state.record.id, float("-inf")),
         )
 
+    def obstacle(self, state, now):
+        """Return the `Obstacle` to a request of this instance at a target, or None."""
+        return find_obstacle(state, self.evacuated_data_centres, now)
+
     def accepts_work(self, state):
-        """Return whether a target may get work.
+        """Return whether a target may get work, of whatever instance."""
+        obstacle = self.obstacle(state, float("inf"))
+        return obstacle is None or not obstacle.is_for_all
+
+    def record_leaving(self, incarnation):
+        """Record that a target said that it is leaving; return whether that is new."""
+        state = self._current_state(incarnation)
+        if state is None or state.has_said_leaving:
+            return False
+        self._leaving_incarnations[incarnation] = None
+        if len(self._leaving_incarnations) > MAX_LEAVING_INCARNATIONS:
+            self._leaving_incarnations.popitem(last=False)
+        self._apply_statement(state)
+        return True
+
+    def record_backoff(self, incarnation, seconds, now):
+        """Record that a target refused a request, and for how long it wants no other.
 
-        It may not if it is leaving or its data centre is evacuated.
+        Returns
+        -------
+        bool
+            Whether it gets no request for longer than before.
         """
-        return (
-            not state.record.leaving
-            and state.record.data_centre not in self.evacuated_data_centres
-        )
+        state = self._current_state(incarnation)
+        until = backoff_end(seconds, now)
+        if state is None or until <= max(now, state.backs_off_until):
+            return False
+        state.backs_off_until = until
+        return True
+
+    def backoff_seconds(self, service, version, now):
+        """Return until when all reachable targets of a service want no requests.
+
+        Returns
+        -------
+        float
+            Seconds until the first of them does; 0 if one takes requests, or none can
+            be reached.
+        """
+        waits = []
+        for state in self.states_of(service, version):
+            obstacle = self.obstacle(state, now)
+            if obstacle is None:
+                return 0.0
+            if obstacle is Obstacle.BACKING_OFF:
+                waits.append(state.backs_off_until - now)
+        return min(waits, default=0.0)
+
+    def _current_state(self, incarnation):
+        state = self.state_by_target.get(incarnation[0])
+        is_current = state is not None and state.record.incarnation == incarnation
+        return state if is_current else None
+
+    def _apply_statement(self, state):
+        """Treat a target that said that it is leaving as if the list said so.
+
+        It stays so although an older list, or one that lists it again, does not.
+        """
+        state.has_said_leaving = state.record.incarnation in self._leaving_incarnations
+        if state.has_said_leaving and not state.record.leaving:
+            state.record = replace(state.record, leaving=True)
 
     def states_of(self, service, version=""):
         """Return the states of a service's targets that may get work.
@@ -191,8 +252,12 @@
 
     def is_cut_off(self, service, version, now):
         """Return whether this instance reaches no target that could run a request."""
-        states = self.states_of(service, version)
-        return bool(states) and all(state.health.is_paused(now) for state in states)
+        obstacles = [
+            self.obstacle(state, now) for state in self.states_of(service, version)
+        ]
+        return bool(obstacles) and all(
+            obstacle is not None and obstacle.is_unreachable for obstacle in obstacles
+        )
 
     def takes_new_work(self, target):
         """Return whether a target is listed and may get work."""
@@ -239,7 +304,7 @@
         return [
             name
             for name, state in self.state_by_target.items()
-            if state.health.is_paused(now) or not self.accepts_work(state)
+            if self.obstacle(state, now)
         ]
 
     def stats_here(self, now, is_wanted=lambda cell: True):
--- a/almondglade/platform/front.py
+++ b/almondglade/platform/front.py
@@ -21,8 +21,12 @@
 RATE_LIMIT_HEADER = "server-limit"
 # How many refusals in a second a brittle target bears.
 REFUSAL_LIMIT_HEADER = "server-brittle"
+LEAVING_HEADER = "server-leaving"
+LEAVING = "1"
+RETRY_AFTER_HEADER = "retry-after"
 SEAL_HEADER = "x-response-seal"
 MISDIRECTED_STATUS = 421
+UNAVAILABLE_STATUS = 503
 FIRST_FAILURE_STATUS = 400
 # Request headers that only this system may set; those of callers are dropped.
 NOT_FOR_TARGETS = frozenset(
@@ -46,6 +50,7 @@
         LOAD_HEADER,
         RATE_LIMIT_HEADER,
         REFUSAL_LIMIT_HEADER,
+        LEAVING_HEADER,
         "x-instance-id",
         "x-cold-ms",
     }
@@ -201,6 +206,11 @@
         brittle, None if what it names is not usable.
     is_failure : bool
         Whether the target refused or failed the request.
+    is_leaving : bool
+        Whether the target says that it is leaving.
+    backoff : float or None
+        Seconds for which a target that refused the request wants no others; None if it
+        does not say, or not in seconds.
     """
 
     request_id: str | None
@@ -210,6 +220,8 @@
     rate_limit: float | None = math.inf
     refusal_limit: float | None = math.inf
     is_failure: bool = False
+    is_leaving: bool = False
+    backoff: float | None = None
 
 
 def headers_for_callers(pairs):
@@ -234,9 +246,27 @@
         _parse_limit(head.headers, RATE_LIMIT_HEADER),
         _parse_limit(head.headers, REFUSAL_LIMIT_HEADER),
         head.status >= FIRST_FAILURE_STATUS,
+        # Another target that answers at the address speaks for itself.
+        not misdirected and by_name.get(LEAVING_HEADER, "").strip() == LEAVING,
+        _parse_seconds(by_name.get(RETRY_AFTER_HEADER, ""))
+        if head.status == UNAVAILABLE_STATUS
+        else None,
     )
 
 
+def states_leaving(head):
+    """Return whether the bytes of a response's head say that its target is leaving."""
+    lines = (line.partition(b":") for line in head.lower().split(b"\r\n")[1:])
+    return any(
+        name.strip() == LEAVING_HEADER.encode() and value.strip() == LEAVING.encode()
+        for name, _, value in lines
+    )
+
+
+def _parse_seconds(text):
+    return float(text.strip()) if LIMIT_PATTERN.fullmatch(text.strip()) else None
+
+
 def _parse_limit(pairs, header):
     """Return the lowest limit that the headers of one name state."""
     values = [value.strip() for name, value in pairs if name.lower() == header]
