Let the store of the soak come back from copies, and reset without a shutdown

The store returns from a copy in a series of its own, overlapping with stops, kills, cuts, revocations and stores that turn gateways away.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -17,6 +17,7 @@
 # an injected delay.
 PAUSE_SECONDS = (0.3, 2.5)
 CRASHING_REQUEST_PAUSE_SECONDS = (2.0, 8.0)
+STORE_COPY_PAUSE_SECONDS = (1.0, 5.0)
 DURATION_SECONDS = (0.2, 3.0)
 DELAY_SECONDS = (0.05, 0.4)
 
@@ -236,6 +237,14 @@
     fleet.ledger.record_brittle_time(started_at, len(fleet.targets))
 
 
+def _copy_store(fleet, rng):
+    fleet.control_store("copy")
+
+
+def _restore_store_copy(fleet, subject):
+    fleet.restore_store()
+
+
 FAULT_BY_NAME = {
     "gateway killed": Fault(
         _kill_gateway, lambda fleet, process: fleet.restart(process)
@@ -271,6 +280,9 @@
     "targets name rates": Fault(_name_rates, _end_rates, LIMITS_SECONDS),
     "targets brittle": Fault(_make_brittle, _end_brittle, LIMITS_SECONDS),
 }
+STORE_COPY_FAULT_BY_NAME = {
+    "store returns from a copy": Fault(_copy_store, _restore_store_copy)
+}
 # In sequences of their own, so that a seed still selects the same other faults.
 CRASHING_REQUEST_BY_NAME = {"request crashes targets": Fault(_send_crashing_request)}
 CRASHING_STREAM_OR_PART_BY_NAME = {
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -19,6 +19,8 @@
 VERSION_COUNT = 2
 READINESS_POLL_SECONDS = 0.2
 STOP_TIMEOUT_SECONDS = 12.0
+# How long the store is away before it returns from a copy.
+RETURN_SECONDS = 0.3
 METERED_KEY = "key-of-metered"
 # Share of the requests that come from the metered workspace.
 METERED_SHARE = 0.4
@@ -72,6 +74,7 @@
             links = GatewayLinks(self.app, [target.url for target in self.targets])
             self.links_by_address[address] = links
             self.stack.callback(links.close)
+        self.control_store("era", number=1)
         self.write_target_entries()
         self.replace_key(initial=True)
         self.start()
@@ -153,6 +156,12 @@
         former = self.key
         self.version += 1
         self.key = f"{KEY}-{self.version}"
+        self.write_configuration()
+        if not initial:
+            self.ledger.revoked_at[former] = time.monotonic()
+
+    def write_configuration(self):
+        """Write the newest configuration, as operators do after a loss of the store."""
         metered = {
             "name": self.limits.metered_workspace,
             "apiKeys": [METERED_KEY],
@@ -162,8 +171,18 @@
             "unit": "",
         }
         self.configure(self.version, keys=(self.key,), others=[metered])
-        if not initial:
-            self.ledger.revoked_at[former] = time.monotonic()
+
+    def restore_store(self):
+        """Let the store return from its copy; operators and targets write again."""
+        self.set_store_state(down=True)
+        time.sleep(RETURN_SECONDS)
+        self.control_store("restore")
+        self.set_store_state(down=False)
+        self.write_configuration()
+        for target in self.targets:
+            for number in range(1, target.start_count):
+                self.remove(f"servers/{target.base_name}-{number}")
+        self.write_target_entries()
 
     def choose_key(self, rng):
         """Return a key for a request, which is sometimes a revoked one."""
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -5,6 +5,7 @@
 import struct
 import threading
 import time
+import weakref
 
 LOOPBACK = "127.0.0.1"
 CHUNK_BYTES = 1 << 16
@@ -43,6 +44,7 @@
         self.is_mute = False
         self._silenced_sockets = set()
         self._sockets = set()
+        self._reset_sockets = weakref.WeakSet()
         self._lock = threading.Lock()
         self._listener = socket.create_server((LOOPBACK, 0), backlog=128)
         self.port = self._listener.getsockname()[1]
@@ -52,6 +54,7 @@
         """Reset all open connections."""
         with self._lock:
             sockets, self._sockets = self._sockets, set()
+            self._reset_sockets.update(sockets)
         for sock in sockets:
             reset(sock)
 
@@ -104,16 +107,21 @@
                     if source.fileno() < 0:
                         return
                 sink.sendall(chunk)
-            sink.shutdown(socket.SHUT_WR)
+            if source not in self._reset_sockets:
+                sink.shutdown(socket.SHUT_WR)
             return
         reset(source)
         reset(sink)
 
 
 def reset(sock):
-    """Close a socket with a TCP reset."""
+    """Close a socket with a TCP reset, and wake the thread that reads it.
+
+    Only the reading side is shut down, as the peer would take the end of the writing
+    side for an orderly end.
+    """
     with contextlib.suppress(OSError):
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_LINGER)
-        sock.shutdown(socket.SHUT_RDWR)
+        sock.shutdown(socket.SHUT_RD)
     with contextlib.suppress(OSError):
         sock.close()
--- a/soak/run.py
+++ b/soak/run.py
@@ -11,6 +11,8 @@
     CRASHING_STREAM_OR_PART_BY_NAME,
     LIMIT_FAULT_BY_NAME,
     LINK_FAULT_BY_NAME,
+    STORE_COPY_FAULT_BY_NAME,
+    STORE_COPY_PAUSE_SECONDS,
     FaultSequence,
     wait_until,
 )
@@ -79,6 +81,14 @@
             FaultSequence(fleet, random.Random(rng.random()), fault_by_name)
             for fault_by_name in (LINK_FAULT_BY_NAME, LIMIT_FAULT_BY_NAME)
         ]
+        sequences.append(
+            FaultSequence(
+                fleet,
+                random.Random(rng.random()),
+                STORE_COPY_FAULT_BY_NAME,
+                STORE_COPY_PAUSE_SECONDS,
+            )
+        )
         time.sleep(seconds)
         for sequence in sequences:
             sequence.stop()
--- a/test/gatewayfleet.py
+++ b/test/gatewayfleet.py
@@ -10,6 +10,7 @@
 import time
 from dataclasses import dataclass, field
 from pathlib import Path
+from urllib.parse import urlencode
 
 import orjson
 import urllib3
@@ -129,6 +130,12 @@
         url = f"http://127.0.0.1:{self.store.port}/standin/state"
         self.http.request("POST", url, body=orjson.dumps(state))
 
+    def control_store(self, command, **query):
+        """Control the stand-in of the store."""
+        url = f"http://127.0.0.1:{self.store.port}/standin/{command}"
+        response = self.http.request("POST", f"{url}?{urlencode(query)}")
+        assert response.status == 200
+
     def configure(self, version=1, keys=(KEY,), routes=None, others=(), **workspace):
         """Write the operator's document; `others` are further workspaces."""
         default_routes = [
--- a/test/storefleet.py
+++ b/test/storefleet.py
@@ -2,7 +2,6 @@
 
 import time
 from dataclasses import dataclass
-from urllib.parse import urlencode
 
 from soak.proxy import Proxy
 
@@ -50,7 +49,7 @@
         self.proxy_by_address = {}
         super().__enter__()
         if self.era is not None:
-            self.control("era", number=self.era)
+            self.control_store("era", number=self.era)
         return self
 
     def store_address(self, address):
@@ -60,12 +59,6 @@
             self.stack.callback(proxy.close)
         return f"127.0.0.1:{self.proxy_by_address[address].port}"
 
-    def control(self, command, **query):
-        """Control the stand-in of the store."""
-        url = f"http://127.0.0.1:{self.store.port}/standin/{command}"
-        response = self.http.request("POST", f"{url}?{urlencode(query)}")
-        assert response.status == 200
-
     def put_bytes(self, key, document):
         """Write an item that need not be JSON."""
         url = f"http://127.0.0.1:{self.store.port}/standin/item?key={key}"
@@ -97,7 +90,7 @@
         """Stop the store for some time and let it come back from its copy."""
         self.set_store_state(down=True)
         time.sleep(seconds)
-        self.control("restore")
+        self.control_store("restore")
         self.set_store_state(down=False)
 
     def statuses(self, path, **headers):
--- a/test/test_restored_store.py
+++ b/test/test_restored_store.py
@@ -29,7 +29,7 @@
 def test_a_configuration_written_after_the_return_is_in_force(fleet_and_target):
     # Its revision was lower than those known, so that it was never applied.
     fleet, target = fleet_and_target
-    fleet.control("copy")
+    fleet.control_store("copy")
     fleet.write_changes(target)
     fleet.configure_routes(3, added=[3])
     assert fleet.wait_for_statuses("/added3/1", 200, APPLY_SECONDS)
@@ -44,7 +44,7 @@
 
 def test_a_target_that_leaves_after_the_return_gets_no_request(fleet_and_target):
     fleet, target = fleet_and_target
-    fleet.control("copy")
+    fleet.control_store("copy")
     fleet.write_changes(target)
     with make_target() as other:
         fleet.list_target("t2", other)
@@ -64,7 +64,7 @@
 def test_an_older_copy_brings_no_removed_route_back(fleet_and_target):
     fleet, target = fleet_and_target
     fleet.configure_routes(2, added=[2])
-    fleet.control("copy")
+    fleet.control_store("copy")
     fleet.configure_routes(4, added=[4])
     assert fleet.wait_for_statuses("/added4/1", 200, APPLY_SECONDS)
     fleet.restore_after_outage()
@@ -80,13 +80,13 @@
     # Each reading of the copy confirmed the configuration in force, so that a key that
     # the lost version had revoked worked for as long as the copy stayed.
     fleet, target = fleet_and_target
-    fleet.control("copy")
+    fleet.control_store("copy")
     fleet.configure_routes(4)
     time.sleep(REWRITE_SECONDS)
     fleet.set_store_state(down=True)
     lost_at = time.monotonic()
     time.sleep(0.5)
-    fleet.control("restore")
+    fleet.control_store("restore")
     fleet.set_store_state(down=False)
     time.sleep(max(0.0, lost_at + REVOKE_SECONDS - time.monotonic()))
     assert set(fleet.statuses("/look/1")) == {503}
@@ -98,22 +98,22 @@
     # A part of the store that has not heard of the return still serves what it had.
     fleet, target = fleet_and_target
     fleet.configure_routes(2)
-    fleet.control("copy")
+    fleet.control_store("copy")
     fleet.restore_after_outage(0.2)
     time.sleep(APPLY_SECONDS)
     assert all("the store is in a new era" in fleet.log(a) for a in fleet.addresses)
-    fleet.control("era", number=1)
+    fleet.control_store("era", number=1)
     for address in fleet.addresses:
         fleet.proxy_by_address[address].reset()
     time.sleep(REVOKE_SECONDS)
     assert set(fleet.statuses("/look/1")) == {503}
-    fleet.control("era", number=2)
+    fleet.control_store("era", number=2)
     assert fleet.wait_for_statuses("/look/1", 200, APPLY_SECONDS)
 
 
 def test_configurations_are_in_force_after_several_returns(fleet_and_target):
     fleet, target = fleet_and_target
-    fleet.control("copy")
+    fleet.control_store("copy")
     for version in range(2, 5):
         fleet.write_changes(target)
         fleet.configure_routes(version, added=range(2, version + 1))
@@ -131,7 +131,7 @@
 ):
     fleet, target = fleet_and_target
     cut = fleet.addresses[1]
-    fleet.control("copy")
+    fleet.control_store("copy")
     fleet.write_changes(target)
     fleet.turn_away(cut)
     fleet.restore_after_outage(0.5)
@@ -147,7 +147,7 @@
     fleet, target = fleet_and_target
     started = fleet.addresses[1]
     fleet.configure_routes(2, added=[2], keys=["key-of-w1", "revoked"])
-    fleet.control("copy")
+    fleet.control_store("copy")
     fleet.write_changes(target)
     fleet.configure_routes(4, added=[4])
     assert fleet.wait_for_statuses("/added4/1", 200, APPLY_SECONDS)
@@ -170,10 +170,10 @@
     # `almondglade serve` reads single keys, and would wait for a higher revision.
     with StoreFleet(tmp_path) as fleet:
         client = PlatformClient(f"http://127.0.0.1:{fleet.store.port}")
-        fleet.control("copy")
+        fleet.control_store("copy")
         fleet.put("document", "first")
         first = client.read_document("document")
-        fleet.control("restore")
+        fleet.control_store("restore")
         while client.connection.read_range("")["at"] < first.revision - 1:
             fleet.put("other", 1)
         fleet.put("document", "second")
