--- a/test/test_links.py
+++ b/test/test_links.py
@@ -34,7 +34,9 @@
             )
             for number in range(3)
         ]
-        targets = SimpleNamespace(states_of=lambda service: self.states)
+        targets = SimpleNamespace(
+            states_of=lambda service: self.states, obstacle=lambda state, now: None
+        )
         connections = SimpleNamespace(close_idle=lambda url: None)
         self.monitor = LinkMonitor(
             threading.Lock(),
