--- a/test/gatewayfleet.py
+++ b/test/gatewayfleet.py
@@ -84,11 +84,14 @@
         Number of gateways.
     bounds : dict
         Bounds of the settings file that differ from the defaults.
+    source_by_address : dict of str to Path
+        Source folders of the gateways that run another build than this one.
     """
 
     folder: object
     count: int = 1
     bounds: dict = field(default_factory=dict)
+    source_by_address: dict = field(default_factory=dict)
 
     def __enter__(self):
         self.stack = contextlib.ExitStack()
@@ -210,6 +213,7 @@
         command = [sys.executable, "-m", "almondglade", "gateway"]
         return subprocess.Popen(
             [*command, "--metrics-port", str(metrics)],
+            cwd=self.source_by_address.get(address),
             env=os.environ | {"ALMONDGLADE_CONFIG": str(path)},
             stdout=log,
             stderr=log,
