Read from peers only what changed, from the same data centre where one is ahead

The reader states what it has; items that it has come without their values, and the document only if its version is newer. Changes of targets alone are read every 1.5 s. A gateway that has just started reads the store first.

--- a/almondglade/gateway/node.py
+++ b/almondglade/gateway/node.py
@@ -199,7 +199,8 @@
             self.registry,
             self.store.decode_items,
             self.gossip.live_peers,
-            lambda: self.discovery.reachable,
+            # Before the first reading, the store is about to be read.
+            lambda: self.discovery.reachable is not False,
             self.metrics,
             self.clock,
         )
--- a/almondglade/gateway/peerstate.py
+++ b/almondglade/gateway/peerstate.py
@@ -18,7 +18,8 @@
 
 log = get_logger("discovery")
 
-# Header of a request for the published state on the port for peers.
+# Header of a request for the published state on the port for peers: era, revision and
+# version of the configuration that the reader has.
 STATE_HEADER = "X-Almondglade-State"
 CONNECT_TIMEOUT_SECONDS = 0.3
 RESPONSE_TIMEOUT_SECONDS = 1.0
@@ -26,16 +27,56 @@
 WATCH_MARGIN_SECONDS = 0.3
 # Pause after a reading, as each report may tell of a newer state.
 PAUSE_SECONDS = 0.5
+# The same for changes of targets alone, which requests find out as well.
+TARGETS_PAUSE_SECONDS = 1.5
 
 
-def is_state_request(pairs):
-    """Return whether the headers of a request ask for the published state."""
-    return any(name.lower() == STATE_HEADER.lower() for name, _ in pairs)
+@dataclass(frozen=True)
+class ReaderState:
+    """What the reader of a published state has already.
+
+    Parameters
+    ----------
+    store_position : (int, int)
+        Era and revision of the store up to which it has read.
+    version : int
+        Version of its configuration; 0 if it has none.
+    """
+
+    store_position: tuple[int, int]
+    version: int
 
+    def encode(self):
+        """Return the value of the header."""
+        return ",".join(map(str, (*self.store_position, self.version)))
 
-def encode_state(registry):
-    """Return the published state that a gateway knows, as JSON."""
-    era, revision, items = registry.published_items()
+
+def parse_state_request(pairs):
+    """Return the `ReaderState` in the headers of a request, or None if it has none.
+
+    Raises
+    ------
+    PeerError
+        If it is not valid.
+    """
+    text = next(
+        (value for name, value in pairs if name.lower() == STATE_HEADER.lower()), None
+    )
+    if text is None:
+        return None
+    try:
+        era, revision, version = map(int, text.split(","))
+    except ValueError as error:
+        raise PeerError(f"malformed state of a reader: {error}") from error
+    return ReaderState((era, revision), version)
+
+
+def encode_state(registry, reader):
+    """Return the published state that a gateway knows, as JSON.
+
+    Items that the reader has are without their values.
+    """
+    era, revision, items = registry.published_items(reader)
     return orjson.dumps({"era": era, "revision": revision, "items": items})
 
 
@@ -88,6 +129,7 @@
         clock,
     ):
         self.address = settings.address
+        self.data_centre = settings.data_centre
         self.port = settings.peer_port
         self.registry = registry
         self.decode_items = decode_items
@@ -95,39 +137,51 @@
         self.is_store_reachable = is_store_reachable
         self.metrics = metrics
         self.clock = clock
+        self._position_by_peer: dict[str, PeerPosition] = {}
         self._is_scheduled = False
-        self._pause_until = float("-inf")
+        self._read_at = float("-inf")
         self._loop = asyncio.get_running_loop()
         self._pool: urllib3.PoolManager | None = None
 
     def record(self, peer, version, store_position):
         """Record how new a peer's state is; call on the event loop."""
         position = PeerPosition(peer, version, store_position)
-        if not self._is_ahead(position):
-            return
-        if not self._is_scheduled and self.clock() >= self._pause_until:
+        self._position_by_peer[peer] = position
+        if not self._is_scheduled and self._is_ahead(position):
             self._is_scheduled = True
-            delay = WATCH_MARGIN_SECONDS if self.is_store_reachable() else 0.0
-            self._loop.call_later(delay, self._start_reading, position)
+            # Within this time a peer of the same data centre reports, too.
+            self._loop.call_later(WATCH_MARGIN_SECONDS, self._start_reading)
 
-    def _is_ahead(self, position):
+    def _reader_state(self):
         catalogue = self.registry.catalogue
-        if position.version > (catalogue.version if catalogue else 0):
-            return True
+        return ReaderState(
+            self.registry.position, catalogue.version if catalogue else 0
+        )
+
+    def _is_ahead(self, position):
+        reader = self._reader_state()
+        since_reading = self.clock() - self._read_at
+        if position.version > reader.version:
+            return since_reading >= PAUSE_SECONDS
         return (
             not self.is_store_reachable()
-            and position.store_position > self.registry.position
+            and position.store_position > reader.store_position
+            and since_reading >= TARGETS_PAUSE_SECONDS
         )
 
-    def _start_reading(self, position):
-        address = next(
-            (peer.address for peer in self.peers() if peer.instance == position.peer),
-            None,
-        )
-        if address is None or not self._is_ahead(position):
+    def _start_reading(self):
+        """Read from the best peer that is ahead, one in the same data centre if any."""
+        ahead = [
+            (position.version, peer.data_centre == self.data_centre, position, peer)
+            for peer in self.peers()
+            for position in (self._position_by_peer.get(peer.instance),)
+            if position is not None and self._is_ahead(position)
+        ]
+        if not ahead:
             self._is_scheduled = False
             return
-        self._loop.run_in_executor(None, self._read, position, address)
+        *_, position, peer = max(ahead, key=lambda entry: entry[:2])
+        self._loop.run_in_executor(None, self._read, position, peer.address)
 
     def _read(self, position, address):
         """Read the state of a peer and apply it; runs in a thread."""
@@ -156,7 +210,7 @@
             )
             self.metrics.count("peer_state_readings_total", result="read")
         finally:
-            self._pause_until = self.clock() + PAUSE_SECONDS
+            self._read_at = self.clock()
             self._is_scheduled = False
 
     def _request(self, address):
@@ -171,7 +225,8 @@
             )
         url = f"http://{address}:{self.port}/"
         try:
-            response = self._pool.request("GET", url, headers={STATE_HEADER: "1"})
+            headers = {STATE_HEADER: self._reader_state().encode()}
+            response = self._pool.request("GET", url, headers=headers)
         except (HTTPError, OSError) as error:
             raise PeerError(f"the peer cannot be reached: {error}") from error
         if response.status != 200:
--- a/almondglade/gateway/registry.py
+++ b/almondglade/gateway/registry.py
@@ -144,8 +144,13 @@
             self._listed_position = position
             self._is_written_again = not is_copy
 
-    def published_items(self):
-        """Return what is known of the published state, for peers.
+    def published_items(self, reader):
+        """Return what is known of the published state, for a peer.
+
+        Parameters
+        ----------
+        reader : ReaderState
+            What the peer has already; these items are without their values.
 
         Returns
         -------
@@ -154,7 +159,21 @@
         items : list of mapping
         """
         with self._lock:
-            return *self.position, list(self._item_by_subject.values())
+            items = [
+                item
+                if self._is_new_to(reader, kind, item)
+                else {"key": item["key"], "revision": item["revision"]}
+                | {"era": item["era"], "unchanged": True}
+                for (kind, _), item in self._item_by_subject.items()
+            ]
+            return *self.position, items
+
+    def _is_new_to(self, reader, kind, item):
+        if kind is CatalogueUpdate:
+            return self.catalogue is not None and (
+                self.catalogue.version > reader.version
+            )
+        return (item["era"], item["revision"]) > reader.store_position
 
     def note_store_recovered(self):
         """Record that the store answers again after an outage."""
--- a/almondglade/gateway/relayapp.py
+++ b/almondglade/gateway/relayapp.py
@@ -11,7 +11,7 @@
 from ..outcome import Code, RequestError
 from ..platform.front import parse_caller_headers
 from .app import GatewayApp
-from .peerstate import encode_state, is_state_request
+from .peerstate import encode_state, parse_state_request
 from .relaying import ATTEMPTED_HEADER, RELAY_HEADER, RelayTerms
 from .requests import GatewayRequest
 
@@ -56,8 +56,9 @@
 
     def _handle(self, http, request_id, response, request_metrics):
         self._require_peer()
-        if is_state_request(http.header_pairs):
-            return self._published_state(response)
+        reader = self._parse_reader(http)
+        if reader is not None:
+            return self._published_state(response, reader)
         request = self._read_request(http, request_id)
         try:
             body = self._run(http, request, response, request_metrics)
@@ -78,12 +79,20 @@
             log.warning("refused a request of a stranger", address=address)
             raise RequestError(Code.FORBIDDEN, "only peers may call this port")
 
-    def _published_state(self, response):
+    @staticmethod
+    def _parse_reader(http):
+        try:
+            return parse_state_request(http.header_pairs)
+        except PeerError as error:
+            log.warning("request for the published state refused", cause=str(error))
+            raise RequestError(Code.BAD_REQUEST, str(error)) from error
+
+    def _published_state(self, response, reader):
         """Return what the platform has published, as far as it is known here."""
         self._check_capacity()
         response.status = 200
         response.header_pairs = [("Content-Type", "application/json")]
-        return encode_state(self.registry)
+        return encode_state(self.registry, reader)
 
     def _read_request(self, http, request_id):
         self._check_capacity()
--- a/almondglade/platform/store.py
+++ b/almondglade/platform/store.py
@@ -101,8 +101,8 @@
         Parameters
         ----------
         items : list of dict
-            Items of the store. Those of peers that were written in an earlier era
-            hold it.
+            Items of the store. Those of peers hold the era in which they were written,
+            and may be marked as unchanged instead of having a value.
         era : int
             Era of the others.
 
@@ -120,6 +120,8 @@
         deleted = bool(item.get("deleted"))
         origin = {"era": era, "item": item | {"era": era}}
         try:
+            if key == CONFIGURATION_KEY and item.get("unchanged"):
+                return None
             if key == CONFIGURATION_KEY:
                 if deleted:
                     raise PlatformError("the document was deleted")
@@ -140,6 +142,10 @@
         return None
 
     def _decode_target(self, key, name, revision, item, origin):
+        if item.get("unchanged"):
+            # Of use only as a sign that the target is listed.
+            era = origin["era"]
+            return TargetUpdate(revision, name, None, era=era, is_readable=False)
         try:
             record = decode_target(key, decode_value(item), self.monotonic_clock())
         except PlatformError as error:
--- a/test/test_registry.py
+++ b/test/test_registry.py
@@ -4,6 +4,7 @@
 
 from almondglade.catalogue import Catalogue, TargetRecord
 from almondglade.feed import Batch, CatalogueUpdate, EvacuationUpdate, TargetUpdate
+from almondglade.gateway.peerstate import ReaderState
 from almondglade.gateway.registry import RELIST_SECONDS, Registry
 
 
@@ -196,6 +197,44 @@
     assert registry.newest_listed_version() is None
 
 
+def item(key, revision, era=1):
+    return {"key": key, "revision": revision, "era": era, "value": "e30="}
+
+
+def test_a_peer_gets_the_values_of_what_it_has_not_read_only(registry):
+    registry.apply_batch(
+        snapshot(
+            6,
+            CatalogueUpdate(2, Catalogue(4), item=item("op/config", 2)),
+            TargetUpdate(3, "t1", make_target("t1"), item=item("servers/t1", 3)),
+            TargetUpdate(6, "t2", make_target("t2"), item=item("servers/t2", 6)),
+        )
+    )
+
+    def keys_with_values(position, version):
+        era, revision, items = registry.published_items(ReaderState(position, version))
+        assert (era, revision, len(items)) == (1, 6, 3)
+        return {entry["key"] for entry in items if "value" in entry}
+
+    everything = {"op/config", "servers/t1", "servers/t2"}
+    assert keys_with_values((0, 0), 0) == everything
+    assert keys_with_values((1, 5), 4) == {"servers/t2"}
+    assert keys_with_values((1, 6), 3) == {"op/config"}
+    assert keys_with_values((0, 90), 9) == {"servers/t1", "servers/t2"}
+
+
+def test_unchanged_items_of_a_peer_keep_what_is_known(registry):
+    entry = TargetUpdate(3, "t1", make_target("t1"), item=item("servers/t1", 3))
+    registry.apply_batch(snapshot(4, entry))
+    unchanged = TargetUpdate(3, "t1", None, era=1, is_readable=False)
+    batch = Batch((unchanged,), 9, True, 0.0, 1, is_from_store=False)
+    registry.apply_batch(batch)
+    registry.clock.now += 2 * RELIST_SECONDS
+    registry.expire()
+    assert listed(registry) == {"t1"}
+    assert registry.position == (1, 9)
+
+
 def test_a_reading_of_an_earlier_era_changes_nothing(registry):
     registry.apply_batch(snapshot(3, CatalogueUpdate(3, Catalogue(2)), era=2))
     late = snapshot(90, CatalogueUpdate(90, Catalogue(9)), era=1)
