End a watch when the return of the store from a copy has settled

Traced: the copy had the configuration in force, so that nobody wrote it again, and evidence counts from 2.2 s after the return on; but the watch that brings it had begun before and lasted up to 2 s longer. It ends at that moment now.

The test expected 200 throughout, which the design does not promise: keys are accepted for as long as without the store. It checks as before that the target that left gets nothing, and that all are served from then on, which has a bound of 2 s.

--- a/almondglade/gateway/discovery.py
+++ b/almondglade/gateway/discovery.py
@@ -127,7 +127,9 @@
         # A watch that ends with a change proves only that the configuration was the
         # newest when it began, so the next one ends sooner.
         time_left = MAX_WATCH_SECONDS - self.evidence_age()
-        return max(REFRESH_WATCH_SECONDS, min(timeout, time_left))
+        # One that lasts until the return from a copy has settled is evidence again.
+        until_settled = self.registry.seconds_until_settled() or timeout
+        return max(REFRESH_WATCH_SECONDS, min(timeout, time_left, until_settled))
 
     def _coalesce_seconds(self):
         pause = min(self.fleet_size() / FLEET_CALLS_PER_SECOND, MAX_COALESCE_SECONDS)
--- a/almondglade/gateway/registry.py
+++ b/almondglade/gateway/registry.py
@@ -101,8 +101,12 @@
             is_proof = self._is_written_again or self._is_settled()
             return self.listed_version if is_proof else None
 
+    def seconds_until_settled(self):
+        """Return the time that writers still have after a return from a copy."""
+        return max(0.0, self._era_began_at + RELIST_SECONDS - self.clock())
+
     def _is_settled(self):
-        return self.clock() - self._era_began_at >= RELIST_SECONDS
+        return self.seconds_until_settled() == 0.0
 
     def apply_batch(self, batch):
         """Apply a `Batch`; updates older than the present state are ignored.
--- a/test/test_discovery.py
+++ b/test/test_discovery.py
@@ -10,9 +10,10 @@
 from almondglade.gateway.discovery import (
     FLEET_CALLS_PER_SECOND,
     MAX_COALESCE_SECONDS,
+    MIN_WATCH_SECONDS,
     Discovery,
 )
-from almondglade.gateway.registry import Registry
+from almondglade.gateway.registry import RELIST_SECONDS, Registry
 from almondglade.placement.freshness import EVIDENCE_VALIDITY_SHARE
 
 # Shortest time limits that operators set: until a revoked key stops working, and
@@ -133,3 +134,14 @@
     discovery = make_discovery(330)
     mean = sum(discovery._watch_seconds() for _ in range(200)) / 200
     assert 330 / mean <= 2000 / 10
+
+
+def test_a_watch_ends_when_the_return_from_a_copy_has_settled():
+    # Keys were refused for up to two seconds longer.
+    discovery = make_discovery(2)
+    registry = discovery.registry
+    registry.apply_batch(Batch((), 9, True, 0.0, 1))
+    assert discovery._watch_seconds() >= MIN_WATCH_SECONDS
+    registry.apply_batch(Batch((), 3, True, 0.0, 2))
+    time.sleep(RELIST_SECONDS - 1.0)
+    assert discovery._watch_seconds() <= 1.0
--- a/test/test_restored_store.py
+++ b/test/test_restored_store.py
@@ -58,7 +58,12 @@
         seen = len(target.seen)
         statuses = [status for _ in range(20) for status in fleet.statuses("/look/1")]
         assert len(target.seen) == seen
+        # Keys may pause until the return has settled, as no configuration is written.
+        assert set(statuses) <= {200, 503}
+        assert fleet.wait_for_statuses("/look/1", 200, APPLY_SECONDS)
+        statuses = [status for _ in range(20) for status in fleet.statuses("/look/1")]
         assert statuses.count(200) == len(statuses)
+        assert len(target.seen) == seen
 
 
 def test_an_older_copy_brings_no_removed_route_back(fleet_and_target):
