Ask only engines what they keep of a prompt

After all gateways had gone a caller took a stream up, and the targets, which are no engines, took GET /api/kv-list for a request (UNASKED). A question of one kind of target was put to all. Only services that the configuration declares as engines are asked.

--- a/almondglade/gateway/app.py
+++ b/almondglade/gateway/app.py
@@ -114,9 +114,20 @@
             raise RequestError(Code.NOT_FOUND, "no route for this host and path")
         return route
 
-    def _tokens_per_event(self, service):
-        terms = self.registry.catalogue.service_by_name.get(service)
-        return terms.tokens_per_event if terms else 1.0
+    def _infer_origin(self, route, caller_headers):
+        """Return the origin of a stream by what engines keep of its prompt, or None.
+
+        Other targets keep none, and might take the question for a request.
+        """
+        service_by_name = self.registry.catalogue.service_by_name
+        terms = [service_by_name.get(name) for name in route.weight_by_service]
+        if not all(service is not None and service.is_engine for service in terms):
+            return None
+        return self.origin_search.infer(
+            route.weight_by_service,
+            caller_headers,
+            min(service.tokens_per_event for service in terms),
+        )
 
     def _find_origin(self, route, caller_headers, request_id):
         """Return the `StreamOrigin` of a stream that goes on, or None for a new one."""
@@ -125,11 +136,7 @@
         origin = self.scheduler.origins.find(
             request_id,
             caller_headers.resumed_request,
-            lambda: self.origin_search.infer(
-                route.weight_by_service,
-                caller_headers,
-                min(self._tokens_per_event(name) for name in route.weight_by_service),
-            ),
+            lambda: self._infer_origin(route, caller_headers),
         )
         if origin.service not in route.weight_by_service:
             log.info(
--- a/test/gatewayfleet.py
+++ b/test/gatewayfleet.py
@@ -139,8 +139,18 @@
         response = self.http.request("POST", f"{url}?{urlencode(query)}")
         assert response.status == 200
 
-    def configure(self, version=1, keys=(KEY,), routes=None, others=(), **workspace):
-        """Write the operator's document; `others` are further workspaces."""
+    def configure(
+        self, version=1, keys=(KEY,), routes=None, others=(), terms=(), **workspace
+    ):
+        """Write the operator's document.
+
+        Parameters
+        ----------
+        others : iterable of dict
+            Further workspaces.
+        terms : dict or iterable of pairs
+            Further terms of the service.
+        """
         default_routes = [
             make_route("/book/", "non_idempotent", "plain", maxAttempts=1),
             make_route("/look/", "idempotent", "plain"),
@@ -155,6 +165,7 @@
                 "routes": routes or default_routes,
                 "services": [
                     {"name": "plain", "maxConnections": 64, "healthPath": "/health"}
+                    | dict(terms)
                 ],
                 "limits": {"maxBodyBytes": 1 << 20},
                 "tenants": [tenant, *others],
--- a/test/test_rejoined_streams.py
+++ b/test/test_rejoined_streams.py
@@ -28,6 +28,7 @@
 
 STREAMS = 8
 OWN_TOKENS = 250
+ENGINE = {"engine": {"stride": 1}}
 
 
 class RememberingTarget(VersionedTarget):
@@ -105,7 +106,7 @@
 ):
     # None went on: what the gateways knew of the streams was gone with them.
     with GatewayFleet(tmp_path, count=2) as fleet:
-        start_fleet(fleet, targets, max_attempts=1)
+        start_fleet(fleet, targets, max_attempts=1, terms=ENGINE)
         versions = begin_streams(fleet, targets)
         lose_all_gateways(fleet)
         statuses = [
@@ -118,7 +119,7 @@
 
 def test_a_stream_that_no_target_remembers_for_sure_does_not_go_on(tmp_path, targets):
     with GatewayFleet(tmp_path, count=2) as fleet:
-        start_fleet(fleet, targets, max_attempts=1)
+        start_fleet(fleet, targets, max_attempts=1, terms=ENGINE)
         begin_streams(fleet, targets)
         for target in targets:
             target.held.clear()
@@ -134,6 +135,17 @@
     assert not [request for target in targets for request in target.resumed]
 
 
+def test_targets_that_are_no_engines_are_not_asked_for_prompts(tmp_path, targets):
+    # A plain service ran the question, which no caller had sent.
+    with GatewayFleet(tmp_path, count=2) as fleet:
+        start_fleet(fleet, targets, max_attempts=1)
+        begin_streams(fleet, targets)
+        lose_all_gateways(fleet)
+        assert resume_stream(fleet, ADDRESSES[0], 0) == 503
+    seen = [request for target in targets for request in target.seen]
+    assert not [request for request in seen if request.startswith(b"GET /api/")]
+
+
 def record(name, version, service="plain"):
     return TargetRecord(name, service, "10.0.0.1", 80, "north", 4, version=version)
 
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -27,6 +27,8 @@
     pytest.param(5000, id="links and limits"),
     # A run that broke with a link counted as a crash when its target ended later.
     pytest.param(61027, id="barred after a lost link"),
+    # A target that is no engine was asked for prompts, and took that for a request.
+    pytest.param(880035, id="prompts asked of a plain service"),
 ]
 
 
--- a/test/test_stream_versions.py
+++ b/test/test_stream_versions.py
@@ -63,7 +63,7 @@
         target.__exit__()
 
 
-def start_fleet(fleet, targets, max_attempts):
+def start_fleet(fleet, targets, max_attempts, **options):
     fleet.configure(
         routes=[
             make_route(
@@ -73,7 +73,8 @@
                 streamResume=True,
                 maxAttempts=max_attempts,
             )
-        ]
+        ],
+        **options,
     )
     for number, target in enumerate(targets):
         fleet.list_target(f"t{number}", target, version=target.version)
