--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -1,6 +1,7 @@
 """A loopback TCP proxy that delays, resets, silences or refuses connections."""
 
 import contextlib
+import os
 import socket
 import struct
 import threading
@@ -118,10 +119,11 @@
     """Close a socket with a TCP reset, and wake the thread that reads it.
 
     Only the reading side is shut down, as the peer would take the end of the writing
-    side for an orderly end.
+    side for an orderly end. The descriptor is closed although files of the socket are
+    in use, which could still write a response.
     """
     with contextlib.suppress(OSError):
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_LINGER)
         sock.shutdown(socket.SHUT_RD)
     with contextlib.suppress(OSError):
-        sock.close()
+        os.close(sock.detach())
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -1,5 +1,6 @@
 """Short soak runs with fixed seeds, which include every seed that has failed."""
 
+import contextlib
 import socket
 import threading
 import time
@@ -7,7 +8,7 @@
 import pytest
 
 from soak.ledger import CallerOutcome, GuaranteeLimits, Ledger, Run
-from soak.proxy import Proxy
+from soak.proxy import Proxy, reset
 from soak.run import soak
 
 SECONDS = 8.0
@@ -170,3 +171,26 @@
             second.sendall(b"d")
             time.sleep(0.01)
     proxy.close()
+
+
+def test_a_reset_socket_writes_nothing_and_ends_in_no_orderly_way():
+    # A response was still written to a connection whose target had crashed.
+    server = socket.create_server(("127.0.0.1", 0))
+    client = socket.create_connection(server.getsockname(), timeout=5.0)
+    sock, _ = server.accept()
+    reader, writer = sock.makefile("rb"), sock.makefile("wb")
+    waiting = threading.Thread(target=lambda: read_until_closed(reader), daemon=True)
+    waiting.start()
+    reset(sock)
+    waiting.join(5.0)
+    assert not waiting.is_alive()
+    with pytest.raises(OSError):
+        writer.write(b"late")
+        writer.flush()
+    with pytest.raises(ConnectionResetError):
+        client.recv(1)
+
+
+def read_until_closed(reader):
+    with contextlib.suppress(OSError, ValueError):
+        reader.read()
