Let the callers of a test of back-off wait for the other targets

Traced: the first callers came before the pace of the targets was known, which is taken for 0.5 s then; eight callers on the four slots left were expected to wait 0.357 s, and the route lets them wait 0.35. That refusal is as documented and has nothing to do with the rule, whose check (no arrival) held. The route's objective is 1 s now; the check that all are served stays.

--- a/test/storefleet.py
+++ b/test/storefleet.py
@@ -74,9 +74,15 @@
         """Let a gateway reach the store again."""
         self.proxy_by_address[address].is_refusing = False
 
-    def configure_routes(self, version, added=(), keys=None):
-        """Write a configuration with the default routes and some added ones."""
-        routes = [make_route("/look/", "idempotent", "plain")]
+    def configure_routes(self, version, added=(), keys=None, **terms):
+        """Write a configuration with a default route and some added ones.
+
+        Parameters
+        ----------
+        **terms
+            Terms of the default route.
+        """
+        routes = [make_route("/look/", "idempotent", "plain", **terms)]
         routes += [added_route(number) for number in added]
         options = {} if keys is None else {"keys": keys}
         self.configure(version, routes=routes, **options)
--- a/test/test_leaving_targets.py
+++ b/test/test_leaving_targets.py
@@ -55,7 +55,8 @@
         targets = [first, second, third]
         for number, target in enumerate(targets):
             fleet.list_target(f"t{number}", target, slots=SLOTS)
-        fleet.configure_routes(1)
+        # Long enough to wait for the others before their pace is known.
+        fleet.configure_routes(1, targetLatencyMs=1000)
         fleet.start()
         yield fleet, targets
 
