--- a/test/test_restored_store.py
+++ b/test/test_restored_store.py
@@ -18,9 +18,8 @@
     make_target,
 )
 
-
-# Time until a return from a copy has settled: until a gateway reads the store again, and
-# from then on.
+# Time until a return from a copy has settled: until a gateway reads the store again,
+# and from then on.
 SETTLED_SECONDS = MAX_BACKOFF_SECONDS + RELIST_SECONDS + 2 * REFRESH_WATCH_SECONDS
 
 
