--- a/review/standins.py
+++ b/review/standins.py
@@ -145,12 +145,15 @@
     request that runs, and answers it.
     """
 
-    def __init__(self, store, address, record, service, name, zone="north", slots=6):
-        self.record = record
+    def __init__(
+        self, store, address, record, service, name, zone="north", slots=6, version="v1"
+    ):
+        self.record, self.version = record, version
         self.service, self.name, self.zone, self.slots = service, name, zone, slots
         self.store = store
         self.sequence = itertools.count(1)
         self.born = int(time.time() * 1000)
+        self.state = "ready"
         self.runs = []
         self.on_run = self.answer_plainly
         runner = self
@@ -174,9 +177,9 @@
                 "service": self.service,
                 "address": self.address,
                 "zone": self.zone,
-                "version": "v1",
+                "version": self.version,
                 "slots": self.slots,
-                "state": "ready",
+                "state": self.state,
                 "coldRemainingMs": 0,
                 "sequence": next(self.sequence),
                 "born": self.born,
@@ -279,7 +282,9 @@
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         rng = random.SystemRandom()
         net = f"127.{rng.randrange(64, 250)}.{rng.randrange(1, 250)}"
-        self.addresses = [f"{net}.{number + 1}" for number in range(count)]
+        # Connections between gateways come from the first loopback address, which has
+        # to be that of a gateway so that the peers know it.
+        self.addresses = ["127.0.0.1", *(f"{net}.{n}" for n in range(2, count + 1))]
         self.front, self.ready, self.control, self.internal = free_ports(
             self.addresses[0]
         )
