--- a/review/standins.py
+++ b/review/standins.py
@@ -154,6 +154,7 @@
         self.sequence = itertools.count(1)
         self.born = int(time.time() * 1000)
         self.state = "ready"
+        self.work_seconds = 0.02
         self.runs = []
         self.on_run = self.answer_plainly
         runner = self
@@ -210,8 +211,8 @@
         self.on_run(http, request_id, body)
 
     def answer_plainly(self, http, request_id, body):
-        """Answer after 20 ms of work; a stream has three events."""
-        time.sleep(0.02)
+        """Answer after some work; a stream has three events."""
+        time.sleep(self.work_seconds)
         ids = [("X-Request-Id", request_id), ("X-Response-Seal", f"seal.{self.name}")]
         if http.path.startswith("/stream/"):
             events = b"".join(b"id: %d\ndata: piece\n\n" % n for n in (1, 2, 3))
