--- a/review/1/case.py
+++ b/review/1/case.py
@@ -37,7 +37,7 @@
 
 def main():
     """Return the exit status of the case."""
-    record = Record(Path(__file__).parent)
+    record = Record(Path(__file__).parent / "record.txt")
     store = Store("127.0.0.1")
     routes = [
         make_route("/stream/", "streaming", "plain", 15000, 1500, streamResume=True),
--- a/review/standins.py
+++ b/review/standins.py
@@ -261,11 +261,11 @@
 
 
 class Record:
-    """Writes what happens to `record.txt`, with seconds since the start."""
+    """Writes what happens to a file, with seconds since the start."""
 
-    def __init__(self, folder):
+    def __init__(self, path):
         self.started_at = time.monotonic()
-        self._file = open(Path(folder) / "record.txt", "w")  # noqa: SIM115
+        self._file = open(path, "w")  # noqa: SIM115
         self._lock = threading.Lock()
 
     def __call__(self, text):
