--- a/review/1/case.py
+++ b/review/1/case.py
@@ -36,7 +36,7 @@
 
 
 def main():
-    """Return the exit status of the case."""
+    """Return whether the rule was broken."""
     record = Record(Path(__file__).parent / "record.txt")
     store = Store("127.0.0.1")
     routes = [
@@ -72,7 +72,7 @@
                 fleet.addresses[2 * number],
                 partial(configure, number + 1),
             )
-        return 1 if broken else 0
+        return bool(broken)
     finally:
         fleet.stop()
 
--- a/review/standins.py
+++ b/review/standins.py
@@ -10,9 +10,11 @@
 import json
 import os
 import random
+import shutil
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import threading
 import time
@@ -402,6 +404,7 @@
         for process in self.processes.values():
             process.kill()
             process.wait()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def free_ports(address):
@@ -418,10 +421,15 @@
         return base, base + 1, base + 2, base + 4
 
 
+# Exit status of a case whose rule was broken; Python itself exits with 1 on errors.
+BROKEN_STATUS = 3
+
+
 def run_case(main):
-    """Return the exit status of a case; 2 if it could not run."""
+    """Return the exit status of a case for `run.sh`; 2 if it could not run."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
-        return main()
+        return BROKEN_STATUS if main() else 0
     except Exception:
         traceback.print_exc()
         return 2
