--- a/review/1/case.py
+++ b/review/1/case.py
@@ -95,7 +95,9 @@
     record(f"the store acknowledges the configuration without {key}")
     sent_at_by_id = {}
     rng = random.Random(1)
-    first, last = revoked_at + REVOKE_SECONDS + 0.1, frozen_at + FREEZE_SECONDS + 0.3
+    # A client gives up after a second if its request is not read.
+    first = max(revoked_at + REVOKE_SECONDS + 0.1, frozen_at + FREEZE_SECONDS - 0.9)
+    last = frozen_at + FREEZE_SECONDS + 0.3
 
     def send(number, channel, at):
         time.sleep(max(0.0, at - time.monotonic()))
--- a/review/standins.py
+++ b/review/standins.py
@@ -200,7 +200,10 @@
         """Answer a request; count it as run where it is one."""
         body = http.rfile.read(int(http.headers.get("Content-Length") or 0))
         if http.path == "/health":
-            http.answer(200, b"", [("X-Instance-Id", self.name)])
+            is_ready = self.state == "ready"
+            leaving = [] if is_ready else [("Server-Leaving", "1")]
+            instance = ("X-Instance-Id", self.name)
+            http.answer(200 if is_ready else 503, b"", [instance, *leaving])
             return
         expected = http.headers.get("X-Expect-Instance")
         if expected not in (None, self.name):
