Tell coordinators the workspace and the expected tokens of waiting requests

Cause: a coordinator orders waiting requests without knowing whose they are or how much work they bring, so no decision can share slots between workspaces or count the memory of engines.

Change: tickets and the reports of waiting requests carry both. Earlier releases read reports with them, as further fields stand where these look up only their own names; fields of later releases are ignored in the same place. The settings of a gateway hold which optional decisions an operator allows.

Measured result: none; nothing uses the fields yet. Decoding is tested with and without them.

--- a/almondglade/gateway/exchange.py
+++ b/almondglade/gateway/exchange.py
@@ -134,6 +134,8 @@
                         ticket.cell_data_centre,
                         ticket.isolated_fingerprint,
                         ticket.version,
+                        ticket.workspace,
+                        ticket.tokens,
                     )
                     for ticket in self.pools.waiting_here()
                 ),
@@ -368,6 +370,8 @@
                 cell_data_centre=entry.cell_data_centre,
                 isolated_fingerprint=entry.isolated_fingerprint,
                 version=entry.version,
+                workspace=entry.workspace,
+                tokens=entry.tokens,
             )
 
     def send_grants(self, peer, grants, waits=()):
--- a/almondglade/gateway/requests.py
+++ b/almondglade/gateway/requests.py
@@ -117,6 +117,21 @@
             return 0.0
         return self.caller_headers.expected_tokens / self.tokens_per_event
 
+    @property
+    def expected_tokens(self):
+        """Tokens that it is expected to take on an engine; 0 if unknown.
+
+        The caller's estimate of the output counts up to the most that it allows.
+        """
+        caller_headers = self.caller_headers
+        if caller_headers.input_tokens is None:
+            return 0
+        most = caller_headers.output_tokens or 0
+        estimate = caller_headers.expected_tokens
+        return caller_headers.input_tokens + (
+            most if estimate is None else min(estimate, most)
+        )
+
     @property
     def max_tokens(self):
         """Most tokens that the request may use, or None if it states no counts."""
--- a/almondglade/gateway/scheduling.py
+++ b/almondglade/gateway/scheduling.py
@@ -187,6 +187,8 @@
             deadline=request.deadline,
             isolated_fingerprint=self.suspects.isolated_fingerprint(request),
             version=request.version,
+            workspace=request.workspace.name if request.workspace else "",
+            tokens=request.expected_tokens,
         )
         max_wait = self._max_wait(request, now)
         with self.lock:
--- a/almondglade/gateway/settings.py
+++ b/almondglade/gateway/settings.py
@@ -45,6 +45,40 @@
     drain: float = 2.0
 
 
+@dataclass(frozen=True)
+class Policies:
+    """Which optional decisions an operator allows.
+
+    Each one also needs what it decides on, such as workspaces with allowances.
+
+    Parameters
+    ----------
+    fair_shares : bool
+        Whether workspaces share the slots of a service evenly.
+    momentary_load : bool
+        Whether what targets say of their present load counts in the choice of one.
+    engine_memory : bool
+        Whether requests are granted by the memory of engines besides their slots.
+    booked_returns : bool
+        Whether refused callers get a time to return that is kept for them.
+    own_limits : bool
+        Whether this instance turns work away by its own processor, memory and link.
+    hedge_share : float
+        Share of a service's requests that may be sent to a second target before the
+        first has answered; 0 sends none.
+    """
+
+    fair_shares: bool = True
+    momentary_load: bool = True
+    engine_memory: bool = True
+    booked_returns: bool = True
+    own_limits: bool = True
+    hedge_share: float = 0.0
+
+
+DEFAULT_POLICIES = Policies()
+
+
 @dataclass(frozen=True)
 class GatewaySettings:
     """Addresses, ports and limits of one gateway.
@@ -70,6 +104,8 @@
     capacity : float
         Relative capacity of processor and network link; the instances with the
         highest capacity become coordinators.
+    policies : Policies
+        Which optional decisions are allowed.
     """
 
     instance: str
@@ -87,3 +123,4 @@
     max_files: int = 4096
     capacity: float = 0.0
     bounds: Bounds = Bounds()
+    policies: Policies = DEFAULT_POLICIES
--- a/almondglade/gossip/messages.py
+++ b/almondglade/gossip/messages.py
@@ -37,6 +37,10 @@
         it may.
     version : str
         Software version of the targets that may run it; empty if all may.
+    workspace : str
+        Workspace that it is for; empty if it has none.
+    tokens : int
+        Tokens that it is expected to take on an engine; 0 if not known.
     """
 
     number: int
@@ -50,6 +54,8 @@
     cell_data_centre: str = ""
     isolated_fingerprint: int = 0
     version: str = ""
+    workspace: str = ""
+    tokens: int = 0
 
 
 @dataclass(frozen=True)
--- a/almondglade/placement/places.py
+++ b/almondglade/placement/places.py
@@ -41,6 +41,12 @@
         not twice at a time; 0 if it may.
     version : str
         Software version of the targets that may run it; empty if all may.
+    workspace : str
+        Workspace that it is for; empty if it has none, or if its owner is of an
+        earlier release.
+    tokens : int
+        Tokens that it is expected to take on an engine, read and generated; 0 if not
+        known.
 
     Attributes
     ----------
@@ -72,6 +78,8 @@
     cell_data_centre: str = ""
     isolated_fingerprint: int = 0
     version: str = ""
+    workspace: str = ""
+    tokens: int = 0
 
     def accepts(self, record):
         """Return whether a target has the software version that it needs."""
--- a/almondglade/platform/settings.py
+++ b/almondglade/platform/settings.py
@@ -6,7 +6,7 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
 from ..errors import SettingsError
-from ..gateway.settings import METRICS_PORT, Bounds, GatewaySettings
+from ..gateway.settings import DEFAULT_POLICIES, METRICS_PORT, Bounds, GatewaySettings
 
 SETTINGS_VARIABLE = "ALMONDGLADE_CONFIG"
 MILLISECONDS_PER_SECOND = 1000.0
@@ -74,7 +74,9 @@
     platform: _Store
 
 
-def load_gateway_settings(metrics_port=METRICS_PORT, environment=None):
+def load_gateway_settings(
+    metrics_port=METRICS_PORT, environment=None, policies=DEFAULT_POLICIES
+):
     """Return the `GatewaySettings` of this process.
 
     Parameters
@@ -83,6 +85,8 @@
         Port that serves metrics, which the settings file does not contain.
     environment : dict or None
         Environment variables; those of the process if None.
+    policies : Policies
+        Which optional decisions are allowed, which the file does not contain either.
 
     Raises
     ------
@@ -132,6 +136,7 @@
             cold_slack=bounds.cold_slack,
             drain=bounds.drain_ms / MILLISECONDS_PER_SECOND,
         ),
+        policies=policies,
     )
 
 
--- a/test/test_gossip.py
+++ b/test/test_gossip.py
@@ -47,6 +47,8 @@
     NAMES,
     st.integers(0, 2**64 - 1),
     st.sampled_from(["", "v2"]),
+    st.sampled_from(["", "w1", "w2"]),
+    st.integers(0, 2**40),
 )
 COUNTS = st.integers(0, 10**9)
 LOADS = st.builds(CellLoad, st.builds(Cell, NAMES, NAMES), COUNTS, COUNTS, SECONDS)
@@ -195,6 +197,19 @@
         decode(data)
 
 
+def test_fields_of_later_releases_are_ignored():
+    waiting = (WaitingRequest(1, "s", (0, 1), 0.5, workspace="w1", tokens=900),)
+    report = Report("e1", "north", 1, 1, waiting=waiting)
+    fields = msgpack.unpackb(encode(report))
+    further = next(field for field in fields if field and type(field) is dict)
+    further[""]["unknown"] = [1, {}]
+    assert decode(msgpack.packb(fields)) == report
+    del further[""]
+    assert decode(msgpack.packb(fields)).waiting == (
+        replace(waiting[0], workspace="", tokens=0),
+    )
+
+
 def test_shared_state_of_an_earlier_release_names_no_version():
     state = SharedState(7, 0.5, version=3, store_position=(2, 9))
     fields = msgpack.unpackb(encode(Report("e1", "north", 1, 1, shared_state=state)))
