--- a/almondglade/gateway/settings.py
+++ b/almondglade/gateway/settings.py
@@ -46,7 +46,7 @@
 
 
 @dataclass(frozen=True)
-class Policies:
+class Features:
     """Which optional decisions an operator allows.
 
     Each one also needs what it decides on, such as workspaces with allowances.
@@ -76,7 +76,7 @@
     hedge_share: float = 0.0
 
 
-DEFAULT_POLICIES = Policies()
+DEFAULT_FEATURES = Features()
 
 
 @dataclass(frozen=True)
@@ -104,7 +104,7 @@
     capacity : float
         Relative capacity of processor and network link; the instances with the
         highest capacity become coordinators.
-    policies : Policies
+    features : Features
         Which optional decisions are allowed.
     """
 
@@ -123,4 +123,4 @@
     max_files: int = 4096
     capacity: float = 0.0
     bounds: Bounds = Bounds()
-    policies: Policies = DEFAULT_POLICIES
+    features: Features = DEFAULT_FEATURES
--- a/almondglade/platform/settings.py
+++ b/almondglade/platform/settings.py
@@ -6,7 +6,7 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
 from ..errors import SettingsError
-from ..gateway.settings import DEFAULT_POLICIES, METRICS_PORT, Bounds, GatewaySettings
+from ..gateway.settings import DEFAULT_FEATURES, METRICS_PORT, Bounds, GatewaySettings
 
 SETTINGS_VARIABLE = "ALMONDGLADE_CONFIG"
 MILLISECONDS_PER_SECOND = 1000.0
@@ -75,7 +75,7 @@
 
 
 def load_gateway_settings(
-    metrics_port=METRICS_PORT, environment=None, policies=DEFAULT_POLICIES
+    metrics_port=METRICS_PORT, environment=None, features=DEFAULT_FEATURES
 ):
     """Return the `GatewaySettings` of this process.
 
@@ -85,7 +85,7 @@
         Port that serves metrics, which the settings file does not contain.
     environment : dict or None
         Environment variables; those of the process if None.
-    policies : Policies
+    features : Features
         Which optional decisions are allowed, which the file does not contain either.
 
     Raises
@@ -136,7 +136,7 @@
             cold_slack=bounds.cold_slack,
             drain=bounds.drain_ms / MILLISECONDS_PER_SECOND,
         ),
-        policies=policies,
+        features=features,
     )
 
 
--- a/test/test_cells.py
+++ b/test/test_cells.py
@@ -32,7 +32,8 @@
     CellLoad,
 )
 from almondglade.placement.places import PeerLoad
-from almondglade.placement.pool import CELL_MOVE_SECONDS, LARGE_FLEET_FALLBACK_SECONDS
+from almondglade.placement.pool import LARGE_FLEET_FALLBACK_SECONDS
+from almondglade.placement.slotrequests import CELL_MOVE_SECONDS
 
 from .placing import SERVICE, make_pools, record, ticket
 
