Look less often at requests that only wait for grants

Cause: each instance with a waiting request looked at all of them every 20 ms, and counted the usable targets of a cell for each estimate of a wait that its coordinator had reported already. In an overload nearly all instances of a large fleet have waiting requests.

Change: only who places requests itself looks every 20 ms; who waits for the grants of another instance does so every 100 ms, a fraction of the time-outs that it watches. Without the load of a cell, one usable target is enough to use the reported wait.

--- a/almondglade/gateway/node.py
+++ b/almondglade/gateway/node.py
@@ -49,10 +49,6 @@
 # Requests in progress at once; further threads only refuse requests.
 MAX_REQUESTS = 360
 OPERATOR_THREADS = 2
-# Interval of the checks for changes by time alone, such as a cold target that may get
-# another request or an expired wait; the shorter one applies while requests wait.
-TICK_SECONDS = 0.02
-IDLE_TICK_SECONDS = 0.1
 # Share of the grace time within which requests in progress may end.
 DRAIN_SHARE = 0.9
 # Time in which the load balancer notices that an instance is not ready: two of its
@@ -352,12 +348,13 @@
                 unresponsive = self.pools.reassign_waiting(self.clock())
                 if waiting:
                     self.scheduler.match()
+                pause = self.pools.next_check_seconds(self.clock())
             for name in unresponsive:
                 log.warning("coordinator unresponsive", coordinator=name)
             if unresponsive:
                 self.gossip.schedule_report()
             self.registry.expire()
-            await asyncio.sleep(TICK_SECONDS if waiting else IDLE_TICK_SECONDS)
+            await asyncio.sleep(pause)
 
     def _apply_registry(self):
         """Apply the published catalogue, targets and evacuations to scheduling."""
--- a/almondglade/placement/pool.py
+++ b/almondglade/placement/pool.py
@@ -19,6 +19,11 @@
 FALLBACK_SECONDS = 0.16
 # The same in a large fleet, where coordinators answer less often.
 LARGE_FLEET_FALLBACK_SECONDS = 0.6
+# Interval of the checks for changes by time alone, such as a cold target that may get
+# another request: while this instance places waiting requests, and while it only waits
+# for grants or nothing waits.
+PLACING_CHECK_SECONDS = 0.02
+CHECK_SECONDS = 0.1
 
 
 class Pools(SlotRequests):
@@ -124,6 +129,23 @@
             return None
         return avoided | {target for target, _ in runs}
 
+    def next_check_seconds(self, now):
+        """Return the seconds until the waiting requests must be looked at again.
+
+        Grants of other coordinators arrive as messages. What else concerns a request
+        that waits for one takes several of the longer intervals.
+        """
+        tickets = self.waiting_here()
+        if tickets and (
+            self.is_full_mesh
+            or any(
+                self._is_placed_here(ticket, True, now)
+                for ticket in {ticket.cell: ticket for ticket in tickets}.values()
+            )
+        ):
+            return PLACING_CHECK_SECONDS
+        return CHECK_SECONDS
+
     def _is_placed_here(self, ticket, is_settled, now):
         """Return whether this instance itself places one of its requests."""
         if ticket.coordinator == self.instance:
--- a/almondglade/placement/targets.py
+++ b/almondglade/placement/targets.py
@@ -147,6 +147,12 @@
             state for state in self.usable(cell, now) if not self.obstacle(state, now)
         ]
 
+    def is_usable_here(self, cell, now):
+        """Return whether a target of a cell may get requests of this instance."""
+        return any(
+            not self.obstacle(state, now) for state in self.states_by_cell.get(cell, ())
+        )
+
     def _pause_counts(self, states, now):
         """Return how many instances pause each of some targets, by target.
 
--- a/almondglade/placement/waits.py
+++ b/almondglade/placement/waits.py
@@ -40,7 +40,11 @@
 
     def _wait_here(self, cell, tier, now):
         """Return the expected wait for the targets that this instance can reach."""
-        return self.cell_wait(cell, tier, now, self.targets.usable_here(cell, now))
+        if self._knows_load(cell, now):
+            return self.cell_wait(cell, tier, now, self.targets.usable_here(cell, now))
+        if not self.targets.is_usable_here(cell, now):
+            return float("inf")
+        return self.cell_reports.expected_wait(cell, tier, now)
 
     def cell_wait(self, cell, tier, now, states=None):
         """Return the expected wait in one cell, in seconds.
--- a/test/test_cells.py
+++ b/test/test_cells.py
@@ -32,7 +32,11 @@
     CellLoad,
 )
 from almondglade.placement.places import PeerLoad
-from almondglade.placement.pool import LARGE_FLEET_FALLBACK_SECONDS
+from almondglade.placement.pool import (
+    CHECK_SECONDS,
+    LARGE_FLEET_FALLBACK_SECONDS,
+    PLACING_CHECK_SECONDS,
+)
 from almondglade.placement.slotrequests import CELL_MOVE_SECONDS
 
 from .placing import SERVICE, make_pools, record, ticket
@@ -213,6 +217,22 @@
     assert served > 10
 
 
+def test_only_who_places_requests_looks_at_them_often():
+    coordinator, waiting = large_pools("e1"), large_pools("e2")
+    info_by_instance = {
+        "e1": InstanceInfo("north", capacity=2.0),
+        "e2": InstanceInfo("north", capacity=1.0),
+    }
+    for pools in (coordinator, waiting):
+        pools.coordinators.set_instances(sorted(info_by_instance), info_by_instance)
+        assert pools.next_check_seconds(0.0) == CHECK_SECONDS
+        pools.enqueue(ticket(arrived_at=0.0), 0.0)
+    assert coordinator.next_check_seconds(0.0) == PLACING_CHECK_SECONDS
+    assert waiting.next_check_seconds(0.0) == CHECK_SECONDS
+    silent = 1.1 * LARGE_FLEET_FALLBACK_SECONDS
+    assert waiting.next_check_seconds(silent) == PLACING_CHECK_SECONDS
+
+
 def test_a_lost_slot_request_does_not_make_a_coordinator_unresponsive():
     info_by_instance = {"e1": InstanceInfo("north"), "e2": InstanceInfo("north", 2.0)}
     pools = large_pools(info_by_instance=info_by_instance)
