--- a/almondglade/gateway/exchange.py
+++ b/almondglade/gateway/exchange.py
@@ -12,6 +12,7 @@
     SharedState,
     WaitingRequest,
 )
+from ..gossip.peerclocks import PeerClocks
 from ..log import get_logger
 from ..placement.allowance import Scope
 from ..placement.cells import Cell
@@ -91,6 +92,7 @@
         self._load_by_requester: dict[str, PeerLoad] = {}
         self._is_batch_scheduled = False
         self._recent_waits = RecentWaits()
+        self._peer_clocks = PeerClocks()
         pools.on_new_term = self._request_reports
 
     def make_report(self, sequence_number, scope=None, receiver="", with_stats=False):
@@ -109,6 +111,7 @@
             Whether to include recent results of targets; a single receiver gets those
             of the targets that it coordinates.
         """
+        sent_at = boottime_clock()
         now = self.clock()
         with self.lock:
             shared_state = (
@@ -144,6 +147,7 @@
                 shared_state,
                 self.pools.stats_here(now, receiver) if with_stats else None,
                 self.pools.isolated_here(),
+                sent_at,
             )
 
     def _shared_state(self, scope, receiver, now):
@@ -224,12 +228,18 @@
 
         In a large fleet the answers to several reports are sent together.
         """
-        now = self.clock()
+        now, read_at = self.clock(), boottime_clock()
+        delay = self._peer_clocks.delay(
+            report.instance, report.incarnation, report.sent_at, read_at
+        )
+        # What was said at an unknown time confirms nothing.
+        said_at = float("-inf") if delay is None else read_at - delay
+        load_at = now - (delay or 0.0)
         own = self.settings.instance
         load = PeerLoad(
-            now,
+            load_at,
             report.running_by_target,
-            tuple(self._tickets_from(report, now)),
+            tuple(self._tickets_from(report, load_at)),
             report.latest_grant_by_coordinator.get(own, 0),
             frozenset(report.paused_targets),
             report.stats_by_target,
@@ -242,7 +252,7 @@
             self._note_incarnation(report)
             self.pools.fleet.update(report.instance, load)
             if report.shared_state is not None:
-                self._apply_shared_state(report, report.shared_state, now)
+                self._apply_shared_state(report, report.shared_state, now, said_at)
             for cell in requested_cells:
                 self.pools.record_slot_request(cell, now)
             if requested_cells:
@@ -289,7 +299,7 @@
                     peer, unconfirmed_by_peer[peer], self._expected_waits(load, now)
                 )
 
-    def _apply_shared_state(self, report, shared_state, now):
+    def _apply_shared_state(self, report, shared_state, now, said_at):
         self.allowances.apply_peer_counters(
             report.instance,
             report.incarnation,
@@ -298,14 +308,14 @@
             None if self.pools.is_full_mesh else now,
             self._is_counted(report, shared_state.scope, now),
         )
-        self._apply_configuration_evidence(report.instance, shared_state)
+        self._apply_configuration_evidence(report.instance, shared_state, said_at)
         for cell_load in shared_state.cells:
             self.pools.cell_reports.record_load(cell_load, now)
 
-    def _apply_configuration_evidence(self, peer, shared_state):
+    def _apply_configuration_evidence(self, peer, shared_state, said_at):
         was_outdated = self.freshness.is_outdated
         self.freshness.confirm(
-            shared_state.version, boottime_clock() - shared_state.evidence_age
+            shared_state.version, said_at - shared_state.evidence_age, boottime_clock()
         )
         self.peer_states.record(peer, shared_state.version, shared_state.store_position)
         if self.freshness.is_outdated and not was_outdated:
@@ -354,17 +364,17 @@
         )
 
     @staticmethod
-    def _tickets_from(report, now):
+    def _tickets_from(report, said_at):
         for entry in report.waiting:
             yield Ticket(
                 entry.service,
                 entry.tier,
-                now - entry.age,
+                said_at - entry.age,
                 frozenset(entry.attempted_targets),
                 owner=report.instance,
                 data_centre=report.data_centre,
                 expected_events=entry.expected_events,
-                deadline=now + entry.time_left,
+                deadline=said_at + entry.time_left,
                 number=entry.number,
                 coordinator=entry.coordinator,
                 cell_data_centre=entry.cell_data_centre,
--- a/almondglade/gateway/node.py
+++ b/almondglade/gateway/node.py
@@ -405,7 +405,7 @@
         an older copy of the store from its newest state.
         """
         if self._unjoined_evidence is not None and self.suspects.is_informed():
-            self.freshness.confirm(*self._unjoined_evidence)
+            self.freshness.confirm(*self._unjoined_evidence, boottime_clock())
             self._unjoined_evidence = None
 
     def _evidence_age(self):
--- a/almondglade/gossip/codec.py
+++ b/almondglade/gossip/codec.py
@@ -54,6 +54,7 @@
 # are ignored, so that later releases can add some.
 FURTHER_FIELDS = ""
 WORK_FIELD = "work"
+SENT_FIELD = "sent"
 
 
 @singledispatch
@@ -222,6 +223,8 @@
         fields[WORK_FIELD] = [
             [entry.workspace, entry.tokens] for entry in message.waiting
         ]
+    if message.sent_at is not None:
+        fields[SENT_FIELD] = round(message.sent_at * MILLISECONDS_PER_SECOND)
     return {FURTHER_FIELDS: fields} if fields else {}
 
 
@@ -233,6 +236,13 @@
     return [_decode_work(*entry) for entry in work]
 
 
+def _unpack_sent_at(fields):
+    milliseconds = fields.get(SENT_FIELD)
+    if milliseconds is None:
+        return None
+    return _decode_count(milliseconds) / MILLISECONDS_PER_SECOND
+
+
 def _decode_work(workspace, tokens):
     if not isinstance(workspace, str):
         raise PeerError("malformed message: a workspace is not a text")
@@ -372,6 +382,7 @@
             target: tuple(fingerprints)
             for target, fingerprints in isolated_by_target.items()
         },
+        _unpack_sent_at(further_fields),
     )
 
 
--- a/almondglade/gossip/messages.py
+++ b/almondglade/gossip/messages.py
@@ -122,6 +122,9 @@
         Recent results of targets at the sender; sent only in periodic reports.
     isolated_by_target : dict of str to tuple of int
         Fingerprints of the requests that the sender runs in isolation, by target.
+    sent_at : float or None
+        Seconds on the sender's clock, which also runs while its host is suspended, at
+        which the ages in the report are true; None if it is of an earlier release.
     """
 
     instance: str
@@ -136,6 +139,7 @@
     shared_state: SharedState | None = None
     stats_by_target: dict[str, TargetStats] | None = None
     isolated_by_target: dict[str, tuple[int, ...]] = field(default_factory=dict)
+    sent_at: float | None = None
 
 
 @dataclass(frozen=True)
--- a/almondglade/placement/freshness.py
+++ b/almondglade/placement/freshness.py
@@ -12,6 +12,9 @@
 # How long after a confirmation requests are refused for good out of the configuration.
 # Readings of a sound store confirm it every 3.2 s at least.
 DENIAL_VALIDITY_SECONDS = 3.8
+# A sound store, or else a peer, delivers a newer configuration within this time; keys
+# are not accepted out of an older one for longer.
+MAX_OUTDATED_SECONDS = 1.5
 
 
 class Freshness:
@@ -37,19 +40,32 @@
         self.version = 0
         self.newest_known_version = 0
         self._confirmed_at = float("-inf")
+        self._outdated_since = float("inf")
 
     def set_version(self, version):
         """Set the version in use; a lower one than before is ignored."""
         self.version = max(self.version, version)
         self.newest_known_version = max(self.newest_known_version, self.version)
+        if not self.is_outdated:
+            self._outdated_since = float("inf")
 
-    def confirm(self, version, at):
+    def confirm(self, version, at, now=None):
         """Record evidence that `version` was the newest one at a time.
 
         A newer version only marks the one in use as outdated. Evidence for one that is
         known to be outdated is ignored: it is as old as its source.
+
+        Parameters
+        ----------
+        version : int
+        at : float
+            When it was the newest; minus infinity if that is not known.
+        now : float or None
+            When this instance learns of it; None if that is at the same time.
         """
         self.newest_known_version = max(self.newest_known_version, version)
+        if self.is_outdated:
+            self._outdated_since = min(self._outdated_since, at if now is None else now)
         if version == self.version and not self.is_outdated:
             self._confirmed_at = max(self._confirmed_at, at)
 
@@ -68,6 +84,7 @@
             return self.version > 0
         return (
             self.version > 0
+            and now - self._outdated_since <= MAX_OUTDATED_SECONDS
             and self.age(now) <= EVIDENCE_VALIDITY_SHARE * self.revocation_bound
         )
 
--- a/almondglade/placement/places.py
+++ b/almondglade/placement/places.py
@@ -201,7 +201,7 @@
     Parameters
     ----------
     received_at : float
-        Monotonic time at which the report arrived.
+        Monotonic time at which the report arrived, or would have without delay.
     running_by_target : dict of str to dict of int to int
         Number of its running requests by target and route tier.
     tickets : tuple of Ticket
--- a/test/test_gossip.py
+++ b/test/test_gossip.py
@@ -87,6 +87,7 @@
     st.dictionaries(
         NAMES, st.lists(st.integers(1, 2**64 - 1), max_size=2).map(tuple), max_size=2
     ),
+    st.none() | SECONDS,
 )
 WAITS = st.builds(
     ExpectedWait,
