Split the limits, errors and timers off the call

Change: moves only; limits, heads and errors are in dispatch/callresult.py, the time limits in dispatch/timedcall.py.

--- a/almondglade/dispatch/call.py
+++ b/almondglade/dispatch/call.py
@@ -1,10 +1,7 @@
 """Dispatch one request: write it and read the response to its last byte."""
 
 import math
-import re
-import threading
 import time
-from dataclasses import dataclass
 from http.client import HTTPException, IncompleteRead
 from typing import Any
 
@@ -13,11 +10,30 @@
 from urllib3.util import SKIP_HEADER
 
 from ..deadlines import Deadlines
-from ..errors import TargetError
-from ..sockets import reset_on_close, shut_down
+from ..sockets import reset_on_close
 from .attribution import Verdict
+from .callresult import (
+    BrokenCallError,
+    CallCancelledError,
+    CallLimits,
+    CallTimeoutError,
+    NotSentError,
+    ResponseHead,
+    check_framing,
+)
 from .connections import Attempt, PermitExpiredError
 from .events import EventSplitter, has_events, has_readable_events
+from .timedcall import TimedCall
+
+__all__ = (
+    "BrokenCallError",
+    "Call",
+    "CallCancelledError",
+    "CallLimits",
+    "CallTimeoutError",
+    "NotSentError",
+    "ResponseHead",
+)
 
 MAX_READ_BYTES = 1 << 16
 # Limits on responses to earlier requests that are skipped on a connection: their
@@ -30,58 +46,10 @@
 MAX_UNFRAMED_BODY_BYTES = 16 << 20
 # Framing of a body that only the end of its connection ends.
 UNFRAMED = "connection"
-FINAL_STATUSES = range(200, 600)
-CONTENT_LENGTH = re.compile(r"[0-9]{1,18}")
 READ_ERRORS = (HTTPError, HTTPException, OSError, ValueError)
 
 
-class NotSentError(TargetError):
-    """No byte of the request reached the target."""
-
-
-class BrokenCallError(TargetError):
-    """The connection failed after the request was dispatched."""
-
-
-class CallTimeoutError(TargetError):
-    """The target exceeded a time limit after the dispatch."""
-
-
-class CallCancelledError(TargetError):
-    """The call was cancelled by this instance."""
-
-
-@dataclass(frozen=True)
-class ResponseHead:
-    """Status and headers of a target's response."""
-
-    status: int
-    headers: tuple[tuple[str, str], ...]
-
-
-@dataclass(frozen=True)
-class CallLimits:
-    """Time limits of one call, in seconds.
-
-    Parameters
-    ----------
-    connect : float
-        Until a connection is open.
-    first_byte : float
-        From the request to the first byte of the body.
-    between_bytes : float
-        Longest gap between two reads of the body.
-    total : float
-        From the request to the end of the response.
-    """
-
-    connect: float
-    first_byte: float
-    between_bytes: float
-    total: float
-
-
-class Call:
+class Call(TimedCall):
     """One HTTP exchange with a target.
 
     Parameters
@@ -129,35 +97,18 @@
     ):
         self.pool = pool
         self.request = request
-        self.limits = limits
-        self.attempt = attempt
-        self.deadlines = deadlines
-        self.clock = clock
+        super().__init__(limits, attempt, deadlines, clock)
         self.new_connection = new_connection
         self.judge_response = judge_response
         self.is_stream_expected = is_stream_expected
-        self.started_at = clock()
-        self.cancelled = False
         self.is_complete = False
-        self._expired = False
-        self._ended = False
         self._reusable = True
         self._is_reused = False
-        # Time counts towards the gap limit only while a read waits for the target, not
-        # while the caller of `read` is busy. What a read without an event has waited
-        # counts for the next one too.
-        self._waiting_since: float | None = None
         self._stalled_seconds = 0.0
-        self._lock = threading.Lock()
         self._connection: Any = None
-        # Kept separately, because the connection drops its reference when the target
-        # announces that it will close.
-        self._socket: Any = None
         self._response: Any = None
         self._splitter: EventSplitter | None = None
         self._body_bytes = 0
-        self._deadline: Any = None
-        self._gap_deadline: Any = None
 
     def open(self):
         """Send the request and return the head of the response.
@@ -260,15 +211,6 @@
             return "chunked"
         return UNFRAMED if self._response.length is None else "length"
 
-    def cancel(self):
-        """Shut down the connection in any phase; safe from any thread."""
-        with self._lock:
-            if self._ended:
-                return
-            self.cancelled = True
-            if self._socket is not None:
-                self._shut_down_socket()
-
     def close(self):
         """Close the connection, which also cancels the run at a model engine."""
         if not self._end():
@@ -301,10 +243,6 @@
         self.started_at = self.clock()
         self._set_deadline(self._first_byte_seconds)
 
-    @property
-    def _first_byte_seconds(self):
-        return min(self.limits.first_byte, self.limits.total)
-
     def _buffer_request(self):
         """Buffer the bytes of the request; nothing is written yet."""
         request = self.request
@@ -368,49 +306,10 @@
             return Verdict.OURS
         return self.judge_response(head, self._is_reused)
 
-    def _limit_wait(self, seconds):
-        """End the call unless its first byte arrives within some seconds."""
-        left = self.started_at + self._first_byte_seconds - self.clock()
-        self._deadline.cancel()
-        self._set_deadline(self.clock() - self.started_at + min(seconds, left))
-
     def _check_head(self, response):
         check_framing(response, self.request.method)
         return ResponseHead(response.status, tuple(response.headers.items()))
 
-    def _watch_gaps(self):
-        """Limit each gap and the total time, from the first part of the body on."""
-        self._waiting_since = None
-        self._deadline.cancel()
-        self._set_deadline(self.limits.total)
-        self._check_gap()
-
-    def _check_gap(self):
-        """Expire the call if the current gap is too long; else schedule a check."""
-        limit = self.limits.between_bytes
-        now = self.clock()
-        since = self._waiting_since
-        if since is not None and now - since >= limit:
-            self.expire()
-        elif not self._ended:
-            due = (now if since is None else since) + limit
-            self._gap_deadline = self.deadlines.call_at(due, self._check_gap)
-
-    def _set_deadline(self, seconds):
-        self._deadline = self.deadlines.call_at(self.started_at + seconds, self.expire)
-
-    def expire(self):
-        """End the call as if its time limit were over; safe from any thread."""
-        with self._lock:
-            if not self._ended:
-                self._expired = True
-                self._shut_down_socket()
-
-    def _shut_down_socket(self):
-        """Wake the thread that reads; it closes the socket, which must reset then."""
-        reset_on_close(self._socket)
-        shut_down(self._socket)
-
     def _complete(self):
         """Return the connection to the pool, unless this instance shut it down."""
         if not self._end():
@@ -423,41 +322,3 @@
             self._connection.close()
         if not self.is_complete:
             raise self._translate(OSError("the connection was shut down"))
-
-    def _end(self):
-        """Stop all use of the socket; return whether this was the first call."""
-        with self._lock:
-            first, self._ended = not self._ended, True
-        for deadline in (self._deadline, self._gap_deadline):
-            if deadline is not None:
-                deadline.cancel()
-        return first
-
-    def _translate(self, error):
-        if not self.attempt.dispatched:
-            return NotSentError(f"the request cannot be sent: {error}")
-        if self.cancelled:
-            return CallCancelledError("the call was cancelled")
-        if self._expired:
-            return CallTimeoutError("the target was silent or busy for too long")
-        return BrokenCallError(f"the connection to the target failed: {error}")
-
-
-def check_framing(response, method):
-    """Reject a response whose end cannot be determined reliably.
-
-    Raises
-    ------
-    HTTPException
-        If its status, content length or transfer coding is invalid.
-    """
-    if response.status not in FINAL_STATUSES:
-        raise HTTPException(f"the answer has the status {response.status}")
-    codings = response.headers.get_all("transfer-encoding", [])
-    lengths = set(response.headers.get_all("content-length", []))
-    if method == "HEAD":
-        return
-    if codings and (lengths or [c.lower() for c in codings] != ["chunked"]):
-        raise HTTPException("the answer has an unusable transfer coding")
-    if len(lengths) > 1 or not all(map(CONTENT_LENGTH.fullmatch, lengths)):
-        raise HTTPException("the answer has an unusable length")
--- /dev/null
+++ b/almondglade/dispatch/timedcall.py
@@ -0,0 +1,116 @@
+"""Time limits of one exchange with a target, enforced by shutting its socket down."""
+
+import threading
+from typing import Any
+
+from ..sockets import reset_on_close, shut_down
+from .callresult import (
+    BrokenCallError,
+    CallCancelledError,
+    CallTimeoutError,
+    NotSentError,
+)
+
+
+class TimedCall:
+    """The time limits of a call.
+
+    Parameters
+    ----------
+    limits : CallLimits or TimeLimits
+    attempt : Attempt
+    deadlines : Deadlines
+        Timer that enforces the time limits of the response.
+    clock : callable
+        Returns monotonic seconds.
+    """
+
+    def __init__(self, limits, attempt, deadlines, clock):
+        self.limits = limits
+        self.attempt = attempt
+        self.deadlines = deadlines
+        self.clock = clock
+        self.started_at = clock()
+        self.cancelled = False
+        self._expired = False
+        self._ended = False
+        # Time counts towards the gap limit only while a read waits for the target, not
+        # while the caller of `read` is busy. What a read without an event has waited
+        # counts for the next one too.
+        self._waiting_since: float | None = None
+        self._lock = threading.Lock()
+        # Kept separately, because the connection drops its reference when the target
+        # announces that it will close.
+        self._socket: Any = None
+        self._deadline: Any = None
+        self._gap_deadline: Any = None
+
+    def cancel(self):
+        """Shut down the connection in any phase; safe from any thread."""
+        with self._lock:
+            if self._ended:
+                return
+            self.cancelled = True
+            if self._socket is not None:
+                self._shut_down_socket()
+
+    @property
+    def _first_byte_seconds(self):
+        return min(self.limits.first_byte, self.limits.total)
+
+    def _limit_wait(self, seconds):
+        """End the call unless its first byte arrives within some seconds."""
+        left = self.started_at + self._first_byte_seconds - self.clock()
+        self._deadline.cancel()
+        self._set_deadline(self.clock() - self.started_at + min(seconds, left))
+
+    def _watch_gaps(self):
+        """Limit each gap and the total time, from the first part of the body on."""
+        self._waiting_since = None
+        self._deadline.cancel()
+        self._set_deadline(self.limits.total)
+        self._check_gap()
+
+    def _check_gap(self):
+        """Expire the call if the current gap is too long; else schedule a check."""
+        limit = self.limits.between_bytes
+        now = self.clock()
+        since = self._waiting_since
+        if since is not None and now - since >= limit:
+            self.expire()
+        elif not self._ended:
+            due = (now if since is None else since) + limit
+            self._gap_deadline = self.deadlines.call_at(due, self._check_gap)
+
+    def _set_deadline(self, seconds):
+        self._deadline = self.deadlines.call_at(self.started_at + seconds, self.expire)
+
+    def expire(self):
+        """End the call as if its time limit were over; safe from any thread."""
+        with self._lock:
+            if not self._ended:
+                self._expired = True
+                self._shut_down_socket()
+
+    def _shut_down_socket(self):
+        """Wake the thread that reads; it closes the socket, which must reset then."""
+        reset_on_close(self._socket)
+        shut_down(self._socket)
+
+    def _end(self):
+        """Stop all use of the socket; return whether this was the first call."""
+        with self._lock:
+            first, self._ended = not self._ended, True
+        for deadline in (self._deadline, self._gap_deadline):
+            if deadline is not None:
+                deadline.cancel()
+        return first
+
+    def _translate(self, error):
+        if not self.attempt.dispatched:
+            return NotSentError(f"the request cannot be sent: {error}")
+        if self.cancelled:
+            return CallCancelledError("the call was cancelled")
+        if self._expired:
+            return CallTimeoutError("the target was silent or busy for too long")
+        return BrokenCallError(f"the connection to the target failed: {error}")
