End a silent run only once another target takes it up

Cause: whether another target could go on with a stream was decided when the run began; after a gap the run was ended first and its next target was sought then. Streams of a sound target that paused were lost if the other target left, was full, or the retry budget was used up. Change: gateway/handover.py asks, when the gap passes and again while it lasts, for the version, the attempts and the budget, and reserves a slot; only then is the run ended. The same holds for the time until the first event.

--- a/almondglade/dispatch/call.py
+++ b/almondglade/dispatch/call.py
@@ -74,6 +74,9 @@
         returns the `Verdict`. A stale response on the connection is skipped.
     is_stream_expected : bool
         Whether a success without a content type is an event stream.
+    is_replaceable : callable or None
+        Returns whether another target is known to take the request up; a target that
+        is silent is given up only then.
 
     Attributes
     ----------
@@ -94,10 +97,11 @@
         new_connection=False,
         judge_response=None,
         is_stream_expected=False,
+        is_replaceable=None,
     ):
         self.pool = pool
         self.request = request
-        super().__init__(limits, attempt, deadlines, clock)
+        super().__init__(limits, attempt, deadlines, clock, is_replaceable)
         self.new_connection = new_connection
         self.judge_response = judge_response
         self.is_stream_expected = is_stream_expected
@@ -241,7 +245,7 @@
     def _mark_dispatched(self):
         self.attempt.mark_dispatched()
         self.started_at = self.clock()
-        self._set_deadline(self._first_byte_seconds)
+        self._limit_first_byte()
 
     def _buffer_request(self):
         """Buffer the bytes of the request; nothing is written yet."""
--- a/almondglade/dispatch/timedcall.py
+++ b/almondglade/dispatch/timedcall.py
@@ -11,6 +11,10 @@
     NotSentError,
 )
 
+# A target that is silent is asked about again after this time: a slot may become free
+# elsewhere, and a caller waits for a stream for at least two seconds.
+HANDOVER_CHECK_SECONDS = 0.1
+
 
 class TimedCall:
     """The time limits of a call.
@@ -23,17 +27,23 @@
         Timer that enforces the time limits of the response.
     clock : callable
         Returns monotonic seconds.
+    is_replaceable : callable or None
+        Returns whether another target is known to take the request up; asked when the
+        target has been silent for too long, in the timer thread, and again for as long
+        as it stays silent. Without it, the call ends at once.
     """
 
-    def __init__(self, limits, attempt, deadlines, clock):
+    def __init__(self, limits, attempt, deadlines, clock, is_replaceable=None):
         self.limits = limits
         self.attempt = attempt
         self.deadlines = deadlines
         self.clock = clock
+        self.is_replaceable = is_replaceable
         self.started_at = clock()
         self.cancelled = False
         self._expired = False
         self._ended = False
+        self._has_body = False
         # Time counts towards the gap limit only while a read waits for the target, not
         # while the caller of `read` is busy. What a read without an event has waited
         # counts for the next one too.
@@ -58,6 +68,31 @@
     def _first_byte_seconds(self):
         return min(self.limits.first_byte, self.limits.total)
 
+    def _limit_first_byte(self):
+        """Limit the time until the first byte of the body, or the total time."""
+        if self.limits.first_byte < self.limits.total:
+            due = self.started_at + self.limits.first_byte
+            self._deadline = self.deadlines.call_at(due, self._check_first_byte)
+        else:
+            self._set_deadline(self.limits.total)
+
+    def _check_first_byte(self):
+        """Expire the call if another target takes it up; else schedule a check."""
+        now = self.clock()
+        is_late = now - self.started_at >= self.limits.total
+        if self._has_body or self._ended:
+            return
+        if is_late or self._may_give_up():
+            self.expire()
+            return
+        due = min(now + HANDOVER_CHECK_SECONDS, self.started_at + self.limits.total)
+        with self._lock:
+            if not self._has_body and not self._ended:
+                self._deadline = self.deadlines.call_at(due, self._check_first_byte)
+
+    def _may_give_up(self):
+        return self.is_replaceable is None or self.is_replaceable()
+
     def _limit_wait(self, seconds):
         """End the call unless its first byte arrives within some seconds."""
         left = self.started_at + self._first_byte_seconds - self.clock()
@@ -67,19 +102,27 @@
     def _watch_gaps(self):
         """Limit each gap and the total time, from the first part of the body on."""
         self._waiting_since = None
-        self._deadline.cancel()
-        self._set_deadline(self.limits.total)
+        with self._lock:
+            self._has_body = True
+            self._deadline.cancel()
+            self._set_deadline(self.limits.total)
         self._check_gap()
 
     def _check_gap(self):
-        """Expire the call if the current gap is too long; else schedule a check."""
+        """Expire the call if the current gap is too long; else schedule a check.
+
+        A target that is silent goes on until another one takes the request up.
+        """
         limit = self.limits.between_bytes
         now = self.clock()
         since = self._waiting_since
-        if since is not None and now - since >= limit:
+        is_silent = since is not None and now - since >= limit
+        if is_silent and not self._ended and self._may_give_up():
             self.expire()
         elif not self._ended:
             due = (now if since is None else since) + limit
+            if is_silent:
+                due = now + HANDOVER_CHECK_SECONDS
             self._gap_deadline = self.deadlines.call_at(due, self._check_gap)
 
     def _set_deadline(self, seconds):
--- a/almondglade/gateway/calls.py
+++ b/almondglade/gateway/calls.py
@@ -73,6 +73,7 @@
         self.sent_at = 0.0
         self.meter: Any = None
         self._counted_peer: Any = None
+        self.handover: Any = None
 
     def _check_suspicion(self):
         """Refuse a request that was found to crash targets while it waited."""
@@ -143,15 +144,13 @@
             seconds=round(self.clock() - self.sent_at, 3),
         )
 
-    def _time_limits(self, total, version, target=None):
+    def _time_limits(self, total, target=None):
         """Return the `CallLimits` of one call.
 
         Parameters
         ----------
         total : float
             Seconds until the response must be complete.
-        version : str
-            Software version of the targets that another attempt could use.
         target : str or None
             Target of this attempt; None if a peer chooses it.
         """
@@ -162,21 +161,17 @@
             attempted.add(target)
         attempts = len(attempted) + (target is None)
         if self.resumable and attempts < route.max_attempts:
-            has_other_target = self.scheduler.has_target(
-                self.request.service, version, attempted
+            # Whether another target takes the request up is asked at that time.
+            gap_timeout = _silence_timeout(
+                GAP_TIMEOUT_OBJECTIVES * route.gap_objective, total
+            )
+            first_event_timeout = _silence_timeout(
+                max(
+                    FIRST_EVENT_TIMEOUT_OBJECTIVES * route.latency_objective,
+                    self._expected_silence(target),
+                ),
+                total,
             )
-            if has_other_target:
-                gap_timeout = _silence_timeout(
-                    GAP_TIMEOUT_OBJECTIVES * route.gap_objective, total
-                )
-            if has_other_target or not self.request.version:
-                first_event_timeout = _silence_timeout(
-                    max(
-                        FIRST_EVENT_TIMEOUT_OBJECTIVES * route.latency_objective,
-                        self._expected_silence(target),
-                    ),
-                    total,
-                )
         return CallLimits(
             connect=min(CONNECT_TIMEOUT_SECONDS, total),
             first_byte=first_event_timeout,
@@ -214,6 +209,8 @@
         if self.call is not None:
             self.call.close()
             self.call = None
+        if self.handover is not None:
+            self.handover.withdraw()
         self.request.caller_connection.on_disconnect(None)
         self._release(None)
 
--- a/almondglade/gateway/dispatching.py
+++ b/almondglade/gateway/dispatching.py
@@ -4,6 +4,7 @@
 from ..dispatch.connections import PermitExpiredError
 from ..log import get_logger
 from ..platform.front import target_headers
+from .handover import Handover
 from .peercalls import PeerCall
 from .requests import Dispatch
 
@@ -21,6 +22,19 @@
 
     def _send(self):
         """Send the request to one target and return the head of its response."""
+        reserved = [self._take_reserved()]
+        try:
+            return self._send_with(reserved)
+        finally:
+            for ticket in filter(None, reserved):
+                self.scheduler.release(ticket, None)
+
+    def _take_reserved(self):
+        handover, self.handover = self.handover, None
+        return handover.take() if handover is not None else None
+
+    def _send_with(self, reserved):
+        """Send the request like `_send`, with the ticket in a list if there is one."""
         request = self.request
         for _ in range(MAX_CONNECT_ATTEMPTS):
             head = self._send_through_peers()
@@ -28,7 +42,8 @@
                 return head
             if self.scheduler.links.is_lost(request.service):
                 raise self._no_target_error()
-            self.ticket = self.scheduler.acquire(request)
+            self.ticket = reserved.pop() if reserved else None
+            self.ticket = self.ticket or self.scheduler.acquire(request)
             self.peer = None
             self._check_suspicion()
             try:
@@ -70,12 +85,11 @@
             self.last_event_id,
         )
         attempt = self._new_attempt()
+        self.handover = Handover(self, record.id)
         self.call = Call(
             scheduler.connections.get(f"http://{record.host}:{record.port}"),
             Dispatch(request.method, request.path, headers, request.body),
-            self._time_limits(
-                time_left + TARGET_RESPONSE_MARGIN_SECONDS, record.version, record.id
-            ),
+            self._time_limits(time_left + TARGET_RESPONSE_MARGIN_SECONDS, record.id),
             attempt,
             scheduler.deadlines,
             self.clock,
@@ -83,6 +97,7 @@
             new_connection=scheduler.suspects.is_suspect(request),
             judge_response=self._judge_response,
             is_stream_expected=request.route.streaming,
+            is_replaceable=self.handover.is_ready,
         )
         try:
             with scheduler.links.awaiting(
--- a/almondglade/gateway/peercalls.py
+++ b/almondglade/gateway/peercalls.py
@@ -10,6 +10,7 @@
 from ..outcome import Code, Outcome, RequestError
 from ..platform.front import relay_headers
 from .calls import RequestCall
+from .handover import Handover
 from .relaying import (
     MAX_RELAY_ATTEMPTS,
     RELAY_HEADER,
@@ -108,12 +109,11 @@
         headers = relay_headers(
             request.raw_headers, (RELAY_HEADER, terms.model_dump_json())
         )
+        self.handover = Handover(self, None)
         self.call = Call(
             scheduler.peer_connections.get(scheduler.relays.url(self.peer)),
             Dispatch(request.method, request.path, headers, request.body),
-            self._time_limits(
-                time_left + RELAY_RESPONSE_MARGIN_SECONDS, request.version
-            ),
+            self._time_limits(time_left + RELAY_RESPONSE_MARGIN_SECONDS),
             self._new_attempt(),
             scheduler.deadlines,
             self.clock,
@@ -121,6 +121,7 @@
             new_connection=not request.route.repeatable,
             judge_response=self._judge_response,
             is_stream_expected=request.route.streaming,
+            is_replaceable=self.handover.is_ready,
         )
         try:
             return self._open_call()
--- a/almondglade/gateway/run.py
+++ b/almondglade/gateway/run.py
@@ -51,6 +51,17 @@
         RequestError
             If no response began.
         """
+        try:
+            return self._open()
+        except RequestError:
+            self._close_handover()
+            raise
+
+    def _close_handover(self):
+        if self.handover is not None:
+            self.handover.close()
+
+    def _open(self):
         while True:
             try:
                 head = self._send()
@@ -140,6 +151,7 @@
 
     def _read(self):
         chunk = self.call.read()
+        self.handover.withdraw()
         if chunk:
             self._record_chunk(chunk)
         if self.resumable and chunk:
@@ -263,6 +275,8 @@
         if self.scheduler.suspects.isolated_fingerprint(request):
             # Its last run may have been the third crash, which is not known yet.
             return False
+        if self.handover is not None and self.handover.is_reserved:
+            return True
         if request.version and not self.scheduler.has_target(
             request.service, request.version, request.attempted_targets
         ):
@@ -331,6 +345,7 @@
         if self.ended:
             return
         self.ended = True
+        self._close_handover()
         self.request.caller_connection.on_disconnect(None)
         held_seconds = self.clock() - self.sent_at if result == "completed" else None
         self._release(held_seconds)
--- a/almondglade/gateway/scheduling.py
+++ b/almondglade/gateway/scheduling.py
@@ -177,19 +177,7 @@
             raise self._version_gone_error(request)
         now = self.clock()
         ready = threading.Event()
-        ticket = Ticket(
-            request.service,
-            request.tier,
-            request.arrived_at,
-            frozenset(request.attempted_targets),
-            ready.set,
-            expected_events=request.expected_events,
-            deadline=request.deadline,
-            isolated_fingerprint=self.suspects.isolated_fingerprint(request),
-            version=request.version,
-            workspace=request.workspace.name if request.workspace else "",
-            tokens=request.expected_tokens,
-        )
+        ticket = self._make_ticket(request, request.attempted_targets, ready.set)
         max_wait = self._max_wait(request, now)
         with self.lock:
             expected_wait = self._expected_wait(request, now)
@@ -228,6 +216,46 @@
         )
         return ticket
 
+    def _make_ticket(self, request, attempted, on_granted):
+        return Ticket(
+            request.service,
+            request.tier,
+            request.arrived_at,
+            frozenset(attempted),
+            on_granted,
+            expected_events=request.expected_events,
+            deadline=request.deadline,
+            isolated_fingerprint=self.suspects.isolated_fingerprint(request),
+            version=request.version,
+            workspace=request.workspace.name if request.workspace else "",
+            tokens=request.expected_tokens,
+        )
+
+    def request_slot(self, request, attempted):
+        """Ask for a slot for a request's next attempt, without waiting for it.
+
+        Returns
+        -------
+        Ticket
+            Has a target once a slot is assigned; to be given to `return_slot` or, after
+            its use, `release`.
+        """
+        ticket = self._make_ticket(request, attempted, lambda: None)
+        with self.lock:
+            self.pools.enqueue(ticket, self.clock())
+            self.match()
+        self.on_change()
+        return ticket
+
+    def return_slot(self, ticket):
+        """Give back a ticket of `request_slot` that was not used."""
+        with self.lock:
+            still_waiting = self.pools.withdraw(ticket)
+        if still_waiting:
+            self.on_change()
+        else:
+            self.release(ticket, None)
+
     def _expected_wait(self, request, now):
         """Return the expected wait of a new request; the caller must hold the lock."""
         backoff = self.pools.targets.backoff_seconds(
@@ -350,6 +378,11 @@
             )
         return granted
 
+    def has_retry_room(self, service):
+        """Return whether the retry budget of a service is not used up."""
+        with self.lock:
+            return self.retry_budget.has_room(service, self.fleet_size(), self.clock())
+
     def record_statements(self, request, record, response_info):
         """Record that a target says that it is leaving, or wants no requests.
 
--- a/almondglade/placement/resends.py
+++ b/almondglade/placement/resends.py
@@ -51,16 +51,20 @@
         instances : int
             Instances that share the budget.
         """
+        if not self.has_room(service, instances, now):
+            return False
+        self._retries_by_service[service].append(now)
+        return True
+
+    def has_room(self, service, instances, now):
+        """Return whether a request might be retried, without counting a retry."""
         requests = self._recent(self._requests_by_service, service, now)
         retries = self._recent(self._retries_by_service, service, now)
         is_restarted = now < self.restarted_at + self.window
         slack_share = RESTARTED_SLACK_SHARE if is_restarted else USED_SHARE
         allowed_by_requests = USED_SHARE * self.ratio * len(requests)
         allowed_by_slack = slack_share * self.slack / max(1, instances)
-        if len(retries) + 1 > allowed_by_requests + allowed_by_slack:
-            return False
-        retries.append(now)
-        return True
+        return len(retries) + 1 <= allowed_by_requests + allowed_by_slack
 
     def _recent(self, times_by_service, service, now):
         times = times_by_service.setdefault(service, deque())
--- a/almondglade/placement/targets.py
+++ b/almondglade/placement/targets.py
@@ -269,11 +269,13 @@
 
         Parameters
         ----------
+        version : str or None
+            None stands for any version.
         attempted : collection of str
             Targets that do not count.
         """
         return any(
-            state.record.version == version and self.accepts_work(state)
+            version in (None, state.record.version) and self.accepts_work(state)
             for name, state in self.state_by_target.items()
             if state.record.service == service and name not in attempted
         )
