Count no doubt about a repeated refusal against its target

Cause: a caller that sends a refused request again may get a true second refusal. Change: such a call ends by an error of its own; the target is neither paused nor suspected, its links are not probed, and the caller is told as before that the request may have run.

--- a/almondglade/dispatch/call.py
+++ b/almondglade/dispatch/call.py
@@ -1,6 +1,5 @@
 """Dispatch one request: write it and read the response to its last byte."""
 
-import math
 import time
 from http.client import HTTPException, IncompleteRead
 from typing import Any
@@ -17,6 +16,7 @@
     CallCancelledError,
     CallLimits,
     CallTimeoutError,
+    DoubtfulRefusalError,
     NotSentError,
     ResponseHead,
     check_framing,
@@ -31,6 +31,7 @@
     "CallCancelledError",
     "CallLimits",
     "CallTimeoutError",
+    "DoubtfulRefusalError",
     "NotSentError",
     "ResponseHead",
 )
@@ -275,15 +276,13 @@
     def _receive_head(self):
         response = self._connection.read_head()
         head = self._check_head(response)
-        is_doubtful = False
         for _ in range(MAX_STALE_RESPONSES):
             verdict = self._judge(head)
             if verdict is Verdict.OURS:
                 break
             if verdict is Verdict.DOUBTFUL:
                 # If the target has refused the request once more, no answer follows.
-                is_doubtful = True
-                self._limit_wait(DOUBT_SECONDS)
+                self._limit_doubt(DOUBT_SECONDS)
             # The connection is out of step and must not be reused for other requests.
             self._reusable = False
             response = self._connection.read_next_head(
@@ -292,8 +291,8 @@
             head = self._check_head(response)
         else:
             raise HTTPException("the answers belong to other requests")
-        if is_doubtful:
-            self._limit_wait(math.inf)
+        if self._is_doubtful:
+            self._end_doubt()
         with self._lock:
             if self.cancelled or self._expired:
                 raise OSError("the connection was shut down")
--- a/almondglade/dispatch/callresult.py
+++ b/almondglade/dispatch/callresult.py
@@ -22,6 +22,13 @@
     """The target exceeded a time limit after the dispatch."""
 
 
+class DoubtfulRefusalError(CallTimeoutError):
+    """The target repeated a refusal, and no answer followed; nothing is wrong with it.
+
+    The request may have run: the refusal may be that of an earlier attempt.
+    """
+
+
 class CallCancelledError(TargetError):
     """The call was cancelled by this instance."""
 
--- a/almondglade/dispatch/timedcall.py
+++ b/almondglade/dispatch/timedcall.py
@@ -8,6 +8,7 @@
     BrokenCallError,
     CallCancelledError,
     CallTimeoutError,
+    DoubtfulRefusalError,
     NotSentError,
 )
 
@@ -44,6 +45,7 @@
         self._expired = False
         self._ended = False
         self._has_body = False
+        self._is_doubtful = False
         # Time counts towards the gap limit only while a read waits for the target, not
         # while the caller of `read` is busy. What a read without an event has waited
         # counts for the next one too.
@@ -64,10 +66,6 @@
             if self._socket is not None:
                 self._shut_down_socket()
 
-    @property
-    def _first_byte_seconds(self):
-        return min(self.limits.first_byte, self.limits.total)
-
     def _limit_first_byte(self):
         """Limit the time until the first byte of the body, or the total time."""
         if self.limits.first_byte < self.limits.total:
@@ -80,24 +78,35 @@
         """Expire the call if another target takes it up; else schedule a check."""
         now = self.clock()
         is_late = now - self.started_at >= self.limits.total
-        if self._has_body or self._ended:
+        if self._has_body or self._is_doubtful or self._ended:
             return
         if is_late or self._may_give_up():
             self.expire()
             return
         due = min(now + HANDOVER_CHECK_SECONDS, self.started_at + self.limits.total)
         with self._lock:
-            if not self._has_body and not self._ended:
+            if not (self._has_body or self._is_doubtful or self._ended):
                 self._deadline = self.deadlines.call_at(due, self._check_first_byte)
 
     def _may_give_up(self):
         return self.is_replaceable is None or self.is_replaceable()
 
-    def _limit_wait(self, seconds):
-        """End the call unless its first byte arrives within some seconds."""
-        left = self.started_at + self._first_byte_seconds - self.clock()
-        self._deadline.cancel()
-        self._set_deadline(self.clock() - self.started_at + min(seconds, left))
+    def _limit_doubt(self, seconds):
+        """End the call unless another answer follows within some seconds."""
+        with self._lock:
+            self._is_doubtful = True
+            self._deadline.cancel()
+            left = self.started_at + self.limits.total - self.clock()
+            self._set_deadline(self.clock() - self.started_at + min(seconds, left))
+
+    def _end_doubt(self):
+        """Limit the time until the first byte again, as an answer has followed."""
+        with self._lock:
+            if self._expired:
+                return
+            self._is_doubtful = False
+            self._deadline.cancel()
+            self._limit_first_byte()
 
     def _watch_gaps(self):
         """Limit each gap and the total time, from the first part of the body on."""
@@ -154,6 +163,8 @@
             return NotSentError(f"the request cannot be sent: {error}")
         if self.cancelled:
             return CallCancelledError("the call was cancelled")
+        if self._expired and self._is_doubtful:
+            return DoubtfulRefusalError("the target repeated a refusal")
         if self._expired:
             return CallTimeoutError("the target was silent or busy for too long")
         return BrokenCallError(f"the connection to the target failed: {error}")
--- a/almondglade/gateway/run.py
+++ b/almondglade/gateway/run.py
@@ -3,7 +3,12 @@
 from dataclasses import replace
 from typing import Any
 
-from ..dispatch.call import UNFRAMED, CallCancelledError, CallTimeoutError
+from ..dispatch.call import (
+    UNFRAMED,
+    CallCancelledError,
+    CallTimeoutError,
+    DoubtfulRefusalError,
+)
 from ..dispatch.events import has_readable_events, last_event_id
 from ..errors import TargetError
 from ..log import get_logger
@@ -74,7 +79,7 @@
                     raise TargetError(f"the stream went on with status {head.status}")
             except TargetError as error:
                 self._end_broken(error)
-                if self._may_retry_broken():
+                if self._may_retry_broken(error):
                     continue
                 raise self._finish_failed(error) from error
             if response_info.not_run:
@@ -187,7 +192,7 @@
         """Resume the stream on another target, or raise the error for the caller."""
         request = self.request
         self._end_broken(error)
-        if not self.resumable or not self._may_retry_broken():
+        if not self.resumable or not self._may_retry_broken(error):
             raise self._finish_failed(error) from error
         log.info(
             "resuming the stream on another target",
@@ -246,7 +251,9 @@
         request.may_have_run = True
         is_sent_here = self.ticket is not None
         target = self.ticket.target if is_sent_here else f"via {self.peer.instance}"
-        if is_sent_here and not isinstance(error, CallCancelledError):
+        if is_sent_here and not isinstance(
+            error, CallCancelledError | DoubtfulRefusalError
+        ):
             self.scheduler.suspects.record_broken(request, target, self.sent_at)
         self.scheduler.metrics.count("broken_runs_total", service=request.service)
         log.info(
@@ -262,12 +269,12 @@
         )
         self._drop_call()
 
-    def _may_retry_broken(self):
+    def _may_retry_broken(self, error):
         """Return whether a request whose run broke may be retried on another target."""
         request = self.request
         if request.caller_connection.disconnected or self.clock() >= request.deadline:
             return False
-        if self.peer is None:
+        if self.peer is None and not isinstance(error, DoubtfulRefusalError):
             self.scheduler.record_unreachable(self.record.id)
         if request.relayed_by:
             # The instance that received the request decides.
--- a/test/test_repeated_refusals.py
+++ b/test/test_repeated_refusals.py
@@ -112,3 +112,27 @@
     assert (twice, falsely_refused) == ([], [])
     served = sum(codes[-1] == 200 for codes in statuses.values())
     assert served >= 0.8 * CALLERS * REQUESTS_PER_CALLER
+
+
+def test_a_doubtful_refusal_does_not_count_against_its_target(tmp_path):
+    # A caller that sends a refused request again may get a true second refusal.
+    def respond(request):
+        if read_id(request) == "r1":
+            return RepeatingTarget._refuse(request)
+        return make_response(request=request)
+
+    with GatewayFleet(tmp_path) as fleet, FakeTarget(respond) as target:
+        fleet.list_target("t0", target, slots=CALLERS)
+        route = make_route("/book/", "non_idempotent", "plain", maxAttempts=1)
+        fleet.configure(2, routes=[route])
+        fleet.start()
+        statuses = [
+            fleet.call("/book/1", X_Request_Id=request_id).status
+            for request_id in ("r0", "r1", "r1", "r2", "r1", "r3")
+        ]
+        log = fleet.log()
+    assert [statuses[0], statuses[3], statuses[5]] == [200] * 3
+    assert statuses[1] in NOT_RUN_STATUSES
+    # The second refusal may be the first one repeated.
+    assert {statuses[2], statuses[4]} == {504}
+    assert "target paused" not in log
