Bound the numbers of headers, and start failed tasks again

Cause: an X-Length-Hint of 2^64 can't be encoded, and ended the exchange with the other gateways for good; no task of a gateway was watched. Digits other than ASCII ones raised an error.

--- a/almondglade/gateway/node.py
+++ b/almondglade/gateway/node.py
@@ -26,6 +26,7 @@
 from ..platform.promptcache import PromptCacheClient
 from ..platform.questions import ReadinessEndpoint
 from ..platform.store import StoreClient
+from ..supervision import keep_running
 from .app import GatewayApp
 from .discovery import Discovery
 from .exchange import Exchange
@@ -280,11 +281,14 @@
             server.start()
         self.discovery.start()
         tasks = [
-            asyncio.create_task(self.gossip.run()),
-            asyncio.create_task(self._run_periodic_checks()),
-            asyncio.create_task(self._watch_settings()),
-            asyncio.create_task(self._expire_outdated()),
-            asyncio.create_task(self.links.run()),
+            asyncio.create_task(keep_running(name, run))
+            for name, run in (
+                ("gossip", self.gossip.run),
+                ("periodic checks", self._run_periodic_checks),
+                ("settings", self._watch_settings),
+                ("expiry", self._expire_outdated),
+                ("links", self.links.run),
+            )
         ]
         log.info(
             "started",
--- a/almondglade/gossip/fleet.py
+++ b/almondglade/gossip/fleet.py
@@ -13,6 +13,7 @@
 from ..log import get_logger
 from ..placement.allowance import Scope
 from ..placement.coordination import InstanceInfo
+from ..supervision import keep_running
 from .codec import decode, encode
 from .messages import (
     Grants,
@@ -174,9 +175,9 @@
         )
         try:
             await asyncio.gather(
-                self._send_periodic_reports(),
-                self._report_to_coordinators(),
-                self._send_member_lists(),
+                keep_running("periodic reports", self._send_periodic_reports),
+                keep_running("reports", self._report_to_coordinators),
+                keep_running("member lists", self._send_member_lists),
             )
         finally:
             self._transport.close()
--- a/almondglade/platform/front.py
+++ b/almondglade/platform/front.py
@@ -60,6 +60,10 @@
 # Digits enough for any limit; a longer number could be infinite.
 LIMIT_PATTERN = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
 TOKEN_COUNTS_PATTERN = re.compile(r"\s*([0-9]{1,9})\s*,\s*([0-9]{1,9})\s*")
+# Larger numbers in a header count as this one, which every codec can carry: digits
+# enough for any number of tokens, or for eleven days in milliseconds.
+MAX_COUNT_DIGITS = 9
+MAX_COUNT = 10**MAX_COUNT_DIGITS - 1
 MILLISECONDS_PER_SECOND = 1000.0
 
 
@@ -275,11 +279,14 @@
 
 
 def _parse_count(text):
-    return int(text) if text is not None and text.isdigit() else None
+    """Return the number in a header, at most `MAX_COUNT`, or None if it is none."""
+    if text is None or not (text.isascii() and text.isdigit()):
+        return None
+    digits = text.lstrip("0") or "0"
+    return int(digits) if len(digits) <= MAX_COUNT_DIGITS else MAX_COUNT
 
 
 def _parse_milliseconds(text):
     """Return the seconds in a header that gives milliseconds, or None."""
-    if text is None or not text.isdigit():
-        return None
-    return int(text) / MILLISECONDS_PER_SECOND
+    count = _parse_count(text)
+    return None if count is None else count / MILLISECONDS_PER_SECOND
