Bound the memory of request bodies by that of the machine

Cause: nothing bounded the bytes of bodies. Callers within the limits drove a gateway over its memory, and what ran there was lost. Bodies were also joined twice while read, copied to be sent, and kept by ended dispatches until a garbage collection.

Change: bodies of more than 32 KiB share a fifth of the memory. One that does not fit waits half a second at most, or is refused with 503 before it is read; chunked ones take room as they grow. Bodies exist once, are freed with their request, and the C library returns their memory. Chunk sizes with a sign are malformed. `serve` has `--memory-mb`.

--- a/almondglade/dispatch/call.py
+++ b/almondglade/dispatch/call.py
@@ -428,6 +428,9 @@
         """Stop all use of the socket; return whether this was the first call."""
         with self._lock:
             first, self._ended = not self._ended, True
+        # The call and its owner would keep each other, and the body, until the garbage
+        # collector runs.
+        self.judge_response = None
         for deadline in (self._deadline, self._gap_deadline):
             if deadline is not None:
                 deadline.cancel()
--- a/almondglade/dispatch/connections.py
+++ b/almondglade/dispatch/connections.py
@@ -20,6 +20,8 @@
 MAX_IDLE_CONNECTIONS = 64
 MAX_IDLE_SECONDS = 15.0
 MAX_AGE_SECONDS = 300.0
+# A longer body is written apart from the head; to copy it would cost more than a call.
+MAX_JOINED_BYTES = 64 << 10
 # A connection is not reused this shortly before the target's keep-alive timeout ends.
 IDLE_MARGIN_SECONDS = 1.0
 KEEP_ALIVE_TIMEOUT = re.compile(r"(?i)(?:^|[,\s])timeout=([0-9]{1,6})")
@@ -87,10 +89,15 @@
         self._outgoing.append(data)
 
     def flush(self):
-        """Write the whole request in one call."""
-        request = b"".join(self._outgoing)
-        self._outgoing.clear()
-        self.sock.sendall(request)
+        """Write the whole request; in one call unless its body is large."""
+        parts, self._outgoing = self._outgoing, []
+        if len(parts) > 1 and len(parts[-1]) > MAX_JOINED_BYTES:
+            # A large body is not copied.
+            body = parts.pop()
+            self.sock.sendall(b"".join(parts))
+            self.sock.sendall(body)
+        else:
+            self.sock.sendall(b"".join(parts))
 
     def note_keep_alive(self, value):
         """Record how long the target keeps idle connections open.
--- a/almondglade/entry/app.py
+++ b/almondglade/entry/app.py
@@ -8,6 +8,7 @@
 import cherrypy
 
 from ..deadlines import Deadlines
+from ..httpserver.bodyroom import BodyRoom
 from ..httpserver.strict import REQUEST_KEY
 from ..kinds import IncomingRequest
 from ..log import get_logger
@@ -63,6 +64,8 @@
         Metrics that count the requests.
     max_requests : int
         Maximum number of concurrent requests.
+    body_room : BodyRoom
+        Memory for the bodies of requests.
     """
 
     request_class = EntryRequest
@@ -70,7 +73,9 @@
     # Whether an interrupted event stream ends with an ``error`` event.
     sends_error_event = True
 
-    def __init__(self, instance, incarnation, scheduler, metrics, max_requests):
+    def __init__(
+        self, instance, incarnation, scheduler, metrics, max_requests, body_room
+    ):
         self.scheduler = scheduler
         self.metrics = metrics
         self.max_requests = max_requests
@@ -81,8 +86,9 @@
             f"{instance}-{incarnation}-{number}" for number in itertools.count(1)
         )
         self._watch = CallerWatch()
+        self.body_room = body_room
         slots = max(1, max_requests // RECEIVING_BODY_DIVISOR)
-        self._bodies = BodyReader(Deadlines(), slots)
+        self._bodies = BodyReader(Deadlines(), slots, body_room)
 
     @abc.abstractmethod
     def is_configured(self):
@@ -123,14 +129,16 @@
                 # Make the caller send its next request to another instance.
                 http.close_connection = True
             if not response.stream:
-                self._decrement_active()
+                self._end_request(http)
         return response.body
 
     def _refuse(self, response, error, request_id, request_metrics):
         response.refuse(error, request_id)
         request_metrics.end(error)
 
-    def _decrement_active(self):
+    def _end_request(self, http):
+        if http.held_body is not None:
+            http.held_body.release()
         with self._lock:
             self.active -= 1
 
@@ -161,14 +169,14 @@
         return RelayedBody(
             run,
             first,
-            lambda error: self._finish_stream(sock, request_metrics, error),
+            lambda error: self._finish_stream(http, request_metrics, error),
             self.sends_error_event,
         )
 
-    def _finish_stream(self, sock, request_metrics, error):
+    def _finish_stream(self, http, request_metrics, error):
         request_metrics.end(error)
-        self._watch.unwatch(sock)
-        self._decrement_active()
+        self._watch.unwatch(http.conn.socket)
+        self._end_request(http)
 
     @staticmethod
     def _fix_empty_content_length(request, response):
@@ -218,12 +226,14 @@
     """
 
     def __init__(self, settings, incarnation, scheduler, store, metrics=None):
+        metrics = metrics or Metrics()
         super().__init__(
             settings.instance,
             incarnation,
             scheduler,
-            metrics or Metrics(),
+            metrics,
             settings.max_requests,
+            BodyRoom(settings.memory_mb << 20, metrics),
         )
         self.settings = settings
         self.store = store
@@ -249,13 +259,13 @@
             return models_document(services)
         if path == KEYS_PATH:
             response.header_pairs = list(KEYS_HEADERS)
-            body = self._bodies.read(http, MAX_KEYS_BODY_BYTES)
+            body = self._bodies.read(http, MAX_KEYS_BODY_BYTES, request_id)
             return issue_keys(self.scheduler, caller.workspace, method, body)
         route = find_route(services, method, path)
         if route.service is not None:
             self._check_plan(caller, route.service)
         with unknown_outcome_if_keyed(method, header_of(http, KEY_HEADER)):
-            body = self._bodies.read(http, route.max_body_bytes)
+            body = self._bodies.read(http, route.max_body_bytes, request_id)
         service = route.service or service_of_model(services, body)
         self._check_plan(caller, service)
         request_metrics.service, request_metrics.tier = service, caller.tier
--- a/almondglade/entry/bodies.py
+++ b/almondglade/entry/bodies.py
@@ -5,39 +5,45 @@
 import threading
 import time
 
-from cheroot.errors import MaxSizeExceeded
-
+from ..httpserver.bodystreams import BodyTooLargeError, ChunkedBody, read_declared
 from ..httpserver.gate import GATED_BODY_BYTES
 from ..outcome import Code, RequestError
 from ..sockets import shut_down
 
 # Time limit for the arrival of a body.
 BODY_SECONDS = 20.0
-# cheroot counts the framing of a chunked body towards its limit too.
-FRAMING_ALLOWANCE_BYTES = 1 << 16
-CHUNKED_READ_BYTES = 1 << 12
+# A chunked body takes room in steps of at least this size.
+GROWTH_BYTES = 1 << 18
+# The pieces of a chunked body are copied once, at its end.
+CHUNKED_COPIES = 2
 BUSY_RETRY_AFTER_SECONDS = 1.0
 
 
 class BodyReader:
     """Reads request bodies; limits how many are being received at once.
 
+    A body that is longer than `GATED_BODY_BYTES` takes room in memory, which it keeps
+    until its request has ended. The number of requests limits the shorter ones.
+
     Parameters
     ----------
     deadlines : Deadlines
         Timer that enforces `BODY_SECONDS`.
     slots : int
         Maximum number of bodies that are being received at once.
+    room : BodyRoom
+        Memory for the bodies.
     clock : callable
         Returns monotonic seconds.
     """
 
-    def __init__(self, deadlines, slots, clock=time.monotonic):
+    def __init__(self, deadlines, slots, room, clock=time.monotonic):
         self.deadlines = deadlines
+        self.room = room
         self.clock = clock
         self._slots = threading.BoundedSemaphore(slots)
 
-    def read(self, http, limit):
+    def read(self, http, limit, request_id):
         """Return the body of a request.
 
         Parameters
@@ -46,18 +52,25 @@
             The request.
         limit : int
             Longest allowed body (bytes).
+        request_id : str
+            Id of the request, for the logs.
 
         Raises
         ------
         RequestError
-            If the body is too large, too slow, truncated or malformed.
+            If the body is too large, too slow, truncated or malformed, or there is no
+            memory for it; then a body of declared length has not been read.
         """
         length = http.content_length
         if length == 0:
             return b""
         if length is not None and length > limit:
             raise body_too_large(limit)
-        if length is None or length > GATED_BODY_BYTES or http.expects_continue:
+        if length is None or length > GATED_BODY_BYTES:
+            http.held_body = self.room.open(request_id)
+            if length is not None:
+                http.held_body.grow(length)
+        if http.held_body is not None or http.expects_continue:
             with self._slot():
                 return self._read(http, length, limit)
         return self._read(http, length, limit)
@@ -86,9 +99,12 @@
         try:
             http.send_continue()
             if length is None:
-                return read_chunked(http.rfile, limit)
-            body = http.rfile.read(length)
-        except MaxSizeExceeded as error:
+                return read_chunked(http, limit)
+            if http.held_body is not None:
+                body = read_declared(http)
+            else:
+                body = http.rfile.read(length)
+        except BodyTooLargeError as error:
             raise body_too_large(limit) from error
         except (OSError, ValueError) as error:
             if timed_out.is_set() or isinstance(error, TimeoutError):
@@ -101,27 +117,31 @@
         return body
 
 
-def read_chunked(rfile, limit):
+def read_chunked(http, limit):
     """Return a chunked body; discard its trailers.
 
     Parameters
     ----------
-    rfile : ChunkedRFile
-        cheroot's reader of the body.
+    http : StrictRequest
+        The request, which holds the room of its body.
     limit : int
         Longest allowed body (bytes).
     """
-    rfile.maxlen = 2 * limit + FRAMING_ALLOWANCE_BYTES
-    chunks = []
-    size = 0
-    while chunk := rfile.read(CHUNKED_READ_BYTES):
-        chunks.append(chunk)
-        size += len(chunk)
-        if size > limit:
-            raise body_too_large(limit)
-    for _ in rfile.read_trailer_lines():
-        continue
-    return b"".join(chunks)
+    held = http.held_body
+
+    def reserve(size):
+        missing = CHUNKED_COPIES * size - held.claim.held
+        if size > GATED_BODY_BYTES and missing > 0:
+            held.grow(max(missing, GROWTH_BYTES))
+
+    pieces = bytearray()
+    for piece in ChunkedBody(http.rfile.rfile, limit, reserve):
+        pieces += piece
+    http.rfile.closed = True
+    body = bytes(pieces)
+    if held.claim.held:
+        held.shrink(len(body))
+    return body
 
 
 def body_too_large(limit):
--- a/almondglade/gateway/app.py
+++ b/almondglade/gateway/app.py
@@ -45,12 +45,15 @@
         scheduler,
         metrics,
         max_requests,
+        body_room,
         registry,
         accepts_keys,
         may_deny,
         origin_search,
     ):
-        super().__init__(instance, incarnation, scheduler, metrics, max_requests)
+        super().__init__(
+            instance, incarnation, scheduler, metrics, max_requests, body_room
+        )
         self.registry = registry
         self.accepts_keys = accepts_keys
         self.may_deny = may_deny
@@ -80,7 +83,7 @@
         time_limit = min(
             caller_headers.time_limit or DEFAULT_TIME_LIMIT_SECONDS, route.timeout
         )
-        body = self._bodies.read(http, limit)
+        body = self._bodies.read(http, limit, request_id)
         origin = self._find_origin(route, caller_headers, request_id)
         service = origin.service if origin else choose_service(route)
         terms = catalogue.service_by_name.get(service, ServiceTerms(service))
--- a/almondglade/gateway/calls.py
+++ b/almondglade/gateway/calls.py
@@ -107,7 +107,8 @@
         return RequestError(Code.CALLER_GONE, "the caller has gone away")
 
     def _new_attempt(self):
-        return Attempt(lambda: not self.request.caller_connection.disconnected)
+        caller_connection = self.request.caller_connection
+        return Attempt(lambda: not caller_connection.disconnected)
 
     def _open_call(self):
         request = self.request
--- a/almondglade/gateway/node.py
+++ b/almondglade/gateway/node.py
@@ -14,6 +14,7 @@
 from ..errors import SettingsError
 from ..gossip.fleet import GossipProtocol
 from ..httpserver import HttpServer
+from ..httpserver.bodyroom import BodyRoom, return_freed_blocks
 from ..imports import enable_collections
 from ..log import flush_logs, get_logger
 from ..metrics import Metrics
@@ -212,10 +213,12 @@
             f"{self.incarnation:x}",
             self.scheduler,
         )
+        self.body_room = BodyRoom(settings.memory_bytes, self.metrics)
         self.app = GatewayApp(
             *app_options,
             self.metrics,
             MAX_REQUESTS,
+            self.body_room,
             self.registry,
             self._accepts_keys,
             self._may_deny,
@@ -226,6 +229,7 @@
             *app_options,
             Metrics(),
             MAX_REQUESTS,
+            self.body_room,
             self.registry,
             self._accepts_keys,
             self._may_deny,
@@ -444,6 +448,7 @@
         If the settings cannot be used.
     """
     enable_collections()
+    return_freed_blocks()
     settings = load_settings()
     with contextlib.suppress(KeyboardInterrupt):
         asyncio.run(_run(settings, load_settings, read_settings_fingerprint))
--- a/almondglade/gateway/relayapp.py
+++ b/almondglade/gateway/relayapp.py
@@ -115,7 +115,7 @@
                 "the route does not lead to the service",
                 retry_after=BUSY_RETRY_AFTER_SECONDS,
             )
-        body = self._bodies.read(http, catalogue.limits.max_body_bytes)
+        body = self._bodies.read(http, catalogue.limits.max_body_bytes, request_id)
         service_terms = catalogue.service_by_name.get(
             terms.service, ServiceTerms(terms.service)
         )
--- a/almondglade/gateway/requests.py
+++ b/almondglade/gateway/requests.py
@@ -85,7 +85,9 @@
         head = "\0".join(
             (workspace, self.caller_headers.host, self.method, self.path, "")
         )
-        return xxhash.xxh3_64_intdigest(head.encode() + self.body)
+        digest = xxhash.xxh3_64(head.encode())
+        digest.update(self.body)
+        return digest.intdigest()
 
     @cached_property
     def fingerprints(self):
--- a/almondglade/httpserver/strict.py
+++ b/almondglade/httpserver/strict.py
@@ -5,6 +5,7 @@
 import socket
 import threading
 import time
+from typing import Any
 
 from cheroot import server, wsgi
 
@@ -15,10 +16,11 @@
 MAX_HEADERS = 100
 # Limits on discarding an unread body. Closing without reading it could reset the
 # connection before the caller has received the response. The semaphore limits the
-# connections that do so concurrently.
+# connections that do so concurrently, to fewer than the threads beyond those of the
+# requests in progress.
 DRAIN_BYTES = 4 << 20
 DRAIN_SECONDS = 1.0
-DRAIN_SLOTS = threading.BoundedSemaphore(8)
+DRAIN_SLOTS = threading.BoundedSemaphore(32)
 MAX_READ_BYTES = 1 << 16
 OVERLOADED_RETRY_AFTER_SECONDS = 1.0
 
@@ -113,6 +115,8 @@
         super().__init__(server, conn, proxy_mode, strict_mode)
         self.header_reader = StrictHeaderReader()
         self.passed_to_app = False
+        # Room of the body in memory, until the request has ended.
+        self.held_body: Any = None
         self._head = b""
 
     @property
--- a/almondglade/metrics.py
+++ b/almondglade/metrics.py
@@ -67,6 +67,10 @@
         ("result",),
         "Readings of the published state from a peer that knew a newer one.",
     ),
+    "body_waits_total": (
+        ("result",),
+        "Request bodies that found no memory at once, by whether they got it in time.",
+    ),
     "tokens_total": (
         ("service", "kind"),
         "Tokens by kind: input, cached (part of input) and output.",
@@ -88,6 +92,7 @@
 }
 GAUGES = {
     "active_requests": ((), "Requests in progress at this instance."),
+    "body_bytes": ((), "Memory that large request bodies hold or are promised."),
     "configuration_version": ((), "Version of the declared document in force."),
     "configuration_rejected_version": (
         (),
@@ -214,6 +219,7 @@
         is_outdated = node.freshness.is_outdated
     catalogue = node.registry.catalogue
     metrics.set("active_requests", node.app.active)
+    metrics.set("body_bytes", node.app.body_room.budget.held)
     metrics.set("configuration_version", catalogue.version if catalogue else 0)
     metrics.set("configuration_outdated", int(is_outdated))
     metrics.set("platform_calls", node.store.calls)
@@ -243,6 +249,7 @@
         The running instance.
     """
     metrics.set("active_requests", node.app.active)
+    metrics.set("body_bytes", node.app.body_room.budget.held)
     metrics.set("configuration_version", node.store.version)
     metrics.set("configuration_rejected_version", node.store.rejected_version)
     metrics.set("platform_calls", node.platform.calls)
--- a/almondglade/node.py
+++ b/almondglade/node.py
@@ -24,6 +24,7 @@
 from .entry.tally import count_usage
 from .errors import SettingsError
 from .httpserver import HttpServer
+from .httpserver.bodyroom import return_freed_blocks
 from .imports import enable_collections
 from .keys.assembly import assemble_keys
 from .loads import LoadPoller
@@ -322,6 +323,7 @@
         If a port cannot be bound.
     """
     enable_collections()
+    return_freed_blocks()
 
     async def main():
         if await Node(settings).run():
--- a/almondglade/settings.py
+++ b/almondglade/settings.py
@@ -64,6 +64,9 @@
     max_requests: PositiveInt = Field(
         320, description="Requests served at once; more are refused at once."
     )
+    memory_mb: PositiveInt = Field(
+        512, description="Memory of the process in MB; bodies get a fifth of it."
+    )
     reserve_threads: PositiveInt = Field(16, description="Threads kept for refusals.")
     stop_timeout: PositiveFloat = Field(
         30.0, description="Seconds that a graceful stop may take."
--- a/almondglade/ui/serve.py
+++ b/almondglade/ui/serve.py
@@ -16,6 +16,7 @@
     configuration_key: str | None = None,
     service_name: str | None = None,
     max_requests: int | None = None,
+    memory_mb: int | None = None,
     reserve_threads: int | None = None,
     stop_timeout: float | None = None,
     stop_notice: float | None = None,
@@ -55,6 +56,8 @@
         Name under which the platform lists the instances.
     max_requests
         Requests served at once; more are refused at once.
+    memory_mb
+        Memory of the process in MB; bodies get a fifth of it.
     reserve_threads
         Threads kept for refusals.
     stop_timeout
--- a/test/support/entries.py
+++ b/test/support/entries.py
@@ -87,7 +87,9 @@
         self.broker = FakeBroker(self.store)
         self.pools = TargetPools()
         self.scheduler = Scheduler(self.broker, self.store, self.pools)
-        settings = SimpleNamespace(instance="e1", max_requests=max_requests)
+        settings = SimpleNamespace(
+            instance="e1", max_requests=max_requests, memory_mb=512
+        )
         self.app = EntryApp(settings, "i1", self.scheduler, self.store)
         self.server = HttpServer(
             "127.0.0.1", 0, self.app, max_requests + reserve_threads
