Test that internal headers of relayed and resumed responses stay inside

Cause: the filter was tested for responses of own targets only. By reading, it is applied to the head of every response (GatewayRun.open).

Change: one test each for a relayed response and a resumed stream.

--- a/test/test_gateway_path.py
+++ b/test/test_gateway_path.py
@@ -210,6 +210,28 @@
     assert sorted(headers.get("last-event-id", "") for headers in sent) == ["", "2"]
 
 
+def test_the_internal_headers_of_a_resumed_stream_reach_no_caller(
+    fleet_with_two_targets,
+):
+    fleet, targets = fleet_with_two_targets
+    seal = b"X-Response-Seal: s1\r\n"
+    internal = b"X-Server-Load: 3,0,8\r\nX-Cold-Ms: 9\r\nServer-Brittle: 4\r\n"
+
+    def script(request):
+        is_resumed = parse_headers(request).get("last-event-id")
+        stream = make_stream((2, 3)) if is_resumed else make_stream((1,), end=False)
+        return stream.replace(seal, seal + internal)
+
+    for target in targets:
+        target.answer = script
+    response = fleet.call("/stream/1", method="POST")
+    assert response.data.count(b"id:") == 3
+    assert response.headers["X-Response-Seal"] == "s1"
+    assert not {"x-server-load", "x-cold-ms", "server-brittle"} & {
+        name.lower() for name in response.headers
+    }
+
+
 def test_a_stream_resumed_with_an_error_does_not_look_complete(fleet_with_two_targets):
     # The second target may answer the resumed request with a complete error response.
     fleet, targets = fleet_with_two_targets
--- a/test/test_relays.py
+++ b/test/test_relays.py
@@ -130,6 +130,16 @@
     assert cut_fleet.runs_by_request()["relayed-1"] == 1
 
 
+def test_the_internal_headers_of_a_relayed_response_reach_no_caller(cut_fleet):
+    for target in cut_fleet.targets:
+        target.rate_limit = 1000
+    response = cut_fleet.call("/look/1", X_Request_Id="relayed-2")
+    assert response.data == b"relayed-2 done"
+    assert response.headers["X-Response-Seal"] == "relayed-2"
+    names = {name.lower() for name in response.headers}
+    assert not {"server-limit", "server-brittle"} & names
+
+
 def test_a_revoked_or_unknown_key_is_refused_before_a_relay(cut_fleet):
     assert cut_fleet.call("/look/1", key="no-such-key").status == 401
 
