Accept what an instance's own processor and link bear

Cause: an instance carried what the balancer sent it. A machine with half a core got as many callers as one with two cores beside it.

Change: standing delays of timers and threads, and the use of a declared link, bound the rate of accepted requests; the rest is refused at once with 503 as not run. An instance that stays over its limits stops being ready if better ones are beside it, never more than half of a data centre, and comes back with hysteresis.

--- a/almondglade/gateway/app.py
+++ b/almondglade/gateway/app.py
@@ -34,6 +34,8 @@
         a route or a key does not exist.
     origin_search : OriginSearch
         Finds out which version began a stream that no gateway knows.
+    own_load : OwnLoad
+        Refuses what this instance cannot bear.
     """
 
     sends_error_event = False
@@ -50,6 +52,7 @@
         accepts_keys,
         may_deny,
         origin_search,
+        own_load,
     ):
         super().__init__(
             instance, incarnation, scheduler, metrics, max_requests, body_room
@@ -58,6 +61,7 @@
         self.accepts_keys = accepts_keys
         self.may_deny = may_deny
         self.origin_search = origin_search
+        self.own_load = own_load
 
     def request_id(self, http):
         """Return the caller's id of the request, or a new one if that is not usable."""
@@ -75,6 +79,7 @@
         self._check_capacity()
         self.scheduler.suspects.wait_until_informed()
         caller_headers = parse_caller_headers(http.header_pairs)
+        self.own_load.check(request_id, bool(caller_headers.last_event_id))
         catalogue = self.registry.catalogue
         path = http.uri.decode("latin-1")
         route = self._find_route(catalogue, caller_headers, path)
@@ -84,6 +89,7 @@
             caller_headers.time_limit or DEFAULT_TIME_LIMIT_SECONDS, route.timeout
         )
         body = self._bodies.read(http, limit, request_id)
+        self.own_load.record_bytes(len(body))
         origin = self._find_origin(route, caller_headers, request_id)
         service = origin.service if origin else choose_service(route)
         terms = catalogue.service_by_name.get(service, ServiceTerms(service))
--- a/almondglade/gateway/node.py
+++ b/almondglade/gateway/node.py
@@ -34,6 +34,7 @@
 from .operators import GatewayOperatorApp
 from .origins import OriginTracker
 from .originsearch import OriginSearch
+from .ownload import OwnLoad
 from .peerstate import PeerStateReader
 from .registry import Registry
 from .relayapp import RelayApp
@@ -213,6 +214,10 @@
             f"{self.incarnation:x}",
             self.scheduler,
         )
+        self.own_load = OwnLoad(
+            settings, self.gossip.relay_candidates, self.metrics, self.clock
+        )
+        self.scheduler.record_bytes = self.own_load.record_bytes
         self.body_room = BodyRoom(settings.memory_bytes, self.metrics)
         self.app = GatewayApp(
             *app_options,
@@ -223,6 +228,7 @@
             self._accepts_keys,
             self._may_deny,
             origin_search,
+            self.own_load,
         )
         # The peers count the requests that they pass on, so that these count once.
         self.relay_app = RelayApp(
@@ -234,6 +240,7 @@
             self._accepts_keys,
             self._may_deny,
             origin_search,
+            self.own_load,
             is_peer=self.gossip.is_known_address,
         )
 
@@ -250,6 +257,7 @@
             self.app,
             MAX_CALLER_THREADS,
             INITIAL_CALLER_THREADS,
+            self.own_load.on_thread_wait,
         )
         relays = HttpServer(
             settings.address,
@@ -257,6 +265,7 @@
             self.relay_app,
             MAX_CALLER_THREADS,
             INITIAL_RELAY_THREADS,
+            self.own_load.on_thread_wait,
         )
         servers = [
             callers,
@@ -361,7 +370,10 @@
             if unresponsive:
                 self.gossip.schedule_report()
             self.registry.expire()
-            await asyncio.sleep(TICK_SECONDS if waiting else IDLE_TICK_SECONDS)
+            seconds = TICK_SECONDS if waiting else IDLE_TICK_SECONDS
+            due = self.clock() + seconds
+            await asyncio.sleep(seconds)
+            self.own_load.record_timer(self.clock() - due)
 
     def _apply_registry(self):
         """Apply the published catalogue, targets and evacuations to scheduling."""
@@ -429,7 +441,12 @@
 
     def is_ready(self):
         """Return whether the load balancer should send callers to this instance."""
-        return not self.stopping and self.app.is_configured() and self._accepts_keys()
+        return (
+            not self.stopping
+            and self.app.is_configured()
+            and self._accepts_keys()
+            and self.own_load.is_ready()
+        )
 
 
 def run_gateway(load_settings, read_settings_fingerprint):
--- a/almondglade/gateway/relayapp.py
+++ b/almondglade/gateway/relayapp.py
@@ -98,6 +98,7 @@
         self._check_capacity()
         arrived_at = self.scheduler.clock()
         terms = self._read_terms(http, request_id)
+        self.own_load.check(request_id, terms.last_event_id is not None)
         caller_headers = parse_caller_headers(http.header_pairs)
         catalogue = self.registry.catalogue
         path = http.uri.decode("latin-1")
@@ -116,6 +117,7 @@
                 retry_after=BUSY_RETRY_AFTER_SECONDS,
             )
         body = self._bodies.read(http, catalogue.limits.max_body_bytes, request_id)
+        self.own_load.record_bytes(len(body))
         service_terms = catalogue.service_by_name.get(
             terms.service, ServiceTerms(terms.service)
         )
--- a/almondglade/gateway/run.py
+++ b/almondglade/gateway/run.py
@@ -297,6 +297,7 @@
         return RequestError(code, str(error), Outcome.UNKNOWN)
 
     def _record_chunk(self, chunk):
+        self.scheduler.record_bytes(len(chunk))
         slowness = self.meter.feed(chunk, self.clock())
         if slowness is None or self.ticket is None:
             return
--- a/almondglade/gateway/scheduling.py
+++ b/almondglade/gateway/scheduling.py
@@ -111,6 +111,8 @@
         self.metrics = metrics
         self.clock = clock
         self.deadlines = Deadlines(clock)
+        # Takes the bytes of responses that pass the link.
+        self.record_bytes = lambda count: None
 
     def run(self, request):
         """Dispatch a request and return its `GatewayRun`.
--- a/almondglade/gateway/settings.py
+++ b/almondglade/gateway/settings.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from ..placement.ownlimits import Machine
+
 # Port for metrics in the deployment file.
 METRICS_PORT = 9464
 
@@ -104,6 +106,8 @@
     capacity : float
         Relative capacity of processor and network link; the instances with the
         highest capacity become coordinators.
+    machine : Machine or None
+        What is declared of the machine's processor and link; None if nothing is.
     features : Features
         Which optional decisions are allowed.
     """
@@ -122,5 +126,6 @@
     memory_bytes: int = 150 << 20
     max_files: int = 4096
     capacity: float = 0.0
+    machine: Machine | None = None
     bounds: Bounds = Bounds()
     features: Features = DEFAULT_FEATURES
--- a/almondglade/httpserver/__init__.py
+++ b/almondglade/httpserver/__init__.py
@@ -43,9 +43,13 @@
         Maximum number of threads, which is the number of concurrent requests.
     initial_threads : int or None
         Threads that are started immediately; all if None.
+    on_thread_wait : callable or None
+        Takes the seconds for which each request waited for a thread.
     """
 
-    def __init__(self, address, port, root, threads, initial_threads=None):
+    def __init__(
+        self, address, port, root, threads, initial_threads=None, on_thread_wait=None
+    ):
         app = cherrypy.Application(root, "", APP_CONFIG)
         app.request_class = getattr(root, "request_class", app.request_class)
         app.response_class = getattr(root, "response_class", app.response_class)
@@ -56,6 +60,7 @@
         self._server = GatedServer(
             (address, port), app, threads, initial_threads or threads, STOP_SECONDS
         )
+        self._server.on_thread_wait = on_thread_wait
         self._thread = threading.Thread(target=self._serve, daemon=True)
 
     def start(self):
--- a/almondglade/httpserver/gate.py
+++ b/almondglade/httpserver/gate.py
@@ -82,6 +82,7 @@
         self.timed_out = False
         self._bytes_required = 0
         self._deadline = None
+        self._queued_at = 0.0
 
     def has_request(self):
         """Return whether a thread should serve the connection now."""
@@ -109,9 +110,13 @@
         if self._bytes_required:
             self._set_bytes_required(0)
         self.socket.settimeout(READ_SECONDS)
+        if self.server.on_thread_wait is not None:
+            self._queued_at = time.monotonic()
 
     def communicate(self):
         """Serve one request; if it timed out, respond with 408 and close."""
+        if self.server.on_thread_wait is not None:
+            self.server.on_thread_wait(time.monotonic() - self._queued_at)
         if self.timed_out:
             request = self.RequestHandlerClass(self.server, self)
             request.simple_response("408 Request Timeout")
@@ -204,6 +209,7 @@
         max_open_files, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
         self.keep_alive_conn_limit = min(MAX_CONNECTIONS, max_open_files // 2)
         self.deadlines = Deadlines()
+        self.on_thread_wait: Callable[[float], None] | None = None
         self.keep_alive_enabled = True
 
     @property
--- a/almondglade/metrics.py
+++ b/almondglade/metrics.py
@@ -67,6 +67,10 @@
         ("result",),
         "Readings of the published state from a peer that knew a newer one.",
     ),
+    "own_limit_refusals_total": (
+        (),
+        "Requests refused as this instance's own processor or link bears no more.",
+    ),
     "body_waits_total": (
         ("result",),
         "Request bodies that found no memory at once, by whether they got it in time.",
@@ -92,6 +96,10 @@
 }
 GAUGES = {
     "active_requests": ((), "Requests in progress at this instance."),
+    "own_delay_seconds": (
+        (),
+        "By how much all timers or threads of the last second were late.",
+    ),
     "body_bytes": ((), "Memory that large request bodies hold or are promised."),
     "configuration_version": ((), "Version of the declared document in force."),
     "configuration_rejected_version": (
@@ -219,6 +227,8 @@
         is_outdated = node.freshness.is_outdated
     catalogue = node.registry.catalogue
     metrics.set("active_requests", node.app.active)
+    if node.own_load.limits is not None:
+        metrics.set("own_delay_seconds", node.own_load.limits.delay)
     metrics.set("body_bytes", node.app.body_room.budget.held)
     metrics.set("configuration_version", catalogue.version if catalogue else 0)
     metrics.set("configuration_outdated", int(is_outdated))
--- a/almondglade/platform/settings.py
+++ b/almondglade/platform/settings.py
@@ -7,12 +7,14 @@
 
 from ..errors import SettingsError
 from ..gateway.settings import DEFAULT_FEATURES, METRICS_PORT, Bounds, GatewaySettings
+from ..placement.ownlimits import Machine
 
 SETTINGS_VARIABLE = "ALMONDGLADE_CONFIG"
 MILLISECONDS_PER_SECOND = 1000.0
 # Network traffic that keeps one core of a coordinator busy, derived from the cost of
 # a report.
 MBPS_PER_CORE = 50.0
+BYTES_PER_MEGABIT = 125_000.0
 
 
 class _PlatformModel(BaseModel):
@@ -40,6 +42,16 @@
             min(self.cpu_share * self.cpu_speed, self.link_mbps / MBPS_PER_CORE), 2
         )
 
+    @property
+    def machine(self):
+        """The `Machine`, or None if neither processor nor link is declared."""
+        declared = {"cpu_share", "cpu_speed", "link_mbps"} & self.model_fields_set
+        if not declared:
+            return None
+        if "link_mbps" not in declared:
+            return Machine()
+        return Machine(self.link_mbps * BYTES_PER_MEGABIT)
+
 
 class _Bounds(_PlatformModel):
     contact_ms: float = Field(3000, alias="contactMs")
@@ -120,6 +132,7 @@
         memory_bytes=parsed.limits.memory_mb << 20,
         max_files=parsed.limits.max_files,
         capacity=parsed.limits.capacity,
+        machine=parsed.limits.machine,
         bounds=Bounds(
             contact=bounds.contact_ms / MILLISECONDS_PER_SECOND,
             grace=bounds.grace_s,
