--- a/almondglade/dispatch/call.py
+++ b/almondglade/dispatch/call.py
@@ -325,3 +325,7 @@
             self._connection.close()
         if not self.is_complete:
             raise self._translate(OSError("the connection was shut down"))
+
+    def _end(self):
+        self.judge_response = None
+        return super()._end()
--- a/almondglade/gateway/node.py
+++ b/almondglade/gateway/node.py
@@ -14,6 +14,7 @@
 from ..errors import SettingsError
 from ..gossip.fleet import GossipProtocol
 from ..httpserver import HttpServer
+from ..httpserver.bodyroom import BodyRoom, return_freed_blocks
 from ..imports import enable_collections
 from ..log import flush_logs, get_logger
 from ..metrics import Metrics
@@ -34,6 +35,7 @@
 from .operators import GatewayOperatorApp
 from .origins import OriginTracker
 from .originsearch import OriginSearch
+from .ownload import OwnLoad
 from .peerstate import PeerStateReader
 from .registry import Registry
 from .relayapp import RelayApp
@@ -209,24 +211,33 @@
             f"{self.incarnation:x}",
             self.scheduler,
         )
+        self.own_load = OwnLoad(
+            settings, self.gossip.relay_candidates, self.metrics, self.clock
+        )
+        self.scheduler.record_bytes = self.own_load.record_bytes
+        self.body_room = BodyRoom(settings.memory_bytes, self.metrics)
         self.app = GatewayApp(
             *app_options,
             self.metrics,
             MAX_REQUESTS,
+            self.body_room,
             self.registry,
             self._accepts_keys,
             self._may_deny,
             origin_search,
+            self.own_load,
         )
         # The peers count the requests that they pass on, so that these count once.
         self.relay_app = RelayApp(
             *app_options,
             Metrics(),
             MAX_REQUESTS,
+            self.body_room,
             self.registry,
             self._accepts_keys,
             self._may_deny,
             origin_search,
+            self.own_load,
             is_peer=self.gossip.is_known_address,
         )
 
@@ -243,6 +254,7 @@
             self.app,
             MAX_CALLER_THREADS,
             INITIAL_CALLER_THREADS,
+            self.own_load.on_thread_wait,
         )
         relays = HttpServer(
             settings.address,
@@ -250,6 +262,7 @@
             self.relay_app,
             MAX_CALLER_THREADS,
             INITIAL_RELAY_THREADS,
+            self.own_load.on_thread_wait,
         )
         servers = [
             callers,
@@ -358,7 +371,9 @@
             if unresponsive:
                 self.gossip.schedule_report()
             self.registry.expire()
+            due = self.clock() + pause
             await asyncio.sleep(pause)
+            self.own_load.record_timer(self.clock() - due)
 
     def _apply_registry(self):
         """Apply the published catalogue, targets and evacuations to scheduling."""
@@ -426,7 +441,12 @@
 
     def is_ready(self):
         """Return whether the load balancer should send callers to this instance."""
-        return not self.stopping and self.app.is_configured() and self._accepts_keys()
+        return (
+            not self.stopping
+            and self.app.is_configured()
+            and self._accepts_keys()
+            and self.own_load.is_ready()
+        )
 
 
 def run_gateway(load_settings, read_settings_fingerprint):
@@ -445,6 +465,7 @@
         If the settings cannot be used.
     """
     enable_collections()
+    return_freed_blocks()
     settings = load_settings()
     with contextlib.suppress(KeyboardInterrupt):
         asyncio.run(_run(settings, load_settings, read_settings_fingerprint))
