Share the slots of a service among workspaces by work

Cause: requests of one tier waited in the order of arrival, so the workspace that sent most got most, and whoever sent little was refused behind its backlog.

Change: inside each tier, start-time fair queueing over the workspaces that wait, by tokens (by requests where none are stated) and weighted by allowance. It is used where a configuration holds several workspaces with allowances; without, the order is as before. Expected waits depend on the workspace, as its own requests are ahead of it. Tiers are sorted one by one, and which route tiers are over their share is counted once per change.

--- a/almondglade/placement/fairness.py
+++ b/almondglade/placement/fairness.py
@@ -4,13 +4,24 @@
 finish. In the order of workspaces alone, the long responses of the first workspaces
 would hold all slots and all other requests would be late. So each route tier has a
 share of the slots, larger for the more urgent tiers. Requests of tiers within their
-share go first; inside both groups the order is by workspace, then by route tier.
+share go first; inside both groups the order is by the tier of the workspace, then by
+route tier. Inside a tier, requests are served as they arrive, or by the shares of
+their workspaces.
 """
 
+import itertools
 from collections import Counter
+from operator import attrgetter
 
 # The share of a route tier, as a multiple of that of the next less urgent one.
 WEIGHT_RATIO = 3.0
+# The order inside a tier; with the tier before it, that of `Ticket.rank`.
+by_arrival = attrgetter("arrived_at", "owner", "number")
+
+
+def arrange_by_arrival(tickets):
+    """Return the requests of one tier in the order in which they arrived."""
+    return sorted(tickets, key=by_arrival)
 
 
 class FairOrder:
@@ -23,16 +34,22 @@
         there is more than one request to order.
     slots : int
         Requests that may run at once.
+    arrange : callable
+        Takes the requests of one tier and returns an iterable of them in the order in
+        which they should get slots.
     """
 
-    def __init__(self, count_running, slots):
+    def __init__(self, count_running, slots, arrange=arrange_by_arrival):
         self.count_running = count_running
         self.slots = slots
+        self.arrange = arrange
         self.running_by_route_tier: Counter = Counter()
+        self._is_over_share_by_route_tier: dict[int, bool] = {}
 
     def record_start(self, route_tier):
         """Count a request that got a slot."""
         self.running_by_route_tier[route_tier] += 1
+        self._is_over_share_by_route_tier.clear()
 
     def sort(self, tickets):
         """Yield requests in the order in which they should get slots.
@@ -47,25 +64,50 @@
             yield from tickets
             return
         self.running_by_route_tier = Counter(self.count_running())
-        waiting_by_route_tier: dict[int, list] = {}
-        for ticket in sorted(tickets, key=lambda entry: entry.rank, reverse=True):
-            waiting_by_route_tier.setdefault(ticket.route_tier, []).append(ticket)
-        while waiting_by_route_tier:
-            route_tier = min(
-                waiting_by_route_tier,
-                key=lambda tier: (
-                    self._is_over_share(tier, waiting_by_route_tier),
-                    waiting_by_route_tier[tier][-1].rank,
-                ),
-            )
-            waiting = waiting_by_route_tier[route_tier]
-            yield waiting.pop()
-            if not waiting:
-                del waiting_by_route_tier[route_tier]
+        self._is_over_share_by_route_tier.clear()
+        tickets_by_tier: dict[tuple[int, ...], list] = {}
+        for ticket in tickets:
+            tickets_by_tier.setdefault(ticket.tier, []).append(ticket)
+        groups_by_route_tier: dict[int, list] = {}
+        for tier in sorted(tickets_by_tier):
+            groups_by_route_tier.setdefault(tier[-1], []).append(tickets_by_tier[tier])
+        queue_by_route_tier = {
+            route_tier: itertools.chain.from_iterable(map(self.arrange, groups))
+            for route_tier, groups in groups_by_route_tier.items()
+        }
+        next_by_route_tier = {
+            route_tier: next(queue) for route_tier, queue in queue_by_route_tier.items()
+        }
+        while next_by_route_tier:
+            route_tier = self._choose(next_by_route_tier)
+            yield next_by_route_tier[route_tier]
+            following = next(queue_by_route_tier[route_tier], None)
+            if following is not None:
+                next_by_route_tier[route_tier] = following
+                continue
+            del next_by_route_tier[route_tier]
+            self._is_over_share_by_route_tier.clear()
+
+    def _choose(self, next_by_route_tier):
+        """Return the route tier that gets the next slot."""
+        if len(next_by_route_tier) == 1:
+            return next(iter(next_by_route_tier))
+        if not self._is_over_share_by_route_tier:
+            self._is_over_share_by_route_tier = {
+                tier: self._is_over_share(tier, next_by_route_tier)
+                for tier in next_by_route_tier
+            }
+        return min(
+            next_by_route_tier,
+            key=lambda tier: (
+                self._is_over_share_by_route_tier[tier],
+                next_by_route_tier[tier].tier,
+            ),
+        )
 
-    def _is_over_share(self, route_tier, waiting_by_route_tier):
+    def _is_over_share(self, route_tier, next_by_route_tier):
         # The unary plus drops tiers without running requests.
-        present = sorted({*waiting_by_route_tier, *+self.running_by_route_tier})
+        present = sorted({*next_by_route_tier, *+self.running_by_route_tier})
         weight_by_route_tier = {
             tier: WEIGHT_RATIO**-position for position, tier in enumerate(present)
         }
--- a/almondglade/placement/outlook.py
+++ b/almondglade/placement/outlook.py
@@ -43,6 +43,26 @@
     age: float = 0.0
 
 
+@dataclass(frozen=True)
+class TierWaits:
+    """Expected waits of new requests of one tier in one cell, in seconds.
+
+    Parameters
+    ----------
+    plain : float
+        Wait of a workspace that has none waiting, or of any if slots are not shared.
+    wait_by_workspace : dict of str to float
+        Waits of those whose own requests are ahead.
+    """
+
+    plain: float = 0.0
+    wait_by_workspace: dict[str, float] = field(default_factory=dict)
+
+    def of(self, workspace):
+        """Return the wait of a new request of a workspace."""
+        return self.wait_by_workspace.get(workspace, self.plain)
+
+
 class RecentWaits:
     """Expected waits that were counted a moment ago.
 
@@ -51,21 +71,21 @@
     """
 
     def __init__(self):
-        self._wait_by_key: dict[tuple, tuple[float, float]] = {}
+        self._waits_by_key: dict[tuple, tuple[TierWaits, float]] = {}
 
     def get(self, key, now, count):
-        """Return the recent wait of a key in seconds, or count it.
+        """Return the recent waits of a key, or count them.
 
         Parameters
         ----------
         key : tuple
             Cell and tier.
         count : callable
-            Returns the wait.
+            Returns the `TierWaits`.
         """
-        known = self._wait_by_key.get(key)
+        known = self._waits_by_key.get(key)
         if known is None or now - known[1] > WAIT_CACHE_SECONDS:
-            known = self._wait_by_key[key] = (count(), now)
+            known = self._waits_by_key[key] = (count(), now)
         return known[0]
 
 
@@ -78,19 +98,34 @@
 
     rng: random.Random = field(default_factory=random.Random)
     # Each value ends with the monotonic time at which it was received or counted.
-    _wait_by_cell_and_tier: dict[tuple[Cell, tuple[int, ...]], tuple[float, float]] = (
-        field(default_factory=dict)
-    )
+    _waits_by_cell_and_tier: dict[
+        tuple[Cell, tuple[int, ...]], dict[str | None, tuple[float, float]]
+    ] = field(default_factory=dict)
     _load_by_cell: dict[Cell, tuple[CellLoad, float]] = field(default_factory=dict)
 
-    def record_wait(self, cell, tier, wait, now):
-        """Store the wait in seconds that a coordinator expects for a tier."""
-        self._wait_by_cell_and_tier[cell, tier] = (wait, now)
+    def record_wait(self, cell, tier, wait, now, workspace=None):
+        """Store the wait in seconds that a coordinator expects for a tier.
 
-    def expected_wait(self, cell, tier, now):
-        """Return the expected wait in seconds; 0 without a recent report."""
-        wait, received_at = self._wait_by_cell_and_tier.get((cell, tier), (0.0, now))
-        return wait if now - received_at <= WAIT_VALIDITY_SECONDS else 0.0
+        Parameters
+        ----------
+        workspace : str or None
+            The only workspace to which it applies; None for all others.
+        """
+        waits = self._waits_by_cell_and_tier.setdefault((cell, tier), {})
+        waits[workspace] = (wait, now)
+
+    def expected_waits(self, cell, tier, now):
+        """Return the `TierWaits` of a cell; all 0 without a recent report."""
+        reported = self._waits_by_cell_and_tier.get((cell, tier), {})
+        recent = {
+            workspace: wait
+            for workspace, (wait, received_at) in reported.items()
+            if now - received_at <= WAIT_VALIDITY_SECONDS
+        }
+        plain = recent.pop(None, 0.0)
+        return TierWaits(
+            plain, {name: wait for name, wait in recent.items() if name is not None}
+        )
 
     def record_load(self, load, now):
         """Store the load of a cell if it is newer than the known one."""
--- a/almondglade/placement/pool.py
+++ b/almondglade/placement/pool.py
@@ -64,11 +64,13 @@
             else self.targets.assumed_load
         )
         free = self.targets.free_slots(states, load_of)
+        tickets = (*coordinated, *own)
+        self.shares.review(cell, tickets if len(tickets) > free else (), now)
         if free <= 0:
             return
-        order = self._order(states, now)
+        order = self._order(cell, states)
         paused_here = frozenset(self.targets.paused_here(now))
-        for ticket in order.sort((*coordinated, *own)):
+        for ticket in order.sort(tickets):
             if ticket.coordinator != self.instance and self._yields(
                 ticket, peer_tickets, free, now
             ):
@@ -85,6 +87,7 @@
             if state is None:
                 continue
             order.record_start(ticket.route_tier)
+            self.shares.record_grant(cell, ticket)
             yield ticket, self._grant(ticket, state, now)
             free -= 1
             if free <= 0:
--- a/almondglade/placement/queue.py
+++ b/almondglade/placement/queue.py
@@ -6,11 +6,13 @@
 
 import itertools
 from collections import Counter
+from functools import partial
 
 from .coordination import CoordinationTerms, Coordinators, UnansweredRequests
-from .fairness import FairOrder
+from .fairness import FairOrder, arrange_by_arrival
 from .outlook import CellReports, RecentWaits
 from .places import Ticket
+from .shares import FairShares
 from .targets import Targets
 
 # Weight of the newest sample in the mean time for which a slot is held.
@@ -42,6 +44,8 @@
     on_new_term : callable
         Called without arguments when this instance begins to coordinate a cell of a
         large fleet.
+    shares : FairShares
+        How the slots of a service are shared among workspaces.
     tickets_by_service : dict of str to list of Ticket
         Requests that wait on this instance, the best first.
     latest_grant_by_coordinator : dict of str to int
@@ -58,6 +62,7 @@
         self.cell_reports = CellReports()
         self.coordination_terms = CoordinationTerms()
         self.unanswered = UnansweredRequests()
+        self.shares = FairShares()
         self.is_full_mesh = True
         self.on_new_term = lambda: None
         self.tickets_by_service: dict[str, list[Ticket]] = {}
@@ -179,11 +184,17 @@
     def _is_settled(self, cell, now):
         return self.is_full_mesh or self.coordination_terms.is_settled(cell, now)
 
-    def _order(self, states, now):
-        """Return the `FairOrder` of requests for the slots of some targets."""
+    def _order(self, cell, states):
+        """Return the `FairOrder` of requests for some targets of a cell."""
+        arrange = (
+            partial(self.shares.arrange, cell)
+            if self.shares.is_active
+            else arrange_by_arrival
+        )
         return FairOrder(
             lambda: self._running_by_route_tier(states),
             sum(state.limit() for state in states),
+            arrange,
         )
 
     def _running_by_route_tier(self, states):
--- a/almondglade/placement/waits.py
+++ b/almondglade/placement/waits.py
@@ -5,31 +5,35 @@
 centre that has free slots.
 """
 
-import itertools
-
 from .cells import Cell
-from .outlook import OVERFLOW_WAIT_SECONDS, CellLoad
+from .outlook import OVERFLOW_WAIT_SECONDS, CellLoad, TierWaits
 from .places import Ticket
 from .queue import SlotQueue
 
+# Stands for any workspace that has no request waiting; no name has this character.
+NEW_WORKSPACE = "\0"
+
 
 class ExpectedWaits(SlotQueue):
     """Adds estimates of waits to the queue."""
 
-    def expected_wait(self, service, tier, now):
+    def expected_wait(self, service, tier, now, workspace=""):
         """Return the seconds that a new request is expected to wait.
 
         Parameters
         ----------
         tier : tuple of int
             Its tier; only requests ahead of it in the order count.
+        workspace : str
+            Its workspace, whose own requests may be ahead of it.
         """
-        cell = self._choose_cell(service, tier, now)
+        cell = self._choose_cell(service, tier, now, workspace=workspace)
         if not self._has_waiting(cell):
-            return self._wait_here(cell, tier, now)
-        return self._recent_waits.get(
-            (cell, tier), now, lambda: self._wait_here(cell, tier, now)
+            return self._wait_here(cell, tier, now, workspace)
+        waits = self._recent_waits.get(
+            (cell, tier), now, lambda: self._waits_here(cell, tier, now)
         )
+        return waits.of(workspace)
 
     def _has_waiting(self, cell):
         """Return whether requests wait for the slots of a cell."""
@@ -38,27 +42,38 @@
             or self.fleet.waiting_tickets(cell)
         )
 
-    def _wait_here(self, cell, tier, now):
+    def _wait_here(self, cell, tier, now, workspace=""):
         """Return the expected wait for the targets that this instance can reach."""
-        return self.cell_wait(cell, tier, now, self.targets.usable_here(cell, now))
+        return self._waits_here(cell, tier, now).of(workspace)
+
+    def _waits_here(self, cell, tier, now):
+        return self.cell_waits(cell, tier, now, self.targets.usable_here(cell, now))
 
-    def cell_wait(self, cell, tier, now, states=None):
-        """Return the expected wait in one cell, in seconds.
+    def cell_wait(self, cell, tier, now):
+        """Return the expected wait in one cell of a workspace that has none waiting."""
+        return self.cell_waits(cell, tier, now).plain
 
-        It is computed here if all load is known, else as its coordinator reported
-        it; infinite without usable targets.
+    def cell_waits(self, cell, tier, now, states=None):
+        """Return the expected waits in one cell.
+
+        They are computed here if all load is known, else as its coordinator reported
+        them; infinite without usable targets.
 
         Parameters
         ----------
         states : list of TargetState or None
             The targets that can be used; all usable ones of the cell if None.
+
+        Returns
+        -------
+        TierWaits
         """
         if states is None:
             states = self.targets.usable(cell, now)
         if not states:
-            return float("inf")
+            return TierWaits(float("inf"))
         if not self._knows_load(cell, now):
-            return self.cell_reports.expected_wait(cell, tier, now)
+            return self.cell_reports.expected_waits(cell, tier, now)
         free = self.targets.free_slots(
             state for state in states if not state.named_rate.is_limited
         )
@@ -68,25 +83,53 @@
             state.named_rate.is_limited and self.targets.load(state) < state.limit()
             for state in states
         )
-        # Those that wait get the free slots first.
-        position = self._count_ahead(cell, tier, states, now) + (not may_be_free)
-        if position <= free:
-            return 0.0
-        hold_seconds = self.mean_hold_seconds(cell.service)
-        throughput = sum(state.throughput(hold_seconds) for state in states)
-        return (position - free) / throughput
+
+        def wait(ahead):
+            # Those that wait get the free slots first.
+            position = ahead + (not may_be_free)
+            if position <= free:
+                return 0.0
+            hold_seconds = self.mean_hold_seconds(cell.service)
+            throughput = sum(state.throughput(hold_seconds) for state in states)
+            return (position - free) / throughput
+
+        ahead_by_workspace = self._count_ahead(cell, tier, states, now)
+        return TierWaits(
+            wait(ahead_by_workspace.pop(NEW_WORKSPACE, 0)),
+            {name: wait(ahead) for name, ahead in ahead_by_workspace.items()},
+        )
 
     def _count_ahead(self, cell, tier, states, now):
-        """Return how many requests wait ahead of a new one of a tier."""
+        """Return how many requests wait ahead of a new one of a tier.
+
+        Returns
+        -------
+        dict of str to int
+            By the workspaces that have requests waiting, and for `NEW_WORKSPACE`;
+            only for that if slots are not shared among workspaces.
+        """
         waiting = self._waiting(cell)
         if not waiting:
-            return 0
-        newest = Ticket(cell.service, tier, now, owner=self.instance)
-        ahead = itertools.takewhile(
-            lambda ticket: ticket is not newest,
-            self._order(states, now).sort([newest, *waiting]),
-        )
-        return sum(1 for _ in ahead)
+            return {}
+        workspaces = {NEW_WORKSPACE}
+        if self.shares.is_active:
+            workspaces.update(
+                ticket.workspace for ticket in waiting if ticket.tier == tier
+            )
+        newest = {
+            Ticket(cell.service, tier, now, owner=self.instance, workspace=workspace)
+            for workspace in workspaces
+        }
+        ahead_by_workspace: dict[str, int] = {}
+        ahead = 0
+        for ticket in self._order(cell, states).sort([*newest, *waiting]):
+            if ticket not in newest:
+                ahead += 1
+                continue
+            ahead_by_workspace[ticket.workspace] = ahead
+            if len(ahead_by_workspace) == len(workspaces):
+                break
+        return ahead_by_workspace
 
     def _choose_cell_for(self, ticket, now, current=None):
         """Return the cell in which a request of this instance should wait.
@@ -94,7 +137,9 @@
         One that needs a software version waits in a cell with targets of it.
         """
         if not ticket.version:
-            return self._choose_cell(ticket.service, ticket.tier, now, current)
+            return self._choose_cell(
+                ticket.service, ticket.tier, now, current, ticket.workspace
+            )
         cells = self.targets.cells.for_service(ticket.service)
         suitable = [
             cell
@@ -107,7 +152,7 @@
         home = current or Cell(ticket.service, self.data_centre)
         return home if home in suitable else self.cell_reports.rng.choice(suitable)
 
-    def _choose_cell(self, service, tier, now, current=None):
+    def _choose_cell(self, service, tier, now, current=None, workspace=""):
         """Return the cell in which a request should wait for a slot.
 
         Parameters
@@ -119,7 +164,7 @@
         if len(cells) == 1:
             return cells[0]
         home = current or Cell(service, self.data_centre)
-        wait = self._wait_here(home, tier, now)
+        wait = self._wait_here(home, tier, now, workspace)
         if wait <= OVERFLOW_WAIT_SECONDS:
             return home
         others = [
