Log and count how slots are shared among workspaces

Cause: an operator could not see who was over the share, or who was refused within it.

Change: a line when a workspace goes over its share or returns, one for each refusal, and a counter and a gauge without labels that grow with workspaces. Features.fair_shares turns the sharing off.

--- a/almondglade/gateway/node.py
+++ b/almondglade/gateway/node.py
@@ -379,6 +379,8 @@
                     name: terms.cold_rate
                     for name, terms in catalogue.service_by_name.items()
                 }
+                if self.settings.features.fair_shares:
+                    self.pools.shares.configure(catalogue.workspace_by_key.values())
                 self.allowances.ensure_buckets(catalogue.workspace_by_key.values(), now)
             self.scheduler.match()
         self.connections.retain(
--- a/almondglade/gateway/scheduling.py
+++ b/almondglade/gateway/scheduling.py
@@ -8,6 +8,7 @@
 from ..outcome import Code, Outcome, RequestError
 from ..placement.places import Ticket
 from .run import GatewayRun
+from .sharing import log_share_changes, record_share_refusal
 
 log = get_logger("requests")
 
@@ -198,6 +199,10 @@
             if expected_wait <= max_wait or is_begun:
                 self.pools.enqueue(ticket, now)
                 self.match()
+            else:
+                record_share_refusal(
+                    self.pools, self.metrics, request, expected_wait, now
+                )
         if expected_wait > max_wait and not is_begun:
             raise self._overload_error(request, expected_wait, "too much work waits")
         self.on_change()
@@ -210,6 +215,9 @@
             still_waiting = self.pools.withdraw(ticket)
             if still_waiting:
                 expected_wait = self._expected_wait(request, self.clock())
+                record_share_refusal(
+                    self.pools, self.metrics, request, expected_wait, self.clock()
+                )
         if still_waiting:
             self.on_change()
         if request.caller_connection.disconnected:
@@ -233,7 +241,10 @@
         backoff = self.pools.targets.backoff_seconds(
             request.service, request.version, now
         )
-        return backoff or self.pools.expected_wait(request.service, request.tier, now)
+        workspace = request.workspace.name if request.workspace else ""
+        return backoff or self.pools.expected_wait(
+            request.service, request.tier, now, workspace
+        )
 
     def _max_wait(self, request, now):
         time_left = request.deadline - now
@@ -326,6 +337,7 @@
                 ticket.on_granted()
         for peer, grants in grants_by_peer.items():
             self.send_grants(peer, grants)
+        log_share_changes(self.pools.shares)
         return set(grants_by_peer)
 
     def may_retry(self, request):
--- a/almondglade/metrics.py
+++ b/almondglade/metrics.py
@@ -47,6 +47,11 @@
         ("service", "code"),
         "Requests that a gateway refused without sending them, by why.",
     ),
+    "share_refusals_total": (
+        ("service", "result"),
+        "Requests refused for want of a slot, by whether others of their workspace "
+        "were ahead of them (over) or not (within).",
+    ),
     "target_pauses_total": (
         ("service",),
         "Times that a gateway ceased to use a target for a while.",
@@ -104,6 +109,11 @@
     "target_limit": (("target",), "Concurrency limit of a target, when coordinated."),
     "target_running": (("target",), "Permits counted against a target."),
     "requests_waiting": (("service",), "Requests that wait at this gateway."),
+    "workspaces_over_share": (
+        ("service",),
+        "Workspaces that hold more than their share at the coordinator here, while "
+        "others wait.",
+    ),
     "places_free": (("service",), "Free places of a service, as seen here."),
     "targets_paused": ((), "Targets that this gateway does not use for now."),
     "services_cut_off": ((), "Services none of whose targets can be reached."),
@@ -205,6 +215,9 @@
         free_slots = {
             name: pools.free_slots(name, now) for name in pools.targets.services()
         }
+        over_share = {
+            name: pools.shares.count_over_share(name, now) for name in free_slots
+        }
         paused = len(pools.targets.paused_here(now))
         rate_limited = sum(
             state.named_rate.is_limited
@@ -225,11 +238,12 @@
     metrics.set("targets_rate_limited", rate_limited)
     metrics.set("evidence_age_seconds", min(evidence_age, MAX_AGE_SECONDS))
     metrics.set("log_lines_left_out", dropped_lines())
-    for name in ("requests_waiting", "places_free"):
+    for name in ("requests_waiting", "places_free", "workspaces_over_share"):
         metrics.clear(name)
     for service, slots in free_slots.items():
         metrics.set("places_free", slots, service=service)
         metrics.set("requests_waiting", waiting[service], service=service)
+        metrics.set("workspaces_over_share", over_share[service], service=service)
 
 
 def set_gauges(metrics, node):
