Expect a flooder's queue to move at the pace of its workspace

Cause: the expected wait counted who is ahead now, but later requests of other workspaces pass a flooder's, so half of its refusals came after a wait in vain.

Change: the coordinator keeps the work that each workspace was granted in the last second, its fair share at least, and reports the wait of a backlog at that pace, also in a full mesh. The accounts are a module of their own.

--- a/almondglade/gateway/exchange.py
+++ b/almondglade/gateway/exchange.py
@@ -10,7 +10,7 @@
 )
 from ..log import get_logger
 from ..placement.cells import Cell
-from ..placement.outlook import RecentWaits
+from ..placement.outlook import RecentWaits, TierWaits
 from ..placement.places import PeerLoad
 from .sharedstates import SharedStateExchange
 from .waitingreports import expected_waits, tickets_from, waiting_request
@@ -247,8 +247,11 @@
                 )
 
     def _expected_waits(self, load, now):
-        """Return the expected waits of new requests like those of a peer."""
-        if self.pools.is_full_mesh:
+        """Return the expected waits of new requests like those of a peer.
+
+        In a full mesh, a peer only lacks the waits of workspaces behind their own.
+        """
+        if self.pools.is_full_mesh and not self.pools.shares.is_active:
             return ()
         own = self.settings.instance
         workspaces_by_key: dict[tuple, set] = {}
@@ -266,9 +269,12 @@
         )
 
     def _tier_waits(self, cell, tier, now):
-        return self._recent_waits.get(
-            (cell, tier), now, lambda: self.pools.cell_waits(cell, tier, now)
-        )
+        def count():
+            if self.pools.is_full_mesh:
+                return TierWaits(0.0, self.pools.own_waits(cell, tier, now))
+            return self.pools.cell_waits(cell, tier, now)
+
+        return self._recent_waits.get((cell, tier), now, count)
 
     def send_grants(self, peer, grants, waits=()):
         """Send grants to a peer; safe from any thread.
--- a/almondglade/placement/shares.py
+++ b/almondglade/placement/shares.py
@@ -12,29 +12,21 @@
 """
 
 import heapq
-import math
 import statistics
 from collections import Counter
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from .cells import Cell
 from .fairness import by_arrival
+from .shareaccounts import (
+    MEAN_WEIGHT,
+    REVIEW_SECONDS,
+    REVIEW_VALIDITY_SECONDS,
+    CellAccount,
+)
 
 # Fewest workspaces with allowances among which slots are shared.
 MIN_WORKSPACES = 2
-# Weight of a workspace without an allowance, and the mean weight of those with one.
-MEAN_WEIGHT = 1.0
-# Weight of the newest request in the mean work of a request.
-MEAN_WORK_WEIGHT = 0.02
-# Workspaces whose tags one account keeps before it drops those without effect.
-MAX_TAGS = 256
-# Interval at which granted work is compared with the shares; several slot times.
-REVIEW_SECONDS = 1.0
-# A review is used for this long; none is made while no requests wait.
-REVIEW_VALIDITY_SECONDS = 2.0 * REVIEW_SECONDS
-# A workspace is over its share when it holds more than this multiple of it; single
-# large requests make small differences.
-OVER_SHARE_RATIO = 1.25
 # Most changes that are kept until they are logged.
 MAX_CHANGES = 64
 
@@ -66,42 +58,6 @@
     }
 
 
-@dataclass
-class TierAccount:
-    """Start tags of the workspaces in one tier of a cell.
-
-    Attributes
-    ----------
-    newest_tag : float
-        Start tag of the newest grant, in weighted work.
-    next_tag_by_workspace : dict of str to float
-        Start tag of the next request; the newest tag if lower or missing.
-    unnamed_weight : float
-        Weight of the requests without a workspace.
-    """
-
-    newest_tag: float = 0.0
-    next_tag_by_workspace: dict[str, float] = field(default_factory=dict)
-    unnamed_weight: float = MEAN_WEIGHT
-
-    def next_tag(self, workspace):
-        """Return the start tag of the next request of a workspace."""
-        return max(
-            self.newest_tag, self.next_tag_by_workspace.get(workspace, -math.inf)
-        )
-
-    def record_grant(self, workspace, weighted_work):
-        """Move the tag of a workspace on by the work of a granted request."""
-        self.newest_tag = self.next_tag(workspace)
-        self.next_tag_by_workspace[workspace] = self.newest_tag + weighted_work
-        if len(self.next_tag_by_workspace) > MAX_TAGS:
-            self.next_tag_by_workspace = {
-                name: tag
-                for name, tag in self.next_tag_by_workspace.items()
-                if tag > self.newest_tag
-            }
-
-
 @dataclass(frozen=True)
 class ShareChange:
     """A workspace that has gone over its share of a cell, or is back within it.
@@ -119,89 +75,6 @@
     held: float
 
 
-class CellAccount:
-    """The work that was granted in one cell.
-
-    Attributes
-    ----------
-    account_by_tier : dict of tuple of int to TierAccount
-    mean_work : float
-        Mean work of the requests that state theirs, in tokens; 1 if none does.
-    over_share : frozenset of str
-        Workspaces that held more than their share at the last review.
-    """
-
-    def __init__(self):
-        self.account_by_tier: dict[tuple[int, ...], TierAccount] = {}
-        self.mean_work = 1.0
-        self.over_share: frozenset[str] = frozenset()
-        self._has_known_work = False
-        self._work_by_workspace: Counter = Counter()
-        self.reviewed_at = -math.inf
-
-    def tier(self, tier):
-        """Return the account of a tier."""
-        account = self.account_by_tier.get(tier)
-        if account is None:
-            account = self.account_by_tier[tier] = TierAccount()
-        return account
-
-    def work(self, ticket):
-        """Return the work of a request, the mean if it is not known."""
-        return ticket.tokens or self.mean_work
-
-    def record_grant(self, ticket, weight):
-        """Count the work of a granted request."""
-        if ticket.tokens:
-            step = MEAN_WORK_WEIGHT if self._has_known_work else 1.0
-            self.mean_work += step * (ticket.tokens - self.mean_work)
-            self._has_known_work = True
-        work = self.work(ticket)
-        self.tier(ticket.tier).record_grant(ticket.workspace, work / weight)
-        self._work_by_workspace[ticket.workspace] += work
-
-    def review(self, waiting, weight_of, now):
-        """Compare the work granted since the last review with the shares.
-
-        A workspace is not over its share while no other waits, as nobody lacks what it
-        holds.
-
-        Parameters
-        ----------
-        waiting : set of str
-            Workspaces whose requests wait.
-
-        Returns
-        -------
-        list of (str, bool, float, float)
-            Workspace, whether it is over its share, the share, and what it holds, for
-            those for which that has changed.
-        """
-        self.reviewed_at = now
-        granted, self._work_by_workspace = self._work_by_workspace, Counter()
-        total_work = sum(granted.values())
-        total_weight = sum(map(weight_of, granted.keys() | waiting))
-        share_by_workspace = {
-            name: weight_of(name) / total_weight for name in granted.keys() | waiting
-        }
-        held_by_workspace = {name: work / total_work for name, work in granted.items()}
-        over_share = frozenset(
-            name
-            for name, held in held_by_workspace.items()
-            if waiting - {name} and held > OVER_SHARE_RATIO * share_by_workspace[name]
-        )
-        changed, self.over_share = over_share ^ self.over_share, over_share
-        return [
-            (
-                name,
-                name in over_share,
-                share_by_workspace.get(name, 0.0),
-                held_by_workspace.get(name, 0.0),
-            )
-            for name in sorted(changed)
-        ]
-
-
 class FairShares:
     """Orders the waiting requests of each tier by workspace.
 
@@ -275,6 +148,34 @@
             else:
                 heapq.heappop(heap)
 
+    def own_waits(self, cell, tier, tickets, now):
+        """Return how long new requests would wait for others of their workspaces.
+
+        Later requests of other workspaces pass those of one that is beyond its share,
+        so its queue moves at the pace at which it was granted work.
+
+        Parameters
+        ----------
+        cell : Cell
+        tier : tuple of int
+        tickets : iterable of Ticket
+            Requests that wait in the cell.
+
+        Returns
+        -------
+        dict of str to float
+            Seconds, by workspaces that were granted work lately and have some waiting.
+        """
+        account = self._account_by_cell.get(cell)
+        if account is None or now - account.reviewed_at >= REVIEW_VALIDITY_SECONDS:
+            return {}
+        pace_by_workspace = account.pace_by_tier.get(tier, {})
+        backlog: Counter = Counter()
+        for ticket in tickets:
+            if ticket.tier == tier and ticket.workspace in pace_by_workspace:
+                backlog[ticket.workspace] += account.work(ticket)
+        return {name: work / pace_by_workspace[name] for name, work in backlog.items()}
+
     def record_grant(self, cell, ticket):
         """Count a request that got a slot."""
         if self.is_active:
--- a/almondglade/placement/waits.py
+++ b/almondglade/placement/waits.py
@@ -94,11 +94,36 @@
             return (position - free) / throughput
 
         ahead_by_workspace = self._count_ahead(cell, tier, states, now)
+        plain = wait(ahead_by_workspace.pop(NEW_WORKSPACE, 0))
+        if not ahead_by_workspace:
+            return TierWaits(plain)
+        own_wait_by_workspace = self.own_waits(cell, tier, now)
+        wait_by_workspace = {
+            name: wait(ahead) for name, ahead in ahead_by_workspace.items()
+        }
         return TierWaits(
-            wait(ahead_by_workspace.pop(NEW_WORKSPACE, 0)),
-            {name: wait(ahead) for name, ahead in ahead_by_workspace.items()},
+            plain,
+            {
+                # Where slots are free, nobody waits for the pace of a workspace.
+                name: seconds and max(seconds, own_wait_by_workspace.get(name, 0.0))
+                for name, seconds in wait_by_workspace.items()
+            },
         )
 
+    def own_waits(self, cell, tier, now):
+        """Return how long new requests would wait for others of their workspaces.
+
+        Only the coordinator knows it; others use what it has reported.
+
+        Returns
+        -------
+        dict of str to float
+            Seconds by workspace, of those for which it is known.
+        """
+        if self.coordinator(cell, now) == self.instance:
+            return self.shares.own_waits(cell, tier, self._waiting(cell), now)
+        return self.cell_reports.expected_waits(cell, tier, now).wait_by_workspace
+
     def _count_ahead(self, cell, tier, states, now):
         """Return how many requests wait ahead of a new one of a tier.
 
--- a/test/sharing.py
+++ b/test/sharing.py
@@ -6,11 +6,13 @@
 from dataclasses import dataclass, replace
 
 from almondglade.catalogue import WorkspaceTerms
+from almondglade.placement.cells import Cell
 from almondglade.placement.places import PeerLoad
 
 from .placing import SERVICE, make_pools, record, ticket
 
 MAX_WAIT_SECONDS = 0.7
+CELL = Cell(SERVICE, "")
 
 
 @dataclass(frozen=True)
@@ -63,6 +65,9 @@
         )
         receiver.fleet.update(sender.instance, load)
         sender.record_answer(receiver.instance, now)
+        if sender.coordinator(CELL, now) == sender.instance:
+            for name, wait in sender.own_waits(CELL, (0, 0), now).items():
+                receiver.cell_reports.record_wait(CELL, (0, 0), wait, now, name)
 
 
 def replay(pools_by_instance, streams, seconds, seconds_per_token, lost=()):
--- a/test/test_fair_shares.py
+++ b/test/test_fair_shares.py
@@ -12,11 +12,8 @@
 from almondglade.gossip.messages import Grants
 from almondglade.placement.cells import Cell
 from almondglade.placement.outlook import TierWaits
-from almondglade.placement.shares import (
-    OVER_SHARE_RATIO,
-    FairShares,
-    weights_by_workspace,
-)
+from almondglade.placement.shareaccounts import OVER_SHARE_RATIO
+from almondglade.placement.shares import FairShares, weights_by_workspace
 
 from .placing import ticket
 from .sharing import Stream, make_fleet, replay, terms, work_by_workspace
@@ -232,3 +229,19 @@
     assert shares.count_over_share("drafts", 2.5) == 1
     shares.review(cell, (), 3.0)
     assert [change.is_over for change in shares.take_changes()] == [False]
+
+
+def test_a_flooder_is_told_to_wait_for_its_own_requests_and_others_are_not():
+    pools = make_fleet(("e1",), SLOTS, terms(NAMES[:2]))["e1"]
+    shares, cell = pools.shares, Cell("drafts", "")
+    flood = [ticket(workspace=NAMES[1], tokens=500, number=n) for n in range(10)]
+    for now in (0.0, 1.0):
+        shares.review(cell, flood, now)
+        for name in (NAMES[0], *[NAMES[1]] * 4):
+            shares.record_grant(cell, ticket(workspace=name, tokens=500))
+    shares.review(cell, flood, 2.0)
+    other = ticket(workspace=NAMES[0], tokens=500)
+    waits = shares.own_waits(cell, (0, 0), [*flood, other], 2.1)
+    # Granted 2000 tokens per second, and 500; the share of each is 1250.
+    assert waits == {NAMES[1]: 10 * 500 / 2000, NAMES[0]: 500 / 1250}
+    assert shares.own_waits(cell, (0, 0), flood, 9.0) == {}
