--- a/test/test_fair_shares.py
+++ b/test/test_fair_shares.py
@@ -2,6 +2,7 @@
 
 import random
 from collections import Counter
+from types import SimpleNamespace
 
 import msgpack
 import pytest
@@ -9,14 +10,16 @@
 from almondglade.catalogue import WorkspaceTerms
 from almondglade.gateway.waitingreports import expected_waits
 from almondglade.gossip.codec import decode, encode
-from almondglade.gossip.messages import Grants
+from almondglade.gossip.messages import Grants, Report, WaitingRequest
 from almondglade.placement.cells import Cell
+from almondglade.placement.coordination import InstanceInfo
 from almondglade.placement.outlook import TierWaits
 from almondglade.placement.shareaccounts import OVER_SHARE_RATIO
 from almondglade.placement.shares import FairShares, weights_by_workspace
 
-from .placing import ticket
+from .placing import record, ticket
 from .sharing import Stream, make_fleet, replay, terms, work_by_workspace
+from .test_cells import make_exchange
 
 NAMES = [f"w{number}" for number in range(16)]
 FLOODER = NAMES[-1]
@@ -245,3 +248,44 @@
     # Granted 2000 tokens per second, and 500; the share of each is 1250.
     assert waits == {NAMES[1]: 10 * 500 / 2000, NAMES[0]: 500 / 1250}
     assert shares.own_waits(cell, (0, 0), flood, 9.0) == {}
+
+
+@pytest.mark.parametrize("is_full_mesh", [True, False])
+def test_a_coordinator_tells_a_peer_the_waits_of_its_workspaces(is_full_mesh):
+    info_by_instance = {"e1": InstanceInfo("north", 2.0), "e2": InstanceInfo("north")}
+    exchange, _ = make_exchange("e1", "north", info_by_instance)
+    exchange.set_instances(info_by_instance, is_full_mesh)
+    sent, pools = [], exchange.pools
+    pools.set_targets([record("t1", slots=1)])
+    pools.shares.configure(terms(NAMES[:2]))
+    exchange.gossip = SimpleNamespace(
+        call_later=lambda seconds, callback: callback(),
+        send_to_all_soon=lambda message: None,
+        send_soon=lambda names, message: sent.append(message),
+    )
+    exchange.match = lambda: pools.match(exchange.clock()) and set()
+    flood, other = (
+        [
+            WaitingRequest(
+                10 * index + number,
+                "drafts",
+                (0, 0),
+                0.0,
+                coordinator="e1",
+                time_left=3.0,
+                workspace=name,
+                tokens=500,
+            )
+            for number in range(count)
+        ]
+        for index, (name, count) in enumerate([(NAMES[1], 9), (NAMES[0], 1)], 1)
+    )
+    cell = pools.targets.cells.for_service("drafts")[0]
+    now = exchange.clock()
+    pools.shares.review(cell, (), now - 1.5)
+    pools.shares.record_grant(cell, ticket(workspace=NAMES[1], tokens=500))
+    exchange.handle_report(Report("e2", "north", 1, 1, waiting=(*flood, *other)))
+    wait_by_workspace = {wait.workspace: wait.seconds for wait in sent[-1].waits}
+    assert wait_by_workspace[NAMES[1]] > max(
+        wait_by_workspace[None], wait_by_workspace.get(NAMES[0], 0.0)
+    )
