--- a/almondglade/gateway/exchange.py
+++ b/almondglade/gateway/exchange.py
@@ -4,31 +4,27 @@
 
 from ..clocks import boottime_clock
 from ..gossip.messages import (
-    ExpectedWait,
     Grant,
     Grants,
     Report,
     ReportRequest,
-    SharedState,
-    WaitingRequest,
 )
 from ..gossip.peerclocks import PeerClocks
 from ..log import get_logger
-from ..placement.allowance import Scope
 from ..placement.cells import Cell
-from ..placement.outlook import RecentWaits
-from ..placement.places import PeerLoad, Ticket
+from ..placement.outlook import RecentWaits, TierWaits
+from ..placement.places import PeerLoad
+from .sharedstates import SharedStateExchange
+from .waitingreports import expected_waits, tickets_from, waiting_request
 
 log = get_logger("exchange")
 
-# Largest remaining time that is reported, as a deadline may be infinite.
-MAX_TIME_LEFT_SECONDS = 3600.0
 # A coordinator of a large fleet makes one decision for all reports that arrive within
 # this time; a decision takes about a quarter of it while hundreds of requests wait.
 BATCH_SECONDS = 0.004
 
 
-class Exchange:
+class Exchange(SharedStateExchange):
     """Makes messages to peers from the scheduling state, and applies theirs to it.
 
     Parameters
@@ -72,20 +68,15 @@
     def __init__(
         self, settings, incarnation, lock, pools, allowances, freshness, registry, clock
     ):
-        self.settings = settings
+        super().__init__(settings, pools, allowances, freshness, registry)
         self.incarnation = incarnation
         self.lock = lock
-        self.pools = pools
-        self.allowances = allowances
-        self.freshness = freshness
-        self.registry = registry
         self.clock = clock
         self.leaving = False
         self.gossip: Any = None
         self.suspects: Any = None
         self.origins: Any = None
         self.limits: Any = None
-        self.peer_states: Any = None
         self.match: Any = set
         self._last_receivers: set[str] = set()
         self._incarnation_by_peer: dict[str, int] = {}
@@ -125,22 +116,7 @@
                 self.leaving,
                 self.pools.running_here(),
                 tuple(
-                    WaitingRequest(
-                        ticket.number,
-                        ticket.service,
-                        ticket.tier,
-                        now - ticket.arrived_at,
-                        tuple(ticket.attempted_targets),
-                        ticket.coordinator,
-                        ticket.expected_events,
-                        min(ticket.deadline - now, MAX_TIME_LEFT_SECONDS),
-                        ticket.cell_data_centre,
-                        ticket.isolated_fingerprint,
-                        ticket.version,
-                        ticket.workspace,
-                        ticket.tokens,
-                    )
-                    for ticket in self.pools.waiting_here()
+                    waiting_request(ticket, now) for ticket in self.pools.waiting_here()
                 ),
                 dict(self.pools.latest_grant_by_coordinator),
                 tuple(self.pools.targets.paused_here(now)),
@@ -150,24 +126,6 @@
                 sent_at,
             )
 
-    def _shared_state(self, scope, receiver, now):
-        loads = self.pools.loads_here(now)
-        for load in loads:
-            self.pools.cell_reports.record_load(load, now)
-        return SharedState(
-            self.registry.catalogue_revision,
-            self.freshness.age(boottime_clock()),
-            scope,
-            self.allowances.counters_for(scope, receiver),
-            tuple(
-                loads
-                if scope is Scope.OWN
-                else self.pools.cell_reports.recent_loads(now)
-            ),
-            self.freshness.version,
-            self.registry.position,
-        )
-
     def report_receivers(self):
         """Return the coordinators to report to, and when to report again.
 
@@ -239,7 +197,7 @@
         load = PeerLoad(
             load_at,
             report.running_by_target,
-            tuple(self._tickets_from(report, load_at)),
+            tuple(tickets_from(report, load_at)),
             report.latest_grant_by_coordinator.get(own, 0),
             frozenset(report.paused_targets),
             report.stats_by_target,
@@ -299,90 +257,35 @@
                     peer, unconfirmed_by_peer[peer], self._expected_waits(load, now)
                 )
 
-    def _apply_shared_state(self, report, shared_state, now, said_at):
-        self.allowances.apply_peer_counters(
-            report.instance,
-            report.incarnation,
-            shared_state.consumed_by_workspace,
-            shared_state.scope,
-            None if self.pools.is_full_mesh else now,
-            self._is_counted(report, shared_state.scope, now),
-        )
-        self._apply_configuration_evidence(report.instance, shared_state, said_at)
-        for cell_load in shared_state.cells:
-            self.pools.cell_reports.record_load(cell_load, now)
-
-    def _apply_configuration_evidence(self, peer, shared_state, said_at):
-        was_outdated = self.freshness.is_outdated
-        self.freshness.confirm(
-            shared_state.version, said_at - shared_state.evidence_age, boottime_clock()
-        )
-        self.peer_states.record(peer, shared_state.version, shared_state.store_position)
-        if self.freshness.is_outdated and not was_outdated:
-            log.info(
-                "a peer has a newer configuration",
-                peer=peer,
-                version=shared_state.version,
-                version_in_force=self.freshness.version,
-                evidence_age=round(shared_state.evidence_age, 3),
-            )
-
-    def _is_counted(self, report, scope, now):
-        """Return whether the consumption in a report is to be counted.
+    def _expected_waits(self, load, now):
+        """Return the expected waits of new requests like those of a peer.
 
-        The same consumption must count once only. While instances disagree on the
-        relay of a data centre, several of them relay it; only the reports of the relay
-        that is chosen here are counted.
+        In a full mesh, a peer only lacks the waits of workspaces behind their own.
         """
-        if self.pools.is_full_mesh:
-            return scope is Scope.OWN
-        if scope is Scope.OWN:
-            return report.data_centre == self.settings.data_centre
-        relay = self.pools.coordinators.choose("", now, report.data_centre)
-        return report.instance == relay
-
-    def _expected_waits(self, load, now):
-        """Return the expected waits of new requests like those of a peer."""
-        if self.pools.is_full_mesh:
+        if self.pools.is_full_mesh and not self.pools.shares.is_active:
             return ()
         own = self.settings.instance
-        keys = {(entry.cell, entry.tier) for entry in load.tickets}
-        return tuple(
-            ExpectedWait(
-                cell.service,
-                cell.data_centre,
-                tier,
-                self._expected_wait(cell, tier, now),
+        workspaces_by_key: dict[tuple, set] = {}
+        for entry in load.tickets:
+            workspaces_by_key.setdefault((entry.cell, entry.tier), set()).add(
+                entry.workspace
             )
-            for cell, tier in keys
+        return tuple(
+            wait
+            for (cell, tier), workspaces in workspaces_by_key.items()
             if self.pools.coordinator(cell, now) == own
+            for wait in expected_waits(
+                cell, tier, self._tier_waits(cell, tier, now), workspaces
+            )
         )
 
-    def _expected_wait(self, cell, tier, now):
-        return self._recent_waits.get(
-            (cell, tier), now, lambda: self.pools.cell_wait(cell, tier, now)
-        )
+    def _tier_waits(self, cell, tier, now):
+        def count():
+            if self.pools.is_full_mesh:
+                return TierWaits(0.0, self.pools.own_waits(cell, tier, now))
+            return self.pools.cell_waits(cell, tier, now)
 
-    @staticmethod
-    def _tickets_from(report, said_at):
-        for entry in report.waiting:
-            yield Ticket(
-                entry.service,
-                entry.tier,
-                said_at - entry.age,
-                frozenset(entry.attempted_targets),
-                owner=report.instance,
-                data_centre=report.data_centre,
-                expected_events=entry.expected_events,
-                deadline=said_at + entry.time_left,
-                number=entry.number,
-                coordinator=entry.coordinator,
-                cell_data_centre=entry.cell_data_centre,
-                isolated_fingerprint=entry.isolated_fingerprint,
-                version=entry.version,
-                workspace=entry.workspace,
-                tokens=entry.tokens,
-            )
+        return self._recent_waits.get((cell, tier), now, count)
 
     def send_grants(self, peer, grants, waits=()):
         """Send grants to a peer; safe from any thread.
@@ -412,6 +315,7 @@
                     wait.tier,
                     wait.seconds,
                     now,
+                    wait.workspace,
                 )
             tickets = [
                 self.pools.apply_grant(
