--- a/almondglade/entry/relaying.py
+++ b/almondglade/entry/relaying.py
@@ -129,7 +129,10 @@
         on_end, self._on_end = self._on_end, None
         if on_end is not None:
             self._run.close()
-            on_end(self._error)
+            error, self._error = self._error, None
+            on_end(error)
+            # The error's traceback refers to this object, and so to the request's body,
+            # until it is dropped.
 
     def _fail(self, error):
         self._error = error
--- a/almondglade/placement/ownlimits.py
+++ b/almondglade/placement/ownlimits.py
@@ -168,7 +168,8 @@
         former = self.rate
         if overloaded:
             self._refill(now)
-            self.rate = max(MIN_RATE, DECREASE_FACTOR * min(self.rate, accepted))
+            factor = min(DECREASE_FACTOR, LINK_SHARE / max(self.link_use, LINK_SHARE))
+            self.rate = max(MIN_RATE, factor * min(self.rate, accepted))
             self._tokens = min(self._tokens, BURST_SECONDS * self.rate)
         else:
             self.rate *= INCREASE_FACTOR
--- a/test/gatewayfleet.py
+++ b/test/gatewayfleet.py
@@ -84,6 +84,8 @@
         Number of gateways.
     bounds : dict
         Bounds of the settings file that differ from the defaults.
+    limits : dict
+        What the settings file declares of the machine, besides memory and files.
     source_by_address : dict of str to Path
         Source folders of the gateways that run another build than this one.
     """
@@ -91,6 +93,7 @@
     folder: object
     count: int = 1
     bounds: dict = field(default_factory=dict)
+    limits: dict = field(default_factory=dict)
     source_by_address: dict = field(default_factory=dict)
 
     def __enter__(self):
@@ -218,6 +221,7 @@
                 self.store_address(address),
                 bounds | self.bounds,
                 self.is_first_start,
+                self.limits,
             )
         )
         log = self.stack.enter_context(open(self.folder / f"{address}.log", "ab"))
@@ -258,11 +262,14 @@
         self.processes[index].send_signal(signal.SIGTERM)
 
 
-def settings_text(address, listen, peer_port, seeds, store, bounds, first_start=True):
+def settings_text(
+    address, listen, peer_port, seeds, store, bounds, first_start=True, limits=None
+):
     """Return a settings file as the platform writes it."""
     values = "\n".join(
         f"{name} = {orjson.dumps(value).decode()}" for name, value in bounds.items()
     )
+    machine = "\n".join(f"{name} = {value}" for name, value in (limits or {}).items())
     ports = "\n".join(f'{name} = "{address}:{port}"' for name, port in listen.items())
     return f"""
 nodeName = "e-{address}"
@@ -277,6 +284,7 @@
 [limits]
 memoryMb = 150
 maxFds = 4100
+{machine}
 [bounds]
 {values}
 [platform]
--- a/test/test_own_limits.py
+++ b/test/test_own_limits.py
@@ -233,12 +233,16 @@
 
 @pytest.mark.parametrize(
     ("limits", "machine"),
-    [("", None), ("linkMbps = 5.0", Machine(625_000.0)), ("cpuShare = 0.5", Machine())],
+    [
+        ({}, None),
+        ({"linkMbps": 5.0}, Machine(625_000.0)),
+        ({"cpuShare": 0.5}, Machine()),
+    ],
 )
 def test_the_machine_is_what_the_settings_declare(tmp_path, limits, machine):
     listen = {"front": 1, "ready": 2}
-    text = settings_text("127.0.0.1", listen, 3, [], "127.0.0.1:4", {})
+    text = settings_text("127.0.0.1", listen, 3, [], "127.0.0.1:4", {}, limits=limits)
     path = tmp_path / "settings.toml"
-    path.write_text(text.replace("[limits]", f"[limits]\n{limits}"))
+    path.write_text(text)
     settings = load_gateway_settings(environment={SETTINGS_VARIABLE: str(path)})
     assert settings.machine == machine
