Serve requests first that can still be answered within their objective

Cause: in an overload all requests of a tier wait for about as long as they may. Each slot went to one that had waited so long that its answer came late, while others that could still be in time waited until they could not either.

Change: tickets carry the time by which they must be sent to be answered in time, learned from how slowly the targets of the service respond. Inside a tier, and among the requests of each workspace, those that can be in time go first; the others get what is left. In force where several workspaces have allowances.

--- a/almondglade/gateway/node.py
+++ b/almondglade/gateway/node.py
@@ -24,6 +24,7 @@
 from ..placement.freshness import Freshness
 from ..placement.pool import Pools
 from ..placement.resends import RetryBudget
+from ..placement.shares import weights_by_workspace
 from ..platform.promptcache import PromptCacheClient
 from ..platform.questions import ReadinessEndpoint
 from ..platform.store import StoreClient
@@ -395,8 +396,13 @@
                     name: terms.cold_rate
                     for name, terms in catalogue.service_by_name.items()
                 }
+                workspaces = catalogue.workspace_by_key.values()
                 if self.settings.features.fair_shares:
-                    self.pools.shares.configure(catalogue.workspace_by_key.values())
+                    self.pools.shares.configure(workspaces)
+                self.pools.response_times.is_active = (
+                    self.settings.features.timely_first
+                    and bool(weights_by_workspace(workspaces))
+                )
                 self.allowances.ensure_buckets(catalogue.workspace_by_key.values(), now)
             self.scheduler.match()
         self.connections.retain(
--- a/almondglade/gateway/run.py
+++ b/almondglade/gateway/run.py
@@ -328,6 +328,7 @@
             self._update_health(
                 lambda health, now: health.record_success(now, slowness)
             )
+            self.scheduler.record_response_time(self.request.service, slowness)
 
     def _record_pace(self):
         pace = self.meter.event_seconds(self.clock())
--- a/almondglade/gateway/scheduling.py
+++ b/almondglade/gateway/scheduling.py
@@ -7,6 +7,7 @@
 from ..log import get_logger
 from ..outcome import Code, Outcome, RequestError
 from ..placement.places import Ticket
+from .measuring import expected_first_byte_seconds
 from .run import GatewayRun
 from .sharing import log_share_changes, record_share_refusal
 
@@ -226,7 +227,18 @@
         )
         return ticket
 
+    def record_response_time(self, service, slowness):
+        """Record how much slower than expected a target began to respond."""
+        with self.lock:
+            self.pools.response_times.record(service, slowness)
+
     def _make_ticket(self, request, attempted, on_granted):
+        due_at = request.arrived_at + request.route.latency_objective
+        input_tokens = request.caller_headers.input_tokens or 0
+        with self.lock:
+            start_by = self.pools.response_times.latest_start(
+                request.service, due_at, expected_first_byte_seconds(input_tokens)
+            )
         return Ticket(
             request.service,
             request.tier,
@@ -239,6 +251,7 @@
             version=request.version,
             workspace=request.workspace.name if request.workspace else "",
             tokens=request.expected_tokens,
+            start_by=start_by,
         )
 
     def request_slot(self, request, attempted):
--- a/almondglade/gateway/settings.py
+++ b/almondglade/gateway/settings.py
@@ -57,6 +57,9 @@
     ----------
     fair_shares : bool
         Whether workspaces share the slots of a service evenly.
+    timely_first : bool
+        Whether requests that can still be answered within their objective go before
+        others of their tier.
     momentary_load : bool
         Whether what targets say of their present load counts in the choice of one.
     engine_memory : bool
@@ -71,6 +74,7 @@
     """
 
     fair_shares: bool = True
+    timely_first: bool = True
     momentary_load: bool = True
     engine_memory: bool = True
     booked_returns: bool = True
--- a/almondglade/gateway/waitingreports.py
+++ b/almondglade/gateway/waitingreports.py
@@ -23,6 +23,7 @@
         ticket.version,
         ticket.workspace,
         ticket.tokens,
+        ticket.start_by - now,
     )
 
 
@@ -45,6 +46,7 @@
             version=entry.version,
             workspace=entry.workspace,
             tokens=entry.tokens,
+            start_by=said_at + entry.start_within,
         )
 
 
--- a/almondglade/gossip/codec.py
+++ b/almondglade/gossip/codec.py
@@ -227,15 +227,20 @@
     fields = {}
     if any(entry.workspace or entry.tokens for entry in message.waiting):
         fields[WORK_FIELD] = [
-            [entry.workspace, entry.tokens] for entry in message.waiting
+            [entry.workspace, entry.tokens, _pack_start(entry.start_within)]
+            for entry in message.waiting
         ]
     if message.sent_at is not None:
         fields[SENT_FIELD] = round(message.sent_at * MILLISECONDS_PER_SECOND)
     return {FURTHER_FIELDS: fields} if fields else {}
 
 
+def _pack_start(seconds):
+    return None if math.isinf(seconds) else _to_milliseconds(seconds)
+
+
 def _unpack_work(fields, count):
-    """Return workspace and tokens of each waiting request."""
+    """Return workspace, tokens and latest start of each waiting request."""
     work = fields.get(WORK_FIELD) or [["", 0]] * count
     if len(work) != count:
         raise PeerError("malformed message: work of another number of requests")
@@ -249,10 +254,13 @@
     return _decode_count(milliseconds) / MILLISECONDS_PER_SECOND
 
 
-def _decode_work(workspace, tokens):
+def _decode_work(workspace, tokens, start=None):
     if not isinstance(workspace, str):
         raise PeerError("malformed message: a workspace is not a text")
-    return workspace, _decode_count(tokens)
+    start_within = (
+        math.inf if start is None else _decode_count(start) / MILLISECONDS_PER_SECOND
+    )
+    return workspace, _decode_count(tokens), start_within
 
 
 def _pack_stats(stats_by_target):
--- a/almondglade/gossip/messages.py
+++ b/almondglade/gossip/messages.py
@@ -41,6 +41,9 @@
         Workspace that it is for; empty if it has none.
     tokens : int
         Tokens that it is expected to take on an engine; 0 if not known.
+    start_within : float
+        Seconds within which it must be sent to be answered within its objective;
+        infinite if not known.
     """
 
     number: int
@@ -56,6 +59,7 @@
     version: str = ""
     workspace: str = ""
     tokens: int = 0
+    start_within: float = math.inf
 
 
 @dataclass(frozen=True)
--- a/almondglade/placement/places.py
+++ b/almondglade/placement/places.py
@@ -47,6 +47,9 @@
     tokens : int
         Tokens that it is expected to take on an engine, read and generated; 0 if not
         known.
+    start_by : float
+        Monotonic time by which it must be sent to be answered within its objective;
+        infinite if not known.
 
     Attributes
     ----------
@@ -80,6 +83,7 @@
     version: str = ""
     workspace: str = ""
     tokens: int = 0
+    start_by: float = float("inf")
 
     def accepts(self, record):
         """Return whether a target has the software version that it needs."""
--- a/almondglade/placement/pool.py
+++ b/almondglade/placement/pool.py
@@ -73,7 +73,7 @@
         self.shares.review(cell, tickets if len(tickets) > free else (), now)
         if free <= 0:
             return
-        order = self._order(cell, states)
+        order = self._order(cell, states, now)
         paused_here = frozenset(self.targets.paused_here(now))
         for ticket in order.sort(tickets):
             if ticket.coordinator != self.instance and self._yields(
--- a/almondglade/placement/queue.py
+++ b/almondglade/placement/queue.py
@@ -14,6 +14,7 @@
 from .places import Ticket
 from .shares import FairShares
 from .targets import Targets
+from .timeliness import ResponseTimes, arrange_timely_first
 
 # Weight of the newest sample in the mean time for which a slot is held.
 HOLD_WEIGHT = 0.05
@@ -44,6 +45,8 @@
     on_new_term : callable
         Called without arguments when this instance begins to coordinate a cell of a
         large fleet.
+    response_times : ResponseTimes
+        Learns by when requests must be sent to be answered in time.
     shares : FairShares
         How the slots of a service are shared among workspaces.
     tickets_by_service : dict of str to list of Ticket
@@ -63,6 +66,7 @@
         self.coordination_terms = CoordinationTerms()
         self.unanswered = UnansweredRequests()
         self.shares = FairShares()
+        self.response_times = ResponseTimes()
         self.is_full_mesh = True
         self.on_new_term = lambda: None
         self.tickets_by_service: dict[str, list[Ticket]] = {}
@@ -184,7 +188,7 @@
     def _is_settled(self, cell, now):
         return self.is_full_mesh or self.coordination_terms.is_settled(cell, now)
 
-    def _order(self, cell, states):
+    def _order(self, cell, states, now):
         """Return the `FairOrder` of requests for some targets of a cell."""
         arrange = (
             partial(self.shares.arrange, cell)
@@ -194,7 +198,9 @@
         return FairOrder(
             lambda: self._running_by_route_tier(states),
             sum(state.limit() for state in states),
-            arrange,
+            partial(arrange_timely_first, arrange, now)
+            if self.response_times.is_active
+            else arrange,
         )
 
     def _running_by_route_tier(self, states):
--- a/almondglade/placement/waits.py
+++ b/almondglade/placement/waits.py
@@ -151,7 +151,7 @@
         }
         ahead_by_workspace: dict[str, int] = {}
         ahead = 0
-        for ticket in self._order(cell, states).sort([*newest, *waiting]):
+        for ticket in self._order(cell, states, now).sort([*newest, *waiting]):
             if ticket not in newest:
                 ahead += 1
                 continue
--- a/test/placing.py
+++ b/test/placing.py
@@ -66,10 +66,15 @@
         return self.served / max(1, self.served + self.refused)
 
 
-def replay(pools, workloads, seconds):
+def replay(pools, workloads, seconds, start_by=lambda now: float("inf")):
     """Send the requests of workloads at their rates; return the outcome of each.
 
     Arrivals are evenly spaced, so that each run is the same.
+
+    Parameters
+    ----------
+    start_by : callable
+        Takes the time at which a request arrives and returns by when it must be sent.
     """
     numbers = itertools.count()
     events = []
@@ -82,7 +87,7 @@
     while events:
         now, _, event, workload, entry = heapq.heappop(events)
         if event == "arrive":
-            entry = ticket(workload.tier, now)
+            entry = ticket(workload.tier, now, start_by=start_by(now))
             workload_by_ticket[entry] = workload
             pools.enqueue(entry, now)
             expiry = (
--- a/test/test_fair_shares.py
+++ b/test/test_fair_shares.py
@@ -184,7 +184,7 @@
     ]
     pools = make_fleet(("e1",), SLOTS, terms(names))["e1"]
     cell = Cell("drafts", "")
-    order = pools._order(cell, pools.targets.usable(cell, 0.0))
+    order = pools._order(cell, pools.targets.usable(cell, 0.0), 0.0)
     assert list(order.sort(waiting)) == list(former_order(waiting, SLOTS))
 
 
--- a/test/test_gossip.py
+++ b/test/test_gossip.py
@@ -1,5 +1,6 @@
 """Encoding and decoding of the gossip messages."""
 
+import math
 from dataclasses import replace
 
 import msgpack
@@ -49,6 +50,7 @@
     st.sampled_from(["", "v2"]),
     st.sampled_from(["", "w1", "w2"]),
     st.integers(0, 2**40),
+    st.just(math.inf) | st.integers(-(10**6), 10**6).map(lambda value: value / 1000),
 )
 COUNTS = st.integers(0, 10**9)
 LOADS = st.builds(CellLoad, st.builds(Cell, NAMES, NAMES), COUNTS, COUNTS, SECONDS)
