Book room for refused callers that are told when to return

Cause: nothing kept the room that a Retry-After promised, so who returned was refused again. Change: ReturnCalendar paces bookings by the rate at which requests of a tier get slots; coordinators hear of them in further fields of reports and recognise returns at any instance by their fingerprint.

--- a/almondglade/gateway/exchange.py
+++ b/almondglade/gateway/exchange.py
@@ -4,6 +4,7 @@
 
 from ..clocks import boottime_clock
 from ..gossip.messages import (
+    BookedReturn,
     ExpectedWait,
     Grant,
     Grants,
@@ -17,6 +18,7 @@
 from ..placement.cells import Cell
 from ..placement.outlook import RecentWaits
 from ..placement.places import PeerLoad, Ticket
+from ..placement.returns import Booking
 
 log = get_logger("exchange")
 
@@ -136,6 +138,7 @@
                         ticket.version,
                         ticket.workspace,
                         ticket.tokens,
+                        ticket.return_fingerprint if ticket.may_be_return else 0,
                     )
                     for ticket in self.pools.waiting_here()
                 ),
@@ -144,6 +147,17 @@
                 shared_state,
                 self.pools.stats_here(now, receiver) if with_stats else None,
                 self.pools.isolated_here(),
+                tuple(
+                    BookedReturn(
+                        booking.number,
+                        booking.service,
+                        booking.tier,
+                        booking.fingerprint,
+                        max(0.0, booking.due_at - now),
+                        now - booking.first_arrived_at,
+                    )
+                    for booking in self.pools.returns.told(now)
+                ),
             )
 
     def _shared_state(self, scope, receiver, now):
@@ -177,8 +191,14 @@
         pause : float
             Seconds until the next report if nothing changes before.
         """
+        now = self.clock()
         with self.lock:
-            names = self.pools.coordinators_in_use(self.clock())
+            names = self.pools.coordinators_in_use(now).union(
+                *(
+                    self.pools.coordinators_of_service(service, now)
+                    for service in self.pools.returns.told_services(now)
+                )
+            )
             pause = self.pools.next_report_seconds()
         receivers, self._last_receivers = names | self._last_receivers, names
         return receivers - {self.settings.instance}, pause
@@ -240,6 +260,7 @@
         }
         with self.lock:
             self._note_incarnation(report)
+            self._recognise_returns(report, load.tickets, now)
             self.pools.fleet.update(report.instance, load)
             if report.shared_state is not None:
                 self._apply_shared_state(report, report.shared_state, now)
@@ -254,6 +275,26 @@
             self._is_batch_scheduled = True
             self.gossip.call_later(BATCH_SECONDS, self._answer_batch)
 
+    def _recognise_returns(self, report, tickets, now):
+        """Record the bookings of a peer, and find those for its waiting requests."""
+        returns = self.pools.returns
+        returns.record(
+            Booking(
+                entry.service,
+                entry.tier,
+                "",
+                entry.fingerprint,
+                now + entry.due_in,
+                now - entry.age,
+                report.instance,
+                entry.number,
+                now,
+            )
+            for entry in report.booked_returns
+        )
+        for ticket in tickets:
+            returns.claim(ticket, (ticket.owner, ticket.number), now)
+
     def _note_incarnation(self, report):
         """Forget which grants of a peer were received before it started again.
 
@@ -263,6 +304,7 @@
         self._incarnation_by_peer[report.instance] = report.incarnation
         if former not in (None, report.incarnation):
             self.pools.latest_grant_by_coordinator.pop(report.instance, None)
+            self.pools.returns.forget(report.instance)
 
     def _answer_batch(self):
         self._is_batch_scheduled = False
@@ -286,7 +328,10 @@
             if unconfirmed_by_peer[peer] or peer not in granted_peers:
                 # Without grants this acknowledges the peer's requests.
                 self.send_grants(
-                    peer, unconfirmed_by_peer[peer], self._expected_waits(load, now)
+                    peer,
+                    unconfirmed_by_peer[peer],
+                    self._expected_waits(load, now),
+                    tuple(entry.number for entry in load.tickets if entry.is_return),
                 )
 
     def _apply_shared_state(self, report, shared_state, now):
@@ -372,9 +417,11 @@
                 version=entry.version,
                 workspace=entry.workspace,
                 tokens=entry.tokens,
+                return_fingerprint=entry.return_fingerprint,
+                may_be_return=bool(entry.return_fingerprint),
             )
 
-    def send_grants(self, peer, grants, waits=()):
+    def send_grants(self, peer, grants, waits=(), returns=()):
         """Send grants to a peer; safe from any thread.
 
         Parameters
@@ -385,9 +432,14 @@
             Number of each grant, number of the request at the peer, and target.
         waits : tuple of ExpectedWait
             Waits that new requests of the peer should expect.
+        returns : tuple of int
+            Numbers of the requests at the peer for which room is booked.
         """
         message = Grants(
-            self.settings.instance, tuple(Grant(*grant) for grant in grants), waits
+            self.settings.instance,
+            tuple(Grant(*grant) for grant in grants),
+            waits,
+            returns,
         )
         self.gossip.send_soon({peer}, message)
 
@@ -403,6 +455,9 @@
                     wait.seconds,
                     now,
                 )
+            for ticket in self.pools.waiting_here():
+                if ticket.number in message.returns:
+                    ticket.is_return = True
             tickets = [
                 self.pools.apply_grant(
                     message.instance, grant.number, grant.request, grant.target
--- a/almondglade/gateway/node.py
+++ b/almondglade/gateway/node.py
@@ -182,6 +182,7 @@
             self.exchange.send_grants,
             self.metrics,
             self.clock,
+            settings.features,
         )
         self.exchange.match = self.scheduler.match
         self.links.on_leaving = self.scheduler.record_leaving
@@ -344,6 +345,8 @@
             self.suspects.expire()
             self.origins.expire()
             self.limits.expire()
+            with self.lock:
+                self.scheduler.returns.expire()
 
     async def _run_periodic_checks(self):
         while True:
--- a/almondglade/gateway/refusals.py
+++ b/almondglade/gateway/refusals.py
@@ -4,6 +4,8 @@
 they are told to.
 """
 
+import math
+
 from ..log import get_logger
 from ..outcome import Code, Outcome, RequestError
 
@@ -68,7 +70,7 @@
             retry_after=retry_after,
         )
 
-    def overload_error(self, request, expected_wait, cause):
+    def overload_error(self, request, expected_wait, cause, return_time=None):
         """Return the error for a request that gets no slot in time.
 
         Parameters
@@ -77,11 +79,10 @@
             Seconds that it would have to wait.
         cause : str
             Why it is refused, for the caller and the log.
+        return_time : ReturnTime or None
+            When the caller should return; None if no room is booked for such requests.
         """
-        delay = max(
-            expected_wait, MIN_RETRY_AFTER_OBJECTIVES * request.route.latency_objective
-        )
-        retry_after = min(max(MIN_RETRY_AFTER_SECONDS, delay), MAX_RETRY_AFTER_SECONDS)
+        retry_after = self._retry_after(request, expected_wait, return_time)
         self._count(request, Code.OVERLOADED)
         log.info(
             "request refused: no free slot",
@@ -92,11 +93,24 @@
             expected_wait=round(min(expected_wait, 1e3), 3),
             waited=round(self.clock() - request.arrived_at, 3),
             retry_after=round(retry_after, 2),
+            is_booked=return_time is not None and return_time.is_booked,
         )
         if request.may_have_run:
             return RequestError(Code.TARGET_FAILED, cause, Outcome.UNKNOWN)
         return RequestError(Code.OVERLOADED, cause, retry_after=retry_after)
 
+    def _retry_after(self, request, expected_wait, return_time):
+        if return_time is not None and return_time.is_booked:
+            return return_time.seconds
+        if return_time is not None and math.isfinite(return_time.seconds):
+            # No room in time: a later return than the time limit is of no use.
+            time_left = request.deadline - self.clock()
+            return max(MIN_RETRY_AFTER_SECONDS, min(return_time.seconds, time_left))
+        delay = max(
+            expected_wait, MIN_RETRY_AFTER_OBJECTIVES * request.route.latency_objective
+        )
+        return min(max(MIN_RETRY_AFTER_SECONDS, delay), MAX_RETRY_AFTER_SECONDS)
+
     def version_gone_error(self, request):
         """Return the error for a stream whose software version has no target."""
         self._count(request, Code.NO_TARGET)
--- a/almondglade/gateway/scheduling.py
+++ b/almondglade/gateway/scheduling.py
@@ -8,7 +8,9 @@
 from ..outcome import Code, RequestError
 from ..placement.places import Ticket
 from .refusals import Refusals
+from .returning import RECOGNITION_SECONDS, BookedReturns
 from .run import GatewayRun
+from .settings import DEFAULT_FEATURES
 from .targetrecords import TargetRecords
 
 log = get_logger("requests")
@@ -56,6 +58,8 @@
         Where decisions are counted.
     clock : callable
         Returns monotonic seconds.
+    features : Features
+        Which optional decisions the operator allows.
     """
 
     def __init__(
@@ -75,6 +79,7 @@
         send_grants,
         metrics,
         clock,
+        features=DEFAULT_FEATURES,
     ):
         super().__init__(pools, suspects, links, lock, on_change, metrics, clock)
         self.instance = pools.instance
@@ -89,6 +94,7 @@
         self.send_grants = send_grants
         self.deadlines = Deadlines(clock)
         self.refusals = Refusals(metrics, clock)
+        self.returns = BookedReturns(pools, features.booked_returns, metrics, clock)
 
     def run(self, request):
         """Dispatch a request and return its `GatewayRun`.
@@ -159,23 +165,33 @@
             expected_wait = self._expected_wait(request, now)
             # A stream that has begun waits in any case.
             is_begun = bool(request.attempted_targets or request.version)
-            if expected_wait <= max_wait or is_begun:
+            has_room = (
+                self.returns.recognise(ticket, request)
+                or expected_wait <= max_wait
+                or is_begun
+            )
+            if has_room or self.returns.must_ask(ticket):
                 self.pools.enqueue(ticket, now)
                 self.match()
-        if expected_wait > max_wait and not is_begun:
-            raise self.refusals.overload_error(
-                request, expected_wait, "too much work waits"
+        if not ticket.number:
+            raise self._overload_error(
+                ticket, request, expected_wait, "too much work waits"
             )
         self.on_change()
         request.caller_connection.on_disconnect(ready.set)
         try:
-            ready.wait(max_wait)
+            if has_room:
+                ready.wait(max_wait)
+            elif not ready.wait(min(RECOGNITION_SECONDS, max_wait)):
+                self._wait_if_return(ticket, request, ready, now + max_wait)
         finally:
             request.caller_connection.on_disconnect(None)
         with self.lock:
             still_waiting = self.pools.withdraw(ticket)
             if still_waiting:
                 expected_wait = self._expected_wait(request, self.clock())
+            else:
+                self.returns.record_start(ticket)
         if still_waiting:
             self.on_change()
         if request.caller_connection.disconnected:
@@ -183,8 +199,8 @@
                 self.release(ticket, None)
             raise RequestError(Code.CALLER_GONE, "the caller has gone away")
         if still_waiting:
-            raise self.refusals.overload_error(
-                request, expected_wait, "no place became free in time"
+            raise self._overload_error(
+                ticket, request, expected_wait, "no place became free in time"
             )
         self.metrics.observe(
             "wait_seconds",
@@ -194,6 +210,21 @@
         )
         return ticket
 
+    def _wait_if_return(self, ticket, request, ready, until):
+        """Go on waiting if the coordinator has said that room is booked."""
+        if ticket.is_return:
+            self.returns.record_recognised(request)
+            ready.wait(max(0.0, until - self.clock()))
+
+    def _overload_error(self, ticket, request, expected_wait, cause):
+        """Return the error of a refused request, with room booked for its return."""
+        with self.lock:
+            return_time = self.returns.book(ticket, request, expected_wait)
+        if return_time is not None and return_time.is_booked:
+            # The coordinators must hear of it.
+            self.on_change()
+        return self.refusals.overload_error(request, expected_wait, cause, return_time)
+
     def _expected_wait(self, request, now):
         """Return the expected wait of a new request; the caller must hold the lock."""
         backoff = self.pools.targets.backoff_seconds(
--- a/almondglade/gossip/codec.py
+++ b/almondglade/gossip/codec.py
@@ -15,6 +15,16 @@
 from ..placement.cells import Cell
 from ..placement.health import TargetStats
 from ..placement.outlook import CellLoad
+from .fields import (
+    FURTHER_FIELDS,
+    MILLISECONDS_PER_SECOND,
+    decode_count,
+    pack_further_fields,
+    to_milliseconds,
+    unpack_booked_returns,
+    unpack_fingerprints,
+    unpack_work,
+)
 from .messages import (
     CrashEvidence,
     ExpectedWait,
@@ -45,15 +55,6 @@
 ORIGIN_QUERY_KIND = 6
 NAMED_LIMITS_KIND = 7
 START_NOTICE_KIND = 8
-MILLISECONDS_PER_SECOND = 1000.0
-# Upper bound on durations on the wire, which keeps the numbers small. Evidence of this
-# age is worthless anyway.
-MAX_AGE_SECONDS = 1e6
-# Key under which the map of confirmed grants holds further fields of a report. Releases
-# that don't know them look up only their own names there. Fields under unknown keys
-# are ignored, so that later releases can add some.
-FURTHER_FIELDS = ""
-WORK_FIELD = "work"
 
 
 @singledispatch
@@ -76,7 +77,7 @@
             member.instance,
             member.data_centre,
             member.capacity,
-            _to_milliseconds(member.age),
+            to_milliseconds(member.age),
             member.leaving,
         ]
         for member in message.members
@@ -100,10 +101,12 @@
 def _(message: Grants):
     grants = [[grant.number, grant.request, grant.target] for grant in message.grants]
     waits = [
-        [wait.service, wait.cell_data_centre, wait.tier, _to_milliseconds(wait.seconds)]
+        [wait.service, wait.cell_data_centre, wait.tier, to_milliseconds(wait.seconds)]
         for wait in message.waits
     ]
-    return msgpack.packb([FORMAT_VERSION, GRANTS_KIND, message.instance, grants, waits])
+    fields = [FORMAT_VERSION, GRANTS_KIND, message.instance, grants, waits]
+    # Only releases that report fingerprints get returns, which others reject.
+    return msgpack.packb([*fields, message.returns] if message.returns else fields)
 
 
 @encode.register
@@ -115,14 +118,14 @@
                 [
                     crash.target,
                     crash.target_started_at,
-                    _to_milliseconds(crash.started_age),
-                    _to_milliseconds(crash.ended_age),
+                    to_milliseconds(crash.started_age),
+                    to_milliseconds(crash.ended_age),
                 ]
                 for crash in suspect.crashes
             ],
             None
             if suspect.cleared_age is None
-            else _to_milliseconds(suspect.cleared_age),
+            else to_milliseconds(suspect.cleared_age),
         ]
         for suspect in message.suspects
     ]
@@ -141,7 +144,7 @@
             message.request_id,
             message.service,
             message.version,
-            _to_milliseconds(message.age),
+            to_milliseconds(message.age),
         ]
     )
 
@@ -160,10 +163,10 @@
             limit.target,
             limit.target_started_at,
             limit.rate,
-            _to_milliseconds(limit.rate_age),
+            to_milliseconds(limit.rate_age),
             limit.refusal_limit,
-            _to_milliseconds(limit.refusal_limit_age),
-            _to_milliseconds(limit.refused_age),
+            to_milliseconds(limit.refusal_limit_age),
+            to_milliseconds(limit.refused_age),
             limit.is_rate_from_failures,
             limit.is_refusal_limit_from_failures,
         ]
@@ -185,7 +188,7 @@
             message.leaving,
             message.running_by_target,
             [_pack_waiting(entry) for entry in message.waiting],
-            message.latest_grant_by_coordinator | _pack_further_fields(message),
+            message.latest_grant_by_coordinator | pack_further_fields(message),
             message.paused_targets,
             _pack_shared_state(message.shared_state)
             if message.shared_state is not None
@@ -203,11 +206,11 @@
         entry.number,
         entry.service,
         entry.tier,
-        _to_milliseconds(entry.age),
+        to_milliseconds(entry.age),
         entry.attempted_targets,
         entry.coordinator,
         round(entry.expected_events),
-        _to_milliseconds(entry.time_left),
+        to_milliseconds(entry.time_left),
         entry.cell_data_centre,
         entry.isolated_fingerprint,
     ]
@@ -215,30 +218,6 @@
     return [*fields, entry.version] if entry.version else fields
 
 
-def _pack_further_fields(message):
-    """Return the map entry with the fields that earlier releases don't know."""
-    fields = {}
-    if any(entry.workspace or entry.tokens for entry in message.waiting):
-        fields[WORK_FIELD] = [
-            [entry.workspace, entry.tokens] for entry in message.waiting
-        ]
-    return {FURTHER_FIELDS: fields} if fields else {}
-
-
-def _unpack_work(fields, count):
-    """Return workspace and tokens of each waiting request."""
-    work = fields.get(WORK_FIELD) or [["", 0]] * count
-    if len(work) != count:
-        raise PeerError("malformed message: work of another number of requests")
-    return [_decode_work(*entry) for entry in work]
-
-
-def _decode_work(workspace, tokens):
-    if not isinstance(workspace, str):
-        raise PeerError("malformed message: a workspace is not a text")
-    return workspace, _decode_count(tokens)
-
-
 def _pack_stats(stats_by_target):
     return {
         target: [
@@ -268,7 +247,7 @@
 def _pack_shared_state(shared_state):
     return [
         shared_state.revision,
-        _to_milliseconds(shared_state.evidence_age),
+        to_milliseconds(shared_state.evidence_age),
         # Earlier releases have a number here, which they ignore.
         [shared_state.version, *shared_state.store_position],
         int(shared_state.scope),
@@ -282,17 +261,13 @@
                 load.cell.data_centre,
                 load.free,
                 load.slots,
-                _to_milliseconds(load.age),
+                to_milliseconds(load.age),
             ]
             for load in shared_state.cells
         ],
     ]
 
 
-def _to_milliseconds(seconds):
-    return round(min(seconds, MAX_AGE_SECONDS) * MILLISECONDS_PER_SECOND)
-
-
 def decode(data):
     """Return the message in a datagram.
 
@@ -327,7 +302,8 @@
     isolated_by_target,
 ):
     further_fields = latest_grant_by_coordinator.pop(FURTHER_FIELDS, {})
-    work = _unpack_work(further_fields, len(waiting))
+    work = unpack_work(further_fields, len(waiting))
+    return_fingerprints = unpack_fingerprints(further_fields, len(waiting))
     return Report(
         instance,
         data_centre,
@@ -349,6 +325,7 @@
                 isolated_fingerprint,
                 *(version or ("",)),
                 *entry_work,
+                return_fingerprint=return_fingerprint,
             )
             for (
                 number,
@@ -362,7 +339,9 @@
                 cell_data_centre,
                 isolated_fingerprint,
                 *version,
-            ), entry_work in zip(waiting, work, strict=True)
+            ), entry_work, return_fingerprint in zip(
+                waiting, work, return_fingerprints, strict=True
+            )
         ),
         latest_grant_by_coordinator,
         tuple(paused_targets),
@@ -372,6 +351,7 @@
             target: tuple(fingerprints)
             for target, fingerprints in isolated_by_target.items()
         },
+        unpack_booked_returns(further_fields),
     )
 
 
@@ -393,17 +373,11 @@
             )
             for service, data_centre, free, slots, load_age in cells
         ),
-        _decode_count(version),
-        (_decode_count(era), _decode_count(store_revision)),
+        decode_count(version),
+        (decode_count(era), decode_count(store_revision)),
     )
 
 
-def _decode_count(number):
-    if not isinstance(number, int):
-        raise PeerError("malformed message: a count is not a number")
-    return number
-
-
 def _decode_member_list(instance, members, joining):
     return MemberList(
         instance,
@@ -422,7 +396,7 @@
     )
 
 
-def _decode_grants(instance, grants, waits):
+def _decode_grants(instance, grants, waits, returns=()):
     return Grants(
         instance,
         tuple(Grant(*entry) for entry in grants),
@@ -435,6 +409,7 @@
             )
             for service, cell_data_centre, tier, milliseconds in waits
         ),
+        tuple(map(decode_count, returns)),
     )
 
 
--- /dev/null
+++ b/almondglade/gossip/fields.py
@@ -0,0 +1,93 @@
+"""Fields of reports that earlier releases don't know, and numbers on the wire."""
+
+from ..errors import PeerError
+from .messages import BookedReturn
+
+MILLISECONDS_PER_SECOND = 1000.0
+# Upper bound on durations on the wire, which keeps the numbers small. Evidence of this
+# age is worthless anyway.
+MAX_AGE_SECONDS = 1e6
+# Key under which the map of confirmed grants holds further fields of a report. Releases
+# that don't know them look up only their own names there. Fields under unknown keys
+# are ignored, so that later releases can add some.
+FURTHER_FIELDS = ""
+WORK_FIELD = "work"
+FINGERPRINTS_FIELD = "fingerprints"
+RETURNS_FIELD = "returns"
+
+
+def pack_further_fields(message):
+    """Return the map entry with the fields that earlier releases don't know."""
+    fields = {}
+    if any(entry.workspace or entry.tokens for entry in message.waiting):
+        fields[WORK_FIELD] = [
+            [entry.workspace, entry.tokens] for entry in message.waiting
+        ]
+    if any(entry.return_fingerprint for entry in message.waiting):
+        fields[FINGERPRINTS_FIELD] = [
+            entry.return_fingerprint for entry in message.waiting
+        ]
+    if message.booked_returns:
+        fields[RETURNS_FIELD] = [
+            [
+                entry.number,
+                entry.service,
+                entry.tier,
+                entry.fingerprint,
+                to_milliseconds(entry.due_in),
+                to_milliseconds(entry.age),
+            ]
+            for entry in message.booked_returns
+        ]
+    return {FURTHER_FIELDS: fields} if fields else {}
+
+
+def unpack_fingerprints(fields, count):
+    """Return the return fingerprint of each waiting request."""
+    fingerprints = fields.get(FINGERPRINTS_FIELD) or [0] * count
+    if len(fingerprints) != count:
+        raise PeerError("malformed message: fingerprints of other requests")
+    return [decode_count(fingerprint) for fingerprint in fingerprints]
+
+
+def unpack_booked_returns(fields):
+    """Return the bookings that the sender made lately."""
+    return tuple(
+        BookedReturn(
+            decode_count(number),
+            service,
+            tuple(tier),
+            decode_count(fingerprint),
+            due_in / MILLISECONDS_PER_SECOND,
+            age / MILLISECONDS_PER_SECOND,
+        )
+        for number, service, tier, fingerprint, due_in, age in fields.get(
+            RETURNS_FIELD, ()
+        )
+    )
+
+
+def unpack_work(fields, count):
+    """Return workspace and tokens of each waiting request."""
+    work = fields.get(WORK_FIELD) or [["", 0]] * count
+    if len(work) != count:
+        raise PeerError("malformed message: work of another number of requests")
+    return [_decode_work(*entry) for entry in work]
+
+
+def _decode_work(workspace, tokens):
+    if not isinstance(workspace, str):
+        raise PeerError("malformed message: a workspace is not a text")
+    return workspace, decode_count(tokens)
+
+
+def to_milliseconds(seconds):
+    """Return a duration as it goes on the wire."""
+    return round(min(seconds, MAX_AGE_SECONDS) * MILLISECONDS_PER_SECOND)
+
+
+def decode_count(number):
+    """Return a whole number, or raise PeerError."""
+    if not isinstance(number, int):
+        raise PeerError("malformed message: a count is not a number")
+    return number
--- a/almondglade/gossip/messages.py
+++ b/almondglade/gossip/messages.py
@@ -41,6 +41,8 @@
         Workspace that it is for; empty if it has none.
     tokens : int
         Tokens that it is expected to take on an engine; 0 if not known.
+    return_fingerprint : int
+        Fingerprint under which room may be booked for it; 0 if none is.
     """
 
     number: int
@@ -56,6 +58,35 @@
     version: str = ""
     workspace: str = ""
     tokens: int = 0
+    return_fingerprint: int = 0
+
+
+@dataclass(frozen=True)
+class BookedReturn:
+    """Room for a caller that the sender has told when to return.
+
+    Parameters
+    ----------
+    number : int
+        Number of the booking on the sender.
+    service : str
+        Service that the request waits for.
+    tier : tuple of int
+        Tier of the workspace, then tier of the route.
+    fingerprint : int
+        What the request and its repeat have in common.
+    due_in : float
+        Seconds until the caller returns.
+    age : float
+        Seconds since the request first arrived.
+    """
+
+    number: int
+    service: str
+    tier: tuple[int, ...]
+    fingerprint: int
+    due_in: float
+    age: float
 
 
 @dataclass(frozen=True)
@@ -122,6 +153,8 @@
         Recent results of targets at the sender; sent only in periodic reports.
     isolated_by_target : dict of str to tuple of int
         Fingerprints of the requests that the sender runs in isolation, by target.
+    booked_returns : tuple of BookedReturn
+        Bookings that the sender made lately.
     """
 
     instance: str
@@ -136,6 +169,7 @@
     shared_state: SharedState | None = None
     stats_by_target: dict[str, TargetStats] | None = None
     isolated_by_target: dict[str, tuple[int, ...]] = field(default_factory=dict)
+    booked_returns: tuple[BookedReturn, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -189,11 +223,14 @@
         May be empty; the reply then only confirms that the report arrived.
     waits : tuple of ExpectedWait
         Estimates for requests like those that the receiver has waiting.
+    returns : tuple of int
+        Numbers of the receiver's waiting requests for which room is booked.
     """
 
     instance: str
     grants: tuple[Grant, ...] = ()
     waits: tuple[ExpectedWait, ...] = ()
+    returns: tuple[int, ...] = ()
 
 
 @dataclass(frozen=True)
--- a/almondglade/metrics.py
+++ b/almondglade/metrics.py
@@ -47,6 +47,18 @@
         ("service", "code"),
         "Requests that a gateway refused without sending them, by why.",
     ),
+    "returns_total": (
+        ("service", "arrival"),
+        "Refused requests that returned to room booked for them, by when they came.",
+    ),
+    "returns_refused_total": (
+        ("service",),
+        "Refused requests that returned when told to and were refused again.",
+    ),
+    "returns_expired_total": (
+        ("service",),
+        "Bookings for refused requests that ended without a return seen here.",
+    ),
     "target_pauses_total": (
         ("service",),
         "Times that a gateway ceased to use a target for a while.",
@@ -104,6 +116,7 @@
     "target_limit": (("target",), "Concurrency limit of a target, when coordinated."),
     "target_running": (("target",), "Permits counted against a target."),
     "requests_waiting": (("service",), "Requests that wait at this gateway."),
+    "bookings_open": ((), "Refused requests for whose return room is booked here."),
     "places_free": (("service",), "Free places of a service, as seen here."),
     "targets_paused": ((), "Targets that this gateway does not use for now."),
     "services_cut_off": ((), "Services none of whose targets can be reached."),
@@ -210,6 +223,7 @@
             state.named_rate.is_limited
             for state in pools.targets.state_by_target.values()
         )
+        bookings = pools.returns.count_open()
         evidence_age = node.freshness.age(boottime_clock())
         is_outdated = node.freshness.is_outdated
     catalogue = node.registry.catalogue
@@ -223,6 +237,7 @@
     metrics.set("targets_paused", paused)
     metrics.set("services_cut_off", len(node.links.lost_services))
     metrics.set("targets_rate_limited", rate_limited)
+    metrics.set("bookings_open", bookings)
     metrics.set("evidence_age_seconds", min(evidence_age, MAX_AGE_SECONDS))
     metrics.set("log_lines_left_out", dropped_lines())
     for name in ("requests_waiting", "places_free"):
--- a/almondglade/placement/places.py
+++ b/almondglade/placement/places.py
@@ -47,6 +47,9 @@
     tokens : int
         Tokens that it is expected to take on an engine, read and generated; 0 if not
         known.
+    return_fingerprint : int
+        What a request and its repeat have in common; 0 if no room is booked for
+        returns like it.
 
     Attributes
     ----------
@@ -59,6 +62,12 @@
     deferred_at : float or None
         Monotonic time at which, without a coordinator, it was first deferred in
         favour of a better request on a peer.
+    may_be_return : bool
+        Whether it may have been refused before.
+    is_return : bool
+        Whether room is booked for it, as it was refused and told to return.
+    waited_before : float
+        Seconds between the first arrival of such a request and this one.
     """
 
     service: str
@@ -80,6 +89,10 @@
     version: str = ""
     workspace: str = ""
     tokens: int = 0
+    return_fingerprint: int = 0
+    may_be_return: bool = False
+    is_return: bool = False
+    waited_before: float = 0.0
 
     def accepts(self, record):
         """Return whether a target has the software version that it needs."""
@@ -98,7 +111,8 @@
     @property
     def rank(self):
         """Sort key among waiting requests; the lowest is served first."""
-        return (self.tier, self.arrived_at, self.owner, self.number)
+        first_arrived_at = self.arrived_at - self.waited_before
+        return (self.tier, first_arrived_at, self.owner, self.number)
 
 
 @dataclass
--- a/almondglade/placement/queue.py
+++ b/almondglade/placement/queue.py
@@ -11,6 +11,7 @@
 from .fairness import FairOrder
 from .outlook import CellReports, RecentWaits
 from .places import Ticket
+from .returns import ReturnCalendar
 from .targets import Targets
 
 # Weight of the newest sample in the mean time for which a slot is held.
@@ -46,6 +47,8 @@
         Requests that wait on this instance, the best first.
     latest_grant_by_coordinator : dict of str to int
         Number of the newest grant received from each coordinator.
+    returns : ReturnCalendar
+        Room that is booked for callers that were told to return.
     """
 
     def __init__(self, instance, data_centre, selector, grant_number_base=0):
@@ -59,6 +62,7 @@
         self.coordination_terms = CoordinationTerms()
         self.unanswered = UnansweredRequests()
         self.is_full_mesh = True
+        self.returns = ReturnCalendar(instance)
         self.on_new_term = lambda: None
         self.tickets_by_service: dict[str, list[Ticket]] = {}
         self.hold_seconds_by_service: dict[str, float] = {}
@@ -81,6 +85,13 @@
         """Return the instance that grants the slots of a cell."""
         return self.coordinators.choose(cell.service, now, cell.data_centre)
 
+    def coordinators_of_service(self, service, now):
+        """Return the set of the instances that coordinate the cells of a service."""
+        return {
+            self.coordinator(cell, now)
+            for cell in self.targets.cells.for_service(service)
+        }
+
     def coordinators_of(self, record, now):
         """Return the set of the instances that grant the slots of a target."""
         return {
--- /dev/null
+++ b/almondglade/placement/returns.py
@@ -0,0 +1,315 @@
+"""Keep room for refused callers until the time at which they are told to return.
+
+Load pattern: for some seconds, half as many requests again arrive as the targets can
+serve. Refused callers return when they are told to, at any instance and with what is
+left of their time, while first arrivals still take all the room. So a refusal names a
+time for which room is booked. Bookings are paced by the rate at which requests of the
+tier get slots, so that they can all be kept, and a return waits in the queue of its
+tier as if it had been there since its first arrival.
+"""
+
+import itertools
+from collections import deque
+from dataclasses import dataclass
+
+from .grantrates import GrantRates
+
+# A caller honours a Retry-After up to this share of the time that it has left, as the
+# description of the callers' protocol states.
+USABLE_SHARE = 1 / 3
+# Bookings take at most this share of the slots that the requests of a tier get; the
+# rest is left to first arrivals.
+BOOKED_SHARE = 0.5
+# Shortest time, in seconds, for which a caller is sent away: several times what a
+# booking takes to reach the coordinators.
+MIN_RETURN_SECONDS = 0.25
+# A return may come sooner than told by this much; clocks and timers are not exact.
+EARLY_SECONDS = 0.05
+# A return that comes later than this after the time told counts as late, in seconds.
+LATE_SECONDS = 0.25
+# A booking expires this long after the time told: callers allow a second for a new
+# connection.
+EXPIRY_SECONDS = 1.0
+# New requests find the room taken that is booked for the next so many seconds, about
+# the longest time that they themselves may wait.
+AHEAD_SECONDS = 0.5
+# Most open bookings that one instance makes, and that it keeps for its peers.
+MAX_OPEN_HERE = 128
+MAX_OPEN_OF_PEERS = 4096
+# A booking is part of all reports for this long, in seconds, and at most so many in
+# one report, which keeps a report within one datagram.
+TOLD_SECONDS = 0.3
+MAX_TOLD = 24
+
+
+@dataclass
+class Booking:
+    """Room for one caller that was told when to return.
+
+    Parameters
+    ----------
+    service : str
+    tier : tuple of int
+        Tier of the workspace, then tier of the route.
+    workspace : str
+        Only known on the instance that made the booking.
+    fingerprint : int
+        What the request and its repeat have in common.
+    due_at : float
+        Monotonic time at which the caller was told to return.
+    first_arrived_at : float
+        Monotonic time at which the request first arrived.
+    owner : str
+        Instance that made the booking.
+    number : int
+        Number of the booking on that instance.
+    booked_at : float
+        Monotonic time at which it was made.
+
+    Attributes
+    ----------
+    claim : object
+        What identifies the return that it was used for; None before.
+    """
+
+    service: str
+    tier: tuple[int, ...]
+    workspace: str
+    fingerprint: int
+    due_at: float
+    first_arrived_at: float
+    owner: str
+    number: int
+    booked_at: float
+    claim: object = None
+
+
+@dataclass(frozen=True)
+class ReturnTime:
+    """When a refused caller should return.
+
+    Parameters
+    ----------
+    seconds : float
+        Time until then.
+    is_booked : bool
+        Whether room is booked; if not, none is expected that the caller can use.
+    is_early : bool
+        Whether it was booked before, for a caller that has come too early.
+    """
+
+    seconds: float
+    is_booked: bool
+    is_early: bool = False
+
+
+class ReturnCalendar:
+    """Bookings of one instance, and those that its peers have told of.
+
+    Not thread-safe; the caller holds a lock.
+
+    Parameters
+    ----------
+    instance : str
+        This instance.
+    """
+
+    def __init__(self, instance):
+        self.instance = instance
+        self.rates = GrantRates()
+        self._bookings_by_key: dict[tuple[str, int], list[Booking]] = {}
+        self._own: deque[Booking] = deque()
+        self._known_numbers_by_owner: dict[str, dict[int, Booking]] = {}
+        self._numbers = itertools.count(1)
+
+    def book(self, ticket, first_arrived_at, earliest_seconds, now):
+        """Book room for a refused request, if there is some that its caller can use.
+
+        Parameters
+        ----------
+        ticket : Ticket
+            The request; its `return_fingerprint` identifies the return.
+        first_arrived_at : float
+            Monotonic time at which it came for the first time.
+        earliest_seconds : float
+            Time before which no room is expected.
+
+        Returns
+        -------
+        ReturnTime or None
+            None if it is not known when slots become free.
+        """
+        pending = self._pending(ticket, now)
+        if pending is not None:
+            return ReturnTime(pending.due_at - now, True, True)
+        interval = self.rates.seconds_per_grant(ticket.service, ticket.tier, now)
+        if interval is None:
+            return None
+        due_at = self._next_free(
+            ticket,
+            now + max(MIN_RETURN_SECONDS, earliest_seconds),
+            interval / BOOKED_SHARE,
+        )
+        usable_until = now + USABLE_SHARE * (ticket.deadline - now)
+        if due_at > usable_until or len(self._own) >= MAX_OPEN_HERE:
+            return ReturnTime(due_at - now, False)
+        booking = Booking(
+            ticket.service,
+            ticket.tier,
+            ticket.workspace,
+            ticket.return_fingerprint,
+            due_at,
+            first_arrived_at,
+            self.instance,
+            next(self._numbers),
+            now,
+        )
+        self._own.append(booking)
+        self._add(booking)
+        return ReturnTime(due_at - now, True)
+
+    def _pending(self, ticket, now):
+        """Return the booking for which a request has come too early, or None."""
+        key = (ticket.service, ticket.return_fingerprint)
+        return next(
+            (
+                booking
+                for booking in self._bookings_by_key.get(key, ())
+                if booking.claim is None and booking.due_at - EARLY_SECONDS > now
+            ),
+            None,
+        )
+
+    def _next_free(self, ticket, earliest_at, interval):
+        """Return the next time at which a tier has room that is not booked.
+
+        A workspace with bookings leaves room between them for each other one that has
+        some, so that none takes all the room that callers can use.
+        """
+        of_tier = sorted(
+            (
+                booking
+                for booking in self._own
+                if (booking.service, booking.tier) == (ticket.service, ticket.tier)
+                and booking.claim is None
+            ),
+            key=lambda booking: booking.due_at,
+        )
+        workspaces = {booking.workspace for booking in of_tier} | {ticket.workspace}
+        due_at = earliest_at
+        for booking in of_tier:
+            gap = interval
+            if booking.workspace == ticket.workspace:
+                gap *= len(workspaces)
+            if abs(booking.due_at - due_at) < gap:
+                due_at = max(due_at, booking.due_at + gap)
+        return due_at
+
+    def record(self, bookings):
+        """Add bookings that a peer has made; those known already are skipped."""
+        for booking in bookings:
+            known = self._known_numbers_by_owner.setdefault(booking.owner, {})
+            count = sum(map(len, self._known_numbers_by_owner.values()))
+            if booking.number not in known and count < MAX_OPEN_OF_PEERS:
+                known[booking.number] = booking
+                self._add(booking)
+
+    def _add(self, booking):
+        key = (booking.service, booking.fingerprint)
+        self._bookings_by_key.setdefault(key, []).append(booking)
+
+    def claim(self, ticket, claim, now):
+        """Return the booking whose time has come for a request, or None.
+
+        Parameters
+        ----------
+        claim : object
+            Identifies the request, which may ask again; another one with the same
+            fingerprint needs a booking of its own.
+        """
+        if not ticket.return_fingerprint:
+            return None
+        key = (ticket.service, ticket.return_fingerprint)
+        due = [
+            booking
+            for booking in self._bookings_by_key.get(key, ())
+            if booking.claim in (None, claim)
+            and booking.due_at - EARLY_SECONDS <= now
+            and (booking.claim or now <= booking.due_at + EXPIRY_SECONDS)
+        ]
+        if not due:
+            return None
+        booking = min(due, key=lambda entry: (entry.claim is None, entry.due_at))
+        booking.claim = claim
+        ticket.is_return = True
+        ticket.waited_before = max(0.0, ticket.arrived_at - booking.first_arrived_at)
+        return booking
+
+    def open_ahead(self, service, tier, now):
+        """Return how many returns are due soon that go before a new request."""
+        return sum(
+            booking.claim is None
+            and booking.service == service
+            and booking.tier <= tier
+            and now <= booking.due_at <= now + AHEAD_SECONDS
+            for bookings in self._bookings_by_key.values()
+            for booking in bookings
+        )
+
+    def count_open(self):
+        """Return the number of this instance's bookings that have not expired."""
+        return len(self._own)
+
+    def told(self, now):
+        """Return the bookings made here lately, which peers must hear of."""
+        recent = itertools.takewhile(
+            lambda booking: now - booking.booked_at <= TOLD_SECONDS, reversed(self._own)
+        )
+        return tuple(itertools.islice(recent, MAX_TOLD))
+
+    def told_services(self, now):
+        """Return the services of the bookings of which peers must hear."""
+        return {booking.service for booking in self.told(now)}
+
+    def expire(self, now):
+        """Remove the bookings whose time has passed.
+
+        Returns
+        -------
+        list of Booking
+            Those made here for which, as far as this instance knows, nobody returned.
+        """
+        expired = [
+            booking
+            for bookings in self._bookings_by_key.values()
+            for booking in bookings
+            if now > booking.due_at + EXPIRY_SECONDS
+        ]
+        for booking in expired:
+            key = (booking.service, booking.fingerprint)
+            self._bookings_by_key[key].remove(booking)
+            if not self._bookings_by_key[key]:
+                del self._bookings_by_key[key]
+            known = self._known_numbers_by_owner.get(booking.owner, {})
+            known.pop(booking.number, None)
+        self._own = deque(
+            booking for booking in self._own if now <= booking.due_at + EXPIRY_SECONDS
+        )
+        return [
+            booking
+            for booking in expired
+            if booking.owner == self.instance and booking.claim is None
+        ]
+
+    def forget(self, owner):
+        """Remove the bookings of a peer that has started again."""
+        for booking in self._known_numbers_by_owner.pop(owner, {}).values():
+            key = (booking.service, booking.fingerprint)
+            self._bookings_by_key[key].remove(booking)
+            if not self._bookings_by_key[key]:
+                del self._bookings_by_key[key]
+
+
+def arrival_of(booking, now):
+    """Return whether a return came ``in time`` or ``late``."""
+    return "late" if now > booking.due_at + LATE_SECONDS else "in time"
--- a/almondglade/placement/waits.py
+++ b/almondglade/placement/waits.py
@@ -72,10 +72,16 @@
         position = self._count_ahead(cell, tier, states, now) + (not may_be_free)
         if position <= free:
             return 0.0
+        position += self._booked_ahead(cell, tier, now)
         hold_seconds = self.mean_hold_seconds(cell.service)
         throughput = sum(state.throughput(hold_seconds) for state in states)
         return (position - free) / throughput
 
+    def _booked_ahead(self, cell, tier, now):
+        """Return how many returns are due in a cell that go before a new request."""
+        cells = len(self.targets.cells.for_service(cell.service))
+        return self.returns.open_ahead(cell.service, tier, now) / cells
+
     def _count_ahead(self, cell, tier, states, now):
         """Return how many requests wait ahead of a new one of a tier."""
         waiting = self._waiting(cell)
