--- a/almondglade/gateway/exchange.py
+++ b/almondglade/gateway/exchange.py
@@ -154,7 +154,6 @@
                         booking.tier,
                         booking.fingerprint,
                         max(0.0, booking.due_at - now),
-                        now - booking.first_arrived_at,
                     )
                     for booking in self.pools.returns.told(now)
                 ),
@@ -284,8 +283,8 @@
                 entry.tier,
                 "",
                 entry.fingerprint,
+                1,
                 now + entry.due_in,
-                now - entry.age,
                 report.instance,
                 entry.number,
                 now,
--- a/almondglade/gateway/returning.py
+++ b/almondglade/gateway/returning.py
@@ -114,7 +114,7 @@
     def record_start(self, ticket):
         """Count a request that got a slot."""
         if ticket.return_fingerprint:
-            self.pools.returns.rates.record(ticket.service, ticket.tier, self.clock())
+            self.pools.returns.rates.record(ticket, self.clock())
 
     def book(self, ticket, request, expected_wait):
         """Return when the caller of a refused request should return, or None.
@@ -136,9 +136,7 @@
         now = self.clock()
         if ticket.is_return:
             self.metrics.count("returns_refused_total", service=request.service)
-        place = self.pools.returns.book(
-            ticket, ticket.arrived_at - ticket.waited_before, expected_wait, now
-        )
+        place = self.pools.returns.book(ticket, expected_wait, now)
         if place is not None and place.is_early:
             self._record(request, "early", place.seconds)
         return place
--- a/almondglade/gateway/scheduling.py
+++ b/almondglade/gateway/scheduling.py
@@ -7,6 +7,7 @@
 from ..log import get_logger
 from ..outcome import Code, RequestError
 from ..placement.places import Ticket
+from ..placement.returns import max_wait_of_return
 from .refusals import Refusals
 from .returning import RECOGNITION_SECONDS, BookedReturns
 from .run import GatewayRun
@@ -165,11 +166,10 @@
             expected_wait = self._expected_wait(request, now)
             # A stream that has begun waits in any case.
             is_begun = bool(request.attempted_targets or request.version)
-            has_room = (
-                self.returns.recognise(ticket, request)
-                or expected_wait <= max_wait
-                or is_begun
-            )
+            is_return = self.returns.recognise(ticket, request)
+            if is_return:
+                max_wait = max(max_wait, max_wait_of_return(ticket, now))
+            has_room = is_return or expected_wait <= max_wait or is_begun
             if has_room or self.returns.must_ask(ticket):
                 self.pools.enqueue(ticket, now)
                 self.match()
@@ -183,7 +183,7 @@
             if has_room:
                 ready.wait(max_wait)
             elif not ready.wait(min(RECOGNITION_SECONDS, max_wait)):
-                self._wait_if_return(ticket, request, ready, now + max_wait)
+                self._wait_if_return(ticket, request, ready)
         finally:
             request.caller_connection.on_disconnect(None)
         with self.lock:
@@ -210,11 +210,11 @@
         )
         return ticket
 
-    def _wait_if_return(self, ticket, request, ready, until):
+    def _wait_if_return(self, ticket, request, ready):
         """Go on waiting if the coordinator has said that room is booked."""
         if ticket.is_return:
             self.returns.record_recognised(request)
-            ready.wait(max(0.0, until - self.clock()))
+            ready.wait(max_wait_of_return(ticket, self.clock()))
 
     def _overload_error(self, ticket, request, expected_wait, cause):
         """Return the error of a refused request, with room booked for its return."""
--- a/almondglade/gossip/codec.py
+++ b/almondglade/gossip/codec.py
@@ -22,8 +22,7 @@
     pack_further_fields,
     to_milliseconds,
     unpack_booked_returns,
-    unpack_fingerprints,
-    unpack_work,
+    unpack_waiting,
 )
 from .messages import (
     CrashEvidence,
@@ -302,8 +301,7 @@
     isolated_by_target,
 ):
     further_fields = latest_grant_by_coordinator.pop(FURTHER_FIELDS, {})
-    work = unpack_work(further_fields, len(waiting))
-    return_fingerprints = unpack_fingerprints(further_fields, len(waiting))
+    further_entries = unpack_waiting(further_fields, len(waiting))
     return Report(
         instance,
         data_centre,
@@ -324,8 +322,7 @@
                 cell_data_centre,
                 isolated_fingerprint,
                 *(version or ("",)),
-                *entry_work,
-                return_fingerprint=return_fingerprint,
+                *further_entry,
             )
             for (
                 number,
@@ -339,9 +336,7 @@
                 cell_data_centre,
                 isolated_fingerprint,
                 *version,
-            ), entry_work, return_fingerprint in zip(
-                waiting, work, return_fingerprints, strict=True
-            )
+            ), further_entry in zip(waiting, further_entries, strict=True)
         ),
         latest_grant_by_coordinator,
         tuple(paused_targets),
--- a/almondglade/gossip/fields.py
+++ b/almondglade/gossip/fields.py
@@ -35,14 +35,13 @@
                 entry.tier,
                 entry.fingerprint,
                 to_milliseconds(entry.due_in),
-                to_milliseconds(entry.age),
             ]
             for entry in message.booked_returns
         ]
     return {FURTHER_FIELDS: fields} if fields else {}
 
 
-def unpack_fingerprints(fields, count):
+def _unpack_fingerprints(fields, count):
     """Return the return fingerprint of each waiting request."""
     fingerprints = fields.get(FINGERPRINTS_FIELD) or [0] * count
     if len(fingerprints) != count:
@@ -59,15 +58,22 @@
             tuple(tier),
             decode_count(fingerprint),
             due_in / MILLISECONDS_PER_SECOND,
-            age / MILLISECONDS_PER_SECOND,
-        )
-        for number, service, tier, fingerprint, due_in, age in fields.get(
-            RETURNS_FIELD, ()
         )
+        for number, service, tier, fingerprint, due_in in fields.get(RETURNS_FIELD, ())
     )
 
 
-def unpack_work(fields, count):
+def unpack_waiting(fields, count):
+    """Return workspace, tokens and return fingerprint of each waiting request."""
+    work = _unpack_work(fields, count)
+    fingerprints = _unpack_fingerprints(fields, count)
+    return [
+        (*entry, fingerprint)
+        for entry, fingerprint in zip(work, fingerprints, strict=True)
+    ]
+
+
+def _unpack_work(fields, count):
     """Return workspace and tokens of each waiting request."""
     work = fields.get(WORK_FIELD) or [["", 0]] * count
     if len(work) != count:
--- a/almondglade/gossip/messages.py
+++ b/almondglade/gossip/messages.py
@@ -77,8 +77,6 @@
         What the request and its repeat have in common.
     due_in : float
         Seconds until the caller returns.
-    age : float
-        Seconds since the request first arrived.
     """
 
     number: int
@@ -86,7 +84,6 @@
     tier: tuple[int, ...]
     fingerprint: int
     due_in: float
-    age: float
 
 
 @dataclass(frozen=True)
--- a/almondglade/placement/places.py
+++ b/almondglade/placement/places.py
@@ -66,8 +66,8 @@
         Whether it may have been refused before.
     is_return : bool
         Whether room is booked for it, as it was refused and told to return.
-    waited_before : float
-        Seconds between the first arrival of such a request and this one.
+    due_at : float
+        Monotonic time at which it was told to return; infinite if not known.
     """
 
     service: str
@@ -92,7 +92,7 @@
     return_fingerprint: int = 0
     may_be_return: bool = False
     is_return: bool = False
-    waited_before: float = 0.0
+    due_at: float = float("inf")
 
     def accepts(self, record):
         """Return whether a target has the software version that it needs."""
@@ -110,9 +110,13 @@
 
     @property
     def rank(self):
-        """Sort key among waiting requests; the lowest is served first."""
-        first_arrived_at = self.arrived_at - self.waited_before
-        return (self.tier, first_arrived_at, self.owner, self.number)
+        """Sort key among waiting requests; the lowest is served first.
+
+        Inside a tier, those that return to booked room go first, in the order of the
+        times that they were told.
+        """
+        since = min(self.arrived_at, self.due_at)
+        return (self.tier, not self.is_return, since, self.owner, self.number)
 
 
 @dataclass
--- a/almondglade/placement/returns.py
+++ b/almondglade/placement/returns.py
@@ -4,8 +4,8 @@
 serve. Refused callers return when they are told to, at any instance and with what is
 left of their time, while first arrivals still take all the room. So a refusal names a
 time for which room is booked. Bookings are paced by the rate at which requests of the
-tier get slots, so that they can all be kept, and a return waits in the queue of its
-tier as if it had been there since its first arrival.
+tier get slots, so that they can be kept, and returns go before the first arrivals of
+their tier, but not of more urgent ones.
 """
 
 import itertools
@@ -25,6 +25,9 @@
 MIN_RETURN_SECONDS = 0.25
 # A return may come sooner than told by this much; clocks and timers are not exact.
 EARLY_SECONDS = 0.05
+# A return waits for at most this share of the time that its caller has left; the rest
+# is for the response.
+MAX_WAIT_SHARE = 0.5
 # A return that comes later than this after the time told counts as late, in seconds.
 LATE_SECONDS = 0.25
 # A booking expires this long after the time told: callers allow a second for a new
@@ -55,10 +58,11 @@
         Only known on the instance that made the booking.
     fingerprint : int
         What the request and its repeat have in common.
+    work : int
+        Tokens that the request is expected to take on an engine; 1 if not known, as
+        also for those that a peer has booked.
     due_at : float
         Monotonic time at which the caller was told to return.
-    first_arrived_at : float
-        Monotonic time at which the request first arrived.
     owner : str
         Instance that made the booking.
     number : int
@@ -76,8 +80,8 @@
     tier: tuple[int, ...]
     workspace: str
     fingerprint: int
+    work: int
     due_at: float
-    first_arrived_at: float
     owner: str
     number: int
     booked_at: float
@@ -122,15 +126,13 @@
         self._known_numbers_by_owner: dict[str, dict[int, Booking]] = {}
         self._numbers = itertools.count(1)
 
-    def book(self, ticket, first_arrived_at, earliest_seconds, now):
+    def book(self, ticket, earliest_seconds, now):
         """Book room for a refused request, if there is some that its caller can use.
 
         Parameters
         ----------
         ticket : Ticket
             The request; its `return_fingerprint` identifies the return.
-        first_arrived_at : float
-            Monotonic time at which it came for the first time.
         earliest_seconds : float
             Time before which no room is expected.
 
@@ -142,13 +144,13 @@
         pending = self._pending(ticket, now)
         if pending is not None:
             return ReturnTime(pending.due_at - now, True, True)
-        interval = self.rates.seconds_per_grant(ticket.service, ticket.tier, now)
-        if interval is None:
+        pace = self.rates.seconds_per_token(ticket.service, ticket.tier, now)
+        if pace is None:
             return None
         due_at = self._next_free(
             ticket,
             now + max(MIN_RETURN_SECONDS, earliest_seconds),
-            interval / BOOKED_SHARE,
+            pace / BOOKED_SHARE,
         )
         usable_until = now + USABLE_SHARE * (ticket.deadline - now)
         if due_at > usable_until or len(self._own) >= MAX_OPEN_HERE:
@@ -158,8 +160,8 @@
             ticket.tier,
             ticket.workspace,
             ticket.return_fingerprint,
+            _work(ticket),
             due_at,
-            first_arrived_at,
             self.instance,
             next(self._numbers),
             now,
@@ -180,11 +182,12 @@
             None,
         )
 
-    def _next_free(self, ticket, earliest_at, interval):
+    def _next_free(self, ticket, earliest_at, seconds_per_token):
         """Return the next time at which a tier has room that is not booked.
 
-        A workspace with bookings leaves room between them for each other one that has
-        some, so that none takes all the room that callers can use.
+        A booking takes room for as long as the work of the request takes at the pace
+        of the tier. A workspace with bookings leaves room between them for each other
+        one that has some, so that none takes all the room that callers can use.
         """
         of_tier = sorted(
             (
@@ -198,11 +201,11 @@
         workspaces = {booking.workspace for booking in of_tier} | {ticket.workspace}
         due_at = earliest_at
         for booking in of_tier:
-            gap = interval
-            if booking.workspace == ticket.workspace:
-                gap *= len(workspaces)
-            if abs(booking.due_at - due_at) < gap:
-                due_at = max(due_at, booking.due_at + gap)
+            is_same = booking.workspace == ticket.workspace
+            seconds = seconds_per_token * (len(workspaces) if is_same else 1)
+            ends_at = booking.due_at + seconds * booking.work
+            if booking.due_at - seconds * _work(ticket) < due_at < ends_at:
+                due_at = ends_at
         return due_at
 
     def record(self, bookings):
@@ -242,7 +245,7 @@
         booking = min(due, key=lambda entry: (entry.claim is None, entry.due_at))
         booking.claim = claim
         ticket.is_return = True
-        ticket.waited_before = max(0.0, ticket.arrived_at - booking.first_arrived_at)
+        ticket.due_at = booking.due_at
         return booking
 
     def open_ahead(self, service, tier, now):
@@ -310,6 +313,19 @@
                 del self._bookings_by_key[key]
 
 
+def max_wait_of_return(ticket, now):
+    """Return the longest time that a return waits for a slot, in seconds.
+
+    It goes before the first arrivals of its tier, and its objective has mostly passed;
+    while there is time for its response, it gets a slot sooner than by one more return.
+    """
+    return max(0.0, MAX_WAIT_SHARE * (ticket.deadline - now))
+
+
+def _work(ticket):
+    return max(1, ticket.tokens)
+
+
 def arrival_of(booking, now):
     """Return whether a return came ``in time`` or ``late``."""
     return "late" if now > booking.due_at + LATE_SECONDS else "in time"
