--- a/almondglade/placement/returns.py
+++ b/almondglade/placement/returns.py
@@ -171,7 +171,12 @@
         return ReturnTime(due_at - now, True)
 
     def _pending(self, ticket, now):
-        """Return the booking for which a request has come too early, or None."""
+        """Return the booking for which a request has come too early, or None.
+
+        One with its full time left is another caller's first try of the same request.
+        """
+        if not ticket.may_be_return:
+            return None
         key = (ticket.service, ticket.return_fingerprint)
         return next(
             (
