Ask the coordinator about possible returns in small fleets too

Cause: in a small fleet only coordinators get a report on each change. Change: all possible returns that find no room are asked about, but on the coordinators of their service.

--- a/almondglade/gateway/returning.py
+++ b/almondglade/gateway/returning.py
@@ -71,12 +71,12 @@
     def must_ask(self, ticket):
         """Return whether a coordinator may know of a booking for a possible return.
 
-        In a small fleet, all instances hear of all bookings.
+        Each booking is told to all coordinators of its service.
         """
         if not ticket.return_fingerprint or not ticket.may_be_return:
             return False
-        return not self.pools.is_full_mesh and self.pools.instance not in (
-            self.pools.coordinators_of_service(ticket.service, self.clock())
+        return self.pools.instance not in self.pools.coordinators_of_service(
+            ticket.service, self.clock()
         )
 
     def recognise(self, ticket, request):
--- a/test/test_returning.py
+++ b/test/test_returning.py
@@ -84,7 +84,6 @@
 
 def test_a_coordinator_is_asked_only_about_what_may_be_a_return():
     returns = make_returns()
-    returns.pools.is_full_mesh = False
     returns.pools.coordinators.instances = ["e0"]
 
     def must_ask(time_limit):
@@ -95,7 +94,8 @@
     assert not must_ask(10.0)
     assert must_ask(6.7)
     assert not must_ask(10.0)
-    returns.pools.is_full_mesh = True
+    # The coordinators themselves hear of all bookings.
+    returns.pools.coordinators.instances = [returns.pools.instance]
     assert not must_ask(6.7)
 
 
