--- a/almondglade/gateway/refusals.py
+++ b/almondglade/gateway/refusals.py
@@ -8,6 +8,7 @@
 
 from ..log import get_logger
 from ..outcome import Code, Outcome, RequestError
+from .returning import FINGERPRINT_MASK
 
 log = get_logger("requests")
 
@@ -83,6 +84,7 @@
             When the caller should return; None if no room is booked for such requests.
         """
         retry_after = self._retry_after(request, expected_wait, return_time)
+        is_booked = return_time is not None and return_time.is_booked
         self._count(request, Code.OVERLOADED)
         log.info(
             "request refused: no free slot",
@@ -93,7 +95,8 @@
             expected_wait=round(min(expected_wait, 1e3), 3),
             waited=round(self.clock() - request.arrived_at, 3),
             retry_after=round(retry_after, 2),
-            is_booked=return_time is not None and return_time.is_booked,
+            is_booked=is_booked,
+            fingerprint=request.fingerprint & FINGERPRINT_MASK if is_booked else None,
         )
         if request.may_have_run:
             return RequestError(Code.TARGET_FAILED, cause, Outcome.UNKNOWN)
