Test that a coordinator recognises a return at another instance

Cause: in a large fleet only coordinators hear of bookings. Change: a test passes a booking, a return and the reply between three exchanges, encoded as on the wire.

--- a/test/test_returning.py
+++ b/test/test_returning.py
@@ -1,6 +1,7 @@
 """When refused callers are told to return, and what instances tell each other of it."""
 
 import itertools
+import time
 from types import SimpleNamespace
 
 import msgpack
@@ -12,9 +13,11 @@
 from almondglade.gossip.codec import decode, encode
 from almondglade.gossip.messages import BookedReturn, Grants, Report, WaitingRequest
 from almondglade.metrics import Metrics
+from almondglade.placement.coordination import InstanceInfo
 from almondglade.placement.places import Ticket
 
 from .placing import SERVICE, make_pools, record
+from .test_cells import make_exchange
 
 WITH_ALLOWANCE = WorkspaceTerms("w", rate=100.0, burst=100.0)
 
@@ -116,3 +119,47 @@
     assert decode(encode(Grants("e1", returns=(4, 5)))).returns == (4, 5)
     # Peers without returns get the reply of earlier releases.
     assert len(msgpack.unpackb(encode(Grants("e1")))) == 5
+
+
+def test_a_coordinator_of_a_large_fleet_recognises_a_return_at_another_instance():
+    info_by_instance = {f"e{number}": InstanceInfo("north") for number in range(2, 40)}
+    info_by_instance["e1"] = InstanceInfo("north", 2.0)
+    exchange_by_name, messages = {}, []
+    for name in ("e1", "e2", "e3"):
+        exchange, _ = make_exchange(name, "north", info_by_instance)
+        exchange.gossip = SimpleNamespace(
+            call_later=lambda seconds, callback: callback(),
+            send_to_all_soon=lambda message: None,
+            send_soon=lambda names, message: messages.append((names, message)),
+            acknowledge_grants_soon=lambda: None,
+        )
+        exchange_by_name[name] = exchange
+    coordinator, refusing, receiving = exchange_by_name.values()
+    now = time.monotonic()
+    entry = Ticket(SERVICE, (0, 0), now, deadline=now + 9.0, return_fingerprint=7)
+    for pools in (refusing.pools, receiving.pools):
+        pools.set_targets([record("t1")])
+    refusing.pools.returns.rates.record(entry, now)
+    seconds = refusing.pools.returns.book(entry, 0.0, now).seconds
+    # It reports to the coordinator though nothing of its own waits or runs.
+    assert refusing.report_receivers()[0] == {"e1"}
+    coordinator.handle_report(decode(encode(refusing.make_report(1))))
+    time.sleep(seconds)
+    returned, other = (
+        Ticket(
+            SERVICE,
+            (0, 0),
+            time.monotonic(),
+            return_fingerprint=fingerprint,
+            may_be_return=True,
+        )
+        for fingerprint in (7, 8)
+    )
+    for ticket in (returned, other):
+        receiving.pools.enqueue(ticket, time.monotonic())
+    coordinator.handle_report(decode(encode(receiving.make_report(1))))
+    ((names, grants),) = messages
+    assert names == {"e3"}
+    receiving.handle_grants(decode(encode(grants)))
+    assert returned.is_return
+    assert not other.is_return
