--- a/almondglade/placement/returns.py
+++ b/almondglade/placement/returns.py
@@ -36,6 +36,9 @@
 # New requests find the room taken that is booked for the next so many seconds, about
 # the longest time that they themselves may wait.
 AHEAD_SECONDS = 0.5
+# The count of those is used for this long, in seconds.
+COUNT_CACHE_SECONDS = 0.03
+NEVER = float("-inf")
 # Most open bookings that one instance makes, and that it keeps for its peers.
 MAX_OPEN_HERE = 128
 MAX_OPEN_OF_PEERS = 4096
@@ -124,6 +127,7 @@
         self._bookings_by_key: dict[tuple[str, int], list[Booking]] = {}
         self._own: deque[Booking] = deque()
         self._known_numbers_by_owner: dict[str, dict[int, Booking]] = {}
+        self._recent_counts: dict[tuple[str, tuple[int, ...]], tuple[int, float]] = {}
         self._numbers = itertools.count(1)
 
     def book(self, ticket, earliest_seconds, now):
@@ -255,14 +259,18 @@
 
     def open_ahead(self, service, tier, now):
         """Return how many returns are due soon that go before a new request."""
-        return sum(
-            booking.claim is None
-            and booking.service == service
-            and booking.tier <= tier
-            and now <= booking.due_at <= now + AHEAD_SECONDS
-            for bookings in self._bookings_by_key.values()
-            for booking in bookings
-        )
+        count, counted_at = self._recent_counts.get((service, tier), (0, NEVER))
+        if now - counted_at > COUNT_CACHE_SECONDS:
+            count = sum(
+                booking.claim is None
+                and booking.service == service
+                and booking.tier <= tier
+                and now <= booking.due_at <= now + AHEAD_SECONDS
+                for bookings in self._bookings_by_key.values()
+                for booking in bookings
+            )
+            self._recent_counts[service, tier] = (count, now)
+        return count
 
     def count_open(self):
         """Return the number of this instance's bookings that have not expired."""
