Label returns by result, and let bookings touch each other

Cause: labels of metrics are a fixed set; a cached count outlived the bookings of a peer that started again; sums of times are not exact. Change: returns_total has the label result; forgotten bookings no longer count; bookings may overlap by a millisecond.

--- a/almondglade/gateway/returning.py
+++ b/almondglade/gateway/returning.py
@@ -100,7 +100,7 @@
         self._record(request, "at a coordinator", None)
 
     def _record(self, request, arrival, early_by):
-        self.metrics.count("returns_total", service=request.service, arrival=arrival)
+        self.metrics.count("returns_total", service=request.service, result=arrival)
         log.info(
             "refused request has returned",
             request=request.request_id,
--- a/almondglade/metrics.py
+++ b/almondglade/metrics.py
@@ -48,7 +48,7 @@
         "Requests that a gateway refused without sending them, by why.",
     ),
     "returns_total": (
-        ("service", "arrival"),
+        ("service", "result"),
         "Refused requests that returned to room booked for them, by when they came.",
     ),
     "returns_refused_total": (
--- a/almondglade/placement/returns.py
+++ b/almondglade/placement/returns.py
@@ -23,6 +23,8 @@
 # Shortest time, in seconds, for which a caller is sent away: several times what a
 # booking takes to reach the coordinators.
 MIN_RETURN_SECONDS = 0.25
+# Bookings may overlap by this much, in seconds, as sums of times are not exact.
+OVERLAP_SECONDS = 0.001
 # A return may come sooner than told by this much; clocks and timers are not exact.
 EARLY_SECONDS = 0.05
 # A return waits for at most this share of the time that its caller has left; the rest
@@ -213,7 +215,8 @@
             is_same = booking.workspace == ticket.workspace
             seconds = seconds_per_token * (len(workspaces) if is_same else 1)
             ends_at = booking.due_at + seconds * booking.work
-            if booking.due_at - seconds * _work(ticket) < due_at < ends_at:
+            starts_at = booking.due_at - seconds * _work(ticket)
+            if starts_at + OVERLAP_SECONDS < due_at < ends_at - OVERLAP_SECONDS:
                 due_at = ends_at
         return due_at
 
@@ -319,6 +322,7 @@
 
     def forget(self, owner):
         """Remove the bookings of a peer that has started again."""
+        self._recent_counts.clear()
         for booking in self._known_numbers_by_owner.pop(owner, {}).values():
             key = (booking.service, booking.fingerprint)
             self._bookings_by_key[key].remove(booking)
