--- a/almondglade/gateway/exchange.py
+++ b/almondglade/gateway/exchange.py
@@ -4,7 +4,6 @@
 
 from ..clocks import boottime_clock
 from ..gossip.messages import (
-    BookedReturn,
     ExpectedWait,
     Grant,
     Grants,
@@ -18,7 +17,7 @@
 from ..placement.cells import Cell
 from ..placement.outlook import RecentWaits
 from ..placement.places import PeerLoad, Ticket
-from ..placement.returns import Booking
+from .returnreports import recognise_returns, told_returns
 
 log = get_logger("exchange")
 
@@ -147,16 +146,7 @@
                 shared_state,
                 self.pools.stats_here(now, receiver) if with_stats else None,
                 self.pools.isolated_here(),
-                tuple(
-                    BookedReturn(
-                        booking.number,
-                        booking.service,
-                        booking.tier,
-                        booking.fingerprint,
-                        max(0.0, booking.due_at - now),
-                    )
-                    for booking in self.pools.returns.told(now)
-                ),
+                told_returns(self.pools.returns, now),
             )
 
     def _shared_state(self, scope, receiver, now):
@@ -259,7 +249,7 @@
         }
         with self.lock:
             self._note_incarnation(report)
-            self._recognise_returns(report, load.tickets, now)
+            recognise_returns(self.pools.returns, report, load.tickets, now)
             self.pools.fleet.update(report.instance, load)
             if report.shared_state is not None:
                 self._apply_shared_state(report, report.shared_state, now)
@@ -274,26 +264,6 @@
             self._is_batch_scheduled = True
             self.gossip.call_later(BATCH_SECONDS, self._answer_batch)
 
-    def _recognise_returns(self, report, tickets, now):
-        """Record the bookings of a peer, and find those for its waiting requests."""
-        returns = self.pools.returns
-        returns.record(
-            Booking(
-                entry.service,
-                entry.tier,
-                "",
-                entry.fingerprint,
-                1,
-                now + entry.due_in,
-                report.instance,
-                entry.number,
-                now,
-            )
-            for entry in report.booked_returns
-        )
-        for ticket in tickets:
-            returns.claim(ticket, (ticket.owner, ticket.number), now)
-
     def _note_incarnation(self, report):
         """Forget which grants of a peer were received before it started again.
 
