Let a return that a coordinator recognises wait as long as others

Cause: one that found room at first waited only as long as a new request. Change: it goes on waiting once the coordinator has said that it is one.

--- a/almondglade/gateway/scheduling.py
+++ b/almondglade/gateway/scheduling.py
@@ -180,9 +180,8 @@
         self.on_change()
         request.caller_connection.on_disconnect(ready.set)
         try:
-            if has_room:
-                ready.wait(max_wait)
-            elif not ready.wait(min(RECOGNITION_SECONDS, max_wait)):
+            seconds = max_wait if has_room else min(RECOGNITION_SECONDS, max_wait)
+            if not ready.wait(seconds) and not is_return:
                 self._wait_if_return(ticket, request, ready)
         finally:
             request.caller_connection.on_disconnect(None)
