--- a/almondglade/gateway/exchange.py
+++ b/almondglade/gateway/exchange.py
@@ -14,6 +14,7 @@
 from ..placement.cells import Cell
 from ..placement.outlook import RecentWaits, TierWaits
 from ..placement.places import PeerLoad
+from .returnreports import recognise_returns, told_returns
 from .sharedstates import SharedStateExchange
 from .waitingreports import expected_waits, tickets_from, waiting_request
 
@@ -123,6 +124,7 @@
                 shared_state,
                 self.pools.stats_here(now, receiver) if with_stats else None,
                 self.pools.isolated_here(),
+                told_returns(self.pools.returns, now),
                 sent_at,
             )
 
@@ -139,8 +141,14 @@
         pause : float
             Seconds until the next report if nothing changes before.
         """
+        now = self.clock()
         with self.lock:
-            names = self.pools.coordinators_in_use(self.clock())
+            names = self.pools.coordinators_in_use(now).union(
+                *(
+                    self.pools.coordinators_of_service(service, now)
+                    for service in self.pools.returns.told_services(now)
+                )
+            )
             pause = self.pools.next_report_seconds()
         receivers, self._last_receivers = names | self._last_receivers, names
         return receivers - {self.settings.instance}, pause
@@ -208,6 +216,7 @@
         }
         with self.lock:
             self._note_incarnation(report)
+            recognise_returns(self.pools.returns, report, load.tickets, now)
             self.pools.fleet.update(report.instance, load)
             if report.shared_state is not None:
                 self._apply_shared_state(report, report.shared_state, now, said_at)
@@ -231,6 +240,7 @@
         self._incarnation_by_peer[report.instance] = report.incarnation
         if former not in (None, report.incarnation):
             self.pools.latest_grant_by_coordinator.pop(report.instance, None)
+            self.pools.returns.forget(report.instance)
 
     def _answer_batch(self):
         self._is_batch_scheduled = False
@@ -254,7 +264,10 @@
             if unconfirmed_by_peer[peer] or peer not in granted_peers:
                 # Without grants this acknowledges the peer's requests.
                 self.send_grants(
-                    peer, unconfirmed_by_peer[peer], self._expected_waits(load, now)
+                    peer,
+                    unconfirmed_by_peer[peer],
+                    self._expected_waits(load, now),
+                    tuple(entry.number for entry in load.tickets if entry.is_return),
                 )
 
     def _expected_waits(self, load, now):
@@ -287,7 +300,7 @@
 
         return self._recent_waits.get((cell, tier), now, count)
 
-    def send_grants(self, peer, grants, waits=()):
+    def send_grants(self, peer, grants, waits=(), returns=()):
         """Send grants to a peer; safe from any thread.
 
         Parameters
@@ -298,9 +311,14 @@
             Number of each grant, number of the request at the peer, and target.
         waits : tuple of ExpectedWait
             Waits that new requests of the peer should expect.
+        returns : tuple of int
+            Numbers of the requests at the peer for which room is booked.
         """
         message = Grants(
-            self.settings.instance, tuple(Grant(*grant) for grant in grants), waits
+            self.settings.instance,
+            tuple(Grant(*grant) for grant in grants),
+            waits,
+            returns,
         )
         self.gossip.send_soon({peer}, message)
 
@@ -317,6 +335,9 @@
                     now,
                     wait.workspace,
                 )
+            for ticket in self.pools.waiting_here():
+                if ticket.number in message.returns:
+                    ticket.is_return = True
             tickets = [
                 self.pools.apply_grant(
                     message.instance, grant.number, grant.request, grant.target
--- a/almondglade/gateway/scheduling.py
+++ b/almondglade/gateway/scheduling.py
@@ -5,11 +5,16 @@
 from ..deadlines import Deadlines
 from ..dispatch.connections import TargetPools
 from ..log import get_logger
-from ..outcome import Code, Outcome, RequestError
+from ..outcome import Code, RequestError
 from ..placement.places import Ticket
+from ..placement.returns import max_wait_of_return
 from .measuring import expected_first_byte_seconds
+from .refusals import Refusals
+from .returning import RECOGNITION_SECONDS, BookedReturns
 from .run import GatewayRun
+from .settings import DEFAULT_FEATURES
 from .sharing import log_share_changes, record_share_refusal
+from .targetrecords import TargetRecords
 
 log = get_logger("requests")
 
@@ -18,28 +23,9 @@
 MAX_WAIT_SHARE = 0.7
 # Longest wait for a slot when a request is retried on another target.
 RETRY_MAX_WAIT_SECONDS = 1.0
-# Limits of the Retry-After time of a refused request.
-MIN_RETRY_AFTER_SECONDS = 0.25
-MAX_RETRY_AFTER_SECONDS = 4.0
-# A caller that retries before the overload has passed is refused again, so it is told
-# to wait for at least this many times the latency objective of its route.
-MIN_RETRY_AFTER_OBJECTIVES = 2.0
 
 
-VERSION_GONE_MESSAGE = "no target of the software version that began the stream"
-
-
-def no_version_error():
-    """Return the error for a stream that cannot go on, as its version has gone.
-
-    The version may be back later, as when its last target starts again.
-    """
-    return RequestError(
-        Code.NO_TARGET, VERSION_GONE_MESSAGE, retry_after=MAX_RETRY_AFTER_SECONDS
-    )
-
-
-class GatewayScheduler:
+class GatewayScheduler(TargetRecords):
     """Assigns requests to targets and dispatches them, in the caller's thread.
 
     Parameters
@@ -75,6 +61,8 @@
         Where decisions are counted.
     clock : callable
         Returns monotonic seconds.
+    features : Features
+        Which optional decisions the operator allows.
     """
 
     def __init__(
@@ -94,27 +82,24 @@
         send_grants,
         metrics,
         clock,
+        features=DEFAULT_FEATURES,
     ):
-        self.pools = pools
+        super().__init__(pools, suspects, links, lock, on_change, metrics, clock)
         self.instance = pools.instance
         self.allowances = allowances
         self.retry_budget = retry_budget
-        self.suspects = suspects
         self.limits = limits
         self.origins = origins
         self.relays = relays
-        self.links = links
         self.connections = connections
         self.peer_connections = TargetPools()
-        self.lock = lock
         self.fleet_size = fleet_size
-        self.on_change = on_change
         self.send_grants = send_grants
-        self.metrics = metrics
-        self.clock = clock
         self.deadlines = Deadlines(clock)
         # Takes the bytes of responses that pass the link.
         self.record_bytes = lambda count: None
+        self.refusals = Refusals(metrics, clock)
+        self.returns = BookedReturns(pools, features.booked_returns, metrics, clock)
 
     def run(self, request):
         """Dispatch a request and return its `GatewayRun`.
@@ -132,21 +117,7 @@
             self.retry_budget.count_request(request.service, now)
             retry_after = self._consume_allowance(request, now)
         if retry_after > 0.0:
-            self._count_refusal(request, Code.PLAN_LIMIT)
-            log.info(
-                "request refused: the workspace is over its allowance",
-                request=request.request_id,
-                workspace=request.workspace.name,
-                charge=request.charge,
-                rate=request.workspace.rate,
-                burst=request.workspace.burst,
-                retry_after=round(retry_after, 2),
-            )
-            raise RequestError(
-                Code.PLAN_LIMIT,
-                "the workspace is over its allowance",
-                retry_after=retry_after,
-            )
+            raise self.refusals.allowance_error(request, retry_after)
         run = GatewayRun(self, request)
         try:
             run.open()
@@ -178,7 +149,7 @@
         if request.version and not self.has_target(
             request.service, request.version, request.attempted_targets
         ):
-            raise self._version_gone_error(request)
+            raise self.refusals.version_gone_error(request)
         now = self.clock()
         ready = threading.Event()
         ticket = self._make_ticket(request, request.attempted_targets, ready.set)
@@ -187,19 +158,27 @@
             expected_wait = self._expected_wait(request, now)
             # A stream that has begun waits in any case.
             is_begun = bool(request.attempted_targets or request.version)
-            if expected_wait <= max_wait or is_begun:
+            is_return = self.returns.recognise(ticket, request)
+            if is_return:
+                max_wait = max(max_wait, max_wait_of_return(ticket, now))
+            has_room = is_return or expected_wait <= max_wait or is_begun
+            if has_room or self.returns.must_ask(ticket):
                 self.pools.enqueue(ticket, now)
                 self.match()
             else:
                 record_share_refusal(
                     self.pools, self.metrics, request, expected_wait, now
                 )
-        if expected_wait > max_wait and not is_begun:
-            raise self._overload_error(request, expected_wait, "too much work waits")
+        if not ticket.number:
+            raise self._overload_error(
+                ticket, request, expected_wait, "too much work waits"
+            )
         self.on_change()
         request.caller_connection.on_disconnect(ready.set)
         try:
-            ready.wait(max_wait)
+            seconds = max_wait if has_room else min(RECOGNITION_SECONDS, max_wait)
+            if not ready.wait(seconds) and not is_return:
+                self._wait_if_return(ticket, request, ready)
         finally:
             request.caller_connection.on_disconnect(None)
         with self.lock:
@@ -209,6 +188,8 @@
                 record_share_refusal(
                     self.pools, self.metrics, request, expected_wait, self.clock()
                 )
+            else:
+                self.returns.record_start(ticket)
         if still_waiting:
             self.on_change()
         if request.caller_connection.disconnected:
@@ -217,7 +198,7 @@
             raise RequestError(Code.CALLER_GONE, "the caller has gone away")
         if still_waiting:
             raise self._overload_error(
-                request, expected_wait, "no place became free in time"
+                ticket, request, expected_wait, "no place became free in time"
             )
         self.metrics.observe(
             "wait_seconds",
@@ -227,6 +208,21 @@
         )
         return ticket
 
+    def _wait_if_return(self, ticket, request, ready):
+        """Go on waiting if the coordinator has said that room is booked."""
+        if ticket.is_return:
+            self.returns.record_recognised(request)
+            ready.wait(max_wait_of_return(ticket, self.clock()))
+
+    def _overload_error(self, ticket, request, expected_wait, cause):
+        """Return the error of a refused request, with room booked for its return."""
+        with self.lock:
+            return_time = self.returns.book(ticket, request, expected_wait)
+        if return_time is not None and return_time.is_booked:
+            # The coordinators must hear of it.
+            self.on_change()
+        return self.refusals.overload_error(request, expected_wait, cause, return_time)
+
     def record_response_time(self, service, slowness):
         """Record how much slower than expected a target began to respond."""
         with self.lock:
@@ -298,49 +294,6 @@
         )
         return max(0.0, min(wait_until - now, time_left))
 
-    def _overload_error(self, request, expected_wait, cause):
-        delay = max(
-            expected_wait, MIN_RETRY_AFTER_OBJECTIVES * request.route.latency_objective
-        )
-        retry_after = min(max(MIN_RETRY_AFTER_SECONDS, delay), MAX_RETRY_AFTER_SECONDS)
-        self._count_refusal(request, Code.OVERLOADED)
-        log.info(
-            "request refused: no free slot",
-            request=request.request_id,
-            service=request.service,
-            tier=request.tier,
-            cause=cause,
-            expected_wait=round(min(expected_wait, 1e3), 3),
-            waited=round(self.clock() - request.arrived_at, 3),
-            retry_after=round(retry_after, 2),
-        )
-        if request.may_have_run:
-            return RequestError(Code.TARGET_FAILED, cause, Outcome.UNKNOWN)
-        return RequestError(Code.OVERLOADED, cause, retry_after=retry_after)
-
-    def has_target(self, service, version, attempted):
-        """Return whether a target that was not attempted has a software version."""
-        with self.lock:
-            return self.pools.targets.has_target(service, version, attempted)
-
-    def _version_gone_error(self, request):
-        self._count_refusal(request, Code.NO_TARGET)
-        log.info(
-            "request refused: no target of the stream's version",
-            request=request.request_id,
-            service=request.service,
-            version=request.version,
-            targets=request.attempted_targets,
-        )
-        if request.may_have_run:
-            return RequestError(
-                Code.TARGET_FAILED, VERSION_GONE_MESSAGE, Outcome.UNKNOWN
-            )
-        return no_version_error()
-
-    def _count_refusal(self, request, code):
-        self.metrics.count("refusals_total", service=request.service, code=code.text)
-
     def release(self, ticket, held_seconds):
         """Free the slot of a ticket and assign it to the next request.
 
@@ -409,111 +362,3 @@
         """Return whether the retry budget of a service is not used up."""
         with self.lock:
             return self.retry_budget.has_room(service, self.fleet_size(), self.clock())
-
-    def record_statements(self, request, record, response_info):
-        """Record that a target says that it is leaving, or wants no requests.
-
-        Parameters
-        ----------
-        request : GatewayRequest
-            Request that it answered.
-        record : TargetRecord
-        response_info : TargetResponseInfo
-        """
-        if response_info.is_leaving:
-            self.record_leaving(record, request.request_id)
-        if response_info.backoff is None or response_info.misdirected:
-            return
-        with self.lock:
-            targets = self.pools.targets
-            is_longer = targets.record_backoff(
-                record.incarnation, response_info.backoff, self.clock()
-            )
-        if is_longer:
-            self.metrics.count("target_backoffs_total", service=record.service)
-            log.info(
-                "target wants no requests for a while",
-                request=request.request_id,
-                target=record.id,
-                seconds=response_info.backoff,
-            )
-
-    def record_leaving(self, record, source):
-        """Record that a target says that it is leaving, in a response or a probe."""
-        with self.lock:
-            targets = self.pools.targets
-            if not targets.record_leaving(record.incarnation):
-                return
-            self.suspects.update_targets(
-                [state.record for state in targets.state_by_target.values()]
-            )
-        self.metrics.count("targets_leaving_total", service=record.service)
-        log.info("target says that it is leaving", target=record.id, source=source)
-        # Coordinators must not grant it to this instance any more.
-        self.on_change()
-
-    def record_for(self, target):
-        """Return the record of a target that accepts new requests, or None."""
-        with self.lock:
-            if not self.pools.targets.takes_new_work(target):
-                return None
-            return self.pools.targets.state_by_target[target].record
-
-    def listed_record(self, target):
-        """Return the record of a target, or None if it is not listed."""
-        with self.lock:
-            state = self.pools.targets.state_by_target.get(target)
-            return state.record if state is not None else None
-
-    def slowness_of(self, target):
-        """Return the slowness of a target; 1 if not known, as where a peer chooses."""
-        with self.lock:
-            state = self.pools.targets.state_by_target.get(target)
-            return state.slowness if state is not None else 1.0
-
-    def is_cut_off(self, request):
-        """Return whether this instance reaches no target that could run a request."""
-        with self.lock:
-            return self.pools.targets.is_cut_off(
-                request.service, request.version, self.clock()
-            )
-
-    def record_unreachable(self, target):
-        """Pause a target to which a connection failed, and probe its service."""
-        self.update_health(target, lambda health, now: health.record_unreachable(now))
-        record = self.listed_record(target)
-        if record is not None:
-            self.links.record_failure(record.service)
-
-    def has_other_version(self, record):
-        """Return whether a target has started again with another version since."""
-        with self.lock:
-            state = self.pools.targets.state_by_target.get(record.id)
-            return state is not None and state.record.version != record.version
-
-    def update_health(self, target, update):
-        """Update the health record of a target.
-
-        Parameters
-        ----------
-        target : str
-            Id of the target; ignored if it is no longer listed.
-        update : callable
-            Called with the target's `Health` and the time.
-        """
-        with self.lock:
-            state = self.pools.targets.state_by_target.get(target)
-            if state is not None:
-                before = state.health.is_paused(self.clock())
-                update(state.health, self.clock())
-                after = state.health.is_paused(self.clock())
-                if after and not before:
-                    self.metrics.count(
-                        "target_pauses_total", service=state.record.service
-                    )
-                    log.info(
-                        "target paused",
-                        target=target,
-                        seconds=round(state.health.pause, 2),
-                        failures=round(state.health.smoothed_failures, 2),
-                    )
--- /dev/null
+++ b/almondglade/gossip/fields.py
@@ -0,0 +1,120 @@
+"""Fields of reports that earlier releases don't know, and numbers on the wire."""
+
+import math
+
+from ..errors import PeerError
+from .messages import BookedReturn
+
+MILLISECONDS_PER_SECOND = 1000.0
+# Upper bound on durations on the wire, which keeps the numbers small. Evidence of this
+# age is worthless anyway.
+MAX_AGE_SECONDS = 1e6
+# Key under which the map of confirmed grants holds further fields of a report. Releases
+# that don't know them look up only their own names there. Fields under unknown keys
+# are ignored, so that later releases can add some.
+FURTHER_FIELDS = ""
+WORK_FIELD = "work"
+FINGERPRINTS_FIELD = "fingerprints"
+RETURNS_FIELD = "returns"
+SENT_FIELD = "sent"
+
+
+def pack_further_fields(message):
+    """Return the map entry with the fields that earlier releases don't know."""
+    fields = {}
+    if any(entry.workspace or entry.tokens for entry in message.waiting):
+        fields[WORK_FIELD] = [
+            [entry.workspace, entry.tokens, _pack_start(entry.start_within)]
+            for entry in message.waiting
+        ]
+    if any(entry.return_fingerprint for entry in message.waiting):
+        fields[FINGERPRINTS_FIELD] = [
+            entry.return_fingerprint for entry in message.waiting
+        ]
+    if message.booked_returns:
+        fields[RETURNS_FIELD] = [
+            [
+                entry.number,
+                entry.service,
+                entry.tier,
+                entry.fingerprint,
+                to_milliseconds(entry.due_in),
+            ]
+            for entry in message.booked_returns
+        ]
+    if message.sent_at is not None:
+        fields[SENT_FIELD] = round(message.sent_at * MILLISECONDS_PER_SECOND)
+    return {FURTHER_FIELDS: fields} if fields else {}
+
+
+def _pack_start(seconds):
+    return None if math.isinf(seconds) else to_milliseconds(seconds)
+
+
+def unpack_sent_at(fields):
+    """Return the time on the sender's clock, or None if it does not tell."""
+    milliseconds = fields.get(SENT_FIELD)
+    if milliseconds is None:
+        return None
+    return decode_count(milliseconds) / MILLISECONDS_PER_SECOND
+
+
+def _unpack_fingerprints(fields, count):
+    """Return the return fingerprint of each waiting request."""
+    fingerprints = fields.get(FINGERPRINTS_FIELD) or [0] * count
+    if len(fingerprints) != count:
+        raise PeerError("malformed message: fingerprints of other requests")
+    return [decode_count(fingerprint) for fingerprint in fingerprints]
+
+
+def unpack_booked_returns(fields):
+    """Return the bookings that the sender made lately."""
+    return tuple(
+        BookedReturn(
+            decode_count(number),
+            service,
+            tuple(tier),
+            decode_count(fingerprint),
+            due_in / MILLISECONDS_PER_SECOND,
+        )
+        for number, service, tier, fingerprint, due_in in fields.get(RETURNS_FIELD, ())
+    )
+
+
+def unpack_waiting(fields, count):
+    """Return what reports of this release add to each waiting request."""
+    work = _unpack_work(fields, count)
+    fingerprints = _unpack_fingerprints(fields, count)
+    return [
+        (*entry, fingerprint)
+        for entry, fingerprint in zip(work, fingerprints, strict=True)
+    ]
+
+
+def _unpack_work(fields, count):
+    """Return workspace, tokens and latest start of each waiting request."""
+    work = fields.get(WORK_FIELD) or [["", 0]] * count
+    if len(work) != count:
+        raise PeerError("malformed message: work of another number of requests")
+    return [_decode_work(*entry) for entry in work]
+
+
+def _decode_work(workspace, tokens, start=None):
+    if not isinstance(workspace, str):
+        raise PeerError("malformed message: a workspace is not a text")
+    start_within = (
+        math.inf if start is None else decode_count(start) / MILLISECONDS_PER_SECOND
+    )
+    return workspace, decode_count(tokens), start_within
+
+
+def to_milliseconds(seconds):
+    """Return a duration as it goes on the wire."""
+    return round(min(seconds, MAX_AGE_SECONDS) * MILLISECONDS_PER_SECOND)
+
+
+def decode_count(number):
+    """Return a whole number, or raise PeerError."""
+    if not isinstance(number, int):
+        raise PeerError("malformed message: a count is not a number")
+    return number
--- a/almondglade/gossip/messages.py
+++ b/almondglade/gossip/messages.py
@@ -44,6 +44,8 @@
     start_within : float
         Seconds within which it must be sent to be answered within its objective;
         infinite if not known.
+    return_fingerprint : int
+        Fingerprint under which room may be booked for it; 0 if none is.
     """
 
     number: int
@@ -60,6 +62,32 @@
     workspace: str = ""
     tokens: int = 0
     start_within: float = math.inf
+    return_fingerprint: int = 0
+
+
+@dataclass(frozen=True)
+class BookedReturn:
+    """Room for a caller that the sender has told when to return.
+
+    Parameters
+    ----------
+    number : int
+        Number of the booking on the sender.
+    service : str
+        Service that the request waits for.
+    tier : tuple of int
+        Tier of the workspace, then tier of the route.
+    fingerprint : int
+        What the request and its repeat have in common.
+    due_in : float
+        Seconds until the caller returns.
+    """
+
+    number: int
+    service: str
+    tier: tuple[int, ...]
+    fingerprint: int
+    due_in: float
 
 
 @dataclass(frozen=True)
@@ -126,6 +154,8 @@
         Recent results of targets at the sender; sent only in periodic reports.
     isolated_by_target : dict of str to tuple of int
         Fingerprints of the requests that the sender runs in isolation, by target.
+    booked_returns : tuple of BookedReturn
+        Bookings that the sender made lately.
     sent_at : float or None
         Seconds on the sender's clock, which also runs while its host is suspended, at
         which the ages in the report are true; None if it is of an earlier release.
@@ -143,6 +173,7 @@
     shared_state: SharedState | None = None
     stats_by_target: dict[str, TargetStats] | None = None
     isolated_by_target: dict[str, tuple[int, ...]] = field(default_factory=dict)
+    booked_returns: tuple[BookedReturn, ...] = ()
     sent_at: float | None = None
 
 
@@ -200,11 +231,14 @@
         May be empty; the reply then only confirms that the report arrived.
     waits : tuple of ExpectedWait
         Estimates for requests like those that the receiver has waiting.
+    returns : tuple of int
+        Numbers of the receiver's waiting requests for which room is booked.
     """
 
     instance: str
     grants: tuple[Grant, ...] = ()
     waits: tuple[ExpectedWait, ...] = ()
+    returns: tuple[int, ...] = ()
 
 
 @dataclass(frozen=True)
--- a/almondglade/metrics.py
+++ b/almondglade/metrics.py
@@ -52,6 +52,18 @@
         "Requests refused for want of a slot, by whether others of their workspace "
         "were ahead of them (over) or not (within).",
     ),
+    "returns_total": (
+        ("service", "result"),
+        "Refused requests that returned to room booked for them, by when they came.",
+    ),
+    "returns_refused_total": (
+        ("service",),
+        "Refused requests that returned when told to and were refused again.",
+    ),
+    "returns_expired_total": (
+        ("service",),
+        "Bookings for refused requests that ended without a return seen here.",
+    ),
     "target_pauses_total": (
         ("service",),
         "Times that a gateway ceased to use a target for a while.",
@@ -127,6 +139,7 @@
         "Workspaces that hold more than their share at the coordinator here, while "
         "others wait.",
     ),
+    "bookings_open": ((), "Refused requests for whose return room is booked here."),
     "places_free": (("service",), "Free places of a service, as seen here."),
     "targets_paused": ((), "Targets that this gateway does not use for now."),
     "services_cut_off": ((), "Services none of whose targets can be reached."),
@@ -236,6 +249,7 @@
             state.named_rate.is_limited
             for state in pools.targets.state_by_target.values()
         )
+        bookings = pools.returns.count_open()
         evidence_age = node.freshness.age(boottime_clock())
         is_outdated = node.freshness.is_outdated
     catalogue = node.registry.catalogue
@@ -252,6 +266,7 @@
     metrics.set("targets_paused", paused)
     metrics.set("services_cut_off", len(node.links.lost_services))
     metrics.set("targets_rate_limited", rate_limited)
+    metrics.set("bookings_open", bookings)
     metrics.set("evidence_age_seconds", min(evidence_age, MAX_AGE_SECONDS))
     metrics.set("log_lines_left_out", dropped_lines())
     for name in ("requests_waiting", "places_free", "workspaces_over_share"):
--- a/almondglade/placement/queue.py
+++ b/almondglade/placement/queue.py
@@ -12,6 +12,7 @@
 from .fairness import FairOrder, arrange_by_arrival
 from .outlook import CellReports, RecentWaits
 from .places import Ticket
+from .returns import ReturnCalendar
 from .shares import FairShares
 from .targets import Targets
 from .timeliness import ResponseTimes, arrange_timely_first
@@ -53,6 +54,8 @@
         Requests that wait on this instance, the best first.
     latest_grant_by_coordinator : dict of str to int
         Number of the newest grant received from each coordinator.
+    returns : ReturnCalendar
+        Room that is booked for callers that were told to return.
     """
 
     def __init__(self, instance, data_centre, selector, grant_number_base=0):
@@ -68,6 +71,7 @@
         self.shares = FairShares()
         self.response_times = ResponseTimes()
         self.is_full_mesh = True
+        self.returns = ReturnCalendar(instance)
         self.on_new_term = lambda: None
         self.tickets_by_service: dict[str, list[Ticket]] = {}
         self.hold_seconds_by_service: dict[str, float] = {}
@@ -90,6 +94,13 @@
         """Return the instance that grants the slots of a cell."""
         return self.coordinators.choose(cell.service, now, cell.data_centre)
 
+    def coordinators_of_service(self, service, now):
+        """Return the set of the instances that coordinate the cells of a service."""
+        return {
+            self.coordinator(cell, now)
+            for cell in self.targets.cells.for_service(service)
+        }
+
     def coordinators_of(self, record, now):
         """Return the set of the instances that grant the slots of a target."""
         return {
--- a/almondglade/placement/timeliness.py
+++ b/almondglade/placement/timeliness.py
@@ -74,8 +74,11 @@
         Monotonic time.
     tickets : sequence of Ticket
     """
-    groups = (
-        [ticket for ticket in tickets if ticket.start_by >= now],
-        [ticket for ticket in tickets if ticket.start_by < now],
+    timely, late = [], []
+    for ticket in tickets:
+        # Room is booked for a return, whose time was over when it was refused.
+        is_first = ticket.is_return or ticket.start_by >= now
+        (timely if is_first else late).append(ticket)
+    return itertools.chain.from_iterable(
+        arrange(group) for group in (timely, late) if group
     )
-    return itertools.chain.from_iterable(arrange(group) for group in groups if group)
