--- a/test/test_gossip.py
+++ b/test/test_gossip.py
@@ -11,6 +11,7 @@
 from almondglade.errors import PeerError
 from almondglade.gossip.codec import FORMAT_VERSION, decode, encode
 from almondglade.gossip.messages import (
+    BookedReturn,
     CrashEvidence,
     ExpectedWait,
     Grant,
@@ -51,6 +52,15 @@
     st.sampled_from(["", "w1", "w2"]),
     st.integers(0, 2**40),
     st.just(math.inf) | st.integers(-(10**6), 10**6).map(lambda value: value / 1000),
+    st.integers(0, 2**32 - 1),
+)
+BOOKED_RETURNS = st.builds(
+    BookedReturn,
+    st.integers(0, 2**31),
+    NAMES,
+    st.tuples(st.integers(0, 15), st.integers(0, 15)),
+    st.integers(0, 2**32 - 1),
+    SECONDS,
 )
 COUNTS = st.integers(0, 10**9)
 LOADS = st.builds(CellLoad, st.builds(Cell, NAMES, NAMES), COUNTS, COUNTS, SECONDS)
@@ -89,6 +99,7 @@
     st.dictionaries(
         NAMES, st.lists(st.integers(1, 2**64 - 1), max_size=2).map(tuple), max_size=2
     ),
+    st.lists(BOOKED_RETURNS, max_size=2).map(tuple),
     st.none() | SECONDS,
 )
 WAITS = st.builds(
