--- a/almondglade/gateway/exchange.py
+++ b/almondglade/gateway/exchange.py
@@ -104,7 +104,8 @@
             Instances whose consumption the shared state includes; None leaves the
             shared state out.
         receiver : str
-            Peer that gets the report, if it is for one peer only.
+            Peer that gets the report, if it is for one peer only. Only such a report
+            tells what targets say of their load.
         with_stats : bool
             Whether to include recent results of targets; a single receiver gets those
             of the targets that it coordinates.
@@ -144,8 +145,21 @@
                 shared_state,
                 self.pools.stats_here(now, receiver) if with_stats else None,
                 self.pools.isolated_here(),
+                self._moments_for(receiver, now),
             )
 
+    def _moments_for(self, receiver, now):
+        return self.pools.moments.take_shares(
+            receiver,
+            lambda state: receiver in self.pools.coordinators_of(state.record, now),
+            now,
+        )
+
+    def has_moments(self):
+        """Return whether a target has lately said how fast it is at this moment."""
+        with self.lock:
+            return self.pools.moments.shares.is_any_due(self.clock())
+
     def _shared_state(self, scope, receiver, now):
         loads = self.pools.loads_here(now)
         for load in loads:
@@ -241,6 +255,7 @@
         with self.lock:
             self._note_incarnation(report)
             self.pools.fleet.update(report.instance, load)
+            self.pools.moments.record_shared(report.moments, now)
             if report.shared_state is not None:
                 self._apply_shared_state(report, report.shared_state, now)
             for cell in requested_cells:
--- a/almondglade/gateway/node.py
+++ b/almondglade/gateway/node.py
@@ -106,9 +106,11 @@
             TargetSelector(
                 settings.instance,
                 ColdTargetLimiter(bounds.cold_overage, bounds.cold_slack),
+                rng,
             ),
             self.incarnation * GRANTS_PER_MILLISECOND,
         )
+        self.pools.moments.is_enabled = settings.features.momentary_load
         self.allowances = SharedAllowances(settings.first_start)
         self.retry_budget = RetryBudget(
             bounds.retry_ratio,
--- a/almondglade/gateway/run.py
+++ b/almondglade/gateway/run.py
@@ -57,6 +57,7 @@
                 response_info = parse_target_response(head)
                 self._record_limits(response_info)
                 self._record_statements(response_info)
+                self._record_load(head, response_info)
                 if head.status < 300 and not response_info.sealed:
                     raise TargetError("the target's success bears no seal")
                 if self._is_resume_mismatch(head, response_info):
@@ -105,6 +106,14 @@
         if self.ticket is not None:
             self.scheduler.record_statements(self.request, self.record, response_info)
 
+    def _record_load(self, head, response_info):
+        """Record what the target says of its load, unless a peer reached it."""
+        is_valid = head.status >= 300 or response_info.sealed
+        if self.ticket is not None and is_valid:
+            self.scheduler.moments.record(
+                self.request.request_id, self.record, response_info
+            )
+
     def _is_resume_mismatch(self, head, response_info):
         """Return whether a later response cannot continue an interrupted first one."""
         if self.head is None or not self.has_begun or response_info.not_run:
--- a/almondglade/gateway/scheduling.py
+++ b/almondglade/gateway/scheduling.py
@@ -7,6 +7,7 @@
 from ..log import get_logger
 from ..outcome import Code, Outcome, RequestError
 from ..placement.places import Ticket
+from .momentary import MomentRecorder
 from .run import GatewayRun
 
 log = get_logger("requests")
@@ -111,6 +112,7 @@
         self.metrics = metrics
         self.clock = clock
         self.deadlines = Deadlines(clock)
+        self.moments = MomentRecorder(pools, lock, metrics, clock)
 
     def run(self, request):
         """Dispatch a request and return its `GatewayRun`.
--- a/almondglade/gossip/codec.py
+++ b/almondglade/gossip/codec.py
@@ -15,6 +15,7 @@
 from ..placement.cells import Cell
 from ..placement.health import TargetStats
 from ..placement.outlook import CellLoad
+from .furtherfields import pack_further_fields, unpack_further_fields
 from .messages import (
     CrashEvidence,
     ExpectedWait,
@@ -49,11 +50,6 @@
 # Upper bound on durations on the wire, which keeps the numbers small. Evidence of this
 # age is worthless anyway.
 MAX_AGE_SECONDS = 1e6
-# Key under which the map of confirmed grants holds further fields of a report. Releases
-# that don't know them look up only their own names there. Fields under unknown keys
-# are ignored, so that later releases can add some.
-FURTHER_FIELDS = ""
-WORK_FIELD = "work"
 
 
 @singledispatch
@@ -185,7 +181,7 @@
             message.leaving,
             message.running_by_target,
             [_pack_waiting(entry) for entry in message.waiting],
-            message.latest_grant_by_coordinator | _pack_further_fields(message),
+            message.latest_grant_by_coordinator | pack_further_fields(message),
             message.paused_targets,
             _pack_shared_state(message.shared_state)
             if message.shared_state is not None
@@ -215,30 +211,6 @@
     return [*fields, entry.version] if entry.version else fields
 
 
-def _pack_further_fields(message):
-    """Return the map entry with the fields that earlier releases don't know."""
-    fields = {}
-    if any(entry.workspace or entry.tokens for entry in message.waiting):
-        fields[WORK_FIELD] = [
-            [entry.workspace, entry.tokens] for entry in message.waiting
-        ]
-    return {FURTHER_FIELDS: fields} if fields else {}
-
-
-def _unpack_work(fields, count):
-    """Return workspace and tokens of each waiting request."""
-    work = fields.get(WORK_FIELD) or [["", 0]] * count
-    if len(work) != count:
-        raise PeerError("malformed message: work of another number of requests")
-    return [_decode_work(*entry) for entry in work]
-
-
-def _decode_work(workspace, tokens):
-    if not isinstance(workspace, str):
-        raise PeerError("malformed message: a workspace is not a text")
-    return workspace, _decode_count(tokens)
-
-
 def _pack_stats(stats_by_target):
     return {
         target: [
@@ -326,8 +298,7 @@
     stats_by_target,
     isolated_by_target,
 ):
-    further_fields = latest_grant_by_coordinator.pop(FURTHER_FIELDS, {})
-    work = _unpack_work(further_fields, len(waiting))
+    work, moments = unpack_further_fields(latest_grant_by_coordinator, len(waiting))
     return Report(
         instance,
         data_centre,
@@ -372,6 +343,7 @@
             target: tuple(fingerprints)
             for target, fingerprints in isolated_by_target.items()
         },
+        moments,
     )
 
 
--- a/almondglade/gossip/fleet.py
+++ b/almondglade/gossip/fleet.py
@@ -544,7 +544,11 @@
         """Report to coordinators on each change, and again after a pause."""
         while True:
             names, pause = self.exchange.report_receivers()
-            self.send_to(names, self._report)
+            if self.exchange.has_moments():
+                for name in names:
+                    self.send_to({name}, partial(self._report, receiver=name))
+            else:
+                self.send_to(names, self._report)
             try:
                 async with asyncio.timeout(pause):
                     await self._report_due.wait()
--- a/almondglade/gossip/messages.py
+++ b/almondglade/gossip/messages.py
@@ -5,6 +5,7 @@
 
 from ..placement.allowance import Scope
 from ..placement.health import TargetStats
+from ..placement.moments import SharedMoment
 from ..placement.outlook import CellLoad
 
 
@@ -122,6 +123,8 @@
         Recent results of targets at the sender; sent only in periodic reports.
     isolated_by_target : dict of str to tuple of int
         Fingerprints of the requests that the sender runs in isolation, by target.
+    moments : tuple of SharedMoment
+        What targets that the receiver coordinates last said of their load.
     """
 
     instance: str
@@ -136,6 +139,7 @@
     shared_state: SharedState | None = None
     stats_by_target: dict[str, TargetStats] | None = None
     isolated_by_target: dict[str, tuple[int, ...]] = field(default_factory=dict)
+    moments: tuple[SharedMoment, ...] = ()
 
 
 @dataclass(frozen=True)
--- a/almondglade/placement/choice.py
+++ b/almondglade/placement/choice.py
@@ -2,9 +2,12 @@
 
 Load pattern: targets differ several times in speed, some are cold or unreachable
 from one instance for a while, and bodies cost more between data centres. A long
-stream on a slow target would miss its deadline and hold a slot until then.
+stream on a slow target would miss its deadline and hold a slot until then. Some turn
+slower for moments.
 """
 
+from .moments import MomentSelector
+
 # Penalty in slots for a target in another data centre: it must have that many more
 # free slots to be preferred to one in the request's own data centre.
 REMOTE_PENALTY_SLOTS = 2.0
@@ -21,17 +24,22 @@
         This instance.
     cold_limiter : ColdTargetLimiter
         Limits requests to cold targets.
+    rng : random.Random or None
+        Draws targets where no coordinator counts what others send.
 
     Attributes
     ----------
     cold_rate_by_service : dict of str to float
         Requests per second that a cold target can handle; 0 is no limit.
+    moments : MomentSelector
+        Weighs how fast targets are at this moment.
     """
 
-    def __init__(self, instance, cold_limiter):
+    def __init__(self, instance, cold_limiter, rng=None):
         self.instance = instance
         self.cold_limiter = cold_limiter
         self.cold_rate_by_service: dict[str, float] = {}
+        self.moments = MomentSelector(rng)
 
     def choose(self, ticket, loads, avoided, now):
         """Return the state of the best target with a free slot, or None.
@@ -58,7 +66,10 @@
                 or self._may_send_to_cold(ticket, state, now)
             )
         ]
-        return min(candidates)[2] if candidates else None
+        if not candidates:
+            return None
+        is_coordinated = ticket.coordinator in ("", self.instance)
+        return self.moments.choose(ticket, candidates, is_coordinated, now)
 
     def record_choice(self, ticket, state, now):
         """Count a request that is sent to a target."""
--- a/almondglade/placement/places.py
+++ b/almondglade/placement/places.py
@@ -8,6 +8,7 @@
 from .brittle import TargetRoom
 from .cells import Cell
 from .health import Health, TargetStats
+from .moments import Moment
 from .ratelimits import NamedRate
 
 
@@ -136,6 +137,8 @@
         ends that.
     backs_off_until : float
         Monotonic time until which it wants no request of this instance.
+    moment : Moment
+        What it says of its load at this moment.
     """
 
     record: TargetRecord
@@ -150,6 +153,7 @@
     room_limit: float = float("inf")
     has_said_leaving: bool = False
     backs_off_until: float = float("-inf")
+    moment: Moment = field(default_factory=Moment)
 
     def is_unhealthy(self, now):
         """Return whether it fails often, by this instance's results or by all."""
--- a/almondglade/placement/pool.py
+++ b/almondglade/placement/pool.py
@@ -59,7 +59,7 @@
         states = self.targets.usable(cell, now)
         self._refill_rates(cell, states, now)
         load_of = (
-            self.targets.load
+            (lambda state: self.moments.load_of(state, now))
             if self._knows_load(cell, now)
             else self.targets.assumed_load
         )
--- a/almondglade/placement/queue.py
+++ b/almondglade/placement/queue.py
@@ -9,6 +9,7 @@
 
 from .coordination import CoordinationTerms, Coordinators, UnansweredRequests
 from .fairness import FairOrder
+from .moments import Moments
 from .outlook import CellReports, RecentWaits
 from .places import Ticket
 from .targets import Targets
@@ -46,6 +47,8 @@
         Requests that wait on this instance, the best first.
     latest_grant_by_coordinator : dict of str to int
         Number of the newest grant received from each coordinator.
+    moments : Moments
+        What targets say of their load at this moment.
     """
 
     def __init__(self, instance, data_centre, selector, grant_number_base=0):
@@ -54,6 +57,7 @@
         self.instance = instance
         self.targets = Targets()
         self.fleet = self.targets.fleet
+        self.moments = Moments(self.targets)
         self.coordinators = Coordinators(self.instance)
         self.cell_reports = CellReports()
         self.coordination_terms = CoordinationTerms()
--- a/almondglade/platform/front.py
+++ b/almondglade/platform/front.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from ..entry.relaying import end_to_end
+from ..placement.moments import TargetLoad
 
 REQUEST_ID_HEADER = "X-Request-Id"
 API_KEY_HEADER = "x-credential"
@@ -60,6 +61,12 @@
 # Digits enough for any limit; a longer number could be infinite.
 LIMIT_PATTERN = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
 TOKEN_COUNTS_PATTERN = re.compile(r"\s*([0-9]{1,9})\s*,\s*([0-9]{1,9})\s*")
+# Requests running, waiting and slots, then how long work takes in percent.
+LOAD_PATTERN = re.compile(
+    r"([0-9]{1,6})\s*,\s*([0-9]{1,6})\s*,\s*([0-9]{1,6})"
+    r"(?:\s*,\s*([0-9]{1,6}(?:\.[0-9]{1,6})?))?"
+)
+USUAL_DURATION_PERCENT = 100.0
 MILLISECONDS_PER_SECOND = 1000.0
 
 
@@ -211,6 +218,10 @@
     backoff : float or None
         Seconds for which a target that refused the request wants no others; None if it
         does not say, or not in seconds.
+    load : TargetLoad or None
+        What it says of its load; None if it does not, or nothing that can be true.
+    is_load_unusable : bool
+        Whether it says something of its load that cannot be true.
     """
 
     request_id: str | None
@@ -222,6 +233,8 @@
     is_failure: bool = False
     is_leaving: bool = False
     backoff: float | None = None
+    load: TargetLoad | None = None
+    is_load_unusable: bool = False
 
 
 def headers_for_callers(pairs):
@@ -238,6 +251,9 @@
     """Return the `TargetResponseInfo` of an `ResponseHead`."""
     by_name = {name.lower(): value for name, value in head.headers}
     misdirected = head.status == MISDIRECTED_STATUS
+    # Another target that answers at the address speaks for itself.
+    load_texts = [] if misdirected else _values(head.headers, LOAD_HEADER)
+    load = _parse_load(load_texts)
     return TargetResponseInfo(
         by_name.get(REQUEST_ID_HEADER.lower()),
         misdirected or NOT_EXECUTED_HEADER in by_name,
@@ -246,11 +262,12 @@
         _parse_limit(head.headers, RATE_LIMIT_HEADER),
         _parse_limit(head.headers, REFUSAL_LIMIT_HEADER),
         head.status >= FIRST_FAILURE_STATUS,
-        # Another target that answers at the address speaks for itself.
         not misdirected and by_name.get(LEAVING_HEADER, "").strip() == LEAVING,
         _parse_seconds(by_name.get(RETRY_AFTER_HEADER, ""))
         if head.status == UNAVAILABLE_STATUS
         else None,
+        load,
+        bool(load_texts) and load is None,
     )
 
 
@@ -269,11 +286,26 @@
 
 def _parse_limit(pairs, header):
     """Return the lowest limit that the headers of one name state."""
-    values = [value.strip() for name, value in pairs if name.lower() == header]
+    values = _values(pairs, header)
     limits = [float(value) for value in values if LIMIT_PATTERN.fullmatch(value)]
     return min(limits, default=None if values else math.inf)
 
 
+def _values(pairs, header):
+    return [value.strip() for name, value in pairs if name.lower() == header]
+
+
+def _parse_load(texts):
+    """Return the `TargetLoad` in the values of the load headers, or None."""
+    match = LOAD_PATTERN.fullmatch(texts[0]) if len(texts) == 1 else None
+    if match is None:
+        return None
+    *counts, percent = match.groups()
+    duration = None if percent is None else float(percent) / USUAL_DURATION_PERCENT
+    load = TargetLoad(*map(int, counts), duration)
+    return load if load.is_plausible else None
+
+
 def _parse_count(text):
     return int(text) if text is not None and text.isdigit() else None
 
