--- a/almondglade/metrics.py
+++ b/almondglade/metrics.py
@@ -63,6 +63,14 @@
         ("service",),
         "Refusals in which a target named a time without requests.",
     ),
+    "target_loads_total": (
+        ("service", "result"),
+        "Responses in which a target said how fast it is at this moment, by their use.",
+    ),
+    "momentary_choices_total": (
+        ("service",),
+        "Choices of a target that its speed at this moment has changed.",
+    ),
     "peer_state_readings_total": (
         ("result",),
         "Readings of the published state from a peer that knew a newer one.",
--- a/almondglade/placement/moments.py
+++ b/almondglade/placement/moments.py
@@ -100,6 +100,7 @@
         self.load: TargetLoad | None = None
         self.said_at = -math.inf
         self._unknown_work = 0
+        self._duration = 1.0
         self._mean_duration = 1.0
 
     def record(self, load, said_at, known_work):
@@ -125,6 +126,7 @@
         weight = 1.0 - math.exp(-passed / MEAN_SECONDS)
         self._mean_duration += weight * (load.relative_duration - self._mean_duration)
         self.load, self.said_at = load, said_at
+        self._duration = load.relative_duration
         self._unknown_work = max(0, load.running + load.waiting - known_work)
         return True
 
@@ -145,7 +147,7 @@
         validity = self.validity(now)
         if not validity:
             return 1.0
-        ratio = self.load.relative_duration / self._mean_duration
+        ratio = self._duration / self._mean_duration
         return 1.0 + validity * (ratio - 1.0)
 
     def unknown_work(self, now):
@@ -282,7 +284,7 @@
         )
         self._refilled_at = now
         count = min(MAX_SHARED_PER_REPORT, int(self._allowed))
-        taken = []
+        taken: list[SharedMoment] = []
         for target in reversed(self._newest):
             if len(taken) >= count:
                 break
@@ -293,8 +295,9 @@
             if is_wanted(state):
                 self._told_at_by_key[receiver, target] = said_at
                 moment = state.moment
+                started_at = state.record.started_at
                 taken.append(
-                    SharedMoment(*state.record.incarnation, moment.load, now - said_at)
+                    SharedMoment(target, started_at, moment.load, now - said_at)
                 )
         self._allowed -= len(taken)
         return tuple(taken)
--- a/almondglade/platform/front.py
+++ b/almondglade/platform/front.py
@@ -300,9 +300,9 @@
     match = LOAD_PATTERN.fullmatch(texts[0]) if len(texts) == 1 else None
     if match is None:
         return None
-    *counts, percent = match.groups()
+    running, waiting, slots, percent = match.groups()
     duration = None if percent is None else float(percent) / USUAL_DURATION_PERCENT
-    load = TargetLoad(*map(int, counts), duration)
+    load = TargetLoad(int(running), int(waiting), int(slots), duration)
     return load if load.is_plausible else None
 
 
