--- a/almondglade/placement/moments.py
+++ b/almondglade/placement/moments.py
@@ -18,8 +18,8 @@
 DECAY_SECONDS = 0.2
 # What a target said counts for nothing from this age on, three decay times.
 EXPIRY_SECONDS = 0.6
-# Time over which the mean of a target's word is taken; many slow moments.
-MEAN_SECONDS = 10.0
+# Time over which the mean of a target's word is taken; several slow moments.
+MEAN_SECONDS = 4.0
 # Durations relative to the usual one beyond which a target's word is not believed.
 # Machines that are shared slow down a few times.
 MIN_RELATIVE_DURATION = 0.1
