--- a/almondglade/gateway/calls.py
+++ b/almondglade/gateway/calls.py
@@ -132,6 +132,7 @@
             input_tokens=request.caller_headers.input_tokens,
             output_tokens=request.caller_headers.output_tokens,
             target=self.record.id,
+            number=self.ticket.number if self.ticket else None,
             version=self.record.version,
             relayed_by=request.relayed_by or None,
             peer=self.peer.instance if self.peer else None,
