--- a/almondglade/placement/moments.py
+++ b/almondglade/placement/moments.py
@@ -216,6 +216,9 @@
             it draws, as all others see the same target as the best one.
         """
         usual = min(candidates)[2]
+        oldest = now - EXPIRY_SECONDS
+        if all(state.moment.said_at < oldest for _, _, state in candidates):
+            return usual
         factors = [state.moment.factor(now) for _, _, state in candidates]
         if all(factor == 1.0 for factor in factors):
             return usual
@@ -325,6 +328,7 @@
         self.targets = targets
         self.is_enabled = is_enabled
         self.shares = MomentShares()
+        self._heard_at = -math.inf
 
     def record_answer(self, incarnation, load, is_run, now):
         """Record what a target said in a response to a request of this instance.
@@ -348,6 +352,7 @@
         known_work = self.targets.load(state) - (not is_run)
         is_recorded = state.moment.record(load, now, known_work)
         if is_recorded:
+            self._heard_at = now
             self.shares.record(incarnation[0], now)
         return is_recorded
 
@@ -356,9 +361,9 @@
         for shared in moments:
             state = self.targets.state_by_target.get(shared.target)
             if self._is_current(state, (shared.target, shared.target_started_at)):
-                state.moment.record(
-                    shared.load, now - shared.age, self.targets.load(state)
-                )
+                known_work = self.targets.load(state)
+                if state.moment.record(shared.load, now - shared.age, known_work):
+                    self._heard_at = now
 
     def take_shares(self, receiver, is_wanted, now):
         """Return the `SharedMoment`s to tell a coordinator."""
@@ -367,6 +372,10 @@
         states = self.targets.state_by_target
         return self.shares.take(receiver, states, is_wanted, now)
 
+    def is_any_valid(self, now):
+        """Return whether what some target said may still hold."""
+        return now - self._heard_at < EXPIRY_SECONDS
+
     def load_of(self, state, now):
         """Return the requests on a target, with those that only it knows of."""
         return self.targets.load(state) + state.moment.unknown_work(now)
--- a/almondglade/placement/pool.py
+++ b/almondglade/placement/pool.py
@@ -9,6 +9,8 @@
 on the last reports of the others.
 """
 
+from functools import partial
+
 from .ratelimits import share_of_rate
 from .slotrequests import SlotRequests
 
@@ -59,10 +61,12 @@
         states = self.targets.usable(cell, now)
         self._refill_rates(cell, states, now)
         load_of = (
-            (lambda state: self.moments.load_of(state, now))
+            self.targets.load
             if self._knows_load(cell, now)
             else self.targets.assumed_load
         )
+        if load_of == self.targets.load and self.moments.is_any_valid(now):
+            load_of = partial(self.moments.load_of, now=now)
         free = self.targets.free_slots(states, load_of)
         if free <= 0:
             return
--- a/test/test_gateway_path.py
+++ b/test/test_gateway_path.py
@@ -148,6 +148,17 @@
         assert name not in response.headers
 
 
+def test_the_load_that_a_target_states_is_used(fleet_with_target):
+    fleet, target = fleet_with_target
+    headers = "X-Response-Seal: s1\r\nX-Server-Load: 1,0,8,250\r\n"
+    target.answer = lambda request: make_response(headers=headers, request=request)
+    assert fleet.call("/look/1").status == 200
+    metrics = fleet.ports[-1]
+    text = fleet.http.request("GET", f"http://127.0.0.1:{metrics}/metrics").data
+    lines = [line for line in text.splitlines() if b"target_loads_total{" in line]
+    assert [b'result="used"' in line for line in lines] == [True]
+
+
 def test_a_response_to_another_request_is_skipped(fleet_with_target):
     fleet, target = fleet_with_target
     extra = make_response(
--- a/test/test_moments.py
+++ b/test/test_moments.py
@@ -99,6 +99,14 @@
     assert moment.load == SLOW
 
 
+def test_an_operator_can_turn_it_off():
+    pools = make_pools(record("t1"), record("t2"))
+    pools.moments.is_enabled = False
+    say(pools, 1.0, {"t1": SLOW, "t2": USUAL})
+    assert choose(pools, 1.0) == "t1"
+    assert not pools.moments.take_shares("e2", lambda state: True, 1.0)
+
+
 def test_three_figures_change_no_decision():
     pools = make_pools(record("t1"), record("t2"))
     say(pools, 1.0, {"t1": TargetLoad(6, 9, 6)})
