--- a/almondglade/gateway/dispatching.py
+++ b/almondglade/gateway/dispatching.py
@@ -94,3 +94,27 @@
                 request.attempted_targets.append(record.id)
         self._log_response_started(head)
         return head
+
+    def _record_limits(self, response_info):
+        """Record the limits that the target names, or that it names none."""
+        if self.ticket is not None and not response_info.misdirected:
+            self.scheduler.limits.record(
+                self.record,
+                response_info.rate_limit,
+                response_info.refusal_limit,
+                self.sent_at,
+                is_failure=response_info.is_failure,
+            )
+
+    def _record_statements(self, response_info):
+        """Record what the target says of itself, unless a peer reached it."""
+        if self.ticket is not None:
+            self.scheduler.record_statements(self.request, self.record, response_info)
+
+    def _record_load(self, head, response_info):
+        """Record what the target says of its load, unless a peer reached it."""
+        is_valid = head.status >= 300 or response_info.sealed
+        if self.ticket is not None and is_valid:
+            self.scheduler.moments.record(
+                self.request.request_id, self.record, response_info
+            )
--- a/almondglade/gateway/run.py
+++ b/almondglade/gateway/run.py
@@ -90,30 +90,6 @@
                 self.resumable = False
         return self
 
-    def _record_limits(self, response_info):
-        """Record the limits that the target names, or that it names none."""
-        if self.ticket is not None and not response_info.misdirected:
-            self.scheduler.limits.record(
-                self.record,
-                response_info.rate_limit,
-                response_info.refusal_limit,
-                self.sent_at,
-                is_failure=response_info.is_failure,
-            )
-
-    def _record_statements(self, response_info):
-        """Record what the target says of itself, unless a peer reached it."""
-        if self.ticket is not None:
-            self.scheduler.record_statements(self.request, self.record, response_info)
-
-    def _record_load(self, head, response_info):
-        """Record what the target says of its load, unless a peer reached it."""
-        is_valid = head.status >= 300 or response_info.sealed
-        if self.ticket is not None and is_valid:
-            self.scheduler.moments.record(
-                self.request.request_id, self.record, response_info
-            )
-
     def _is_resume_mismatch(self, head, response_info):
         """Return whether a later response cannot continue an interrupted first one."""
         if self.head is None or not self.has_begun or response_info.not_run:
--- a/almondglade/placement/choice.py
+++ b/almondglade/placement/choice.py
@@ -6,7 +6,7 @@
 slower for moments.
 """
 
-from .moments import MomentSelector
+from .momentchoice import MomentSelector
 
 # Penalty in slots for a target in another data centre: it must have that many more
 # free slots to be preferred to one in the request's own data centre.
