--- a/almondglade/placement/momentchoice.py
+++ b/almondglade/placement/momentchoice.py
@@ -72,7 +72,10 @@
         oldest = now - EXPIRY_SECONDS
         if all(state.moment.said_at < oldest for _, _, state in candidates):
             return usual
-        factors = [state.moment.factor(now) for _, _, state in candidates]
+        factors = [
+            state.moment.factor(now) if state.moment.said_at >= oldest else 1.0
+            for _, _, state in candidates
+        ]
         if all(factor == 1.0 for factor in factors):
             return usual
         weighed = [
--- a/almondglade/placement/moments.py
+++ b/almondglade/placement/moments.py
@@ -27,6 +27,8 @@
 # about 40 bytes each they take 0.4 of the 2 KB/s that an instance may send.
 MAX_SHARED_PER_REPORT = 8
 MAX_SHARED_PER_SECOND = 20.0
+# Shortest time between reports that tell words, as each coordinator gets its own.
+MIN_SHARE_SECONDS = 0.05
 # Older words are not worth sending.
 MAX_SHARED_AGE_SECONDS = 0.3
 
@@ -176,7 +178,8 @@
     def is_any_due(self, now):
         """Return whether a word is fresh enough to be told."""
         self._expire(now)
-        return bool(self._newest)
+        is_early = now - self._refilled_at < MIN_SHARE_SECONDS
+        return bool(self._newest) and not is_early
 
     def take(self, receiver, states, is_wanted, now):
         """Return the `SharedMoment`s to tell a coordinator, the newest first.
