--- a/almondglade/gateway/exchange.py
+++ b/almondglade/gateway/exchange.py
@@ -98,7 +98,8 @@
             Instances whose consumption the shared state includes; None leaves the
             shared state out.
         receiver : str
-            Peer that gets the report, if it is for one peer only.
+            Peer that gets the report, if it is for one peer only. Only such a report
+            tells what targets say of their load.
         with_stats : bool
             Whether to include recent results of targets; a single receiver gets those
             of the targets that it coordinates.
@@ -126,8 +127,21 @@
                 self.pools.isolated_here(),
                 told_returns(self.pools.returns, now),
                 sent_at,
+                self._moments_for(receiver, now),
             )
 
+    def _moments_for(self, receiver, now):
+        return self.pools.moments.take_shares(
+            receiver,
+            lambda state: receiver in self.pools.coordinators_of(state.record, now),
+            now,
+        )
+
+    def has_moments(self):
+        """Return whether a target has lately said how fast it is at this moment."""
+        with self.lock:
+            return self.pools.moments.shares.is_any_due(self.clock())
+
     def report_receivers(self):
         """Return the coordinators to report to, and when to report again.
 
@@ -218,6 +232,7 @@
             self._note_incarnation(report)
             recognise_returns(self.pools.returns, report, load.tickets, now)
             self.pools.fleet.update(report.instance, load)
+            self.pools.moments.record_shared(report.moments, now)
             if report.shared_state is not None:
                 self._apply_shared_state(report, report.shared_state, now, said_at)
             for cell in requested_cells:
--- a/almondglade/gateway/scheduling.py
+++ b/almondglade/gateway/scheduling.py
@@ -9,6 +9,7 @@
 from ..placement.places import Ticket
 from ..placement.returns import max_wait_of_return
 from .measuring import expected_first_byte_seconds
+from .momentary import MomentRecorder
 from .refusals import Refusals
 from .returning import RECOGNITION_SECONDS, BookedReturns
 from .run import GatewayRun
@@ -100,6 +101,7 @@
         self.record_bytes = lambda count: None
         self.refusals = Refusals(metrics, clock)
         self.returns = BookedReturns(pools, features.booked_returns, metrics, clock)
+        self.moments = MomentRecorder(pools, lock, metrics, clock)
 
     def run(self, request):
         """Dispatch a request and return its `GatewayRun`.
--- a/almondglade/gateway/settings.py
+++ b/almondglade/gateway/settings.py
@@ -62,8 +62,6 @@
         others of their tier.
     momentary_load : bool
         Whether what targets say of their present load counts in the choice of one.
-    engine_memory : bool
-        Whether requests are granted by the memory of engines besides their slots.
     booked_returns : bool
         Whether refused callers get a time to return that is kept for them.
     own_limits : bool
@@ -75,8 +73,7 @@
 
     fair_shares: bool = True
     timely_first: bool = True
-    momentary_load: bool = True
-    engine_memory: bool = True
+    momentary_load: bool = False
     booked_returns: bool = True
     own_limits: bool = True
     hedge_share: float = 0.0
--- a/almondglade/gossip/codec.py
+++ b/almondglade/gossip/codec.py
@@ -22,6 +22,7 @@
     pack_further_fields,
     to_milliseconds,
     unpack_booked_returns,
+    unpack_moments,
     unpack_sent_at,
     unpack_waiting,
 )
@@ -355,6 +356,7 @@
         },
         unpack_booked_returns(further_fields),
         unpack_sent_at(further_fields),
+        unpack_moments(further_fields),
     )
 
 
--- a/almondglade/gossip/fields.py
+++ b/almondglade/gossip/fields.py
@@ -3,6 +3,7 @@
 import math
 
 from ..errors import PeerError
+from ..placement.moments import MAX_SHARED_PER_REPORT, SharedMoment, TargetLoad
 from .messages import BookedReturn
 
 MILLISECONDS_PER_SECOND = 1000.0
@@ -17,6 +18,9 @@
 FINGERPRINTS_FIELD = "fingerprints"
 RETURNS_FIELD = "returns"
 SENT_FIELD = "sent"
+MOMENTS_FIELD = "moments"
+# A relative duration is sent in percent of the usual one.
+PERCENT = 100.0
 
 
 def pack_further_fields(message):
@@ -42,6 +46,8 @@
             ]
             for entry in message.booked_returns
         ]
+    if message.moments:
+        fields[MOMENTS_FIELD] = [_pack_moment(moment) for moment in message.moments]
     if message.sent_at is not None:
         fields[SENT_FIELD] = round(message.sent_at * MILLISECONDS_PER_SECOND)
     return {FURTHER_FIELDS: fields} if fields else {}
@@ -81,6 +87,39 @@
     )
 
 
+def unpack_moments(fields):
+    """Return what targets last said of their load."""
+    moments = fields.get(MOMENTS_FIELD, ())[:MAX_SHARED_PER_REPORT]
+    return tuple(_unpack_moment(*entry) for entry in moments)
+
+
+def _pack_moment(moment):
+    load = moment.load
+    return [
+        moment.target,
+        moment.target_started_at,
+        load.running,
+        load.waiting,
+        load.slots,
+        round(load.relative_duration * PERCENT),
+        round(moment.age * MILLISECONDS_PER_SECOND),
+    ]
+
+
+def _unpack_moment(target, started_at, running, waiting, slots, percent, age, *_):
+    counts = (started_at, running, waiting, slots, percent, age)
+    if not isinstance(target, str) or not all(
+        isinstance(count, int) and count >= 0 for count in counts
+    ):
+        raise PeerError("malformed message: what a target said is not a number")
+    return SharedMoment(
+        target,
+        started_at,
+        TargetLoad(running, waiting, slots, percent / PERCENT),
+        age / MILLISECONDS_PER_SECOND,
+    )
+
+
 def unpack_waiting(fields, count):
     """Return what reports of this release add to each waiting request."""
     work = _unpack_work(fields, count)
--- a/almondglade/gossip/messages.py
+++ b/almondglade/gossip/messages.py
@@ -5,6 +5,7 @@
 
 from ..placement.allowance import Scope
 from ..placement.health import TargetStats
+from ..placement.moments import SharedMoment
 from ..placement.outlook import CellLoad
 
 
@@ -159,6 +160,8 @@
     sent_at : float or None
         Seconds on the sender's clock, which also runs while its host is suspended, at
         which the ages in the report are true; None if it is of an earlier release.
+    moments : tuple of SharedMoment
+        What targets that the receiver coordinates last said of their load.
     """
 
     instance: str
@@ -175,6 +178,7 @@
     isolated_by_target: dict[str, tuple[int, ...]] = field(default_factory=dict)
     booked_returns: tuple[BookedReturn, ...] = ()
     sent_at: float | None = None
+    moments: tuple[SharedMoment, ...] = ()
 
 
 @dataclass(frozen=True)
--- a/almondglade/placement/queue.py
+++ b/almondglade/placement/queue.py
@@ -10,6 +10,7 @@
 
 from .coordination import CoordinationTerms, Coordinators, UnansweredRequests
 from .fairness import FairOrder, arrange_by_arrival
+from .moments import Moments
 from .outlook import CellReports, RecentWaits
 from .places import Ticket
 from .returns import ReturnCalendar
@@ -56,6 +57,8 @@
         Number of the newest grant received from each coordinator.
     returns : ReturnCalendar
         Room that is booked for callers that were told to return.
+    moments : Moments
+        What targets say of their load at this moment.
     """
 
     def __init__(self, instance, data_centre, selector, grant_number_base=0):
@@ -64,6 +67,7 @@
         self.instance = instance
         self.targets = Targets()
         self.fleet = self.targets.fleet
+        self.moments = Moments(self.targets)
         self.coordinators = Coordinators(self.instance)
         self.cell_reports = CellReports()
         self.coordination_terms = CoordinationTerms()
--- a/almondglade/placement/timeliness.py
+++ b/almondglade/placement/timeliness.py
@@ -74,7 +74,8 @@
         Monotonic time.
     tickets : sequence of Ticket
     """
-    timely, late = [], []
+    timely: list = []
+    late: list = []
     for ticket in tickets:
         # Room is booked for a return, whose time was over when it was refused.
         is_first = ticket.is_return or ticket.start_by >= now
