--- a/almondglade/declarations/changes.py
+++ b/almondglade/declarations/changes.py
@@ -44,7 +44,7 @@
     list of Change
         Empty if the documents are equivalent.
     """
-    return list(_find_changes("", old.model_dump(), new.model_dump()))
+    return list(find_changes("", old.model_dump(), new.model_dump()))
 
 
 def warnings_of(new):
@@ -73,11 +73,20 @@
     )
 
 
-def _find_changes(path, old, new):
+def find_changes(path, old, new):
+    """Yield the differences between two nested mappings, ordered by path.
+
+    Parameters
+    ----------
+    path : str
+        Path of both in their documents; empty at the top level.
+    old, new : object
+        Mappings, or values that are compared as a whole.
+    """
     if isinstance(old, dict) and isinstance(new, dict):
         for key in sorted(old.keys() | new.keys()):
             child_path = f"{path}.{key}" if path else key
-            yield from _find_changes(child_path, old.get(key), new.get(key))
+            yield from find_changes(child_path, old.get(key), new.get(key))
     elif old != new:
         yield Change(path, old, new)
 
--- a/almondglade/platform/wire.py
+++ b/almondglade/platform/wire.py
@@ -43,16 +43,22 @@
 DEFAULT_TIMEOUT_MS = 30_000.0
 
 
-class _PlatformModel(BaseModel):
+class PlatformModel(BaseModel):
+    """Base of the platform's entries; unknown fields are ignored."""
+
     model_config = ConfigDict(extra="ignore", frozen=True, allow_inf_nan=False)
 
 
-class _Share(_PlatformModel):
+class ShareModel(PlatformModel):
+    """Share of a route's requests that goes to one service."""
+
     service: str
     weight: float
 
 
-class _Route(_PlatformModel):
+class RouteModel(PlatformModel):
+    """A route of the configuration."""
+
     name: str = ""
     host: str
     path_prefix: str = Field(alias="pathPrefix")
@@ -62,7 +68,7 @@
     gap_objective_ms: float = Field(1000.0, alias="gapTargetMs")
     priority: int = 0
     service: str | None = None
-    traffic_split: list[_Share] | None = Field(None, alias="trafficSplit")
+    traffic_split: list[ShareModel] | None = Field(None, alias="trafficSplit")
     max_attempts: int = Field(1, alias="maxAttempts")
     public: bool = Field(False, alias="publicAccess")
     resumable: bool = Field(False, alias="streamResume")
@@ -90,17 +96,21 @@
         )
 
 
-class _Engine(_PlatformModel):
+class EngineModel(PlatformModel):
+    """Engine of a service's targets."""
+
     # Tokens per event of a stream.
     stride: float = Field(1.0, gt=0.0)
 
 
-class _Service(_PlatformModel):
+class ServiceModel(PlatformModel):
+    """A service of the configuration."""
+
     name: str
     max_connections: int = Field(64, alias="maxConnections")
     cold_rate: float = Field(0.0, alias="coldPerS")
     health_path: str = Field("", alias="healthPath", pattern=r"^(/[!-~]*)?$")
-    engine: _Engine | None = None
+    engine: EngineModel | None = None
 
     def decode(self):
         """Return the `ServiceTerms`."""
@@ -114,7 +124,9 @@
         )
 
 
-class _Tenant(_PlatformModel):
+class WorkspaceModel(PlatformModel):
+    """A workspace of the configuration, with its keys."""
+
     name: str
     api_keys: list[str] = Field([], alias="apiKeys")
     priority: int | None = None
@@ -135,16 +147,20 @@
         )
 
 
-class _Limits(_PlatformModel):
+class LimitsModel(PlatformModel):
+    """Limits on the requests of callers."""
+
     max_body_bytes: int = Field(1 << 22, alias="maxBodyBytes")
 
 
-class _Document(_PlatformModel):
+class DocumentModel(PlatformModel):
+    """The whole configuration."""
+
     version: int
-    routes: list[_Route]
-    services: list[_Service] = []
-    limits: _Limits = Field(default_factory=lambda: _Limits.model_validate({}))
-    tenants: list[_Tenant] | None = None
+    routes: list[RouteModel]
+    services: list[ServiceModel] = []
+    limits: LimitsModel = Field(default_factory=lambda: LimitsModel.model_validate({}))
+    tenants: list[WorkspaceModel] | None = None
 
 
 def _parse_address(value):
@@ -170,7 +186,7 @@
 Count = Annotated[int, Field(strict=True, ge=0, le=MAX_COUNT)]
 
 
-class _Target(_PlatformModel):
+class _Target(PlatformModel):
     service: Name = Field(min_length=1)
     address: Annotated[tuple[str, int], BeforeValidator(_parse_address)]
     zone: Name
@@ -199,7 +215,7 @@
         If it is not a valid document.
     """
     try:
-        parsed = _Document.model_validate(orjson.loads(document))
+        parsed = DocumentModel.model_validate(orjson.loads(document))
     except (orjson.JSONDecodeError, ValidationError) as error:
         raise PlatformError(f"the document is not valid: {error}") from error
     routes_by_host: dict[str, dict[str, Route]] = {}
