--- a/almondglade/ui/configuration.py
+++ b/almondglade/ui/configuration.py
@@ -1,9 +1,10 @@
 """Check a configuration of the platform and print what was found."""
 
 import json
+from dataclasses import replace
 
 from ..configcheck.changes import changes_to
-from ..configcheck.drafts import Finding, Report, Severity
+from ..configcheck.drafts import Report, Severity
 from ..configcheck.findings import find_problems
 from ..platform.draftreader import locate, read_draft
 
@@ -46,7 +47,7 @@
     draft, findings = read_draft(file)
     in_force, former_findings = read_draft(against) if against else (None, [])
     findings += [
-        Finding(Severity.ERROR, f"{against}: {finding.place}", finding.text)
+        replace(finding, place=": ".join(filter(None, (against, finding.place))))
         for finding in former_findings
     ]
     if draft is not None:
