Read the configuration in force from the store, and bound hostile files

Cause: Operators had to fetch the version in force by hand; a file of 4 MB with two million wrong entries took 35 s and 2.4 GB to check.

--- a/almondglade/platform/draftreader.py
+++ b/almondglade/platform/draftreader.py
@@ -8,144 +8,37 @@
 import re
 from dataclasses import replace
 from pathlib import Path
-from typing import Annotated
 
 import orjson
-from pydantic import Field, ValidationError
+from pydantic import ValidationError
 
 from ..configcheck.drafts import (
     Draft,
     Finding,
     KeyEntry,
-    LimitsEntry,
     RouteEntry,
     ServiceEntry,
     Severity,
-    Share,
     WorkspaceEntry,
 )
-from .wire import (
-    IDEMPOTENT,
-    MILLISECONDS_PER_SECOND,
-    STREAMING,
-    DocumentModel,
-    EngineModel,
-    LimitsModel,
-    RouteModel,
-    ServiceModel,
-    ShareModel,
-    WorkspaceModel,
-)
+from ..errors import PlatformError
+from .connection import StoreConnection
+from .draftmodels import KNOWN_FIELDS, StrictDocument
+from .wire import CONFIGURATION_KEY, IDEMPOTENT, STREAMING, decode_value
 
+URL_PREFIX = "http://"
 NON_IDEMPOTENT = "non_idempotent"
 ROUTE_TYPES = frozenset({STREAMING, IDEMPOTENT, NON_IDEMPOTENT})
-# Sixteen times the largest value of the platform's store, bytes.
-MAX_FILE_BYTES = 1 << 24
-# Numbers beyond these are taken for a mistake: one day, and the integers that JSON
-# readers keep exact.
-MAX_MILLISECONDS = 86_400_000.0
-MAX_NUMBER = 1 << 53
-MAX_ATTEMPTS = 100
-MAX_PRIORITY = 1000
+# Four times the largest value of the platform's store, bytes.
+MAX_FILE_BYTES = 1 << 22
+# Fields and list items; a value of the store has room for fewer keys.
+MAX_VALUES = 100_000
 # Fields that only a configuration of the platform has, or only a declared document.
 CONFIGURATION_FIELDS = re.compile(
     rb'"(routes|tenants|pathPrefix|routeType|apiKeys)"\s*:'
 )
 DECLARATION_FIELDS = re.compile(rb'"(plans|workspaces|data_centres|targets)"\s*:')
 
-PositiveMs = Annotated[float, Field(gt=0.0, le=MAX_MILLISECONDS)]
-Amount = Annotated[float, Field(ge=0.0, le=MAX_NUMBER)]
-PositiveCount = Annotated[int, Field(ge=1, le=MAX_NUMBER)]
-Priority = Annotated[int, Field(ge=0, le=MAX_PRIORITY)]
-RequiredText = Annotated[str, Field(min_length=1)]
-# What a header can carry.
-KeyText = Annotated[str, Field(pattern=r"^[!-~]+$")]
-
-
-class _Share(ShareModel):
-    service: RequiredText
-    weight: Amount
-
-
-class _Route(RouteModel):
-    host: RequiredText
-    timeout_ms: PositiveMs = Field(
-        RouteModel.model_fields["timeout_ms"].default, alias="timeoutMs"
-    )
-    latency_objective_ms: PositiveMs = Field(
-        RouteModel.model_fields["latency_objective_ms"].default,
-        alias="targetLatencyMs",
-    )
-    gap_objective_ms: PositiveMs = Field(
-        RouteModel.model_fields["gap_objective_ms"].default, alias="gapTargetMs"
-    )
-    priority: Priority = 0
-    traffic_split: list[_Share] | None = Field(  # type: ignore[assignment]
-        None, alias="trafficSplit"
-    )
-    max_attempts: Annotated[int, Field(ge=1, le=MAX_ATTEMPTS)] = Field(
-        1, alias="maxAttempts"
-    )
-
-    def shares(self, place):
-        """Return the destinations, of which gateways prefer the single service."""
-        if self.service is not None:
-            return (Share(place, self.service, 1.0),)
-        return tuple(
-            Share(f"{place}.trafficSplit[{index}]", share.service, share.weight)
-            for index, share in enumerate(self.traffic_split or ())
-        )
-
-
-class _Engine(EngineModel):
-    stride: Annotated[float, Field(gt=0.0, le=MAX_NUMBER)] = 1.0
-
-
-class _Service(ServiceModel):
-    name: RequiredText
-    max_connections: PositiveCount = Field(
-        ServiceModel.model_fields["max_connections"].default, alias="maxConnections"
-    )
-    cold_rate: Amount = Field(0.0, alias="coldPerS")
-    engine: _Engine | None = None
-
-
-class _Workspace(WorkspaceModel):
-    name: RequiredText
-    api_keys: list[KeyText] = Field([], alias="apiKeys")
-    priority: Priority | None = None
-    rate: Amount = Field(0.0, alias="ratePerS")
-    burst: Amount = 0.0
-    default_tokens: Amount = Field(1.0, alias="plainTokens")
-
-
-class _Limits(LimitsModel):
-    max_body_bytes: PositiveCount = Field(
-        LimitsModel.model_fields["max_body_bytes"].default, alias="maxBodyBytes"
-    )
-    max_header_bytes: PositiveCount | None = Field(None, alias="maxHeaderBytes")
-    header_timeout_ms: PositiveMs | None = Field(None, alias="headerTimeoutMs")
-    idle_timeout_ms: PositiveMs | None = Field(None, alias="idleTimeoutMs")
-
-    def entry(self):
-        """Return the `LimitsEntry`."""
-        return LimitsEntry(
-            "limits",
-            self.max_body_bytes,
-            self.max_header_bytes,
-            _seconds(self.header_timeout_ms),
-            _seconds(self.idle_timeout_ms),
-        )
-
-
-class _Document(DocumentModel):
-    version: PositiveCount
-    routes: list[_Route]  # type: ignore[assignment]
-    services: list[_Service] = []  # type: ignore[assignment]
-    limits: _Limits = Field(default_factory=lambda: _Limits.model_validate({}))
-    tenants: list[_Workspace] | None = None  # type: ignore[assignment]
-
-
 # Fields by the attributes of the product's types, where their names differ.
 FIELD_BY_TERM = {
     "type": "routeType",
@@ -159,11 +52,6 @@
     "max_header_bytes": "maxHeaderBytes",
 }
 
-KNOWN_FIELDS = frozenset(
-    field.alias or name
-    for model in (_Document, _Route, _Share, _Service, _Engine, _Workspace, _Limits)
-    for name, field in model.model_fields.items()
-)
 MODEL_ERROR = "model_type"
 
 
@@ -186,13 +74,13 @@
     )
 
 
-def read_draft(path):
-    """Read a configuration from a file.
+def read_draft(source):
+    """Read a configuration from a file or from the platform's store.
 
     Parameters
     ----------
-    path : str or Path
-        JSON file, as published in the platform's store.
+    source : str
+        JSON file, or URL of the store.
 
     Returns
     -------
@@ -202,9 +90,15 @@
         Errors of the file's form, each with its place.
     """
     try:
-        document = _read_start(path)
+        document = (
+            _read_published(source)
+            if source.startswith(URL_PREFIX)
+            else _read_start(source)
+        )
     except OSError as error:
         return None, [_error("", f"cannot be read: {error.strerror}")]
+    except PlatformError as error:
+        return None, [_error("", f"cannot be read: {error}")]
     if len(document) > MAX_FILE_BYTES:
         return None, [_error("", f"is larger than {MAX_FILE_BYTES} bytes")]
     try:
@@ -215,9 +109,16 @@
         return None, [_error("", "is nested too deeply")]
     except ValueError as error:
         return None, [_error("", f"is not valid JSON: {error}")]
-    findings = list(_repeated_fields(raw))
+    containers = list(_containers(raw))
+    if sum(len(value) for _, value in containers) > MAX_VALUES:
+        return None, [_error("", f"has more than {MAX_VALUES} values")]
+    findings = [
+        _error(place, "a field stands twice in this object")
+        for place, value in containers
+        if isinstance(value, _Object) and value.is_repeated
+    ]
     try:
-        parsed = _Document.model_validate(raw, strict=True)
+        parsed = StrictDocument.model_validate(raw, strict=True)
     except ValidationError as error:
         return None, findings + _form_findings(error)
     return (None, findings) if findings else (_draft_of(parsed), [])
@@ -244,6 +145,13 @@
         return file.read(MAX_FILE_BYTES + 1)
 
 
+def _read_published(url):
+    item = StoreConnection(url).read_item(CONFIGURATION_KEY)
+    if item is None:
+        raise PlatformError("the store has no configuration")
+    return decode_value(item)
+
+
 def _draft_of(parsed):
     return Draft(
         parsed.version,
@@ -281,25 +189,22 @@
     )
 
 
-def _repeated_fields(raw):
+def _containers(raw):
     # Other fields are not named: one may be a key that was written in the wrong place.
     pending = [("", raw)]
     while pending:
         place, value = pending.pop()
-        if isinstance(value, _Object):
-            if value.is_repeated:
-                yield _error(place, "a field stands twice in this object")
-            pending.extend(
+        if isinstance(value, dict):
+            children = (
                 (f"{place}.{name if name in KNOWN_FIELDS else '?'}".lstrip("."), child)
                 for name, child in value.items()
-                if isinstance(child, dict | list)
             )
         elif isinstance(value, list):
-            pending.extend(
-                (f"{place}[{index}]", child)
-                for index, child in enumerate(value)
-                if isinstance(child, dict | list)
-            )
+            children = _placed(place, value)
+        else:
+            continue
+        yield place, value
+        pending.extend(children)
 
 
 def _form_findings(error):
@@ -322,7 +227,3 @@
 
 def _error(place, text):
     return Finding(Severity.ERROR, place, text)
-
-
-def _seconds(milliseconds):
-    return None if milliseconds is None else milliseconds / MILLISECONDS_PER_SECOND
--- a/almondglade/ui/configuration.py
+++ b/almondglade/ui/configuration.py
@@ -1,6 +1,8 @@
 """Check a configuration of the platform and print what was found."""
 
 import json
+import sys
+from contextlib import redirect_stdout
 from dataclasses import replace
 
 from ..configcheck.changes import changes_to
@@ -13,6 +15,8 @@
 EXIT_INVALID = 2
 # Widest column of the table of changes, characters.
 MAX_COLUMN = 60
+# Findings shown to people, errors first.
+MAX_SHOWN = 100
 HEADINGS = ("what", "in force", "new")
 
 
@@ -32,7 +36,9 @@
     as_json : bool
         Whether to print JSON.
     """
-    report = _check(file, against, intent)
+    # Standard output is for the report alone, which may be JSON; not for log lines.
+    with redirect_stdout(sys.stderr):
+        report = _check(file, against, intent)
     errors, warnings = map(report.texts_of, Severity)
     if as_json:
         print(json.dumps(_as_mapping(file, report), indent=2))
@@ -74,9 +80,11 @@
 
 
 def _lines(file, report):
-    for finding in report.findings:
+    for finding in report.findings[:MAX_SHOWN]:
         place = f"{finding.place}: " if finding.place else ""
         yield f"{finding.severity}: {_printable(place + finding.text)}"
+    if len(report.findings) > MAX_SHOWN:
+        yield f"and {len(report.findings) - MAX_SHOWN} more (--json shows all)"
     if report.changes:
         rows = [
             (change.path, *map(_value_text, (change.before, change.after)))
