--- a/almondglade/ui/check.py
+++ b/almondglade/ui/check.py
@@ -37,7 +37,8 @@
         JSON or YAML file with a declared document, a platform's deploy file (TOML) or
         its configuration (JSON).
     against
-        The file in force now; prints what the new one changes.
+        The file in force now, or for a configuration also the URL of the store that
+        publishes it; prints what the new one changes.
     kind
         What the file is; by default its name and content tell.
     json
