Report a change at once only to the coordinators that it concerns

Cause: each request that waits, gets a slot or ends made a report to all coordinators that the instance uses, though it concerns those of one cell; refused callers with booked room added those of all cells of the service for a while.

Change: a change names its coordinators. The others hear of it with the next report to all, every 0.04 to 0.5 s as before.

--- a/almondglade/gateway/exchange.py
+++ b/almondglade/gateway/exchange.py
@@ -167,6 +167,11 @@
         receivers, self._last_receivers = names | self._last_receivers, names
         return receivers - {self.settings.instance}, pause
 
+    def next_report_seconds(self):
+        """Return the seconds from one report to all coordinators to the next."""
+        with self.lock:
+            return self.pools.next_report_seconds()
+
     def coordinators_in_use(self):
         """Return the coordinators that must know the requests of this instance."""
         with self.lock:
--- a/almondglade/gateway/scheduling.py
+++ b/almondglade/gateway/scheduling.py
@@ -54,7 +54,8 @@
     fleet_size : callable
         Returns the number of instances in the fleet.
     on_change : callable
-        Called after the running or waiting requests of this instance have changed.
+        Called after the running or waiting requests of this instance have changed, with
+        the set of the coordinators that this concerns, or without one if it may be all.
     send_grants : callable
         Called with the name of a peer and its new grants, as (number of the grant,
         number of the request, target).
@@ -175,7 +176,7 @@
             raise self._overload_error(
                 ticket, request, expected_wait, "too much work waits"
             )
-        self.on_change()
+        self.on_change({ticket.coordinator})
         request.caller_connection.on_disconnect(ready.set)
         try:
             seconds = max_wait if has_room else min(RECOGNITION_SECONDS, max_wait)
@@ -193,7 +194,7 @@
             else:
                 self.returns.record_start(ticket)
         if still_waiting:
-            self.on_change()
+            self.on_change({ticket.coordinator})
         if request.caller_connection.disconnected:
             if not still_waiting:
                 self.release(ticket, None)
@@ -220,9 +221,11 @@
         """Return the error of a refused request, with room booked for its return."""
         with self.lock:
             return_time = self.returns.book(ticket, request, expected_wait)
+            coordinators = self.pools.coordinators_of_service(
+                request.service, self.clock()
+            )
         if return_time is not None and return_time.is_booked:
-            # The coordinators must hear of it.
-            self.on_change()
+            self.on_change(coordinators)
         return self.refusals.overload_error(request, expected_wait, cause, return_time)
 
     def record_response_time(self, service, slowness):
@@ -265,7 +268,7 @@
         with self.lock:
             self.pools.enqueue(ticket, self.clock())
             self.match()
-        self.on_change()
+        self.on_change({ticket.coordinator})
         return ticket
 
     def return_slot(self, ticket):
@@ -273,7 +276,7 @@
         with self.lock:
             still_waiting = self.pools.withdraw(ticket)
         if still_waiting:
-            self.on_change()
+            self.on_change({ticket.coordinator})
         else:
             self.release(ticket, None)
 
@@ -307,9 +310,14 @@
             complete.
         """
         with self.lock:
-            self.pools.release(ticket, held_seconds, self.clock())
+            now = self.clock()
+            self.pools.release(ticket, held_seconds, now)
             self.match()
-        self.on_change()
+            state = self.pools.targets.state_by_target.get(ticket.target)
+            coordinators = (
+                self.pools.coordinators_of(state.record, now) if state else None
+            )
+        self.on_change(coordinators)
 
     def end_isolation(self, ticket):
         """Let other isolated requests run beside one that has begun to respond."""
--- a/almondglade/gossip/members.py
+++ b/almondglade/gossip/members.py
@@ -90,6 +90,8 @@
         self.reachable_share = 1.0
         self._transport: Any = None
         self._report_due = asyncio.Event()
+        self._is_report_to_all_due = True
+        self._due_receivers: set[str] = set()
         self._started_at = clock()
         self._sequence_number = 0
         self._report_rounds = 0
@@ -133,6 +135,7 @@
         peer = self.peer_by_address.get(address)
         if peer is None:
             peer = self.peer_by_address[address] = Peer(address, 0.0)
+            self._is_report_to_all_due = True
             self._report_due.set()
         peer.heard_at = self.clock()
         return peer
--- a/almondglade/gossip/reporting.py
+++ b/almondglade/gossip/reporting.py
@@ -49,9 +49,24 @@
 class Reporting(Members):
     """Sends the messages of one instance; see `GossipProtocol`."""
 
-    def schedule_report(self):
-        """Send the next report to the coordinators soon; safe from any thread."""
-        self._loop.call_soon_threadsafe(self._report_due.set)
+    def schedule_report(self, names=None):
+        """Send the next report soon; safe from any thread.
+
+        Parameters
+        ----------
+        names : set of str or None
+            Instances that a change concerns; None stands for all coordinators in use.
+            The others hear of it with the next report to all.
+        """
+        if names is None or names - {self.instance}:
+            self._loop.call_soon_threadsafe(self._mark_report_due, names)
+
+    def _mark_report_due(self, names=None):
+        if names is None:
+            self._is_report_to_all_due = True
+        else:
+            self._due_receivers |= names
+        self._report_due.set()
 
     def send_soon(self, names, message):
         """Schedule `send_to` for one message; safe from any thread."""
@@ -66,7 +81,7 @@
 
     def _acknowledge_grants(self):
         self._grant_ack_timer = None
-        self._report_due.set()
+        self._mark_report_due()
 
     def send_report_to_all(self):
         """Send a report to all live peers, as for a change that concerns each."""
@@ -210,22 +225,35 @@
             self.exchange.mark_unresponsive(name)
 
     async def _report_to_coordinators(self):
-        """Report to coordinators on each change, and again after a pause."""
+        """Report to coordinators on each change, and to all of them after a pause."""
+        reported_to_all_at = float("-inf")
+        pause = 0.0
         while True:
-            names, pause = self.exchange.report_receivers()
-            if self.exchange.has_moments():
-                for name in names:
-                    self.send_to({name}, partial(self._report, receiver=name))
+            now = self.clock()
+            if self._is_report_to_all_due or now >= reported_to_all_at + pause:
+                names, pause = self.exchange.report_receivers()
+                reported_to_all_at = now
+                self._is_report_to_all_due = False
             else:
-                self.send_to(names, self._report)
+                names = self._due_receivers - {self.instance}
+                pause = self.exchange.next_report_seconds()
+            self._due_receivers = set()
+            self._send_reports(names)
             try:
-                async with asyncio.timeout(pause):
+                async with asyncio.timeout(reported_to_all_at + pause - self.clock()):
                     await self._report_due.wait()
             except TimeoutError:
                 pass
             self._report_due.clear()
             self._report_rounds += 1
 
+    def _send_reports(self, names):
+        if self.exchange.has_moments():
+            for name in names:
+                self.send_to({name}, partial(self._report, receiver=name))
+        else:
+            self.send_to(names, self._report)
+
     def _report(self, scope=None, receiver="", with_stats=False):
         self._sequence_number += 1
         return self.exchange.make_report(
--- a/test/test_fleet.py
+++ b/test/test_fleet.py
@@ -57,12 +57,20 @@
         )
         self.limits = SimpleNamespace(messages=lambda: ())
         self.coordinators = Coordinators(name)
+        self.receivers = set()
+        self.received_reports = []
         self.received_states = []
         self.incarnation = FIRST_INCARNATION
         self.is_full_mesh = True
 
     def report_receivers(self):
-        return set(), 0.5
+        return set(self.receivers), 0.5
+
+    def next_report_seconds(self):
+        return 0.5
+
+    def has_moments(self):
+        return False
 
     def relay(self, data_centre):
         return self.coordinators.choose("", now(), data_centre)
@@ -88,7 +96,9 @@
         )
 
     def handle_report(self, report):
-        if report.shared_state is not None:
+        if report.shared_state is None:
+            self.received_reports.append(report.instance)
+        else:
             self.received_states.append((report.instance, report.shared_state.scope))
 
 
@@ -199,6 +209,29 @@
     assert size <= 2048
 
 
+def test_a_change_is_reported_at_once_only_to_the_coordinator_that_it_concerns():
+    async def scenario(net, tasks, seeds):
+        await wait_until_known(net, 20)
+        sender, concerned, other = list(net.gossip_by_address.values())[:3]
+        names = {gossip.instance for gossip in (concerned, other)}
+        sender.exchange.receivers = names
+        # With the next report, and once more in the one after that.
+        await asyncio.sleep(1.1)
+        reports = [gossip.exchange.received_reports for gossip in (concerned, other)]
+        for received in reports:
+            assert sender.instance in received
+            received.clear()
+        for _ in range(5):
+            sender.schedule_report({concerned.instance})
+            await asyncio.sleep(0.01)
+        assert [received.count(sender.instance) for received in reports] == [5, 0]
+        sender.schedule_report()
+        await asyncio.sleep(0.01)
+        assert [received.count(sender.instance) for received in reports] == [6, 1]
+
+    run_fleet(20, scenario)
+
+
 def test_each_datagram_fits_into_one_packet():
     async def scenario(net, tasks, seeds):
         await wait_until_known(net, len(net.gossip_by_address))
