--- a/almondglade/gateway/settings.py
+++ b/almondglade/gateway/settings.py
@@ -74,7 +74,7 @@
     fair_shares: bool = True
     timely_first: bool = True
     momentary_load: bool = False
-    booked_returns: bool = True
+    booked_returns: bool = False
     own_limits: bool = True
     hedge_share: float = 0.0
 
