Give a share of a cell's demand to others before its queue is full

Cause: a request left its data centre only once it would wait there, by free slots that are a second old, which all instances learn at once. Change: coordinators count arrivals, foresee their demand and give a share of it to cells with room; the demand travels in further fields of reports.

--- a/almondglade/gateway/exchange.py
+++ b/almondglade/gateway/exchange.py
@@ -124,6 +124,7 @@
                 self.pools.stats_here(now, receiver) if with_stats else None,
                 self.pools.isolated_here(),
                 sent_at,
+                dict(self.pools.balances.arrivals_by_service),
             )
 
     def report_receivers(self):
@@ -209,6 +210,12 @@
         with self.lock:
             self._note_incarnation(report)
             self.pools.fleet.update(report.instance, load)
+            self.pools.record_arrivals(
+                report.instance,
+                report.data_centre,
+                report.arrivals_by_service,
+                load_at,
+            )
             if report.shared_state is not None:
                 self._apply_shared_state(report, report.shared_state, now, said_at)
             for cell in requested_cells:
--- a/almondglade/gateway/node.py
+++ b/almondglade/gateway/node.py
@@ -29,6 +29,7 @@
 from ..platform.store import StoreClient
 from ..supervision import keep_running
 from .app import GatewayApp
+from .balancing import record_demand_changes
 from .discovery import Discovery
 from .exchange import Exchange
 from .links import LinkMonitor
@@ -108,6 +109,7 @@
             ),
             self.incarnation * GRANTS_PER_MILLISECOND,
         )
+        self.pools.balances.is_active = settings.features.uneven_demand
         self.allowances = SharedAllowances(settings.first_start)
         self.retry_budget = RetryBudget(
             bounds.retry_ratio,
@@ -363,6 +365,7 @@
             with self.lock:
                 waiting = any(self.pools.tickets_by_service.values())
                 unresponsive = self.pools.reassign_waiting(self.clock())
+                record_demand_changes(self.pools.balances, self.metrics)
                 if waiting:
                     self.scheduler.match()
                 pause = self.pools.next_check_seconds(self.clock())
--- a/almondglade/gateway/settings.py
+++ b/almondglade/gateway/settings.py
@@ -65,6 +65,9 @@
         Whether refused callers get a time to return that is kept for them.
     own_limits : bool
         Whether this instance turns work away by its own processor, memory and link.
+    uneven_demand : bool
+        Whether load moves between data centres before their queues are full, where a
+        service is split into cells.
     hedge_share : float
         Share of a service's requests that may be sent to a second target before the
         first has answered; 0 sends none.
@@ -75,6 +78,7 @@
     engine_memory: bool = True
     booked_returns: bool = True
     own_limits: bool = True
+    uneven_demand: bool = True
     hedge_share: float = 0.0
 
 
--- a/almondglade/gossip/codec.py
+++ b/almondglade/gossip/codec.py
@@ -15,6 +15,12 @@
 from ..placement.cells import Cell
 from ..placement.health import TargetStats
 from ..placement.outlook import CellLoad
+from .furtherfields import (
+    FURTHER_FIELDS,
+    decode_count,
+    pack_further_fields,
+    unpack_further_fields,
+)
 from .messages import (
     CrashEvidence,
     ExpectedWait,
@@ -49,12 +55,6 @@
 # Upper bound on durations on the wire, which keeps the numbers small. Evidence of this
 # age is worthless anyway.
 MAX_AGE_SECONDS = 1e6
-# Key under which the map of confirmed grants holds further fields of a report. Releases
-# that don't know them look up only their own names there. Fields under unknown keys
-# are ignored, so that later releases can add some.
-FURTHER_FIELDS = ""
-WORK_FIELD = "work"
-SENT_FIELD = "sent"
 
 
 @singledispatch
@@ -192,7 +192,7 @@
             message.leaving,
             message.running_by_target,
             [_pack_waiting(entry) for entry in message.waiting],
-            message.latest_grant_by_coordinator | _pack_further_fields(message),
+            message.latest_grant_by_coordinator | pack_further_fields(message),
             message.paused_targets,
             _pack_shared_state(message.shared_state)
             if message.shared_state is not None
@@ -222,39 +222,6 @@
     return [*fields, entry.version] if entry.version else fields
 
 
-def _pack_further_fields(message):
-    """Return the map entry with the fields that earlier releases don't know."""
-    fields = {}
-    if any(entry.workspace or entry.tokens for entry in message.waiting):
-        fields[WORK_FIELD] = [
-            [entry.workspace, entry.tokens] for entry in message.waiting
-        ]
-    if message.sent_at is not None:
-        fields[SENT_FIELD] = round(message.sent_at * MILLISECONDS_PER_SECOND)
-    return {FURTHER_FIELDS: fields} if fields else {}
-
-
-def _unpack_work(fields, count):
-    """Return workspace and tokens of each waiting request."""
-    work = fields.get(WORK_FIELD) or [["", 0]] * count
-    if len(work) != count:
-        raise PeerError("malformed message: work of another number of requests")
-    return [_decode_work(*entry) for entry in work]
-
-
-def _unpack_sent_at(fields):
-    milliseconds = fields.get(SENT_FIELD)
-    if milliseconds is None:
-        return None
-    return _decode_count(milliseconds) / MILLISECONDS_PER_SECOND
-
-
-def _decode_work(workspace, tokens):
-    if not isinstance(workspace, str):
-        raise PeerError("malformed message: a workspace is not a text")
-    return workspace, _decode_count(tokens)
-
-
 def _pack_stats(stats_by_target):
     return {
         target: [
@@ -343,7 +310,11 @@
     isolated_by_target,
 ):
     further_fields = latest_grant_by_coordinator.pop(FURTHER_FIELDS, {})
-    work = _unpack_work(further_fields, len(waiting))
+    further = unpack_further_fields(
+        further_fields,
+        len(waiting),
+        len(shared_state[5]) if shared_state is not None else 0,
+    )
     return Report(
         instance,
         data_centre,
@@ -378,22 +349,25 @@
                 cell_data_centre,
                 isolated_fingerprint,
                 *version,
-            ), entry_work in zip(waiting, work, strict=True)
+            ), entry_work in zip(waiting, further.work, strict=True)
         ),
         latest_grant_by_coordinator,
         tuple(paused_targets),
-        _unpack_shared_state(*shared_state) if shared_state is not None else None,
+        _unpack_shared_state(further.demands, *shared_state)
+        if shared_state is not None
+        else None,
         _unpack_stats(stats_by_target) if stats_by_target is not None else None,
         {
             target: tuple(fingerprints)
             for target, fingerprints in isolated_by_target.items()
         },
-        _unpack_sent_at(further_fields),
+        further.sent_at,
+        further.arrivals_by_service,
     )
 
 
 def _unpack_shared_state(
-    revision, evidence_age, position, scope, consumed_by_workspace, cells
+    demands, revision, evidence_age, position, scope, consumed_by_workspace, cells
 ):
     version, era, store_revision = position if isinstance(position, list) else (0, 0, 0)
     return SharedState(
@@ -407,20 +381,17 @@
                 free,
                 slots,
                 load_age / MILLISECONDS_PER_SECOND,
+                demand,
+            )
+            for (service, data_centre, free, slots, load_age), demand in zip(
+                cells, demands, strict=True
             )
-            for service, data_centre, free, slots, load_age in cells
         ),
-        _decode_count(version),
-        (_decode_count(era), _decode_count(store_revision)),
+        decode_count(version),
+        (decode_count(era), decode_count(store_revision)),
     )
 
 
-def _decode_count(number):
-    if not isinstance(number, int):
-        raise PeerError("malformed message: a count is not a number")
-    return number
-
-
 def _decode_member_list(instance, members, joining):
     return MemberList(
         instance,
--- a/almondglade/gossip/messages.py
+++ b/almondglade/gossip/messages.py
@@ -125,6 +125,9 @@
     sent_at : float or None
         Seconds on the sender's clock, which also runs while its host is suspended, at
         which the ages in the report are true; None if it is of an earlier release.
+    arrivals_by_service : dict of str to int
+        Requests that have come to the sender since its start, of services that are
+        split into cells; empty from earlier releases.
     """
 
     instance: str
@@ -140,6 +143,7 @@
     stats_by_target: dict[str, TargetStats] | None = None
     isolated_by_target: dict[str, tuple[int, ...]] = field(default_factory=dict)
     sent_at: float | None = None
+    arrivals_by_service: dict[str, int] = field(default_factory=dict)
 
 
 @dataclass(frozen=True)
--- a/almondglade/metrics.py
+++ b/almondglade/metrics.py
@@ -52,6 +52,11 @@
         "Requests refused for want of a slot, by whether others of their workspace "
         "were ahead of them (over) or not (within).",
     ),
+    "moved_requests_total": (
+        ("service", "reason"),
+        "Requests sent to another data centre, as its own gives a share of its load "
+        "(demand) or has a queue (overflow).",
+    ),
     "target_pauses_total": (
         ("service",),
         "Times that a gateway ceased to use a target for a while.",
--- a/almondglade/placement/outlook.py
+++ b/almondglade/placement/outlook.py
@@ -6,9 +6,10 @@
 """
 
 import random
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from .cells import Cell
+from .demand import Demand
 
 # A reported wait is used for this long: several reply intervals of a busy
 # coordinator.
@@ -35,12 +36,16 @@
         Requests that its targets may run at once.
     age : float
         Seconds since they were counted.
+    demand : Demand or None
+        Demand of the callers of its data centre; None if it is not known, or if the
+        coordinator is of an earlier release.
     """
 
     cell: Cell
     free: int
     slots: int
     age: float = 0.0
+    demand: Demand | None = None
 
 
 @dataclass(frozen=True)
@@ -137,11 +142,18 @@
     def recent_loads(self, now):
         """Return the loads that are recent enough to be forwarded to peers."""
         return [
-            CellLoad(cell, load.free, load.slots, now - counted_at)
-            for cell, (load, counted_at) in self._load_by_cell.items()
+            replace(load, age=now - counted_at)
+            for load, counted_at in self._load_by_cell.values()
             if now - counted_at <= LOAD_VALIDITY_SECONDS
         ]
 
+    def recent_load(self, cell, now):
+        """Return the load of a cell, or None if none is recent enough."""
+        load, counted_at = self._load_by_cell.get(cell, (None, float("-inf")))
+        if load is None or now - counted_at > LOAD_VALIDITY_SECONDS:
+            return None
+        return replace(load, age=now - counted_at)
+
     def choose_overflow(self, cells, now):
         """Return one of some cells for overflow, or None if none has capacity.
 
--- a/almondglade/placement/slotrequests.py
+++ b/almondglade/placement/slotrequests.py
@@ -4,7 +4,7 @@
 request then asks the next coordinator, or in another cell.
 """
 
-from .waits import ExpectedWaits
+from .balancing import DemandBalancing
 
 # Interval of reports to a coordinator while requests wait, in a small and in a large
 # fleet. It is unresponsive after two intervals without an answer.
@@ -16,7 +16,7 @@
 CELL_MOVE_SECONDS = 0.2
 
 
-class SlotRequests(ExpectedWaits):
+class SlotRequests(DemandBalancing):
     """Adds the requests for slots to the queue."""
 
     def enqueue(self, ticket, now):
@@ -24,7 +24,7 @@
         ticket.number = next(self._numbers)
         ticket.owner = self.instance
         ticket.data_centre = self.data_centre
-        self._request_slot(ticket, self._choose_cell_for(ticket, now), now)
+        self._request_slot(ticket, self._choose_first_cell(ticket, now), now)
         tickets = self.tickets_by_service.setdefault(ticket.service, [])
         tickets.append(ticket)
         tickets.sort(key=lambda entry: entry.rank)
@@ -121,6 +121,7 @@
             Coordinators that were marked as unresponsive.
         """
         self.fleet.expire(now)
+        self.review_demand(now)
         tickets = self.waiting_here()
         answer_timeout = 2 * self._waiting_report_seconds()
         unresponsive = {
