Foresee demand by a regression, and let cells linger in giving and taking

Cause: half a window against the other followed the waves too late, and the check of free slots of a second ago stopped most moves. Change: a regression over 2 s, shrunk by its noise; the plan alone bounds moves.

--- a/almondglade/placement/balancing.py
+++ b/almondglade/placement/balancing.py
@@ -92,13 +92,9 @@
         )
         if name is not None and not ticket.version:
             cell = Cell(ticket.service, name)
-            load = self.cell_reports.recent_load(cell, now)
-            # The bytes between data centres must save a wait.
-            if (
-                load is not None
-                and load.free > 0
-                and self.targets.is_usable_here(cell, now)
-            ):
+            if self.cell_reports.recent_load(
+                cell, now
+            ) is not None and self.targets.is_usable_here(cell, now):
                 self.balances.record_move(ticket.service, "demand")
                 return cell
         cell = self._choose_cell_for(ticket, now)
--- a/almondglade/placement/demand.py
+++ b/almondglade/placement/demand.py
@@ -6,16 +6,17 @@
 and come to all instances at once.
 """
 
+import operator
 import statistics
 from collections import Counter, deque
 from dataclasses import dataclass, field
 
 from .cells import Cell
 
-# Arrivals are counted in intervals of this length, over two equal halves; long enough
-# for clumps to average out, short against a wave of 11 s.
+# Arrivals are counted in intervals of this length, over this many; long enough for
+# clumps to average out, short against a wave of 11 s.
 BUCKET_SECONDS = 0.1
-HALF_BUCKETS = 10
+WINDOW_BUCKETS = 20
 # A counter that was not reported for this long starts anew, as in `outlook.py`.
 COUNTER_EXPIRY_SECONDS = 1.5
 # Time until a share that is decided now takes effect at all instances: the interval of
@@ -30,8 +31,11 @@
 KEPT_SHARE = 0.95
 TAKEN_SHARE = 0.9
 # Largest change of the given share within a second, about one round of reports.
-MAX_RISE_PER_SECOND = 0.25
-MAX_FALL_PER_SECOND = 0.5
+MAX_RISE_PER_SECOND = 0.5
+MAX_FALL_PER_SECOND = 1.0
+# A cell counts as one that gives or takes for this long after it last had to: several
+# report intervals.
+LINGER_SECONDS = 1.5
 # Largest share that is given; the others show how the cell itself fares.
 MAX_GIVEN_SHARE = 0.6
 # Interval at which a coordinator reviews the share that its cell gives.
@@ -102,26 +106,29 @@
             self._count_by_bucket[_bucket(now)] += count - known
 
     def rate(self, now):
-        """Return the `Rate`; None until both halves of the window are known."""
+        """Return the `Rate`; None until a whole window is known."""
         newest = _bucket(now)
-        oldest = newest - 2 * HALF_BUCKETS
+        oldest = newest - WINDOW_BUCKETS
         for bucket in [key for key in self._count_by_bucket if key < oldest]:
             del self._count_by_bucket[bucket]
         if self._began_at is None or _bucket(self._began_at) >= oldest:
             return None
         counts = [self._count_by_bucket[key] for key in range(oldest, newest)]
-        halves = counts[:HALF_BUCKETS], counts[HALF_BUCKETS:]
-        half_seconds = HALF_BUCKETS * BUCKET_SECONDS
-        noise = sum(HALF_BUCKETS * statistics.variance(half) for half in halves)
-        change = sum(halves[1]) - sum(halves[0])
-        # A change within the noise of the arrivals is none.
-        certainty = max(0.0, 1.0 - noise / change**2) if change else 0.0
-        trend = certainty * change / half_seconds**2
-        mean = sum(counts) / (2 * half_seconds)
+        mean = statistics.fmean(counts)
+        middle = (WINDOW_BUCKETS - 1) / 2
+        offsets = [index - middle for index in range(WINDOW_BUCKETS)]
+        squares = sum(map(operator.mul, offsets, offsets))
+        slope = sum(map(operator.mul, offsets, counts)) / squares
+        noise = statistics.fmean(
+            (count - mean - slope * offset) ** 2
+            for count, offset in zip(counts, offsets, strict=True)
+        )
+        # A slope within the noise of the arrivals is none.
+        slope *= max(0.0, 1.0 - noise / squares / slope**2) if slope else 0.0
         return Rate(
-            max(0.0, mean + trend * half_seconds),
-            trend,
-            noise**0.5 / (2 * half_seconds),
+            max(0.0, mean + slope * middle) / BUCKET_SECONDS,
+            slope / BUCKET_SECONDS**2,
+            (noise / WINDOW_BUCKETS) ** 0.5 / BUCKET_SECONDS,
         )
 
 
@@ -168,6 +175,7 @@
         self.is_taking = False
         self._given: dict[str, float] = {}
         self._reviewed_at = float("-inf")
+        self._gave_at = self._took_at = float("-inf")
 
     def review(self, load, others, hold_seconds, now):
         """Decide which shares of the demand the other cells get.
@@ -201,8 +209,11 @@
             if was_giving
             else BEGIN_SHARE * load.slots + rate.error * hold_seconds
         )
-        self.is_giving = load.slots > 0 and needed > threshold
-        wanted = plan(demand, load.slots, others) if self.is_giving else {}
+        exceeds = load.slots > 0 and needed > threshold
+        if exceeds:
+            self._gave_at = now
+        self.is_giving = now - self._gave_at <= LINGER_SECONDS
+        wanted = plan(demand, load.slots, others) if exceeds else {}
         self._given = limit_change(
             self._given,
             wanted,
@@ -211,9 +222,9 @@
         )
         self.demand = Demand(demand.slots, demand.trend, self._given)
         own = self.cell.data_centre
-        self.is_taking = any(
-            other.demand is not None and own in other.demand.given for other in others
-        )
+        if any(other.demand and own in other.demand.given for other in others):
+            self._took_at = now
+        self.is_taking = now - self._took_at <= LINGER_SECONDS
         age = max((other.age for other in others), default=0.0)
         return [
             DemandChange(self.cell, kind, is_now, needed, load.slots, self._given, age)
