Move nothing to a data centre whose instances do not answer

Change: shares need a coordinator in the data centre; a stand-in tells no load of a cell whose own instances live.

--- a/almondglade/placement/balancing.py
+++ b/almondglade/placement/balancing.py
@@ -92,9 +92,7 @@
         )
         if name is not None and not ticket.version:
             cell = Cell(ticket.service, name)
-            if self.cell_reports.recent_load(
-                cell, now
-            ) is not None and self.targets.is_usable_here(cell, now):
+            if self._may_give_to(cell, now):
                 self.balances.record_move(ticket.service, "demand")
                 return cell
         cell = self._choose_cell_for(ticket, now)
@@ -102,6 +100,35 @@
             self.balances.record_move(ticket.service, "overflow")
         return cell
 
+    def _may_give_to(self, cell, now):
+        """Return whether a cell is still heard of, answers, and can be used from here.
+
+        If its own instances do not answer, this one would choose another coordinator,
+        which does not know what they run.
+        """
+        coordinator = self.coordinator(cell, now)
+        return (
+            self.cell_reports.recent_load(cell, now) is not None
+            and self.coordinators.data_centre_of(coordinator) == cell.data_centre
+            and self.targets.is_usable_here(cell, now)
+        )
+
+    def loads_here(self, now):
+        """Return the loads of the cells that are coordinated here.
+
+        That of another data centre is left out while its own instances live but do not
+        answer: what they run is not known here, so that its slots would seem free.
+        """
+        loads = super().loads_here(now)
+        if not self.balances.is_active:
+            return loads
+        return [
+            load
+            for load in loads
+            if load.cell.data_centre == self.data_centre
+            or not self.coordinators.has_instances(load.cell.data_centre)
+        ]
+
     def given_shares(self, cell, now):
         """Return the shares of a cell's new requests that go to other data centres.
 
--- a/almondglade/placement/coordination.py
+++ b/almondglade/placement/coordination.py
@@ -157,6 +157,14 @@
         since = max(requested_at, self.last_answer_at(name))
         return name != self.instance and now - since > timeout
 
+    def data_centre_of(self, name):
+        """Return the data centre of an instance, "" if it is not known."""
+        return self._info_by_instance.get(name, InstanceInfo()).data_centre
+
+    def has_instances(self, data_centre):
+        """Return whether a data centre has live instances, responsive or not."""
+        return any(self.data_centre_of(name) == data_centre for name in self._instances)
+
     def mark_unresponsive(self, name, now):
         """Choose other instances instead until the end of a backoff."""
         count = self._timeouts_by_instance.get(name, 0)
