--- a/almondglade/metrics.py
+++ b/almondglade/metrics.py
@@ -11,6 +11,7 @@
 
 from .clocks import boottime_clock
 from .log import dropped_lines
+from .placement.cells import Cell
 
 SECONDS_BUCKETS = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8, 25.6]
 PREFIX = "almondglade_"
@@ -133,6 +134,11 @@
         "others wait.",
     ),
     "places_free": (("service",), "Free places of a service, as seen here."),
+    "given_share": (
+        ("service",),
+        "Share of new requests of this data centre that others get, as its demand "
+        "exceeds its slots.",
+    ),
     "targets_paused": ((), "Targets that this gateway does not use for now."),
     "services_cut_off": ((), "Services none of whose targets can be reached."),
     "targets_rate_limited": ((), "Targets that name a rate limit in their responses."),
@@ -236,6 +242,10 @@
         over_share = {
             name: pools.shares.count_over_share(name, now) for name in free_slots
         }
+        given_share = {
+            name: sum(pools.given_shares(Cell(name, pools.data_centre), now).values())
+            for name in free_slots
+        }
         paused = len(pools.targets.paused_here(now))
         rate_limited = sum(
             state.named_rate.is_limited
@@ -259,12 +269,18 @@
     metrics.set("targets_rate_limited", rate_limited)
     metrics.set("evidence_age_seconds", min(evidence_age, MAX_AGE_SECONDS))
     metrics.set("log_lines_left_out", dropped_lines())
-    for name in ("requests_waiting", "places_free", "workspaces_over_share"):
+    for name in (
+        "requests_waiting",
+        "places_free",
+        "workspaces_over_share",
+        "given_share",
+    ):
         metrics.clear(name)
     for service, slots in free_slots.items():
         metrics.set("places_free", slots, service=service)
         metrics.set("requests_waiting", waiting[service], service=service)
         metrics.set("workspaces_over_share", over_share[service], service=service)
+        metrics.set("given_share", given_share[service], service=service)
 
 
 def set_gauges(metrics, node):
--- a/test/test_uneven_demand.py
+++ b/test/test_uneven_demand.py
@@ -2,21 +2,25 @@
 
 import random
 from dataclasses import replace
+from types import SimpleNamespace
 
 import msgpack
 import pytest
 
 from almondglade.errors import PeerError
+from almondglade.gateway.balancing import record_demand_changes
 from almondglade.gossip.codec import decode, encode
 from almondglade.gossip.furtherfields import ARRIVALS_FIELD, DEMAND_FIELD
 from almondglade.gossip.messages import Report, SharedState
+from almondglade.placement.arrivals import Arrivals
 from almondglade.placement.cells import Cell
 from almondglade.placement.demand import (
     MAX_GIVEN_SHARE,
     MAX_RISE_PER_SECOND,
     TAKEN_SHARE,
-    Arrivals,
     Demand,
+    DemandBalances,
+    DemandChange,
     limit_change,
     plan,
 )
@@ -133,6 +137,20 @@
     assert rate.now == pytest.approx(50.0, rel=0.1)
 
 
+def test_operators_see_changes_and_moves_once():
+    balances, counts = DemandBalances(), []
+    balances.add_changes([DemandChange(EAST, "give", True, 70.0, 48, {}, 1.0)])
+    balances.record_move(SERVICE, "demand")
+    metrics = SimpleNamespace(
+        count=lambda *args, **labels: counts.append((args, labels))
+    )
+    for _ in range(2):
+        record_demand_changes(balances, metrics)
+    labels = {"service": SERVICE, "reason": "demand"}
+    assert counts == [(("moved_requests_total", 1), labels)]
+    assert balances.take_changes() == []
+
+
 def demand_report():
     """Return a report with arrivals and the demand of one of two cells."""
     demand = Demand(61.5, -3.2, {"north": 0.25})
