--- a/test/waves.py
+++ b/test/waves.py
@@ -44,13 +44,31 @@
 
 @dataclass
 class Load:
-    """Demand of three data centres, whose waves come a third of a period apart."""
+    """Demand of three data centres, whose waves come a third of a period apart.
+
+    Parameters
+    ----------
+    mean, swing : float
+        Mean of the slots that are asked for, as a share of all, and the height of
+        the waves as a share of the mean.
+    period : float
+        Seconds of a wave.
+    targets : int
+        Targets of six slots in each data centre.
+    is_even : bool
+        Whether arrivals are evenly spaced; else at random.
+    clump : int
+        Requests that arrive together.
+    hold_seconds : (float, float)
+        Shortest and longest time for which a request holds a slot.
+    """
 
     mean: float = 0.9
     swing: float = 0.55
     period: float = 17.0
     targets: int = 8
     is_even: bool = False
+    clump: int = 1
     hold_seconds: tuple[float, float] = (0.2, 0.6)
 
     def slots(self, index, now):
@@ -109,7 +127,11 @@
         for index, name in enumerate(DATA_CENTRES):
             mean_hold = sum(load.hold_seconds) / 2
             rest[name] += load.slots(index, now) / mean_hold * STEP_SECONDS
-            count = int(rest[name]) if load.is_even else _poisson(rng, rest[name])
+            count = (
+                int(rest[name])
+                if load.is_even
+                else load.clump * _poisson(rng, rest[name] / load.clump)
+            )
             rest[name] = rest[name] - count if load.is_even else 0.0
             for _ in range(count):
                 pools = fleet[f"{name}{rng.randrange(INSTANCES)}"]
