--- a/almondglade/gateway/exchange.py
+++ b/almondglade/gateway/exchange.py
@@ -128,6 +128,7 @@
                 told_returns(self.pools.returns, now),
                 sent_at,
                 self._moments_for(receiver, now),
+                dict(self.pools.balances.arrivals_by_service),
             )
 
     def _moments_for(self, receiver, now):
@@ -238,6 +239,12 @@
             recognise_returns(self.pools.returns, report, load.tickets, now)
             self.pools.fleet.update(report.instance, load)
             self.pools.moments.record_shared(report.moments, now)
+            self.pools.record_arrivals(
+                report.instance,
+                report.data_centre,
+                report.arrivals_by_service,
+                load_at,
+            )
             if report.shared_state is not None:
                 self._apply_shared_state(report, report.shared_state, now, said_at)
             for cell in requested_cells:
--- a/almondglade/gateway/settings.py
+++ b/almondglade/gateway/settings.py
@@ -66,6 +66,9 @@
         Whether refused callers get a time to return that is kept for them.
     own_limits : bool
         Whether this instance turns work away by its own processor, memory and link.
+    uneven_demand : bool
+        Whether load moves between data centres before their queues are full, where a
+        service is split into cells.
     hedge_share : float
         Share of a service's requests that may be sent to a second target before the
         first has answered; 0 sends none.
@@ -76,6 +79,7 @@
     momentary_load: bool = False
     booked_returns: bool = False
     own_limits: bool = True
+    uneven_demand: bool = False
     hedge_share: float = 0.0
 
 
--- a/almondglade/gossip/codec.py
+++ b/almondglade/gossip/codec.py
@@ -15,12 +15,10 @@
 from ..placement.cells import Cell
 from ..placement.health import TargetStats
 from ..placement.outlook import CellLoad
+from .demandfields import unpack_arrivals, unpack_demands
 from .fields import (
     FURTHER_FIELDS,
-    MILLISECONDS_PER_SECOND,
-    decode_count,
     pack_further_fields,
-    to_milliseconds,
     unpack_booked_returns,
     unpack_moments,
     unpack_sent_at,
@@ -45,6 +43,7 @@
     SuspectReport,
     WaitingRequest,
 )
+from .numbers import MILLISECONDS_PER_SECOND, decode_count, to_milliseconds
 
 FORMAT_VERSION = 3
 REPORT_KIND = 0
@@ -348,7 +347,9 @@
         ),
         latest_grant_by_coordinator,
         tuple(paused_targets),
-        _unpack_shared_state(*shared_state) if shared_state is not None else None,
+        _unpack_shared_state(further_fields, *shared_state)
+        if shared_state is not None
+        else None,
         _unpack_stats(stats_by_target) if stats_by_target is not None else None,
         {
             target: tuple(fingerprints)
@@ -357,11 +358,18 @@
         unpack_booked_returns(further_fields),
         unpack_sent_at(further_fields),
         unpack_moments(further_fields),
+        unpack_arrivals(further_fields),
     )
 
 
 def _unpack_shared_state(
-    revision, evidence_age, position, scope, consumed_by_workspace, cells
+    further_fields,
+    revision,
+    evidence_age,
+    position,
+    scope,
+    consumed_by_workspace,
+    cells,
 ):
     version, era, store_revision = position if isinstance(position, list) else (0, 0, 0)
     return SharedState(
@@ -375,8 +383,11 @@
                 free,
                 slots,
                 load_age / MILLISECONDS_PER_SECOND,
+                demand,
+            )
+            for (service, data_centre, free, slots, load_age), demand in zip(
+                cells, unpack_demands(further_fields, len(cells)), strict=True
             )
-            for service, data_centre, free, slots, load_age in cells
         ),
         decode_count(version),
         (decode_count(era), decode_count(store_revision)),
--- a/almondglade/gossip/fields.py
+++ b/almondglade/gossip/fields.py
@@ -1,15 +1,18 @@
-"""Fields of reports that earlier releases don't know, and numbers on the wire."""
+"""Fields of reports that earlier releases don't know."""
 
 import math
 
 from ..errors import PeerError
 from ..placement.moments import MAX_SHARED_PER_REPORT, SharedMoment, TargetLoad
+from .demandfields import pack_demand_fields
 from .messages import BookedReturn
+from .numbers import (
+    MILLISECONDS_PER_SECOND,
+    decode_count,
+    decode_name,
+    to_milliseconds,
+)
 
-MILLISECONDS_PER_SECOND = 1000.0
-# Upper bound on durations on the wire, which keeps the numbers small. Evidence of this
-# age is worthless anyway.
-MAX_AGE_SECONDS = 1e6
 # Key under which the map of confirmed grants holds further fields of a report. Releases
 # that don't know them look up only their own names there. Fields under unknown keys
 # are ignored, so that later releases can add some.
@@ -25,7 +28,7 @@
 
 def pack_further_fields(message):
     """Return the map entry with the fields that earlier releases don't know."""
-    fields = {}
+    fields = pack_demand_fields(message)
     if any(entry.workspace or entry.tokens for entry in message.waiting):
         fields[WORK_FIELD] = [
             [entry.workspace, entry.tokens, _pack_start(entry.start_within)]
@@ -139,21 +142,7 @@
 
 
 def _decode_work(workspace, tokens, start=None):
-    if not isinstance(workspace, str):
-        raise PeerError("malformed message: a workspace is not a text")
     start_within = (
         math.inf if start is None else decode_count(start) / MILLISECONDS_PER_SECOND
     )
-    return workspace, decode_count(tokens), start_within
-
-
-def to_milliseconds(seconds):
-    """Return a duration as it goes on the wire."""
-    return round(min(seconds, MAX_AGE_SECONDS) * MILLISECONDS_PER_SECOND)
-
-
-def decode_count(number):
-    """Return a whole number, or raise PeerError."""
-    if not isinstance(number, int):
-        raise PeerError("malformed message: a count is not a number")
-    return number
+    return decode_name(workspace), decode_count(tokens), start_within
--- a/almondglade/gossip/messages.py
+++ b/almondglade/gossip/messages.py
@@ -162,6 +162,9 @@
         which the ages in the report are true; None if it is of an earlier release.
     moments : tuple of SharedMoment
         What targets that the receiver coordinates last said of their load.
+    arrivals_by_service : dict of str to int
+        Requests that have come to the sender since its start, of services that are
+        split into cells; empty from earlier releases.
     """
 
     instance: str
@@ -179,6 +182,7 @@
     booked_returns: tuple[BookedReturn, ...] = ()
     sent_at: float | None = None
     moments: tuple[SharedMoment, ...] = ()
+    arrivals_by_service: dict[str, int] = field(default_factory=dict)
 
 
 @dataclass(frozen=True)
