--- a/almondglade/placement/resends.py
+++ b/almondglade/placement/resends.py
@@ -12,6 +12,8 @@
 # Share of the slack that is used shortly after a restart; together with the former
 # incarnation's share it stays within the slack, even if all instances restart.
 RESTARTED_SLACK_SHARE = 1.0 - USED_SHARE
+# Share of the allowance that hedges leave to retries.
+RETRY_RESERVE = 0.5
 
 
 class RetryBudget:
@@ -56,15 +58,32 @@
         self._retries_by_service[service].append(now)
         return True
 
+    def spend_spare(self, service, instances, now):
+        """Return whether a hedge leaves enough for retries; if so, count it."""
+        if not self.has_spare_room(service, instances, now):
+            return False
+        self._retries_by_service[service].append(now)
+        return True
+
     def has_room(self, service, instances, now):
         """Return whether a request might be retried, without counting a retry."""
-        requests = self._recent(self._requests_by_service, service, now)
+        allowed = self._allowed(service, instances, now)
         retries = self._recent(self._retries_by_service, service, now)
+        return len(retries) + 1 <= allowed
+
+    def has_spare_room(self, service, instances, now):
+        """Return whether a hedge would leave a part of the budget to retries."""
+        allowed = self._allowed(service, instances, now)
+        retries = self._recent(self._retries_by_service, service, now)
+        return len(retries) + 1 <= (1.0 - RETRY_RESERVE) * allowed
+
+    def _allowed(self, service, instances, now):
+        requests = self._recent(self._requests_by_service, service, now)
         is_restarted = now < self.restarted_at + self.window
         slack_share = RESTARTED_SLACK_SHARE if is_restarted else USED_SHARE
         allowed_by_requests = USED_SHARE * self.ratio * len(requests)
         allowed_by_slack = slack_share * self.slack / max(1, instances)
-        return len(retries) + 1 <= allowed_by_requests + allowed_by_slack
+        return allowed_by_requests + allowed_by_slack
 
     def _recent(self, times_by_service, service, now):
         times = times_by_service.setdefault(service, deque())
--- a/almondglade/ui/gateway.py
+++ b/almondglade/ui/gateway.py
@@ -1,11 +1,16 @@
 """The ``gateway`` command."""
 
-from ..gateway.settings import METRICS_PORT
+from ..errors import SettingsError
+from ..gateway.settings import DEFAULT_FEATURES, METRICS_PORT, Features
 from ..log import configure_logs
 
 
 def gateway(
-    *, log_level: str = "info", log_form: str = "json", metrics_port: int = METRICS_PORT
+    *,
+    log_level: str = "info",
+    log_form: str = "json",
+    metrics_port: int = METRICS_PORT,
+    hedge_share: float = DEFAULT_FEATURES.hedge_share,
 ):
     """Run one gateway on a platform until SIGTERM.
 
@@ -20,10 +25,19 @@
         console or json.
     metrics_port
         Port that serves metrics, as the deploy file names it.
+    hedge_share
+        Share of a service's requests, from 0 to 1, that may be sent to a second target
+        before the first has answered.
     """
+    if not 0.0 <= hedge_share <= 1.0:
+        raise SettingsError(f"--hedge-share is not from 0 to 1: {hedge_share}")
     configure_logs(log_level, log_form, to_output=True)
     # Imported here so that the other commands start quickly.
     from ..gateway.node import run_gateway
     from ..platform.settings import load_gateway_settings, read_settings_fingerprint
 
-    run_gateway(lambda: load_gateway_settings(metrics_port), read_settings_fingerprint)
+    features = Features(hedge_share=hedge_share)
+    run_gateway(
+        lambda: load_gateway_settings(metrics_port, features=features),
+        read_settings_fingerprint,
+    )
