Send a second copy of late requests and keep the first good answer

Cause: callers of requests that may be repeated wait for the slowest targets although others have free slots. Change: HedgedRun watches the first copy; a late one gets a second copy in its own thread, on a slot that is free now, within the share and the budget of retries. The run goes on with the exchange that answers first; the other is closed. What a run records of its target, refusals and retries move out of run.py and scheduling.py.

--- a/almondglade/gateway/app.py
+++ b/almondglade/gateway/app.py
@@ -9,8 +9,8 @@
 from ..log import get_logger
 from ..outcome import Code, RequestError
 from ..platform.front import parse_caller_headers
+from .refusals import no_version_error
 from .requests import GatewayRequest
-from .scheduling import no_version_error
 
 log = get_logger("gateway")
 
--- a/almondglade/gateway/calls.py
+++ b/almondglade/gateway/calls.py
@@ -114,7 +114,7 @@
     def _open_call(self):
         request = self.request
         if request.route.repeatable or request.route.streaming:
-            request.caller_connection.on_disconnect(self.call.cancel)
+            self._cancel_on_disconnect()
         self.sent_at = self.clock()
         self.meter = ResponseMeter(
             self.sent_at, request.caller_headers.input_tokens or 0
@@ -123,6 +123,9 @@
         self.meter.framing = self.call.framing
         return head
 
+    def _cancel_on_disconnect(self):
+        self.request.caller_connection.on_disconnect(self.call.cancel)
+
     def _log_response_started(self, head):
         request = self.request
         log.info(
--- a/almondglade/gateway/node.py
+++ b/almondglade/gateway/node.py
@@ -31,6 +31,7 @@
 from .app import GatewayApp
 from .discovery import Discovery
 from .exchange import Exchange
+from .hedging import Hedging
 from .links import LinkMonitor
 from .operators import GatewayOperatorApp
 from .origins import OriginTracker
@@ -182,6 +183,10 @@
             self.metrics,
             self.clock,
         )
+        if settings.features.hedge_share > 0.0:
+            self.scheduler.hedging = Hedging(
+                settings.features.hedge_share, bounds.retry_window, self.scheduler
+            )
         self.exchange.match = self.scheduler.match
         self.links.on_leaving = self.scheduler.record_leaving
         self.store = StoreClient(settings.store_address, boottime_clock, self.clock)
--- a/almondglade/gateway/run.py
+++ b/almondglade/gateway/run.py
@@ -3,28 +3,20 @@
 from dataclasses import replace
 from typing import Any
 
-from ..dispatch.call import (
-    UNFRAMED,
-    CallCancelledError,
-    CallTimeoutError,
-    DoubtfulRefusalError,
-)
+from ..dispatch.call import UNFRAMED, CallTimeoutError, DoubtfulRefusalError
 from ..dispatch.events import has_readable_events, last_event_id
 from ..errors import TargetError
 from ..log import get_logger
 from ..outcome import Code, Outcome, RequestError
 from ..placement.origins import StreamOrigin
-from ..platform.front import headers_for_callers, parse_target_response
-from .dispatching import Dispatcher
+from ..platform.front import headers_for_callers
+from .answers import NOT_RUN_STATUSES, AnswerRecorder
 from .requests import format_fingerprint
 
 log = get_logger("requests")
 
-# Statuses that tell the caller that its request was not run.
-NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
-
-class GatewayRun(Dispatcher):
+class GatewayRun(AnswerRecorder):
     """A dispatched request; iterates over the body of its response.
 
     Parameters
@@ -67,59 +59,69 @@
             self.handover.close()
 
     def _open(self):
-        while True:
-            try:
-                head = self._send()
-                response_info = parse_target_response(head)
-                self._record_limits(response_info)
-                self._record_statements(response_info)
-                if head.status < 300 and not response_info.sealed:
-                    raise TargetError("the target's success bears no seal")
-                if self._is_resume_mismatch(head, response_info):
-                    raise TargetError(f"the stream went on with status {head.status}")
-            except TargetError as error:
-                self._end_broken(error)
-                if self._may_retry_broken(error):
-                    continue
-                raise self._finish_failed(error) from error
-            if response_info.not_run:
-                self._handle_refusal(head, response_info)
-                continue
-            self.request.may_have_run = True
-            if self._should_retry_response(head):
-                self._drop_call()
-                continue
-            if head.status in NOT_RUN_STATUSES:
-                # The target did not state that the request was not run, so that the
-                # caller must not read it from the status.
-                self.close()
-                raise RequestError(
-                    Code.TARGET_FAILED,
-                    f"the target answered {head.status}",
-                    Outcome.UNKNOWN,
-                )
-            break
+        head = self._attempt()
+        while head is None:
+            head = self._attempt()
         if self.head is None or not self.has_begun:
             self.head = replace(head, headers=headers_for_callers(head.headers))
             if head.status >= 300 or not self._has_readable_events(head):
                 self.resumable = False
         return self
 
-    def _record_limits(self, response_info):
-        """Record the limits that the target names, or that it names none."""
-        if self.ticket is not None and not response_info.misdirected:
-            self.scheduler.limits.record(
-                self.record,
-                response_info.rate_limit,
-                response_info.refusal_limit,
-                self.sent_at,
-                is_failure=response_info.is_failure,
+    def _attempt(self):
+        """Return the head of the response for the caller, or None to send again.
+
+        Raises
+        ------
+        RequestError
+            If no response began and the request cannot be sent again.
+        """
+        try:
+            head = self._send()
+            response_info = self._read_statements(head)
+            if self._is_resume_mismatch(head, response_info):
+                raise TargetError(f"the stream went on with status {head.status}")
+        except TargetError as error:
+            self._end_broken(error)
+            other_head = self._take_other_copy()
+            if other_head is not None or self._may_retry_broken(error):
+                return other_head
+            raise self._finish_failed(error) from error
+        if response_info.not_run:
+            return self._handle_refusal(head, response_info)
+        self.request.may_have_run = True
+        if head.status < 500 and head.status not in NOT_RUN_STATUSES:
+            return head if self._claim_answer() else self._take_other_copy()
+        return self._handle_failure(head)
+
+    def _handle_failure(self, head):
+        """Return a failed response for the caller, or what `_attempt` does."""
+        if head.status >= 500:
+            self._update_health(lambda health, now: health.record_failure(now))
+        other_head = self._take_other_copy()
+        if other_head is not None:
+            return other_head
+        if self._should_retry_response(head):
+            self._drop_call()
+            return None
+        if head.status in NOT_RUN_STATUSES:
+            # The target did not state that the request was not run, so that the
+            # caller must not read it from the status.
+            self.close()
+            raise RequestError(
+                Code.TARGET_FAILED,
+                f"the target answered {head.status}",
+                Outcome.UNKNOWN,
             )
+        return head
+
+    def _claim_answer(self):
+        """Return whether the caller gets this answer, and not that of another copy."""
+        return True
 
-    def _record_statements(self, response_info):
-        """Record what the target says of itself, unless a peer reached it."""
-        if self.ticket is not None:
-            self.scheduler.record_statements(self.request, self.record, response_info)
+    def _take_other_copy(self):
+        """Return the head of another copy's good answer, or None if there is none."""
+        return None
 
     def _is_resume_mismatch(self, head, response_info):
         """Return whether a later response cannot continue an interrupted first one."""
@@ -131,11 +133,9 @@
         return has_readable_events(head, self.request.route.streaming)
 
     def _should_retry_response(self, head):
-        if head.status < 500:
-            return False
-        self._update_health(lambda health, now: health.record_failure(now))
         return (
-            self.request.route.idempotent
+            head.status >= 500
+            and self.request.route.idempotent
             and not self.request.relayed_by
             and self.scheduler.may_retry(self.request)
         )
@@ -213,7 +213,7 @@
             self._finish("cancelled")
 
     def _handle_refusal(self, head, response_info):
-        """Record that a target did not run the request; raise if it cannot retry.
+        """Return what `_attempt` does after a target did not run the request.
 
         Raises
         ------
@@ -221,54 +221,19 @@
             If the time limit, the attempts or the retry budget are used up.
         """
         request = self.request
-        target = self.ticket.target
-        log.info(
-            "target refused the request",
-            request=request.request_id,
-            target=target,
-            status=head.status,
-        )
-        if response_info.misdirected:
-            self.scheduler.record_unreachable(target)
-        else:
-            self._update_health(lambda health, now: health.record_failure(now))
-            self.scheduler.limits.record_refusal(self.record)
+        self._record_refusal(head, response_info)
         self._drop_call()
+        other_head = self._take_other_copy()
+        if other_head is not None:
+            return other_head
         if (
             not request.relayed_by
             and self.clock() < request.deadline
             and self.scheduler.may_retry(request)
         ):
-            return
+            return None
         raise self._no_target_error()
 
-    def _end_broken(self, error):
-        """End a run that got no complete response, and record it.
-
-        The target may have ended, whether or not the request may be retried.
-        """
-        request = self.request
-        request.may_have_run = True
-        is_sent_here = self.ticket is not None
-        target = self.ticket.target if is_sent_here else f"via {self.peer.instance}"
-        if is_sent_here and not isinstance(
-            error, CallCancelledError | DoubtfulRefusalError
-        ):
-            self.scheduler.suspects.record_broken(request, target, self.sent_at)
-        self.scheduler.metrics.count("broken_runs_total", service=request.service)
-        log.info(
-            "run broke off",
-            request=request.request_id,
-            fingerprint=format_fingerprint(request.fingerprint),
-            parts=request.caller_headers.prompt_parts,
-            target=target,
-            attempt=len(request.attempted_targets),
-            seconds=round(self.clock() - self.sent_at, 3),
-            cause=str(error),
-            **self._response_summary(),
-        )
-        self._drop_call()
-
     def _may_retry_broken(self, error):
         """Return whether a request whose run broke may be retried on another target."""
         request = self.request
@@ -334,11 +299,6 @@
         if pace is not None:
             self._update_health(lambda health, now: health.record_stream(pace))
 
-    def _update_health(self, update):
-        """Update the health of the target, unless a peer reached it."""
-        if self.ticket is not None:
-            self.scheduler.update_health(self.ticket.target, update)
-
     def _record_completed(self):
         """Clear the request of crashing targets, unless the target failed."""
         if self.head.status < 500 and self.ticket is not None:
@@ -367,12 +327,3 @@
             seconds=round(self.clock() - self.request.arrived_at, 3),
             **self._response_summary(),
         )
-
-    def _response_summary(self):
-        """Return what was passed on of the latest response, for the logs."""
-        if self.meter is None or self.meter.framing is None:
-            return {}
-        return {
-            "framing": self.meter.framing,
-            "body_bytes": self.meter.byte_count,
-        }
--- a/almondglade/gateway/scheduling.py
+++ b/almondglade/gateway/scheduling.py
@@ -5,10 +5,15 @@
 from ..deadlines import Deadlines
 from ..dispatch.connections import TargetPools
 from ..log import get_logger
-from ..outcome import Code, Outcome, RequestError
+from ..outcome import Code, RequestError
 from ..placement.places import Ticket
+from .hedgedrun import HedgedRun
+from .hedging import Hedging
+from .refusals import Refusals
+from .retrying import Retries
 from .run import GatewayRun
 from .sharing import log_share_changes, record_share_refusal
+from .targetknowledge import TargetKnowledge
 
 log = get_logger("requests")
 
@@ -17,28 +22,11 @@
 MAX_WAIT_SHARE = 0.7
 # Longest wait for a slot when a request is retried on another target.
 RETRY_MAX_WAIT_SECONDS = 1.0
-# Limits of the Retry-After time of a refused request.
-MIN_RETRY_AFTER_SECONDS = 0.25
-MAX_RETRY_AFTER_SECONDS = 4.0
-# A caller that retries before the overload has passed is refused again, so it is told
-# to wait for at least this many times the latency objective of its route.
-MIN_RETRY_AFTER_OBJECTIVES = 2.0
+# Tier of hedges in place of their workspaces', behind any that operators declare.
+HEDGE_TIER = 1 << 20
 
 
-VERSION_GONE_MESSAGE = "no target of the software version that began the stream"
-
-
-def no_version_error():
-    """Return the error for a stream that cannot go on, as its version has gone.
-
-    The version may be back later, as when its last target starts again.
-    """
-    return RequestError(
-        Code.NO_TARGET, VERSION_GONE_MESSAGE, retry_after=MAX_RETRY_AFTER_SECONDS
-    )
-
-
-class GatewayScheduler:
+class GatewayScheduler(TargetKnowledge, Retries, Refusals):
     """Assigns requests to targets and dispatches them, in the caller's thread.
 
     Parameters
@@ -114,6 +102,7 @@
         self.deadlines = Deadlines(clock)
         # Takes the bytes of responses that pass the link.
         self.record_bytes = lambda count: None
+        self.hedging: Hedging | None = None
 
     def run(self, request):
         """Dispatch a request and return its `GatewayRun`.
@@ -129,6 +118,8 @@
         now = self.clock()
         with self.lock:
             self.retry_budget.count_request(request.service, now)
+            if self.hedging is not None:
+                self.hedging.count_request(request.service, now)
             retry_after = self._consume_allowance(request, now)
         if retry_after > 0.0:
             self._count_refusal(request, Code.PLAN_LIMIT)
@@ -146,7 +137,11 @@
                 "the workspace is over its allowance",
                 retry_after=retry_after,
             )
-        run = GatewayRun(self, request)
+        hedging = self.hedging
+        if hedging is not None and hedging.applies_to(request):
+            run: GatewayRun = HedgedRun(self, request, hedging)
+        else:
+            run = GatewayRun(self, request)
         try:
             run.open()
         except BaseException:
@@ -250,13 +245,22 @@
             Has a target once a slot is assigned; to be given to `return_slot` or, after
             its use, `release`.
         """
-        ticket = self._make_ticket(request, attempted, lambda: None)
+        return self._enqueue(self._make_ticket(request, attempted, lambda: None))
+
+    def _enqueue(self, ticket):
         with self.lock:
             self.pools.enqueue(ticket, self.clock())
             self.match()
         self.on_change()
         return ticket
 
+    def request_spare_slot(self, request, excluded):
+        """Ask for a slot for a hedge, like `request_slot`, behind first attempts."""
+        ticket = self._make_ticket(request, excluded, lambda: None)
+        ticket.tier = (HEDGE_TIER, request.route.tier)
+        ticket.arrived_at = self.clock()
+        return self._enqueue(ticket)
+
     def return_slot(self, ticket):
         """Give back a ticket of `request_slot` that was not used."""
         with self.lock:
@@ -285,49 +289,6 @@
         )
         return max(0.0, min(wait_until - now, time_left))
 
-    def _overload_error(self, request, expected_wait, cause):
-        delay = max(
-            expected_wait, MIN_RETRY_AFTER_OBJECTIVES * request.route.latency_objective
-        )
-        retry_after = min(max(MIN_RETRY_AFTER_SECONDS, delay), MAX_RETRY_AFTER_SECONDS)
-        self._count_refusal(request, Code.OVERLOADED)
-        log.info(
-            "request refused: no free slot",
-            request=request.request_id,
-            service=request.service,
-            tier=request.tier,
-            cause=cause,
-            expected_wait=round(min(expected_wait, 1e3), 3),
-            waited=round(self.clock() - request.arrived_at, 3),
-            retry_after=round(retry_after, 2),
-        )
-        if request.may_have_run:
-            return RequestError(Code.TARGET_FAILED, cause, Outcome.UNKNOWN)
-        return RequestError(Code.OVERLOADED, cause, retry_after=retry_after)
-
-    def has_target(self, service, version, attempted):
-        """Return whether a target that was not attempted has a software version."""
-        with self.lock:
-            return self.pools.targets.has_target(service, version, attempted)
-
-    def _version_gone_error(self, request):
-        self._count_refusal(request, Code.NO_TARGET)
-        log.info(
-            "request refused: no target of the stream's version",
-            request=request.request_id,
-            service=request.service,
-            version=request.version,
-            targets=request.attempted_targets,
-        )
-        if request.may_have_run:
-            return RequestError(
-                Code.TARGET_FAILED, VERSION_GONE_MESSAGE, Outcome.UNKNOWN
-            )
-        return no_version_error()
-
-    def _count_refusal(self, request, code):
-        self.metrics.count("refusals_total", service=request.service, code=code.text)
-
     def release(self, ticket, held_seconds):
         """Free the slot of a ticket and assign it to the next request.
 
@@ -369,138 +330,3 @@
             self.send_grants(peer, grants)
         log_share_changes(self.pools.shares)
         return set(grants_by_peer)
-
-    def may_retry(self, request):
-        """Return whether a request may be retried; if so, count the retry."""
-        if len(request.attempted_targets) >= request.route.max_attempts:
-            return False
-        with self.lock:
-            granted = self.retry_budget.spend(
-                request.service, self.fleet_size(), self.clock()
-            )
-        self.metrics.count(
-            "resends_total",
-            service=request.service,
-            result="sent" if granted else "over budget",
-        )
-        if not granted:
-            log.warning(
-                "request not retried: the retry budget is used up",
-                request=request.request_id,
-                service=request.service,
-                instances=self.fleet_size(),
-            )
-        return granted
-
-    def has_retry_room(self, service):
-        """Return whether the retry budget of a service is not used up."""
-        with self.lock:
-            return self.retry_budget.has_room(service, self.fleet_size(), self.clock())
-
-    def record_statements(self, request, record, response_info):
-        """Record that a target says that it is leaving, or wants no requests.
-
-        Parameters
-        ----------
-        request : GatewayRequest
-            Request that it answered.
-        record : TargetRecord
-        response_info : TargetResponseInfo
-        """
-        if response_info.is_leaving:
-            self.record_leaving(record, request.request_id)
-        if response_info.backoff is None or response_info.misdirected:
-            return
-        with self.lock:
-            targets = self.pools.targets
-            is_longer = targets.record_backoff(
-                record.incarnation, response_info.backoff, self.clock()
-            )
-        if is_longer:
-            self.metrics.count("target_backoffs_total", service=record.service)
-            log.info(
-                "target wants no requests for a while",
-                request=request.request_id,
-                target=record.id,
-                seconds=response_info.backoff,
-            )
-
-    def record_leaving(self, record, source):
-        """Record that a target says that it is leaving, in a response or a probe."""
-        with self.lock:
-            targets = self.pools.targets
-            if not targets.record_leaving(record.incarnation):
-                return
-            self.suspects.update_targets(
-                [state.record for state in targets.state_by_target.values()]
-            )
-        self.metrics.count("targets_leaving_total", service=record.service)
-        log.info("target says that it is leaving", target=record.id, source=source)
-        # Coordinators must not grant it to this instance any more.
-        self.on_change()
-
-    def record_for(self, target):
-        """Return the record of a target that accepts new requests, or None."""
-        with self.lock:
-            if not self.pools.targets.takes_new_work(target):
-                return None
-            return self.pools.targets.state_by_target[target].record
-
-    def listed_record(self, target):
-        """Return the record of a target, or None if it is not listed."""
-        with self.lock:
-            state = self.pools.targets.state_by_target.get(target)
-            return state.record if state is not None else None
-
-    def slowness_of(self, target):
-        """Return the slowness of a target; 1 if not known, as where a peer chooses."""
-        with self.lock:
-            state = self.pools.targets.state_by_target.get(target)
-            return state.slowness if state is not None else 1.0
-
-    def is_cut_off(self, request):
-        """Return whether this instance reaches no target that could run a request."""
-        with self.lock:
-            return self.pools.targets.is_cut_off(
-                request.service, request.version, self.clock()
-            )
-
-    def record_unreachable(self, target):
-        """Pause a target to which a connection failed, and probe its service."""
-        self.update_health(target, lambda health, now: health.record_unreachable(now))
-        record = self.listed_record(target)
-        if record is not None:
-            self.links.record_failure(record.service)
-
-    def has_other_version(self, record):
-        """Return whether a target has started again with another version since."""
-        with self.lock:
-            state = self.pools.targets.state_by_target.get(record.id)
-            return state is not None and state.record.version != record.version
-
-    def update_health(self, target, update):
-        """Update the health record of a target.
-
-        Parameters
-        ----------
-        target : str
-            Id of the target; ignored if it is no longer listed.
-        update : callable
-            Called with the target's `Health` and the time.
-        """
-        with self.lock:
-            state = self.pools.targets.state_by_target.get(target)
-            if state is not None:
-                before = state.health.is_paused(self.clock())
-                update(state.health, self.clock())
-                after = state.health.is_paused(self.clock())
-                if after and not before:
-                    self.metrics.count(
-                        "target_pauses_total", service=state.record.service
-                    )
-                    log.info(
-                        "target paused",
-                        target=target,
-                        seconds=round(state.health.pause, 2),
-                        failures=round(state.health.smoothed_failures, 2),
-                    )
--- a/almondglade/metrics.py
+++ b/almondglade/metrics.py
@@ -39,6 +39,11 @@
         ("service", "result"),
         "Requests that could go on at another target, by whether they did.",
     ),
+    "hedges_total": (
+        ("service", "result"),
+        "Second copies of late requests: sent, then won, ended or failed; or withheld, "
+        "by why.",
+    ),
     "stream_resumes_total": (
         ("result",),
         "Streams that callers take up, by who knew which version began them.",
@@ -122,6 +127,11 @@
     "target_limit": (("target",), "Concurrency limit of a target, when coordinated."),
     "target_running": (("target",), "Permits counted against a target."),
     "requests_waiting": (("service",), "Requests that wait at this gateway."),
+    "hedged_share": (
+        ("service",),
+        "Second copies of late requests in the last seconds, as a share of the "
+        "requests.",
+    ),
     "workspaces_over_share": (
         ("service",),
         "Workspaces that hold more than their share at the coordinator here, while "
@@ -238,6 +248,8 @@
         )
         evidence_age = node.freshness.age(boottime_clock())
         is_outdated = node.freshness.is_outdated
+        hedging = node.scheduler.hedging
+        hedged_share = hedging.used_shares(now) if hedging is not None else {}
     catalogue = node.registry.catalogue
     metrics.set("active_requests", node.app.active)
     if node.own_load.limits is not None:
@@ -256,6 +268,8 @@
     metrics.set("log_lines_left_out", dropped_lines())
     for name in ("requests_waiting", "places_free", "workspaces_over_share"):
         metrics.clear(name)
+    for service, share in hedged_share.items():
+        metrics.set("hedged_share", share, service=service)
     for service, slots in free_slots.items():
         metrics.set("places_free", slots, service=service)
         metrics.set("requests_waiting", waiting[service], service=service)
