--- a/test/gatewayfleet.py
+++ b/test/gatewayfleet.py
@@ -86,12 +86,15 @@
         Bounds of the settings file that differ from the defaults.
     source_by_address : dict of str to Path
         Source folders of the gateways that run another build than this one.
+    flags : tuple of str
+        Further flags of the gateways.
     """
 
     folder: object
     count: int = 1
     bounds: dict = field(default_factory=dict)
     source_by_address: dict = field(default_factory=dict)
+    flags: tuple = ()
 
     def __enter__(self):
         self.stack = contextlib.ExitStack()
@@ -223,7 +226,7 @@
         log = self.stack.enter_context(open(self.folder / f"{address}.log", "ab"))
         command = [sys.executable, "-m", "almondglade", "gateway"]
         return subprocess.Popen(
-            [*command, "--metrics-port", str(metrics)],
+            [*command, "--metrics-port", str(metrics), *self.flags],
             cwd=self.source_by_address.get(address),
             env=os.environ | {"ALMONDGLADE_CONFIG": str(path)},
             stdout=log,
