--- a/test/test_hedging.py
+++ b/test/test_hedging.py
@@ -217,7 +217,7 @@
         lambda state: setattr(state, "has_said_leaving", True),
         lambda state: setattr(state, "backs_off_until", 9.0),
         lambda state: setattr(state.health, "is_unhealthy", lambda now: True),
-        lambda state: setattr(state, "running_here", SLOTS),
+        lambda state: setattr(state, "running_here", state.record.slots),
         lambda state: setattr(state.health, "paused_until", 9.0),
         lambda state: state.named_rate.record(5.0, 0.0, 0.0, is_failure=False),
         lambda state: state.room.record(3.0, 0.0, 0.0),
