--- a/almondglade/platform/deployfile.py
+++ b/almondglade/platform/deployfile.py
@@ -17,6 +17,8 @@
 PEER_TRAFFIC = "control_plane"
 METRICS_PATTERN = re.compile(r"([0-9]{1,5})/([A-Za-z0-9/_-]+)")
 METRICS_PORT_FLAG = "--metrics-port"
+HEDGE_SHARE_FLAG = "--hedge-share"
+HEDGE_SHARE_PATTERN = re.compile(r"0?\.[0-9]+|0|1(\.0*)?|0\.")
 
 
 class _Role(BaseModel):
@@ -96,6 +98,10 @@
         yield f"run names no command of the program: {role.run}"
     if (role.share is None) == (role.count is None):
         yield "either share or count is needed"
+    if HEDGE_SHARE_FLAG in words:
+        share = next(iter(words[words.index(HEDGE_SHARE_FLAG) + 1 :]), "")
+        if not HEDGE_SHARE_PATTERN.fullmatch(share):
+            yield f"{HEDGE_SHARE_FLAG} is not from 0 to 1: {share}"
     if role.metrics is not None:
         yield from _metrics_problems(role.metrics, words)
     if role.template is not None and not (root / role.template).is_file():
--- a/test/test_ui.py
+++ b/test/test_ui.py
@@ -83,6 +83,18 @@
     assert run(capsys, "check", path)[0] == 0
 
 
+def test_check_accepts_the_share_of_hedges_in_a_deploy_file(capsys, tmp_path):
+    file = tmp_path / "system.toml"
+    file.write_text(DEPLOY.replace('gateway"', 'gateway --hedge-share 0.05"', 1))
+    assert run(capsys, "check", str(file))[0] == 0
+
+
+def test_a_gateway_refuses_a_share_of_hedges_above_all_requests(capsys):
+    code, output = run(capsys, "gateway", "--hedge-share", "1.5")
+    assert code == 1
+    assert "not from 0 to 1" in output.err
+
+
 @pytest.mark.parametrize(
     ("old", "new", "message"),
     [
@@ -91,6 +103,8 @@
         ("share = 1.0", "", "share or count"),
         ("share = 1.0", "share = 7.0", "less than or equal to 1"),
         ("9464/metrics", "9999/metrics", "serves 9464"),
+        ('gateway"', 'gateway --hedge-share 1.5"', "not from 0 to 1"),
+        ('gateway"', 'gateway --hedge-share"', "not from 0 to 1"),
         ("9464/metrics", "metrics", "not PORT/PATH"),
         ("control_plane", "nobody", "find no peers"),
         ('"edge", ', "", "reach nobody"),
