Release the slot of a hedge that finds no thread

Cause: a thread that could not start left its slot taken and its run waiting. Change: give the slot back and go on with the first copy.

--- a/almondglade/gateway/hedgecopy.py
+++ b/almondglade/gateway/hedgecopy.py
@@ -203,8 +203,14 @@
             delay=round(self.due - self.started_at, 4),
             seconds=round(now - self.started_at, 4),
         )
-        self.copy = HedgeCopy(self, ticket)
-        self.copy.start()
+        self.copy = copy = HedgeCopy(self, ticket)
+        try:
+            copy.start()
+        except RuntimeError as error:
+            log.warning("no thread for a hedge", cause=str(error))
+            self.copy = None
+            copy.drop()
+            self.hedging.count(self.request, "failed")
 
     def _return_ticket(self):
         ticket, self._ticket = self._ticket, None
