--- a/almondglade/gateway/scheduling.py
+++ b/almondglade/gateway/scheduling.py
@@ -8,9 +8,12 @@
 from ..outcome import Code, RequestError
 from ..placement.places import Ticket
 from ..placement.returns import max_wait_of_return
+from .hedgedrun import HedgedRun
+from .hedging import Hedging
 from .measuring import expected_first_byte_seconds
 from .momentary import MomentRecorder
 from .refusals import Refusals
+from .retrying import Retries
 from .returning import RECOGNITION_SECONDS, BookedReturns
 from .run import GatewayRun
 from .settings import DEFAULT_FEATURES
@@ -25,8 +28,11 @@
 # Longest wait for a slot when a request is retried on another target.
 RETRY_MAX_WAIT_SECONDS = 1.0
 
+# Tier of hedges in place of their workspaces', behind any that operators declare.
+HEDGE_TIER = 1 << 20
 
-class GatewayScheduler(TargetRecords):
+
+class GatewayScheduler(TargetRecords, Retries):
     """Assigns requests to targets and dispatches them, in the caller's thread.
 
     Parameters
@@ -103,6 +109,7 @@
         self.refusals = Refusals(metrics, clock)
         self.returns = BookedReturns(pools, features.booked_returns, metrics, clock)
         self.moments = MomentRecorder(pools, lock, metrics, clock)
+        self.hedging: Hedging | None = None
 
     def run(self, request):
         """Dispatch a request and return its `GatewayRun`.
@@ -118,10 +125,16 @@
         now = self.clock()
         with self.lock:
             self.retry_budget.count_request(request.service, now)
+            if self.hedging is not None:
+                self.hedging.count_request(request.service, now)
             retry_after = self._consume_allowance(request, now)
         if retry_after > 0.0:
             raise self.refusals.allowance_error(request, retry_after)
-        run = GatewayRun(self, request)
+        hedging = self.hedging
+        if hedging is not None and hedging.applies_to(request):
+            run: GatewayRun = HedgedRun(self, request, hedging)
+        else:
+            run = GatewayRun(self, request)
         try:
             run.open()
         except BaseException:
@@ -264,13 +277,22 @@
             Has a target once a slot is assigned; to be given to `return_slot` or, after
             its use, `release`.
         """
-        ticket = self._make_ticket(request, attempted, lambda: None)
+        return self._enqueue(self._make_ticket(request, attempted, lambda: None))
+
+    def _enqueue(self, ticket):
         with self.lock:
             self.pools.enqueue(ticket, self.clock())
             self.match()
         self.on_change({ticket.coordinator})
         return ticket
 
+    def request_spare_slot(self, request, excluded):
+        """Ask for a slot for a hedge, like `request_slot`, behind first attempts."""
+        ticket = self._make_ticket(request, excluded, lambda: None)
+        ticket.tier = (HEDGE_TIER, request.route.tier)
+        ticket.arrived_at = self.clock()
+        return self._enqueue(ticket)
+
     def return_slot(self, ticket):
         """Give back a ticket of `request_slot` that was not used."""
         with self.lock:
@@ -345,30 +367,3 @@
             self.send_grants(peer, grants)
         log_share_changes(self.pools.shares)
         return set(grants_by_peer)
-
-    def may_retry(self, request):
-        """Return whether a request may be retried; if so, count the retry."""
-        if len(request.attempted_targets) >= request.route.max_attempts:
-            return False
-        with self.lock:
-            granted = self.retry_budget.spend(
-                request.service, self.fleet_size(), self.clock()
-            )
-        self.metrics.count(
-            "resends_total",
-            service=request.service,
-            result="sent" if granted else "over budget",
-        )
-        if not granted:
-            log.warning(
-                "request not retried: the retry budget is used up",
-                request=request.request_id,
-                service=request.service,
-                instances=self.fleet_size(),
-            )
-        return granted
-
-    def has_retry_room(self, service):
-        """Return whether the retry budget of a service is not used up."""
-        with self.lock:
-            return self.retry_budget.has_room(service, self.fleet_size(), self.clock())
--- a/almondglade/gateway/targetrecords.py
+++ b/almondglade/gateway/targetrecords.py
@@ -1,6 +1,7 @@
 """Record what requests show of the targets, and look targets up."""
 
 from ..log import get_logger
+from ..placement.hedging import find_target
 
 log = get_logger("requests")
 
@@ -146,3 +147,17 @@
                         seconds=round(state.health.pause, 2),
                         failures=round(state.health.smoothed_failures, 2),
                     )
+
+    def is_paused(self, target):
+        """Return whether this instance cannot reach a target that it uses."""
+        with self.lock:
+            state = self.pools.targets.state_by_target.get(target)
+            if state is None:
+                return True
+            obstacle = self.pools.targets.obstacle(state, self.clock())
+            return obstacle is not None and obstacle.is_unreachable
+
+    def find_hedge_target(self, service, attempted):
+        """Return the targets that a hedge must avoid, and why to withhold it."""
+        with self.lock:
+            return find_target(self.pools, service, attempted, self.clock())
--- a/test/gatewayfleet.py
+++ b/test/gatewayfleet.py
@@ -88,6 +88,8 @@
         What the settings file declares of the machine, besides memory and files.
     source_by_address : dict of str to Path
         Source folders of the gateways that run another build than this one.
+    flags : tuple of str
+        Further flags of the gateways.
     """
 
     folder: object
@@ -95,6 +97,7 @@
     bounds: dict = field(default_factory=dict)
     limits: dict = field(default_factory=dict)
     source_by_address: dict = field(default_factory=dict)
+    flags: tuple = ()
 
     def __enter__(self):
         self.stack = contextlib.ExitStack()
@@ -227,7 +230,7 @@
         log = self.stack.enter_context(open(self.folder / f"{address}.log", "ab"))
         command = [sys.executable, "-m", "almondglade", "gateway"]
         return subprocess.Popen(
-            [*command, "--metrics-port", str(metrics)],
+            [*command, "--metrics-port", str(metrics), *self.flags],
             cwd=self.source_by_address.get(address),
             env=os.environ | {"ALMONDGLADE_CONFIG": str(path)},
             stdout=log,
