--- a/almondglade/gateway/balancing.py
+++ b/almondglade/gateway/balancing.py
@@ -27,4 +27,4 @@
             age=round(change.age, 3),
         )
     for (service, reason), count in balances.take_moves().items():
-        metrics.count("moved_requests_total", count, service=service, reason=reason)
+        metrics.count("moved_requests_total", count, service=service, kind=reason)
--- a/almondglade/metrics.py
+++ b/almondglade/metrics.py
@@ -54,7 +54,7 @@
         "were ahead of them (over) or not (within).",
     ),
     "moved_requests_total": (
-        ("service", "reason"),
+        ("service", "kind"),
         "Requests sent to another data centre, as its own gives a share of its load "
         "(demand) or has a queue (overflow).",
     ),
--- a/test/test_uneven_demand.py
+++ b/test/test_uneven_demand.py
@@ -146,7 +146,7 @@
     )
     for _ in range(2):
         record_demand_changes(balances, metrics)
-    labels = {"service": SERVICE, "reason": "demand"}
+    labels = {"service": SERVICE, "kind": "demand"}
     assert counts == [(("moved_requests_total", 1), labels)]
     assert balances.take_changes() == []
 
