--- a/almondglade/gateway/exchange.py
+++ b/almondglade/gateway/exchange.py
@@ -14,6 +14,7 @@
 from ..placement.cells import Cell
 from ..placement.outlook import RecentWaits, TierWaits
 from ..placement.places import PeerLoad
+from .returnreports import recognise_returns, told_returns
 from .sharedstates import SharedStateExchange
 from .waitingreports import expected_waits, tickets_from, waiting_request
 
@@ -97,7 +98,8 @@
             Instances whose consumption the shared state includes; None leaves the
             shared state out.
         receiver : str
-            Peer that gets the report, if it is for one peer only.
+            Peer that gets the report, if it is for one peer only. Only such a report
+            tells what targets say of their load.
         with_stats : bool
             Whether to include recent results of targets; a single receiver gets those
             of the targets that it coordinates.
@@ -123,10 +125,24 @@
                 shared_state,
                 self.pools.stats_here(now, receiver) if with_stats else None,
                 self.pools.isolated_here(),
+                told_returns(self.pools.returns, now),
                 sent_at,
+                self._moments_for(receiver, now),
                 dict(self.pools.balances.arrivals_by_service),
             )
 
+    def _moments_for(self, receiver, now):
+        return self.pools.moments.take_shares(
+            receiver,
+            lambda state: receiver in self.pools.coordinators_of(state.record, now),
+            now,
+        )
+
+    def has_moments(self):
+        """Return whether a target has lately said how fast it is at this moment."""
+        with self.lock:
+            return self.pools.moments.shares.is_any_due(self.clock())
+
     def report_receivers(self):
         """Return the coordinators to report to, and when to report again.
 
@@ -140,12 +156,23 @@
         pause : float
             Seconds until the next report if nothing changes before.
         """
+        now = self.clock()
         with self.lock:
-            names = self.pools.coordinators_in_use(self.clock())
+            names = self.pools.coordinators_in_use(now).union(
+                *(
+                    self.pools.coordinators_of_service(service, now)
+                    for service in self.pools.returns.told_services(now)
+                )
+            )
             pause = self.pools.next_report_seconds()
         receivers, self._last_receivers = names | self._last_receivers, names
         return receivers - {self.settings.instance}, pause
 
+    def next_report_seconds(self):
+        """Return the seconds from one report to all coordinators to the next."""
+        with self.lock:
+            return self.pools.next_report_seconds()
+
     def coordinators_in_use(self):
         """Return the coordinators that must know the requests of this instance."""
         with self.lock:
@@ -209,7 +236,9 @@
         }
         with self.lock:
             self._note_incarnation(report)
+            recognise_returns(self.pools.returns, report, load.tickets, now)
             self.pools.fleet.update(report.instance, load)
+            self.pools.moments.record_shared(report.moments, now)
             self.pools.record_arrivals(
                 report.instance,
                 report.data_centre,
@@ -238,6 +267,7 @@
         self._incarnation_by_peer[report.instance] = report.incarnation
         if former not in (None, report.incarnation):
             self.pools.latest_grant_by_coordinator.pop(report.instance, None)
+            self.pools.returns.forget(report.instance)
 
     def _answer_batch(self):
         self._is_batch_scheduled = False
@@ -261,7 +291,10 @@
             if unconfirmed_by_peer[peer] or peer not in granted_peers:
                 # Without grants this acknowledges the peer's requests.
                 self.send_grants(
-                    peer, unconfirmed_by_peer[peer], self._expected_waits(load, now)
+                    peer,
+                    unconfirmed_by_peer[peer],
+                    self._expected_waits(load, now),
+                    tuple(entry.number for entry in load.tickets if entry.is_return),
                 )
 
     def _expected_waits(self, load, now):
@@ -294,7 +327,7 @@
 
         return self._recent_waits.get((cell, tier), now, count)
 
-    def send_grants(self, peer, grants, waits=()):
+    def send_grants(self, peer, grants, waits=(), returns=()):
         """Send grants to a peer; safe from any thread.
 
         Parameters
@@ -305,9 +338,14 @@
             Number of each grant, number of the request at the peer, and target.
         waits : tuple of ExpectedWait
             Waits that new requests of the peer should expect.
+        returns : tuple of int
+            Numbers of the requests at the peer for which room is booked.
         """
         message = Grants(
-            self.settings.instance, tuple(Grant(*grant) for grant in grants), waits
+            self.settings.instance,
+            tuple(Grant(*grant) for grant in grants),
+            waits,
+            returns,
         )
         self.gossip.send_soon({peer}, message)
 
@@ -324,6 +362,9 @@
                     now,
                     wait.workspace,
                 )
+            for ticket in self.pools.waiting_here():
+                if ticket.number in message.returns:
+                    ticket.is_return = True
             tickets = [
                 self.pools.apply_grant(
                     message.instance, grant.number, grant.request, grant.target
--- a/almondglade/gateway/node.py
+++ b/almondglade/gateway/node.py
@@ -24,6 +24,7 @@
 from ..placement.freshness import Freshness
 from ..placement.pool import Pools
 from ..placement.resends import RetryBudget
+from ..placement.shares import weights_by_workspace
 from ..platform.promptcache import PromptCacheClient
 from ..platform.questions import ReadinessEndpoint
 from ..platform.store import StoreClient
@@ -106,9 +107,11 @@
             TargetSelector(
                 settings.instance,
                 ColdTargetLimiter(bounds.cold_overage, bounds.cold_slack),
+                rng,
             ),
             self.incarnation * GRANTS_PER_MILLISECOND,
         )
+        self.pools.moments.is_enabled = settings.features.momentary_load
         self.pools.balances.is_active = settings.features.uneven_demand
         self.allowances = SharedAllowances(settings.first_start)
         self.retry_budget = RetryBudget(
@@ -183,6 +186,7 @@
             self.exchange.send_grants,
             self.metrics,
             self.clock,
+            settings.features,
         )
         self.exchange.match = self.scheduler.match
         self.links.on_leaving = self.scheduler.record_leaving
@@ -359,6 +363,8 @@
             self.suspects.expire()
             self.origins.expire()
             self.limits.expire()
+            with self.lock:
+                self.scheduler.returns.expire()
 
     async def _run_periodic_checks(self):
         while True:
@@ -398,8 +404,13 @@
                     name: terms.cold_rate
                     for name, terms in catalogue.service_by_name.items()
                 }
+                workspaces = catalogue.workspace_by_key.values()
                 if self.settings.features.fair_shares:
-                    self.pools.shares.configure(catalogue.workspace_by_key.values())
+                    self.pools.shares.configure(workspaces)
+                self.pools.response_times.is_active = (
+                    self.settings.features.timely_first
+                    and bool(weights_by_workspace(workspaces))
+                )
                 self.allowances.ensure_buckets(catalogue.workspace_by_key.values(), now)
             self.scheduler.match()
         self.connections.retain(
--- a/almondglade/gateway/run.py
+++ b/almondglade/gateway/run.py
@@ -73,6 +73,7 @@
                 response_info = parse_target_response(head)
                 self._record_limits(response_info)
                 self._record_statements(response_info)
+                self._record_load(head, response_info)
                 if head.status < 300 and not response_info.sealed:
                     raise TargetError("the target's success bears no seal")
                 if self._is_resume_mismatch(head, response_info):
@@ -105,22 +106,6 @@
                 self.resumable = False
         return self
 
-    def _record_limits(self, response_info):
-        """Record the limits that the target names, or that it names none."""
-        if self.ticket is not None and not response_info.misdirected:
-            self.scheduler.limits.record(
-                self.record,
-                response_info.rate_limit,
-                response_info.refusal_limit,
-                self.sent_at,
-                is_failure=response_info.is_failure,
-            )
-
-    def _record_statements(self, response_info):
-        """Record what the target says of itself, unless a peer reached it."""
-        if self.ticket is not None:
-            self.scheduler.record_statements(self.request, self.record, response_info)
-
     def _is_resume_mismatch(self, head, response_info):
         """Return whether a later response cannot continue an interrupted first one."""
         if self.head is None or not self.has_begun or response_info.not_run:
@@ -328,6 +313,7 @@
             self._update_health(
                 lambda health, now: health.record_success(now, slowness)
             )
+            self.scheduler.record_response_time(self.request.service, slowness)
 
     def _record_pace(self):
         pace = self.meter.event_seconds(self.clock())
--- a/almondglade/gateway/settings.py
+++ b/almondglade/gateway/settings.py
@@ -57,10 +57,11 @@
     ----------
     fair_shares : bool
         Whether workspaces share the slots of a service evenly.
+    timely_first : bool
+        Whether requests that can still be answered within their objective go before
+        others of their tier.
     momentary_load : bool
         Whether what targets say of their present load counts in the choice of one.
-    engine_memory : bool
-        Whether requests are granted by the memory of engines besides their slots.
     booked_returns : bool
         Whether refused callers get a time to return that is kept for them.
     own_limits : bool
@@ -74,11 +75,11 @@
     """
 
     fair_shares: bool = True
-    momentary_load: bool = True
-    engine_memory: bool = True
-    booked_returns: bool = True
+    timely_first: bool = True
+    momentary_load: bool = False
+    booked_returns: bool = False
     own_limits: bool = True
-    uneven_demand: bool = True
+    uneven_demand: bool = False
     hedge_share: float = 0.0
 
 
--- a/almondglade/gateway/waitingreports.py
+++ b/almondglade/gateway/waitingreports.py
@@ -23,6 +23,8 @@
         ticket.version,
         ticket.workspace,
         ticket.tokens,
+        ticket.start_by - now,
+        ticket.return_fingerprint if ticket.may_be_return else 0,
     )
 
 
@@ -45,6 +47,9 @@
             version=entry.version,
             workspace=entry.workspace,
             tokens=entry.tokens,
+            start_by=said_at + entry.start_within,
+            return_fingerprint=entry.return_fingerprint,
+            may_be_return=bool(entry.return_fingerprint),
         )
 
 
--- a/almondglade/gossip/codec.py
+++ b/almondglade/gossip/codec.py
@@ -15,11 +15,14 @@
 from ..placement.cells import Cell
 from ..placement.health import TargetStats
 from ..placement.outlook import CellLoad
-from .furtherfields import (
+from .demandfields import unpack_arrivals, unpack_demands
+from .fields import (
     FURTHER_FIELDS,
-    decode_count,
     pack_further_fields,
-    unpack_further_fields,
+    unpack_booked_returns,
+    unpack_moments,
+    unpack_sent_at,
+    unpack_waiting,
 )
 from .messages import (
     CrashEvidence,
@@ -40,6 +43,7 @@
     SuspectReport,
     WaitingRequest,
 )
+from .numbers import MILLISECONDS_PER_SECOND, decode_count, to_milliseconds
 
 FORMAT_VERSION = 3
 REPORT_KIND = 0
@@ -51,10 +55,6 @@
 ORIGIN_QUERY_KIND = 6
 NAMED_LIMITS_KIND = 7
 START_NOTICE_KIND = 8
-MILLISECONDS_PER_SECOND = 1000.0
-# Upper bound on durations on the wire, which keeps the numbers small. Evidence of this
-# age is worthless anyway.
-MAX_AGE_SECONDS = 1e6
 
 
 @singledispatch
@@ -77,7 +77,7 @@
             member.instance,
             member.data_centre,
             member.capacity,
-            _to_milliseconds(member.age),
+            to_milliseconds(member.age),
             member.leaving,
         ]
         for member in message.members
@@ -106,11 +106,13 @@
             wait.cell_data_centre,
             # Earlier releases store the wait under a tier that no request has.
             wait.tier if wait.workspace is None else (*wait.tier, wait.workspace),
-            _to_milliseconds(wait.seconds),
+            to_milliseconds(wait.seconds),
         ]
         for wait in message.waits
     ]
-    return msgpack.packb([FORMAT_VERSION, GRANTS_KIND, message.instance, grants, waits])
+    fields = [FORMAT_VERSION, GRANTS_KIND, message.instance, grants, waits]
+    # Only releases that report fingerprints get returns, which others reject.
+    return msgpack.packb([*fields, message.returns] if message.returns else fields)
 
 
 @encode.register
@@ -122,14 +124,14 @@
                 [
                     crash.target,
                     crash.target_started_at,
-                    _to_milliseconds(crash.started_age),
-                    _to_milliseconds(crash.ended_age),
+                    to_milliseconds(crash.started_age),
+                    to_milliseconds(crash.ended_age),
                 ]
                 for crash in suspect.crashes
             ],
             None
             if suspect.cleared_age is None
-            else _to_milliseconds(suspect.cleared_age),
+            else to_milliseconds(suspect.cleared_age),
         ]
         for suspect in message.suspects
     ]
@@ -148,7 +150,7 @@
             message.request_id,
             message.service,
             message.version,
-            _to_milliseconds(message.age),
+            to_milliseconds(message.age),
         ]
     )
 
@@ -167,10 +169,10 @@
             limit.target,
             limit.target_started_at,
             limit.rate,
-            _to_milliseconds(limit.rate_age),
+            to_milliseconds(limit.rate_age),
             limit.refusal_limit,
-            _to_milliseconds(limit.refusal_limit_age),
-            _to_milliseconds(limit.refused_age),
+            to_milliseconds(limit.refusal_limit_age),
+            to_milliseconds(limit.refused_age),
             limit.is_rate_from_failures,
             limit.is_refusal_limit_from_failures,
         ]
@@ -210,11 +212,11 @@
         entry.number,
         entry.service,
         entry.tier,
-        _to_milliseconds(entry.age),
+        to_milliseconds(entry.age),
         entry.attempted_targets,
         entry.coordinator,
         round(entry.expected_events),
-        _to_milliseconds(entry.time_left),
+        to_milliseconds(entry.time_left),
         entry.cell_data_centre,
         entry.isolated_fingerprint,
     ]
@@ -251,7 +253,7 @@
 def _pack_shared_state(shared_state):
     return [
         shared_state.revision,
-        _to_milliseconds(shared_state.evidence_age),
+        to_milliseconds(shared_state.evidence_age),
         # Earlier releases have a number here, which they ignore.
         [shared_state.version, *shared_state.store_position],
         int(shared_state.scope),
@@ -265,17 +267,13 @@
                 load.cell.data_centre,
                 load.free,
                 load.slots,
-                _to_milliseconds(load.age),
+                to_milliseconds(load.age),
             ]
             for load in shared_state.cells
         ],
     ]
 
 
-def _to_milliseconds(seconds):
-    return round(min(seconds, MAX_AGE_SECONDS) * MILLISECONDS_PER_SECOND)
-
-
 def decode(data):
     """Return the message in a datagram.
 
@@ -310,11 +308,7 @@
     isolated_by_target,
 ):
     further_fields = latest_grant_by_coordinator.pop(FURTHER_FIELDS, {})
-    further = unpack_further_fields(
-        further_fields,
-        len(waiting),
-        len(shared_state[5]) if shared_state is not None else 0,
-    )
+    further_entries = unpack_waiting(further_fields, len(waiting))
     return Report(
         instance,
         data_centre,
@@ -335,7 +329,7 @@
                 cell_data_centre,
                 isolated_fingerprint,
                 *(version or ("",)),
-                *entry_work,
+                *further_entry,
             )
             for (
                 number,
@@ -349,11 +343,11 @@
                 cell_data_centre,
                 isolated_fingerprint,
                 *version,
-            ), entry_work in zip(waiting, further.work, strict=True)
+            ), further_entry in zip(waiting, further_entries, strict=True)
         ),
         latest_grant_by_coordinator,
         tuple(paused_targets),
-        _unpack_shared_state(further.demands, *shared_state)
+        _unpack_shared_state(further_fields, *shared_state)
         if shared_state is not None
         else None,
         _unpack_stats(stats_by_target) if stats_by_target is not None else None,
@@ -361,13 +355,21 @@
             target: tuple(fingerprints)
             for target, fingerprints in isolated_by_target.items()
         },
-        further.sent_at,
-        further.arrivals_by_service,
+        unpack_booked_returns(further_fields),
+        unpack_sent_at(further_fields),
+        unpack_moments(further_fields),
+        unpack_arrivals(further_fields),
     )
 
 
 def _unpack_shared_state(
-    demands, revision, evidence_age, position, scope, consumed_by_workspace, cells
+    further_fields,
+    revision,
+    evidence_age,
+    position,
+    scope,
+    consumed_by_workspace,
+    cells,
 ):
     version, era, store_revision = position if isinstance(position, list) else (0, 0, 0)
     return SharedState(
@@ -384,7 +386,7 @@
                 demand,
             )
             for (service, data_centre, free, slots, load_age), demand in zip(
-                cells, demands, strict=True
+                cells, unpack_demands(further_fields, len(cells)), strict=True
             )
         ),
         decode_count(version),
@@ -410,11 +412,12 @@
     )
 
 
-def _decode_grants(instance, grants, waits):
+def _decode_grants(instance, grants, waits, returns=()):
     return Grants(
         instance,
         tuple(Grant(*entry) for entry in grants),
         tuple(_decode_wait(*entry) for entry in waits),
+        tuple(map(decode_count, returns)),
     )
 
 
--- a/almondglade/metrics.py
+++ b/almondglade/metrics.py
@@ -53,6 +53,18 @@
         "Requests refused for want of a slot, by whether others of their workspace "
         "were ahead of them (over) or not (within).",
     ),
+    "returns_total": (
+        ("service", "result"),
+        "Refused requests that returned to room booked for them, by when they came.",
+    ),
+    "returns_refused_total": (
+        ("service",),
+        "Refused requests that returned when told to and were refused again.",
+    ),
+    "returns_expired_total": (
+        ("service",),
+        "Bookings for refused requests that ended without a return seen here.",
+    ),
     "moved_requests_total": (
         ("service", "kind"),
         "Requests sent to another data centre, as its own gives a share of its load "
@@ -74,6 +86,14 @@
         ("service",),
         "Refusals in which a target named a time without requests.",
     ),
+    "target_loads_total": (
+        ("service", "result"),
+        "Responses in which a target said how fast it is at this moment, by their use.",
+    ),
+    "momentary_choices_total": (
+        ("service",),
+        "Choices of a target that its speed at this moment has changed.",
+    ),
     "peer_state_readings_total": (
         ("result",),
         "Readings of the published state from a peer that knew a newer one.",
@@ -133,6 +153,7 @@
         "Workspaces that hold more than their share at the coordinator here, while "
         "others wait.",
     ),
+    "bookings_open": ((), "Refused requests for whose return room is booked here."),
     "places_free": (("service",), "Free places of a service, as seen here."),
     "given_share": (
         ("service",),
@@ -251,6 +272,7 @@
             state.named_rate.is_limited
             for state in pools.targets.state_by_target.values()
         )
+        bookings = pools.returns.count_open()
         evidence_age = node.freshness.age(boottime_clock())
         is_outdated = node.freshness.is_outdated
     catalogue = node.registry.catalogue
@@ -267,6 +289,7 @@
     metrics.set("targets_paused", paused)
     metrics.set("services_cut_off", len(node.links.lost_services))
     metrics.set("targets_rate_limited", rate_limited)
+    metrics.set("bookings_open", bookings)
     metrics.set("evidence_age_seconds", min(evidence_age, MAX_AGE_SECONDS))
     metrics.set("log_lines_left_out", dropped_lines())
     for name in (
--- a/almondglade/placement/fairness.py
+++ b/almondglade/placement/fairness.py
@@ -16,7 +16,7 @@
 # The share of a route tier, as a multiple of that of the next less urgent one.
 WEIGHT_RATIO = 3.0
 # The order inside a tier; with the tier before it, that of `Ticket.rank`.
-by_arrival = attrgetter("arrived_at", "owner", "number")
+by_arrival = attrgetter("rank_in_tier")
 
 
 def arrange_by_arrival(tickets):
--- a/almondglade/placement/places.py
+++ b/almondglade/placement/places.py
@@ -8,6 +8,7 @@
 from .brittle import TargetRoom
 from .cells import Cell
 from .health import Health, TargetStats
+from .moments import Moment
 from .ratelimits import NamedRate
 
 
@@ -47,6 +48,12 @@
     tokens : int
         Tokens that it is expected to take on an engine, read and generated; 0 if not
         known.
+    start_by : float
+        Monotonic time by which it must be sent to be answered within its objective;
+        infinite if not known.
+    return_fingerprint : int
+        What a request and its repeat have in common; 0 if no room is booked for
+        returns like it.
 
     Attributes
     ----------
@@ -59,6 +66,12 @@
     deferred_at : float or None
         Monotonic time at which, without a coordinator, it was first deferred in
         favour of a better request on a peer.
+    may_be_return : bool
+        Whether it may have been refused before.
+    is_return : bool
+        Whether room is booked for it, as it was refused and told to return.
+    due_at : float
+        Monotonic time at which it was told to return; infinite if not known.
     """
 
     service: str
@@ -80,6 +93,11 @@
     version: str = ""
     workspace: str = ""
     tokens: int = 0
+    start_by: float = float("inf")
+    return_fingerprint: int = 0
+    may_be_return: bool = False
+    is_return: bool = False
+    due_at: float = float("inf")
 
     def accepts(self, record):
         """Return whether a target has the software version that it needs."""
@@ -97,8 +115,18 @@
 
     @property
     def rank(self):
-        """Sort key among waiting requests; the lowest is served first."""
-        return (self.tier, self.arrived_at, self.owner, self.number)
+        """Sort key among waiting requests; the lowest is served first.
+
+        Inside a tier, those that return to booked room go first, in the order of the
+        times that they were told.
+        """
+        return (self.tier, *self.rank_in_tier)
+
+    @property
+    def rank_in_tier(self):
+        """The part of `rank` that applies inside a tier."""
+        since = min(self.arrived_at, self.due_at)
+        return (not self.is_return, since, self.owner, self.number)
 
 
 @dataclass
@@ -136,6 +164,8 @@
         ends that.
     backs_off_until : float
         Monotonic time until which it wants no request of this instance.
+    moment : Moment
+        What it says of its load at this moment.
     """
 
     record: TargetRecord
@@ -150,6 +180,7 @@
     room_limit: float = float("inf")
     has_said_leaving: bool = False
     backs_off_until: float = float("-inf")
+    moment: Moment = field(default_factory=Moment)
 
     def is_unhealthy(self, now):
         """Return whether it fails often, by this instance's results or by all."""
--- a/almondglade/placement/queue.py
+++ b/almondglade/placement/queue.py
@@ -10,10 +10,13 @@
 
 from .coordination import CoordinationTerms, Coordinators, UnansweredRequests
 from .fairness import FairOrder, arrange_by_arrival
+from .moments import Moments
 from .outlook import CellReports, RecentWaits
 from .places import Ticket
+from .returns import ReturnCalendar
 from .shares import FairShares
 from .targets import Targets
+from .timeliness import ResponseTimes, arrange_timely_first
 
 # Weight of the newest sample in the mean time for which a slot is held.
 HOLD_WEIGHT = 0.05
@@ -44,12 +47,18 @@
     on_new_term : callable
         Called without arguments when this instance begins to coordinate a cell of a
         large fleet.
+    response_times : ResponseTimes
+        Learns by when requests must be sent to be answered in time.
     shares : FairShares
         How the slots of a service are shared among workspaces.
     tickets_by_service : dict of str to list of Ticket
         Requests that wait on this instance, the best first.
     latest_grant_by_coordinator : dict of str to int
         Number of the newest grant received from each coordinator.
+    returns : ReturnCalendar
+        Room that is booked for callers that were told to return.
+    moments : Moments
+        What targets say of their load at this moment.
     """
 
     def __init__(self, instance, data_centre, selector, grant_number_base=0):
@@ -58,12 +67,15 @@
         self.instance = instance
         self.targets = Targets()
         self.fleet = self.targets.fleet
+        self.moments = Moments(self.targets)
         self.coordinators = Coordinators(self.instance)
         self.cell_reports = CellReports()
         self.coordination_terms = CoordinationTerms()
         self.unanswered = UnansweredRequests()
         self.shares = FairShares()
+        self.response_times = ResponseTimes()
         self.is_full_mesh = True
+        self.returns = ReturnCalendar(instance)
         self.on_new_term = lambda: None
         self.tickets_by_service: dict[str, list[Ticket]] = {}
         self.hold_seconds_by_service: dict[str, float] = {}
@@ -86,6 +98,13 @@
         """Return the instance that grants the slots of a cell."""
         return self.coordinators.choose(cell.service, now, cell.data_centre)
 
+    def coordinators_of_service(self, service, now):
+        """Return the set of the instances that coordinate the cells of a service."""
+        return {
+            self.coordinator(cell, now)
+            for cell in self.targets.cells.for_service(service)
+        }
+
     def coordinators_of(self, record, now):
         """Return the set of the instances that grant the slots of a target."""
         return {
@@ -184,7 +203,7 @@
     def _is_settled(self, cell, now):
         return self.is_full_mesh or self.coordination_terms.is_settled(cell, now)
 
-    def _order(self, cell, states):
+    def _order(self, cell, states, now):
         """Return the `FairOrder` of requests for some targets of a cell."""
         arrange = (
             partial(self.shares.arrange, cell)
@@ -194,7 +213,9 @@
         return FairOrder(
             lambda: self._running_by_route_tier(states),
             sum(state.limit() for state in states),
-            arrange,
+            partial(arrange_timely_first, arrange, now)
+            if self.response_times.is_active
+            else arrange,
         )
 
     def _running_by_route_tier(self, states):
--- a/almondglade/placement/waits.py
+++ b/almondglade/placement/waits.py
@@ -93,6 +93,7 @@
             position = ahead + (not may_be_free)
             if position <= free:
                 return 0.0
+            position += self._booked_ahead(cell, tier, now)
             hold_seconds = self.mean_hold_seconds(cell.service)
             throughput = sum(state.throughput(hold_seconds) for state in states)
             return (position - free) / throughput
@@ -128,6 +129,11 @@
             return self.shares.own_waits(cell, tier, self._waiting(cell), now)
         return self.cell_reports.expected_waits(cell, tier, now).wait_by_workspace
 
+    def _booked_ahead(self, cell, tier, now):
+        """Return how many returns are due in a cell that go before a new request."""
+        cells = len(self.targets.cells.for_service(cell.service))
+        return self.returns.open_ahead(cell.service, tier, now) / cells
+
     def _count_ahead(self, cell, tier, states, now):
         """Return how many requests wait ahead of a new one of a tier.
 
@@ -151,7 +157,7 @@
         }
         ahead_by_workspace: dict[str, int] = {}
         ahead = 0
-        for ticket in self._order(cell, states).sort([*newest, *waiting]):
+        for ticket in self._order(cell, states, now).sort([*newest, *waiting]):
             if ticket not in newest:
                 ahead += 1
                 continue
--- a/test/test_uneven_demand.py
+++ b/test/test_uneven_demand.py
@@ -10,7 +10,7 @@
 from almondglade.errors import PeerError
 from almondglade.gateway.balancing import record_demand_changes
 from almondglade.gossip.codec import decode, encode
-from almondglade.gossip.furtherfields import ARRIVALS_FIELD, DEMAND_FIELD
+from almondglade.gossip.demandfields import ARRIVALS_FIELD, DEMAND_FIELD
 from almondglade.gossip.messages import Report, SharedState
 from almondglade.placement.arrivals import Arrivals
 from almondglade.placement.cells import Cell
