--- a/almondglade/metrics.py
+++ b/almondglade/metrics.py
@@ -71,7 +71,7 @@
         "Bookings for refused requests that ended without a return seen here.",
     ),
     "moved_requests_total": (
-        ("service", "reason"),
+        ("service", "kind"),
         "Requests sent to another data centre, as its own gives a share of its load "
         "(demand) or has a queue (overflow).",
     ),
