Take the evidence for a configuration before the configuration itself

Cause: a request read the configuration in force and then asked whether the configuration is current. That question waits for the lock of the scheduling state, and so does the thread that applies what the store tells. If the newer configuration is applied in between, its evidence vouches for the older one, in which the key is looked up. After a freeze or a cut all requests that lay unread are at this point at once. Routes had the same fault: the older configuration denied a route that its successor has, with a 404.

This is the second way to the same harm.

Why it works: a configuration never becomes older, so that the one read after the question is the one that was asked about or a newer one; evidence for a version holds for its successors too.

--- a/almondglade/gateway/app.py
+++ b/almondglade/gateway/app.py
@@ -26,12 +26,8 @@
     ----------
     registry : Registry
         Holds the catalogue in force.
-    accepts_keys : callable
-        Returns whether the catalogue is known to be recent enough to check API keys
-        against it.
-    may_deny : callable
-        Returns whether the catalogue is known to be recent enough to tell callers that
-        a route or a key does not exist.
+    trust : callable
+        Returns the `Trust` in the catalogue in force at the time of the call.
     origin_search : OriginSearch
         Finds out which version began a stream that no gateway knows.
     own_load : OwnLoad
@@ -49,8 +45,7 @@
         max_requests,
         body_room,
         registry,
-        accepts_keys,
-        may_deny,
+        trust,
         origin_search,
         own_load,
     ):
@@ -58,8 +53,7 @@
             instance, incarnation, scheduler, metrics, max_requests, body_room
         )
         self.registry = registry
-        self.accepts_keys = accepts_keys
-        self.may_deny = may_deny
+        self.trust = trust
         self.origin_search = origin_search
         self.own_load = own_load
 
@@ -80,10 +74,8 @@
         self.scheduler.suspects.wait_until_informed()
         caller_headers = parse_caller_headers(http.header_pairs)
         self.own_load.check(request_id, bool(caller_headers.last_event_id))
-        catalogue = self.registry.catalogue
         path = http.uri.decode("latin-1")
-        route = self._find_route(catalogue, caller_headers, path)
-        workspace = self._authenticate(catalogue, route, caller_headers)
+        catalogue, route, workspace = self._admit(caller_headers, path)
         limit = catalogue.limits.max_body_bytes
         time_limit = min(
             caller_headers.time_limit or DEFAULT_TIME_LIMIT_SECONDS, route.timeout
@@ -111,10 +103,35 @@
         request_metrics.service, request_metrics.tier = request.service, route.tier
         return self._run(http, request, response, request_metrics)
 
-    def _find_route(self, catalogue, caller_headers, path):
+    def _admit(self, caller_headers, path):
+        """Route and authenticate a request by one catalogue.
+
+        Returns
+        -------
+        catalogue : Catalogue
+        route : Route
+        workspace : WorkspaceTerms or None
+            None if the route is public.
+
+        Raises
+        ------
+        RequestError
+            If the catalogue does not allow the request, or may be out of date.
+        """
+        # Asked for after the catalogue is read, the trust could be in its successor.
+        trust = self.trust()
+        catalogue = self.registry.catalogue
+        route = self._find_route(catalogue, trust, caller_headers, path)
+        return (
+            catalogue,
+            route,
+            self._authenticate(catalogue, trust, route, caller_headers),
+        )
+
+    def _find_route(self, catalogue, trust, caller_headers, path):
         route = catalogue.find_route(caller_headers.host, path.partition("?")[0])
         if route is None:
-            self._require_current(catalogue, caller_headers, self.may_deny)
+            self._require(trust.may_deny, catalogue, caller_headers)
             log.info(
                 "request refused: no matching route",
                 request=caller_headers.request_id,
@@ -157,14 +174,14 @@
             raise no_version_error()
         return origin
 
-    def _authenticate(self, catalogue, route, caller_headers):
+    def _authenticate(self, catalogue, trust, route, caller_headers):
         """Return the workspace of a request, or None if the route is public."""
         if route.public or not catalogue.requires_keys:
             return None
-        self._require_current(catalogue, caller_headers, self.accepts_keys)
+        self._require(trust.accepts_keys, catalogue, caller_headers)
         workspace = catalogue.workspace_by_key.get(caller_headers.api_key or "")
         if workspace is None:
-            self._require_current(catalogue, caller_headers, self.may_deny)
+            self._require(trust.may_deny, catalogue, caller_headers)
             log.info(
                 "request refused: unknown API key",
                 request=caller_headers.request_id,
@@ -173,9 +190,9 @@
             raise RequestError(Code.UNAUTHENTICATED, "the API key is not known")
         return workspace
 
-    def _require_current(self, catalogue, caller_headers, is_current):
+    def _require(self, is_trusted, catalogue, caller_headers):
         """Refuse a request for now if another configuration may decide it otherwise."""
-        if is_current():
+        if is_trusted:
             return
         log.info(
             "request refused: the configuration may be out of date",
--- a/almondglade/gateway/node.py
+++ b/almondglade/gateway/node.py
@@ -233,8 +233,7 @@
             MAX_REQUESTS,
             self.body_room,
             self.registry,
-            self._accepts_keys,
-            self._may_deny,
+            self._trust,
             origin_search,
             self.own_load,
         )
@@ -245,8 +244,7 @@
             MAX_REQUESTS,
             self.body_room,
             self.registry,
-            self._accepts_keys,
-            self._may_deny,
+            self._trust,
             origin_search,
             self.own_load,
             is_peer=self.gossip.is_known_address,
@@ -450,22 +448,17 @@
             self._use_evidence()
             return self.freshness.age(boottime_clock())
 
-    def _may_deny(self):
+    def _trust(self):
         with self.lock:
             self._use_evidence()
-            return self.freshness.may_deny(boottime_clock())
-
-    def _accepts_keys(self):
-        with self.lock:
-            self._use_evidence()
-            return self.freshness.accepts_keys(boottime_clock())
+            return self.freshness.trust(boottime_clock())
 
     def is_ready(self):
         """Return whether the load balancer should send callers to this instance."""
         return (
             not self.stopping
             and self.app.is_configured()
-            and self._accepts_keys()
+            and self._trust().accepts_keys
             and self.own_load.is_ready()
         )
 
--- a/almondglade/gateway/relayapp.py
+++ b/almondglade/gateway/relayapp.py
@@ -100,10 +100,8 @@
         terms = self._read_terms(http, request_id)
         self.own_load.check(request_id, terms.last_event_id is not None)
         caller_headers = parse_caller_headers(http.header_pairs)
-        catalogue = self.registry.catalogue
         path = http.uri.decode("latin-1")
-        route = self._find_route(catalogue, caller_headers, path)
-        workspace = self._authenticate(catalogue, route, caller_headers)
+        catalogue, route, workspace = self._admit(caller_headers, path)
         if terms.service not in route.weight_by_service:
             log.info(
                 "relayed request refused: the route does not lead to the service",
--- a/almondglade/placement/freshness.py
+++ b/almondglade/placement/freshness.py
@@ -5,6 +5,8 @@
 routes, unless a peer confirms that their configuration is current.
 """
 
+from dataclasses import dataclass
+
 # Share of the revocation bound for which a confirmation is valid. The rest, 1.2 s of
 # 5 s, covers the time until a request reaches its target and a store watch that
 # misses changes for a second.
@@ -17,6 +19,22 @@
 MAX_OUTDATED_SECONDS = 1.5
 
 
+@dataclass(frozen=True)
+class Trust:
+    """What may be decided by the configuration in use, or by a newer one.
+
+    Parameters
+    ----------
+    accepts_keys : bool
+        Whether API keys may be accepted.
+    may_deny : bool
+        Whether a request may be told that its route or key does not exist.
+    """
+
+    accepts_keys: bool
+    may_deny: bool
+
+
 class Freshness:
     """The configuration version in use, and when it was last known to be the newest.
 
@@ -94,3 +112,7 @@
         Another version may have it, so that the caller should come back.
         """
         return not self.is_outdated and self.age(now) <= DENIAL_VALIDITY_SECONDS
+
+    def trust(self, now):
+        """Return the `Trust` in the configuration in use."""
+        return Trust(self.accepts_keys(now), self.may_deny(now))
