Ask all listed targets before a version is inferred for a stream

What callers saw (reported of another system, and possible here): a stream that had begun on targets of a newer version broke off, was taken up at a gateway that was out of step, and went on at the former version.

Cause: no peer told the gateway which version began the stream, so that it asked the engines that it knew. While it was cut off or stopped, targets of another version had joined: they were not asked, and a target of the former version that kept an earlier request of the same session was the only one left. The same where the origin has left since or has started again under its id.

Evidence: a gateway that is turned away by the store goes on with a stream of v1.2 at v1.1 (status 200 in place of 503); two tests of the decision alone infer the wrong version.

Why it works: the targets are read from the store once the stream is taken up, so that the one that began it is listed or known to have left. Those that left within a minute, and former starts of a target, count as silent: if their version is another one, nothing is inferred and the caller is told to come back. A target tells its start with what it keeps. One more call to the store for all streams that are taken up at the same time.

--- a/almondglade/gateway/node.py
+++ b/almondglade/gateway/node.py
@@ -215,7 +215,10 @@
             self.clock,
         )
         origin_search = OriginSearch(
-            self.lock, self.pools.targets, PromptCacheClient().read, self.clock
+            self.store.read_targets,
+            self.registry.known_targets,
+            PromptCacheClient().read,
+            self.clock,
         )
         app_options = (
             settings.instance,
--- a/almondglade/gateway/originsearch.py
+++ b/almondglade/gateway/originsearch.py
@@ -3,14 +3,17 @@
 Load pattern: all gateways are lost at once while targets of several versions serve, and
 hundreds of callers take their streams up again within a second. What gateways knew of
 the streams is gone; the targets still keep the prompts that they read and what they
-generated.
+generated. Or one gateway is cut off while targets of another version join: what it
+knows of the targets is older than the stream.
 """
 
+import itertools
 import threading
 from collections.abc import Mapping
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 
+from ..catalogue import TargetRecord
 from ..errors import PlatformError
 from ..log import get_logger
 from ..placement.origins import infer_origin
@@ -37,28 +40,35 @@
 
     Parameters
     ----------
-    lock : threading.Lock
-        Guards the targets.
-    targets : Targets
-        The listed targets.
+    read_listed : callable
+        Reads the `TargetRecord`s that the platform lists at present.
+    known_targets : callable
+        Returns the `TargetRecord`s that this gateway has read before, also of targets
+        that have left lately.
     read_parts : callable
         Takes a `TargetRecord` and returns the tokens that it keeps by part.
     clock : callable
         Returns monotonic seconds.
     """
 
-    def __init__(self, lock, targets, read_parts, clock):
-        self.lock = lock
-        self.targets = targets
+    def __init__(self, read_listed, known_targets, read_parts, clock):
+        self.read_listed = read_listed
+        self.known_targets = known_targets
         self.read_parts = read_parts
         self.clock = clock
         self._asking = threading.Lock()
+        # What the platform listed last, None if it did not tell, and since when.
+        self._listed: list[TargetRecord] | None = None
+        self._listed_since = float("-inf")
         self._listing_by_incarnation: dict[tuple[str, int], Listing] = {}
         self._executor: ThreadPoolExecutor | None = None
 
     def infer(self, services, caller_headers, tokens_per_event):
         """Return the `StreamOrigin` that the targets' memory proves, or None.
 
+        All targets that may have begun the stream are asked, as another one may keep
+        an earlier request of the same session.
+
         Parameters
         ----------
         services : collection of str
@@ -71,12 +81,7 @@
         needed = tokens_of_origin(caller_headers, tokens_per_event)
         if needed is None:
             return None
-        with self.lock:
-            records = [
-                state.record
-                for state in self.targets.state_by_target.values()
-                if state.record.service in services
-            ]
+        records, replaced = self._possible_targets(services, self.clock())
         if not 0 < len(records) <= MAX_ASKED_TARGETS:
             return None
         own_part = caller_headers.prompt_parts[-1]
@@ -87,6 +92,7 @@
             for record in records
             if record not in silent and kept_by_target[record.id] >= needed
         ]
+        silent += replaced
         origin = infer_origin(holders, silent)
         log.info(
             "targets asked for the prompt of a stream",
@@ -100,6 +106,48 @@
         )
         return origin
 
+    def _possible_targets(self, services, requested_at):
+        """Return the targets that may have begun a stream.
+
+        Parameters
+        ----------
+        requested_at : float
+            When the stream was taken up. A target that began it was listed before.
+
+        Returns
+        -------
+        records : list of TargetRecord
+            One for each target that may still run; empty if not all are known.
+        replaced : list of TargetRecord
+            Earlier starts of these targets, which keep nothing any more.
+        """
+        with self._asking:
+            if self._listed_since < requested_at:
+                self._listed_since = self.clock()
+                self._listed = self._read_listed()
+            listed = self._listed
+        if listed is None:
+            return [], []
+        record_by_target = {
+            record.id: record
+            for record in itertools.chain(self.known_targets(), listed)
+            if record.service in services
+        }
+        replaced = [
+            record
+            for record in self.known_targets()
+            if record.service in services
+            and record.incarnation != record_by_target[record.id].incarnation
+        ]
+        return list(record_by_target.values()), replaced
+
+    def _read_listed(self):
+        try:
+            return self.read_listed()
+        except PlatformError as error:
+            log.info("list of targets not read", cause=str(error))
+            return None
+
     def _ask(self, records, part):
         """Return the tokens that targets keep of a part, by target.
 
--- a/almondglade/gateway/registry.py
+++ b/almondglade/gateway/registry.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from functools import singledispatchmethod
 
+from ..catalogue import TargetRecord
 from ..feed import CatalogueUpdate, EvacuationUpdate, TargetUpdate
 from ..log import get_logger
 
@@ -21,10 +22,14 @@
 class DroppedTarget:
     """A target that has gone: its last report, and when it was dropped."""
 
-    started_at: int
-    sequence: int
+    record: TargetRecord
     dropped_at: float
 
+    @property
+    def reported(self):
+        """Start and sequence number of its last report."""
+        return (self.record.started_at, self.record.sequence)
+
 
 class Registry:
     """The current catalogue, the listed targets and the evacuated data centres.
@@ -179,6 +184,12 @@
             )
         return (item["era"], item["revision"]) > reader.store_position
 
+    def known_targets(self):
+        """Return the records of the listed targets and of those dropped lately."""
+        with self._lock:
+            dropped = [entry.record for entry in self._dropped_by_target.values()]
+            return [*dropped, *self.record_by_target.values()]
+
     def note_store_recovered(self):
         """Record that the store answers again after an outage."""
         self.store_recovered_at = self.clock()
@@ -333,11 +344,7 @@
             )
         else:
             dropped = self._dropped_by_target.get(name)
-            is_older = (
-                is_copy
-                and dropped is not None
-                and reported <= (dropped.started_at, dropped.sequence)
-            )
+            is_older = is_copy and dropped is not None and reported <= dropped.reported
         if is_older and is_copy:
             log.info("entry of the copy ignored", target=name, sequence=record.sequence)
         return is_older
@@ -393,5 +400,5 @@
                 other: dropped
                 for other, dropped in self._dropped_by_target.items()
                 if now - dropped.dropped_at < DROPPED_RETENTION_SECONDS
-            } | {name: DroppedTarget(record.started_at, record.sequence, now)}
+            } | {name: DroppedTarget(record, now)}
         log.info("target dropped", target=name, reason=reason)
--- a/almondglade/platform/promptcache.py
+++ b/almondglade/platform/promptcache.py
@@ -33,7 +33,8 @@
         Raises
         ------
         PlatformError
-            If it cannot be reached, does not tell, or another target has its address.
+            If it cannot be reached, does not tell, or has started again, or another
+            target has its address.
         """
         url = f"http://{record.host}:{record.port}{HELD_PARTS_PATH}"
         headers = {EXPECTED_TARGET_HEADER: record.id}
@@ -44,7 +45,13 @@
         if response.status != 200:
             raise PlatformError(f"the target responded with status {response.status}")
         try:
-            entries = orjson.loads(response.data)["held"]
+            content = orjson.loads(response.data)
+            if record.started_at and content.get("born", 0) not in (
+                0,
+                record.started_at,
+            ):
+                raise PlatformError("the target has started again")
+            entries = content["held"]
             return {str(part).lower(): int(tokens) for _, part, tokens, *_ in entries}
-        except (KeyError, TypeError, ValueError) as error:
+        except (AttributeError, KeyError, TypeError, ValueError) as error:
             raise PlatformError(f"the list of parts is not valid: {error!r}") from error
--- a/almondglade/platform/store.py
+++ b/almondglade/platform/store.py
@@ -65,6 +65,24 @@
         updates = self.decode_items(items, self._era)
         return Batch(updates, first["at"], True, requested_at, self._era)
 
+    def read_targets(self):
+        """Return the `TargetRecord`s that the store lists at present.
+
+        Unlike the other readings, this one may be made in any thread.
+
+        Raises
+        ------
+        PlatformError
+            If the store cannot be reached or its response is invalid.
+        """
+        response = self.connection.read_range(TARGET_PREFIX)
+        items = list(response["items"])
+        while response["hasMore"] and response["items"]:
+            response = self.connection.read_range(TARGET_PREFIX, items[-1]["key"])
+            items += response["items"]
+        updates = self.decode_items(items, response["era"])
+        return [update.record for update in updates if update.record is not None]
+
     def watch(self, revision, wait):
         """Return a `Batch` of the changes after a revision, once there are any.
 
--- a/test/test_rejoined_streams.py
+++ b/test/test_rejoined_streams.py
@@ -2,7 +2,7 @@
 
 import contextlib
 import itertools
-from threading import Lock
+from dataclasses import replace
 
 import orjson
 import pytest
@@ -12,9 +12,11 @@
 from almondglade.gateway.originsearch import MAX_ASKED_TARGETS, OriginSearch
 from almondglade.placement.origins import StreamOrigin, infer_origin
 from almondglade.platform.front import parse_caller_headers
+from almondglade.platform.promptcache import PromptCacheClient
 
 from .gatewayfleet import GatewayFleet, make_response
-from .placing import make_pools
+from .storefleet import StoreFleet
+from .support.targets import FakeTarget
 from .test_gateway_path import parse_headers
 from .test_stream_versions import (
     ADDRESSES,
@@ -23,6 +25,7 @@
     begin_stream,
     call_until_run,
     start_fleet,
+    wait_until_listed,
     wrong_version_runs,
 )
 
@@ -162,8 +165,20 @@
     assert infer_origin([old, record("t4", "v1", "other")], []) is None
 
 
-def make_search(parts_by_target):
-    pools = make_pools(*(record(name, "v1") for name in parts_by_target))
+def make_search(parts_by_target, listed=None, known=()):
+    """Return a search, and the list of the targets that it has asked.
+
+    Parameters
+    ----------
+    parts_by_target : dict of str to dict or None
+        Tokens that each target keeps by part; None if it does not tell.
+    listed : list of TargetRecord or None
+        What the platform lists; None for all targets, with version v1.
+    known : sequence of TargetRecord
+        What the gateway has read before.
+    """
+    if listed is None:
+        listed = [record(name, "v1") for name in parts_by_target]
     asked = []
 
     def read(target):
@@ -172,7 +187,7 @@
             raise PlatformError("silent")
         return parts_by_target[target.id]
 
-    search = OriginSearch(Lock(), pools.targets, read, lambda: 0.0)
+    search = OriginSearch(lambda: listed, lambda: known, read, lambda: 0.0)
     return search, asked
 
 
@@ -216,3 +231,76 @@
     search, asked = make_search({"t1": {"aa": 500}})
     assert infer(search, "aa:100", event) is None
     assert not asked
+
+
+# A gateway that was cut off knew the former version's targets only. One of them kept an
+# earlier request of the session.
+def test_a_version_that_joined_while_the_gateway_was_cut_off_is_asked_too():
+    former = [record("t1", "v1")]
+    listed = [*former, record("t2", "v2")]
+    kept = {"t1": {"aa": 200}, "t2": {"aa": 200}}
+    search, asked = make_search(kept, listed, former)
+    assert infer(search, "bb:10,aa:100") is None
+    assert sorted(asked) == ["t1", "t2"]
+    kept["t1"] = {}
+    search, _ = make_search(kept, listed, former)
+    assert infer(search, "bb:10,aa:100").version == "v2"
+
+
+def test_targets_that_left_or_started_again_lately_may_have_begun_the_stream():
+    kept = {"t1": {"aa": 200}, "t2": None}
+    listed = [record("t1", "v1")]
+    search, _ = make_search(kept, listed, [record("t2", "v2")])
+    assert infer(search, "bb:10,aa:100") is None
+    started_again = [replace(listed[0], started_at=7)]
+    search, asked = make_search(kept, started_again, [record("t1", "v0")])
+    assert infer(search, "bb:10,aa:100") is None
+    assert asked == ["t1"]
+
+
+def test_nothing_is_inferred_while_the_platform_does_not_tell_its_targets():
+    search, asked = make_search({"t1": {"aa": 200}})
+
+    def fail():
+        raise PlatformError("the store cannot be reached")
+
+    search.read_listed = fail
+    assert infer(search, "bb:10,aa:100") is None
+    assert not asked
+
+
+# The same at a gateway that reaches neither the store nor a peer. The stream went on at
+# the version that it knew.
+def test_a_stream_of_a_version_that_joined_unnoticed_does_not_go_on_at_another(
+    tmp_path, targets
+):
+    old, new = targets[:2], targets[2:]
+    versions = {f"r{number}": "v1.2" for number in range(STREAMS)}
+    with StoreFleet(tmp_path, bounds={"revokeFailClosed": False}) as fleet:
+        start_fleet(fleet, old, max_attempts=1, terms=ENGINE)
+        fleet.turn_away(ADDRESSES[0])
+        for number, target in enumerate(new, len(old)):
+            fleet.list_target(f"t{number}", target, version=target.version)
+        # The newer targets began the streams, the others an earlier request of each
+        # session.
+        parts = [f"{0xE4400000 + number:x}" for number in range(STREAMS)]
+        for target in targets:
+            target.held |= dict.fromkeys(parts, 2 * OWN_TOKENS)
+        assert resume_stream(fleet, ADDRESSES[0], 0) == 503
+        fleet.let_in(ADDRESSES[0])
+        wait_until_listed(fleet, len(targets))
+        assert resume_stream(fleet, ADDRESSES[0], 1) == 503
+        for target in old:
+            target.held.clear()
+        assert resume_stream(fleet, ADDRESSES[0], 2) == 200
+    assert not wrong_version_runs(targets, versions)
+
+
+def test_what_a_target_keeps_since_it_started_again_is_not_that_of_its_former_start():
+    content = orjson.dumps({"born": 2, "held": [["", "aa", 200, "m"]]})
+    with FakeTarget(lambda request: make_response(content, headers="")) as target:
+        port = int(target.url.rpartition(":")[2])
+        listed = replace(record("t1", "v1"), host="127.0.0.1", port=port, started_at=2)
+        assert PromptCacheClient().read(listed) == {"aa": 200}
+        with pytest.raises(PlatformError, match="started again"):
+            PromptCacheClient().read(replace(listed, started_at=1))
