Go on with a stream only by a response that is its rest

What callers saw (reported of another system, and possible here): a stream broke off after some events, the next target answered 200 without a content type, and the stream ended as complete, or held the text of an error, at worst a whole head, as an event.

Cause: on streaming routes a success without a content type counts as a stream, also where it has to be the rest of one that has begun. An empty body then is the end of the stream, and any text with a blank line is an event.

Why it works: the rest of a stream begins with an event that has an id, as all events of resumable streams have. A success that does not say that it is a stream must bring one first, and counts as a broken run otherwise.

--- a/almondglade/gateway/run.py
+++ b/almondglade/gateway/run.py
@@ -4,7 +4,12 @@
 from typing import Any
 
 from ..dispatch.call import UNFRAMED, CallTimeoutError, DoubtfulRefusalError
-from ..dispatch.events import has_readable_events, last_event_id
+from ..dispatch.events import (
+    has_events,
+    has_readable_events,
+    is_event_stream,
+    last_event_id,
+)
 from ..errors import TargetError
 from ..log import get_logger
 from ..outcome import Code, Outcome, RequestError
@@ -38,6 +43,8 @@
         super().__init__(scheduler, request)
         self.head: Any = None
         self.has_begun = bool(request.version)
+        # Whether the response may turn out not to be the rest of the stream.
+        self._is_doubtful_rest = False
         self.ended = False
 
     def open(self):
@@ -83,6 +90,9 @@
             response_info = self._read_statements(head)
             if self._is_resume_mismatch(head, response_info):
                 raise TargetError(f"the stream went on with status {head.status}")
+            self._is_doubtful_rest = (
+                self.has_begun and head.status < 300 and not is_event_stream(head)
+            )
         except TargetError as error:
             self._end_broken(error)
             other_head = self._take_other_copy()
@@ -160,6 +170,8 @@
         chunk = self.call.read()
         if self.handover is not None:
             self.handover.withdraw()
+        if self._is_doubtful_rest:
+            self._check_rest(chunk)
         if chunk:
             self._record_chunk(chunk)
         if self.resumable and chunk:
@@ -170,6 +182,24 @@
             self._finish("completed")
         return chunk
 
+    def _check_rest(self, chunk):
+        """Reject a response that does not say that it is a stream, and is none.
+
+        Parameters
+        ----------
+        chunk : bytes
+            Next part of the response; empty if it has ended.
+
+        Raises
+        ------
+        TargetError
+            If an event has no id, as the text of an error, or there is none at all.
+        """
+        if last_event_id(chunk) is not None:
+            self._is_doubtful_rest = False
+        elif has_events(chunk) or self.call.is_complete:
+            raise TargetError("the stream went on with a response that is no stream")
+
     def _record_events(self, events):
         """Record the events that the caller gets next, and who began the stream."""
         self.last_event_id = last_event_id(events) or self.last_event_id
