Date all messages of peers from when they were sent after a pause

What callers would see: a request that crashes its targets goes on to crash more of them.

Cause: reports of suspects, named limits, origins and member lists tell ages, which were subtracted from the time of reading. After an instance stood still for seconds, what lay unread counted as of now: a run that had completed before the crashes seemed to have completed after them, the instance forgot the crashes, and passed that on to its peers. A peer that had ended meanwhile counted as live.

Why it works: datagrams are read in the order of their arrival, and reports tell when they were sent. After a silence that no live fleet has, the delay of the last report read is that of the messages around it, until a report comes without one; before the first report a message counts as sent when the silence began. Nothing changes on the wire, and nothing is dated otherwise while the instance does not pause.

--- a/almondglade/gateway/exchange.py
+++ b/almondglade/gateway/exchange.py
@@ -213,6 +213,11 @@
         """Apply a peer's `Report` and answer its requests for slots.
 
         In a large fleet the answers to several reports are sent together.
+
+        Returns
+        -------
+        float or None
+            Seconds for which the report was delayed; None if that is not known.
         """
         now, read_at = self.clock(), boottime_clock()
         delay = self._peer_clocks.delay(
@@ -253,10 +258,11 @@
                 self._load_by_requester[report.instance] = load
             if self.pools.is_full_mesh:
                 self._answer_requesters()
-                return
+                return delay
         if not self._is_batch_scheduled:
             self._is_batch_scheduled = True
             self.gossip.call_later(BATCH_SECONDS, self._answer_batch)
+        return delay
 
     def _note_incarnation(self, report):
         """Forget which grants of a peer were received before it started again.
--- a/almondglade/gateway/origins.py
+++ b/almondglade/gateway/origins.py
@@ -118,13 +118,21 @@
                 lambda: self._table.find(request_id, self.clock()), timeout
             )
 
-    def handle_report(self, report):
-        """Record the origin of a stream that a peer reports."""
+    def handle_report(self, report, sent_at=None):
+        """Record the origin of a stream that a peer reports.
+
+        Parameters
+        ----------
+        report : OriginReport
+        sent_at : float or None
+            Monotonic time at which its age was true; None for now.
+        """
+        sent_at = self.clock() if sent_at is None else sent_at
         with self._known:
             self._table.add(
                 report.request_id,
                 StreamOrigin(report.service, report.version),
-                self.clock() - report.age,
+                sent_at - report.age,
             )
             self._known.notify_all()
 
--- a/almondglade/gateway/suspectreports.py
+++ b/almondglade/gateway/suspectreports.py
@@ -47,9 +47,15 @@
     )
 
 
-def to_times(evidence, now):
+def to_times(evidence, sent_at):
     """Return the crashes and the time of the last completed run of a peer's evidence.
 
+    Parameters
+    ----------
+    evidence : SuspectEvidence
+    sent_at : float
+        Monotonic time at which its ages were true.
+
     Returns
     -------
     crashes : list of Crash
@@ -60,10 +66,10 @@
         Crash(
             crash.target,
             crash.target_started_at,
-            now - crash.started_age,
-            now - crash.ended_age,
+            sent_at - crash.started_age,
+            sent_at - crash.ended_age,
         )
         for crash in evidence.crashes
     ]
     cleared_age = evidence.cleared_age
-    return crashes, NEVER if cleared_age is None else now - cleared_age
+    return crashes, NEVER if cleared_age is None else sent_at - cleared_age
--- a/almondglade/gateway/suspects.py
+++ b/almondglade/gateway/suspects.py
@@ -255,14 +255,22 @@
             "request cleared", fingerprint=format_fingerprint(fingerprint), cause=cause
         )
 
-    def handle_report(self, report):
-        """Add the evidence of a peer."""
+    def handle_report(self, report, sent_at=None):
+        """Add the evidence of a peer.
+
+        Parameters
+        ----------
+        report : SuspectReport
+        sent_at : float or None
+            Monotonic time at which its ages were true; None for now.
+        """
         self._informed.set()
         now = self.clock()
+        sent_at = now if sent_at is None else sent_at
         with self.lock:
             for evidence in report.suspects:
                 fingerprint = evidence.fingerprint
-                crashes, cleared_at = to_times(evidence, now)
+                crashes, cleared_at = to_times(evidence, sent_at)
                 self._add(fingerprint, crashes, now, report.instance, cleared_at)
                 for crash in crashes:
                     self._detector.record_end(
--- a/almondglade/gateway/targetlimits.py
+++ b/almondglade/gateway/targetlimits.py
@@ -225,9 +225,17 @@
             for start in range(0, len(limits), MAX_LIMITS_PER_MESSAGE)
         ]
 
-    def handle_message(self, message):
-        """Apply the limits that a peer has heard of."""
+    def handle_message(self, message, sent_at=None):
+        """Apply the limits that a peer has heard of.
+
+        Parameters
+        ----------
+        message : NamedLimits
+        sent_at : float or None
+            Monotonic time at which its ages were true; None for now.
+        """
         now = self.clock()
+        sent_at = now if sent_at is None else sent_at
         for limits in message.limits:
             with self.lock:
                 state = self._state((limits.target, limits.target_started_at))
@@ -238,7 +246,7 @@
                         limit,
                         name,
                         parse_limit(value),
-                        (now - age, now - age, is_from_failures),
+                        (sent_at - age, sent_at - age, is_from_failures),
                     )
                     for limit, name, value, age, is_from_failures in (
                         (
@@ -257,12 +265,10 @@
                         ),
                     )
                 ]
-                if (
-                    state.room.is_limited
-                    and limits.refused_age < MAX_REFUSAL_AGE_SECONDS
-                ):
+                refused_at = sent_at - limits.refused_age
+                if state.room.is_limited and now - refused_at < MAX_REFUSAL_AGE_SECONDS:
                     running = self.targets.load(state)
-                    state.room.record_refusal(running, now - limits.refused_age, now)
+                    state.room.record_refusal(running, refused_at, now)
             self._log(state.record, changes, message.instance, limits.rate_age)
 
 
--- a/almondglade/gossip/fleet.py
+++ b/almondglade/gossip/fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 from functools import singledispatchmethod
 
+from ..clocks import boottime_clock
 from ..errors import PeerError
 from ..log import get_logger
 from ..placement.allowance import Scope
@@ -98,6 +99,7 @@
         except PeerError as error:
             log.warning("dropped an invalid datagram", peer=addr[0], cause=str(error))
             return
+        self.receipts.record_datagram(self.clock(), boottime_clock())
         self._handle(message, self._record_sender(addr[0]))
 
     @singledispatchmethod
@@ -120,15 +122,15 @@
 
     @_handle.register
     def _(self, message: SuspectReport, peer):
-        self.exchange.suspects.handle_report(message)
+        self.exchange.suspects.handle_report(message, self._sent_at())
 
     @_handle.register
     def _(self, message: NamedLimits, peer):
-        self.exchange.limits.handle_message(message)
+        self.exchange.limits.handle_message(message, self._sent_at())
 
     @_handle.register
     def _(self, message: OriginReport, peer):
-        self.exchange.origins.handle_report(message)
+        self.exchange.origins.handle_report(message, self._sent_at())
 
     @_handle.register
     def _(self, message: OriginQuery, peer):
@@ -140,7 +142,7 @@
     def _(self, message: MemberList, peer):
         for member in message.members:
             if member.address != self.address:
-                self._merge_member(member)
+                self._merge_member(member, self._sent_at())
         if self._is_joining():
             # Its share of the retry budget depends on the number of instances.
             self._update_instances()
@@ -180,7 +182,11 @@
                 peers=len(self.live_peers()),
             )
             self._send_warnings(peer)
-        self.exchange.handle_report(message)
+        self.receipts.record_delay(self.exchange.handle_report(message))
+
+    def _sent_at(self):
+        """Return the monotonic time at which the ages in a message were true."""
+        return self.receipts.sent_at(self.clock())
 
     def _is_newer(self, report, peer):
         """Return whether a report is newer than the last one of a peer.
--- a/almondglade/gossip/members.py
+++ b/almondglade/gossip/members.py
@@ -8,6 +8,7 @@
 from ..placement.coordination import InstanceInfo
 from .codec import encode
 from .messages import Member, MemberList
+from .receipts import ReceiptTimes
 
 log = get_logger("fleet")
 
@@ -88,6 +89,7 @@
         self.peer_by_address: dict[str, Peer] = {}
         self.max_instances_seen = 1
         self.reachable_share = 1.0
+        self.receipts = ReceiptTimes()
         self._transport: Any = None
         self._report_due = asyncio.Event()
         self._is_report_to_all_due = True
@@ -140,9 +142,16 @@
         peer.heard_at = self.clock()
         return peer
 
-    def _merge_member(self, member):
-        """Update a peer from an entry of another instance's member list."""
-        heard_at = self.clock() - member.age
+    def _merge_member(self, member, sent_at):
+        """Update a peer from an entry of another instance's member list.
+
+        Parameters
+        ----------
+        member : Member
+        sent_at : float
+            Monotonic time at which the list was sent.
+        """
+        heard_at = sent_at - member.age
         peer = self.peer_by_address.get(member.address)
         if peer is None:
             if member.age > INDIRECT_PEER_TIMEOUT_SECONDS:
