Do not count a pause into the time in which a peer's clock settles

The delay of a peer's reports is known once it has been observed for 1.5 s. An instance that paused twice in a row, and had heard a new peer in between only by a report that lay unread since the first pause, counted the second pause as observation: what lay unread then seemed up to the first pause's length newer than it was, and could confirm a configuration whose keys had been revoked.

The new test fails before (a delay of 6.7 s is told for 13.75 s). A gap between two reports now counts as 0.7 s at most, so that no single pause settles a clock. The test of a peer that was silent for long settles in steps in place of one gap of the whole time, and checks each of them.

--- a/almondglade/gossip/peerclocks.py
+++ b/almondglade/gossip/peerclocks.py
@@ -14,6 +14,9 @@
 # A live peer reports at least once within this time, so that at least one of its
 # messages was not delayed by an earlier pause of this instance.
 SETTLING_SECONDS = 1.5
+# A longer time between two reports of a peer counts as this long, as this instance may
+# have paused once more.
+MAX_COUNTED_GAP_SECONDS = 0.7
 # A peer that was silent for this long is a new one: its host may have started again.
 RETENTION_SECONDS = 30.0
 # Largest difference of two clocks' rates: NTP slews each by at most 500 ppm.
@@ -22,12 +25,15 @@
 
 @dataclass
 class _PeerClock:
-    """Smallest difference of receipt and sending, in seconds, and when it was seen."""
+    """Smallest difference of receipt and sending, and for how long it was looked for.
+
+    All times are in seconds.
+    """
 
     incarnation: int
-    first_at: float
     updated_at: float
     offset: float
+    observed: float = 0.0
 
 
 class PeerClocks:
@@ -59,11 +65,12 @@
             or clock.incarnation != incarnation
             or now - clock.updated_at > RETENTION_SECONDS
         ):
-            clock = _PeerClock(incarnation, now, now, offset)
+            clock = _PeerClock(incarnation, now, offset)
             self._clock_by_peer[peer] = clock
-        drift = MAX_DRIFT * max(0.0, now - clock.updated_at)
-        clock.offset = min(offset, clock.offset + drift)
+        gap = max(0.0, now - clock.updated_at)
+        clock.offset = min(offset, clock.offset + MAX_DRIFT * gap)
+        clock.observed += min(gap, MAX_COUNTED_GAP_SECONDS)
         clock.updated_at = now
-        if now - clock.first_at < SETTLING_SECONDS:
+        if clock.observed < SETTLING_SECONDS:
             return None
         return offset - clock.offset
--- a/test/test_delayed_reports.py
+++ b/test/test_delayed_reports.py
@@ -17,6 +17,8 @@
 # The clocks of two hosts have nothing to do with each other.
 OFFSET = -4321.0
 INTERVAL_SECONDS = 0.25
+# Reports while the clock of a peer settles.
+STEPS = 6
 
 
 @pytest.fixture
@@ -109,16 +111,33 @@
 
 def test_a_peer_that_was_silent_for_long_settles_again():
     clocks = PeerClocks()
-    for at in (0.0, SETTLING_SECONDS):
+    for at in (0.0, SETTLING_SECONDS / 2, SETTLING_SECONDS):
         clocks.delay("e2", 1, at, at)
     assert clocks.delay("e2", 1, 2.0, 2.0) == 0.0
     # Its host started again, so that its clock began anew.
     later = 2.0 + RETENTION_SECONDS + 1.0
     assert clocks.delay("e2", 1, 5.0, later) is None
+    for step in range(1, STEPS):
+        elapsed = step * SETTLING_SECONDS / STEPS
+        assert clocks.delay("e2", 1, 5.0 + elapsed, later + elapsed) is None
     settled = clocks.delay("e2", 1, 5.0 + SETTLING_SECONDS, later + SETTLING_SECONDS)
     assert settled == pytest.approx(0.0)
 
 
+# The instance paused twice in a row. What lay unread of a new peer since the first one
+# seemed as new as that peer's first report, which had lain unread, too.
+def test_a_second_pause_does_not_settle_the_clock_of_a_peer_that_is_new():
+    clocks = PeerClocks()
+    # Sent at 0 and read after the first pause, as the first of many.
+    assert clocks.delay("e2", 1, 0.0, 7.0) is None
+    # The second pause begins at once; what was sent at 6.9 is read after it.
+    for sent_at in (0.25, 3.0, 6.9):
+        assert clocks.delay("e2", 1, sent_at, 14.0) is None
+    for step in range(1, STEPS + 1):
+        delay = clocks.delay("e2", 1, 14.0 + 0.25 * step, 14.0 + 0.25 * step)
+    assert delay == pytest.approx(0.0)
+
+
 def test_keys_are_refused_while_a_newer_configuration_is_not_read():
     freshness = Freshness(5.0)
     freshness.set_version(1)
