End a gateway that cannot serve

It logged the error and stayed, without serving and without being started again: the threads of the servers that had begun kept the process alive.

An error that ends the event loop is now logged and ends the process with status 1. The test takes the metrics port; before, the process was still there after 20 s.

--- a/almondglade/gateway/node.py
+++ b/almondglade/gateway/node.py
@@ -63,6 +63,8 @@
 DRAIN_POLL_SECONDS = 0.05
 # Time limit for writing the last log lines.
 LOG_FLUSH_SECONDS = 0.3
+# Exit status after an error that ends the process.
+FAILURE_STATUS = 1
 # Interval at which the settings are checked, as they may change without a signal.
 SETTINGS_POLL_SECONDS = 2.0
 # Interval at which outdated suspects, origins of streams and limits are removed.
@@ -484,11 +486,16 @@
     enable_collections()
     return_freed_blocks()
     settings = load_settings()
-    with contextlib.suppress(KeyboardInterrupt):
-        asyncio.run(_run(settings, load_settings, read_settings_fingerprint))
+    status = 0
+    try:
+        with contextlib.suppress(KeyboardInterrupt):
+            asyncio.run(_run(settings, load_settings, read_settings_fingerprint))
+    except Exception:
+        log.exception("the gateway ends by an error", instance=settings.instance)
+        status = FAILURE_STATUS
     flush_logs(LOG_FLUSH_SECONDS)
     # Threads that still serve an interrupted request would keep the process alive.
-    os._exit(0)
+    os._exit(status)
 
 
 async def _run(settings, load_settings, read_settings_fingerprint):
--- a/test/test_gateway_path.py
+++ b/test/test_gateway_path.py
@@ -3,6 +3,7 @@
 import os
 import re
 import signal
+import socket
 import time
 from pathlib import Path
 
@@ -370,6 +371,17 @@
         assert_becomes_ready(fleet)
 
 
+# Its threads kept a process alive that could not serve, so that it was not restarted.
+def test_a_gateway_that_cannot_listen_ends(tmp_path):
+    with GatewayFleet(tmp_path) as fleet:
+        metrics_port = fleet.ports[-1]
+        with socket.create_server(("127.0.0.1", metrics_port)):
+            process = fleet._start(fleet.addresses[0])
+            fleet.processes.append(process)
+            assert process.wait(START_TIMEOUT_SECONDS) == 1
+        assert "the gateway ends by an error" in fleet.log()
+
+
 def test_changed_settings_are_noticed_without_a_signal(fleet_with_target):
     fleet, _ = fleet_with_target
     path = fleet.folder / "127.0.0.1.toml"
