--- a/almondglade/gossip/receipts.py
+++ b/almondglade/gossip/receipts.py
@@ -6,6 +6,10 @@
 instance goes on.
 """
 
+from ..log import get_logger
+
+log = get_logger("fleet")
+
 # A live peer sends more often than this, so that after a longer silence this instance
 # has stood still, or was cut off.
 MAX_SILENCE_SECONDS = 1.0
@@ -46,6 +50,7 @@
                 # Until a report tells more, it may have been sent at once.
                 self._delay, self._earliest = silence, self._read_at
                 self._backlog_until = boottime + MAX_BACKLOG_SECONDS
+                log.info("heard peers after a silence", silent=round(silence, 3))
         if boottime > self._backlog_until:
             self._delay = 0.0
         self._read_at, self._read_at_boottime = now, boottime
