Use no grants that lay unread for longer than they hold

What callers would see: requests that run late or are refused at a target with more requests than slots, after a gateway stood still.

A gateway that went on after a longer pause used each grant that lay unread, for requests that still waited there. With the date of the message such a grant is ignored, and the request goes on waiting. Its test fails without the comparison: the ticket gets the target.

--- a/almondglade/gateway/exchange.py
+++ b/almondglade/gateway/exchange.py
@@ -12,6 +12,7 @@
 from ..gossip.peerclocks import PeerClocks
 from ..log import get_logger
 from ..placement.cells import Cell
+from ..placement.fleetload import GRANT_EXPIRY_SECONDS
 from ..placement.outlook import RecentWaits, TierWaits
 from ..placement.places import PeerLoad
 from .returnreports import recognise_returns, told_returns
@@ -355,9 +356,26 @@
         )
         self.gossip.send_soon({peer}, message)
 
-    def handle_grants(self, message):
-        """Apply a coordinator's `Grants` to the requests that wait here."""
+    def handle_grants(self, message, sent_at=None):
+        """Apply a coordinator's `Grants` to the requests that wait here.
+
+        Parameters
+        ----------
+        message : Grants
+        sent_at : float or None
+            Monotonic time at which they were sent; None for now. The coordinator gives
+            the slots of unconfirmed grants to others after a while.
+        """
         now = self.clock()
+        sent_at = now if sent_at is None else sent_at
+        grants = message.grants if now - sent_at <= GRANT_EXPIRY_SECONDS else ()
+        if len(grants) < len(message.grants):
+            log.info(
+                "grants ignored: their slots may be taken",
+                coordinator=message.instance,
+                grants=len(message.grants),
+                age=round(now - sent_at, 3),
+            )
         with self.lock:
             self.pools.record_answer(message.instance, now)
             for wait in message.waits:
@@ -365,7 +383,7 @@
                     Cell(wait.service, wait.cell_data_centre),
                     wait.tier,
                     wait.seconds,
-                    now,
+                    sent_at,
                     wait.workspace,
                 )
             for ticket in self.pools.waiting_here():
@@ -375,10 +393,10 @@
                 self.pools.apply_grant(
                     message.instance, grant.number, grant.request, grant.target
                 )
-                for grant in message.grants
+                for grant in grants
             ]
         for ticket in tickets:
             if ticket is not None:
                 ticket.on_granted()
-        if message.grants:
+        if grants:
             self.gossip.acknowledge_grants_soon()
--- a/almondglade/gossip/fleet.py
+++ b/almondglade/gossip/fleet.py
@@ -108,7 +108,7 @@
 
     @_handle.register
     def _(self, message: Grants, peer):
-        self.exchange.handle_grants(message)
+        self.exchange.handle_grants(message, self._sent_at())
 
     @_handle.register
     def _(self, message: ReportRequest, peer):
--- a/test/test_late_messages.py
+++ b/test/test_late_messages.py
@@ -13,6 +13,8 @@
 from almondglade.gossip.fleet import GossipProtocol
 from almondglade.gossip.messages import (
     CrashEvidence,
+    Grant,
+    Grants,
     Member,
     MemberList,
     Report,
@@ -21,8 +23,12 @@
 )
 from almondglade.gossip.receipts import MAX_BACKLOG_SECONDS, ReceiptTimes
 from almondglade.metrics import Metrics
+from almondglade.placement.coordination import InstanceInfo
+from almondglade.placement.fleetload import GRANT_EXPIRY_SECONDS
 from almondglade.placement.suspects import Suspicion
 
+from .placing import record, ticket
+from .test_cells import make_exchange
 from .test_fleet import FakeExchange
 
 PEERS = ("10.0.0.2", "10.0.0.3")
@@ -165,3 +171,19 @@
     assert receipts.sent_at(10.2) == 10.0
     receipts.record_delay(3.0)
     assert receipts.sent_at(10.2) == 10.0
+
+
+# Each grant that lay unread put a request more on its target than it has slots.
+def test_a_grant_is_not_used_once_its_coordinator_may_have_given_the_slot_away():
+    info_by_instance = {name: InstanceInfo("north") for name in ("e1", "e2")}
+    exchange, _ = make_exchange("e1", "north", info_by_instance)
+    exchange.gossip = SimpleNamespace(acknowledge_grants_soon=lambda: None)
+    exchange.pools.set_targets([record("t1", "north")])
+    waiting = ticket(coordinator="e2")
+    exchange.pools.tickets_by_service.setdefault("s", []).append(waiting)
+    now = exchange.clock()
+    grants = Grants("e2", (Grant(1, waiting.number, "t1"),))
+    exchange.handle_grants(grants, now - 2 * GRANT_EXPIRY_SECONDS)
+    assert waiting.target is None
+    exchange.handle_grants(grants, now)
+    assert waiting.target == "t1"
