--- a/test/test_relays.py
+++ b/test/test_relays.py
@@ -1,5 +1,6 @@
 """Requests that a gateway passes to a peer, and what the peer makes of them."""
 
+import signal
 import time
 from types import SimpleNamespace
 
@@ -198,3 +199,30 @@
         assert served >= 0.85 * sent, shares
     assert max(runs[name] for name in runs if name.startswith("book-")) == 1
     assert max(runs[name] for name in runs if name.startswith("look-")) <= 2
+
+
+# What a peer that stands still was given may run once it goes on, also long after the
+# gateway that passed it on has answered its caller.
+def test_a_relayed_request_runs_once_and_not_after_a_refusal_while_gateways_stand_still(
+    tmp_path,
+):
+    paths = ("book", "once", "look")
+    with CutFleet(tmp_path, 3, cut_count=1, paths=paths) as fleet:
+        fleet.send_requests()
+        time.sleep(1.0)
+        fleet.cut_links("hang")
+        time.sleep(2.5)
+        # The first one passes its requests on to the others.
+        for index in (1, 2, 0, 1):
+            fleet.processes[index].send_signal(signal.SIGSTOP)
+            time.sleep(2.0)
+            fleet.processes[index].send_signal(signal.SIGCONT)
+            time.sleep(0.5)
+        time.sleep(3.0)
+        relays = fleet.log(fleet.addresses[1]).count("relayed_by")
+        runs = fleet.runs_by_request()
+    assert relays
+    single = {name for name in runs if name.startswith(("book-", "once-"))}
+    assert {runs[name] for name in single} == {1}
+    refused = {r.request_id for r in fleet.results if r.status in (429, 503)}
+    assert not refused & single
