Ask an engine for its start before a stream goes on by an outdated list

Cause: the version of a target is that of its entry in the store. A target may start again under its id and address with another version, and neither its responses nor its status check tell. A gateway that has not read the store meanwhile takes it for the one of before.

Evidence: a gateway that the store turns away goes on with a stream of v1.1 at a target that runs v1.2 since (200 in place of 503); the test fails without the check.

Why it works: an engine reports when it started, as its entry does. While the last reading is older than any sound store's, a stream goes on there only if both are the same.

--- a/almondglade/gateway/dispatching.py
+++ b/almondglade/gateway/dispatching.py
@@ -73,6 +73,8 @@
             raise NotSentError("the target takes no new work")
         if request.version not in ("", record.version):
             raise NotSentError("the target has another software version")
+        if request.version:
+            scheduler.check_start(record)
         time_left = request.deadline - self.clock()
         if time_left <= 0.0:
             self._release(None)
--- a/almondglade/gateway/node.py
+++ b/almondglade/gateway/node.py
@@ -25,7 +25,7 @@
 from ..placement.pool import Pools
 from ..placement.resends import RetryBudget
 from ..placement.shares import weights_by_workspace
-from ..platform.promptcache import PromptCacheClient
+from ..platform.engines import EngineClient
 from ..platform.questions import ReadinessEndpoint
 from ..platform.store import StoreClient
 from ..supervision import keep_running
@@ -46,6 +46,7 @@
 from .scheduling import GatewayScheduler
 from .suspects import SuspectTracker
 from .targetlimits import LimitTracker
+from .targetstarts import TargetStarts
 
 log = get_logger("gateway")
 
@@ -104,6 +105,8 @@
         self.freshness = Freshness(bounds.revoke)
         # Version that the store proves to be the newest, and when.
         self._unjoined_evidence: tuple[int, float] | None = None
+        # When what was read of the store was last known to be the newest.
+        self._listed_at = float("-inf")
         self.pools = Pools(
             settings.instance,
             settings.data_centre,
@@ -216,10 +219,14 @@
             self.metrics,
             self.clock,
         )
+        engines = EngineClient()
+        self.scheduler.check_start = TargetStarts(
+            lambda: self._listed_at, self._is_engine, engines.read_start, boottime_clock
+        ).check
         origin_search = OriginSearch(
             self.store.read_targets,
             self.registry.known_targets,
-            PromptCacheClient().read,
+            engines.read_parts,
             self.clock,
         )
         app_options = (
@@ -431,8 +438,15 @@
         terms = catalogue.service_by_name.get(service) if catalogue else None
         return terms.health_path if terms else ""
 
+    def _is_engine(self, service):
+        """Return whether the targets of a service are model engines."""
+        catalogue = self.registry.catalogue
+        terms = catalogue.service_by_name.get(service) if catalogue else None
+        return terms is not None and terms.is_engine
+
     def _confirm_configuration(self, as_of):
         with self.lock:
+            self._listed_at = max(self._listed_at, as_of)
             version = self.registry.newest_listed_version()
             if version is not None:
                 self._unjoined_evidence = (version, as_of)
--- a/almondglade/gateway/scheduling.py
+++ b/almondglade/gateway/scheduling.py
@@ -106,6 +106,8 @@
         self.deadlines = Deadlines(clock)
         # Takes the bytes of responses that pass the link.
         self.record_bytes = lambda count: None
+        # Checks that a target is still the listed one, before a stream goes on there.
+        self.check_start = lambda record: None
         self.refusals = Refusals(metrics, clock)
         self.returns = BookedReturns(pools, features.booked_returns, metrics, clock)
         self.moments = MomentRecorder(pools, lock, metrics, clock)
--- a/test/test_rejoined_streams.py
+++ b/test/test_rejoined_streams.py
@@ -2,17 +2,24 @@
 
 import contextlib
 import itertools
+import time
 from dataclasses import replace
 
 import orjson
 import pytest
 
 from almondglade.catalogue import TargetRecord
+from almondglade.dispatch.call import NotSentError
 from almondglade.errors import PlatformError
 from almondglade.gateway.originsearch import MAX_ASKED_TARGETS, OriginSearch
+from almondglade.gateway.targetstarts import (
+    MAX_LIST_AGE_SECONDS,
+    VALIDITY_SECONDS,
+    TargetStarts,
+)
 from almondglade.placement.origins import StreamOrigin, infer_origin
+from almondglade.platform.engines import EngineClient
 from almondglade.platform.front import parse_caller_headers
-from almondglade.platform.promptcache import PromptCacheClient
 
 from .gatewayfleet import GatewayFleet, make_response
 from .storefleet import StoreFleet
@@ -41,8 +48,15 @@
         super().__init__(version)
         self.held = {"5c1e07a2": 800}
         self.is_silent = False
+        self.started_at = 1
+
+    def start_again(self, version):
+        """Start again under the same id and address."""
+        self.version, self.started_at = version, self.started_at + 1
 
     def respond(self, request):
+        if request.startswith(b"GET /api/report"):
+            return make_response(orjson.dumps({"born": self.started_at}), headers="")
         if request.startswith(b"GET /api/kv-list"):
             if self.is_silent:
                 return make_response(b"", "503 Service Unavailable", "")
@@ -301,6 +315,61 @@
     with FakeTarget(lambda request: make_response(content, headers="")) as target:
         port = int(target.url.rpartition(":")[2])
         listed = replace(record("t1", "v1"), host="127.0.0.1", port=port, started_at=2)
-        assert PromptCacheClient().read(listed) == {"aa": 200}
+        assert EngineClient().read_parts(listed) == {"aa": 200}
         with pytest.raises(PlatformError, match="started again"):
-            PromptCacheClient().read(replace(listed, started_at=1))
+            EngineClient().read_parts(replace(listed, started_at=1))
+
+
+# A gateway that did not read the store took a target for the one that it was before.
+def test_a_stream_does_not_go_on_at_a_target_that_started_again_unnoticed(
+    tmp_path, targets
+):
+    old = targets[:2]
+    with StoreFleet(tmp_path, bounds={"revokeFailClosed": False}) as fleet:
+        start_fleet(fleet, old, max_attempts=1, terms=ENGINE)
+        versions = begin_streams(fleet, old)
+        fleet.turn_away(ADDRESSES[0])
+        time.sleep(MAX_LIST_AGE_SECONDS + 0.5)
+        assert resume_stream(fleet, ADDRESSES[0], 0) == 200
+        for target in old:
+            target.start_again("v1.2")
+        time.sleep(VALIDITY_SECONDS)
+        assert resume_stream(fleet, ADDRESSES[0], 1) == 503
+        assert "the version of the target is not certain" in fleet.log()
+    assert [name for target in old for name in target.resumed] == ["r0"]
+    assert versions == {f"r{number}": "v1.1" for number in range(STREAMS)}
+
+
+def make_starts(list_age, start=1):
+    """Return the check of a gateway whose list is of some age, and what it asked."""
+    asked = []
+
+    def read(target):
+        asked.append(target.id)
+        if start is None:
+            raise PlatformError("silent")
+        return start
+
+    starts = TargetStarts(
+        lambda: -list_age, lambda name: name == "plain", read, lambda: 0.0
+    )
+    return starts, asked
+
+
+@pytest.mark.parametrize("start", [2, None])
+def test_a_target_whose_start_is_not_the_listed_one_gets_no_stream(start):
+    starts, _ = make_starts(2 * MAX_LIST_AGE_SECONDS, start)
+    with pytest.raises(NotSentError):
+        starts.check(replace(record("t1", "v1"), started_at=1))
+
+
+def test_targets_are_asked_once_and_only_while_their_list_may_be_outdated():
+    listed = replace(record("t1", "v1"), started_at=1)
+    starts, asked = make_starts(2 * MAX_LIST_AGE_SECONDS)
+    for _ in range(9):
+        starts.check(listed)
+    starts.check(record("t2", "v1", "no engine"))
+    assert asked == ["t1"]
+    starts, asked = make_starts(0.5 * MAX_LIST_AGE_SECONDS)
+    starts.check(listed)
+    assert not asked
