Tell a pause of this instance from a silence of its peers

A review of the dates of messages showed that a silence of all peers was taken for a pause: where the others were killed and started again, or a partition healed, their grants and warnings would have counted as old for up to 2 s, and requests would have waited in vain. The event loop itself tells now whether it ran; the test of a silence of all peers guards against it. The list of targets is not asked for while the store is known not to answer, so that nobody waits for its time limit.

--- a/almondglade/gateway/discovery.py
+++ b/almondglade/gateway/discovery.py
@@ -81,6 +81,18 @@
         """Stop reading the store once the current call has ended."""
         self._stopped.set()
 
+    def read_targets(self):
+        """Return the `TargetRecord`s that the store lists at present; from any thread.
+
+        Raises
+        ------
+        PlatformError
+            If the store cannot be reached; at once if the last call has shown that.
+        """
+        if self.reachable is False:
+            raise PlatformError("the store is not reachable")
+        return self.store.read_targets()
+
     def _run(self):
         revision = None
         backoff = MIN_BACKOFF_SECONDS
--- a/almondglade/gateway/node.py
+++ b/almondglade/gateway/node.py
@@ -224,7 +224,7 @@
             lambda: self._listed_at, self._is_engine, engines.read_start, boottime_clock
         ).check
         origin_search = OriginSearch(
-            self.store.read_targets,
+            self.discovery.read_targets,
             self.registry.known_targets,
             engines.read_parts,
             self.clock,
--- a/almondglade/gateway/originsearch.py
+++ b/almondglade/gateway/originsearch.py
@@ -128,14 +128,15 @@
             listed = self._listed
         if listed is None:
             return [], []
+        known = self.known_targets()
         record_by_target = {
             record.id: record
-            for record in itertools.chain(self.known_targets(), listed)
+            for record in itertools.chain(known, listed)
             if record.service in services
         }
         replaced = [
             record
-            for record in self.known_targets()
+            for record in known
             if record.service in services
             and record.incarnation != record_by_target[record.id].incarnation
         ]
--- a/almondglade/gossip/fleet.py
+++ b/almondglade/gossip/fleet.py
@@ -3,7 +3,6 @@
 import asyncio
 from functools import singledispatchmethod
 
-from ..clocks import boottime_clock
 from ..errors import PeerError
 from ..log import get_logger
 from ..placement.allowance import Scope
@@ -99,7 +98,7 @@
         except PeerError as error:
             log.warning("dropped an invalid datagram", peer=addr[0], cause=str(error))
             return
-        self.receipts.record_datagram(self.clock(), boottime_clock())
+        self._record_running()
         self._handle(message, self._record_sender(addr[0]))
 
     @singledispatchmethod
--- a/almondglade/gossip/members.py
+++ b/almondglade/gossip/members.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+from ..clocks import boottime_clock
 from ..log import get_logger
 from ..placement.coordination import InstanceInfo
 from .codec import encode
@@ -104,6 +105,10 @@
         self._started_peers: set[str] = set()
         self._loop = asyncio.get_running_loop()
 
+    def _record_running(self):
+        """Record that this instance runs, so that a pause of it is noticed."""
+        self.receipts.record_running(self.clock(), boottime_clock())
+
     def live_peers(self):
         """Return the peers with a known name that have not timed out."""
         since = self.clock() - self._peer_timeout_seconds()
@@ -189,6 +194,7 @@
 
     async def _send_member_lists(self):
         while True:
+            self._record_running()
             self._expire_peers()
             self._update_instances()
             live = [peer.address for peer in self.live_peers()]
--- a/almondglade/gossip/receipts.py
+++ b/almondglade/gossip/receipts.py
@@ -10,50 +10,49 @@
 
 log = get_logger("fleet")
 
-# A live peer sends more often than this, so that after a longer silence this instance
-# has stood still, or was cut off.
-MAX_SILENCE_SECONDS = 1.0
+# The event loop runs more often than this, so that the instance stood still in a longer
+# time between two of its runs.
+MAX_PAUSE_SECONDS = 1.0
 # Reports with a shorter delay did not lie unread.
 MAX_USUAL_DELAY_SECONDS = 0.3
 # All that lay unread has been read after this time.
-MAX_BACKLOG_SECONDS = 2.0
+MAX_BACKLOG_SECONDS = 1.0
 
 
 class ReceiptTimes:
-    """Tells when the datagram that is being read was sent, as far as that matters.
+    """Tells when the datagram that is being read was sent, after a pause.
 
-    Datagrams are read in the order of their arrival, so that those around a report that
-    lay unread did so too. Times of suspended hosts differ by clock: what was sent
-    during a suspension counts as sent at its begin at the earliest.
+    Datagrams are read in the order of their arrival, so that those next to a report
+    that lay unread did so too.
     """
 
     def __init__(self):
-        self._read_at = float("-inf")
-        self._read_at_boottime: float | None = None
+        self._ran_at = float("-inf")
+        self._ran_at_boottime: float | None = None
         self._delay = 0.0
-        self._earliest = float("-inf")
+        self._paused_at = float("-inf")
         self._backlog_until = float("-inf")
 
-    def record_datagram(self, now, boottime):
-        """Record that a datagram is read.
+    def record_running(self, now, boottime):
+        """Record that this instance runs; called for each datagram, and in between.
 
         Parameters
         ----------
         now : float
-            Monotonic time.
+            Monotonic time, which does not count a suspension of the host.
         boottime : float
             Time of a clock that also runs while the host is suspended.
         """
-        if self._read_at_boottime is not None:
-            silence = boottime - self._read_at_boottime
-            if silence > MAX_SILENCE_SECONDS:
-                # Until a report tells more, it may have been sent at once.
-                self._delay, self._earliest = silence, self._read_at
+        if self._ran_at_boottime is not None:
+            pause = boottime - self._ran_at_boottime
+            if pause > MAX_PAUSE_SECONDS:
+                # Until a report tells more, a datagram may have come at once.
+                self._delay, self._paused_at = pause, self._ran_at
                 self._backlog_until = boottime + MAX_BACKLOG_SECONDS
-                log.info("heard peers after a silence", silent=round(silence, 3))
+                log.info("went on after a pause", seconds=round(pause, 3))
         if boottime > self._backlog_until:
             self._delay = 0.0
-        self._read_at, self._read_at_boottime = now, boottime
+        self._ran_at, self._ran_at_boottime = now, boottime
 
     def record_delay(self, delay):
         """Record the delay of the report that is being read; None if not known."""
@@ -61,5 +60,8 @@
             self._delay = delay if delay > MAX_USUAL_DELAY_SECONDS else 0.0
 
     def sent_at(self, now):
-        """Return the monotonic time at which the datagram being read was sent."""
-        return max(now - self._delay, min(self._earliest, now))
+        """Return the monotonic time at which the datagram being read was sent.
+
+        It is not before the pause, however long that was on the other clock.
+        """
+        return max(now - self._delay, self._paused_at)
--- a/almondglade/gossip/reporting.py
+++ b/almondglade/gossip/reporting.py
@@ -146,6 +146,7 @@
     async def _send_periodic_reports(self):
         """Send reports with shared state, sooner again after changes."""
         while True:
+            self._record_running()
             rounds = self._report_rounds
             sent = (
                 self._report_to_all()
@@ -157,6 +158,7 @@
             idle_until = self.clock() + IDLE_REPORT_INTERVAL_SECONDS - interval
             while rounds == self._report_rounds and self.clock() < idle_until:
                 await asyncio.sleep(MIN_REPORT_INTERVAL_SECONDS)
+                self._record_running()
 
     def _report_to_all(self):
         """Report to all peers; return the number of messages."""
--- a/test/test_late_messages.py
+++ b/test/test_late_messages.py
@@ -8,7 +8,7 @@
 import pytest
 
 from almondglade.gateway.suspects import SuspectTracker
-from almondglade.gossip import fleet as fleet_module
+from almondglade.gossip import members as members_module
 from almondglade.gossip.codec import encode
 from almondglade.gossip.fleet import GossipProtocol
 from almondglade.gossip.messages import (
@@ -47,7 +47,7 @@
     def __init__(self, monkeypatch):
         self.time = 100.0
         self.sequence_number = 0
-        monkeypatch.setattr(fleet_module, "boottime_clock", self.clock)
+        monkeypatch.setattr(members_module, "boottime_clock", self.clock)
         settings = SimpleNamespace(
             instance="e1",
             address="10.0.0.1",
@@ -140,8 +140,8 @@
 
 def test_the_pause_ends_with_a_report_that_was_not_delayed():
     receipts = ReceiptTimes()
-    receipts.record_datagram(10.0, 10.0)
-    receipts.record_datagram(17.0, 17.0)
+    receipts.record_running(10.0, 10.0)
+    receipts.record_running(17.0, 17.0)
     assert receipts.sent_at(17.0) == 10.0
     receipts.record_delay(4.0)
     assert receipts.sent_at(17.0) == 13.0
@@ -156,18 +156,31 @@
 
 def test_the_pause_ends_without_reports():
     receipts = ReceiptTimes()
-    receipts.record_datagram(10.0, 10.0)
-    for step in range(4):
-        receipts.record_datagram(17.0 + step, 17.0 + 0.9 * step)
-    assert 0.9 * step > MAX_BACKLOG_SECONDS
-    assert receipts.sent_at(20.0) == 20.0
+    receipts.record_running(10.0, 10.0)
+    receipts.record_running(17.0, 17.0)
+    assert receipts.sent_at(17.0) == 10.0
+    end = 17.0 + MAX_BACKLOG_SECONDS
+    receipts.record_running(end - 0.1, end - 0.1)
+    assert receipts.sent_at(end - 0.1) < 10.0 + MAX_BACKLOG_SECONDS
+    receipts.record_running(end + 0.1, end + 0.1)
+    assert receipts.sent_at(end + 0.1) == end + 0.1
+
+
+# A peer that starts after the others were killed does not lack the grants of this one.
+def test_a_silence_of_all_peers_is_no_pause(receiver):
+    for _ in range(20):
+        receiver.time += 0.25
+        receiver.gossip._record_running()
+    receiver.read(crashed(1), PEERS[1])
+    (suspect,) = receiver.suspects.table.by_fingerprint.values()
+    assert suspect.crashes[-1].ended_at == pytest.approx(receiver.time - 0.02)
 
 
 def test_what_was_sent_during_a_suspension_is_not_older_than_its_begin():
     receipts = ReceiptTimes()
-    receipts.record_datagram(10.0, 50.0)
+    receipts.record_running(10.0, 50.0)
     # The host was suspended for 7 s, which the monotonic clock does not count.
-    receipts.record_datagram(10.2, 57.2)
+    receipts.record_running(10.2, 57.2)
     assert receipts.sent_at(10.2) == 10.0
     receipts.record_delay(3.0)
     assert receipts.sent_at(10.2) == 10.0
