--- a/almondglade/gateway/originsearch.py
+++ b/almondglade/gateway/originsearch.py
@@ -43,8 +43,7 @@
     read_listed : callable
         Reads the `TargetRecord`s that the platform lists at present.
     known_targets : callable
-        Returns the `TargetRecord`s that this gateway has read before, also of targets
-        that have left lately.
+        Returns the `TargetRecord`s of this gateway's last reading.
     read_parts : callable
         Takes a `TargetRecord` and returns the tokens that it keeps by part.
     clock : callable
--- a/almondglade/gateway/registry.py
+++ b/almondglade/gateway/registry.py
@@ -5,7 +5,6 @@
 from dataclasses import dataclass
 from functools import singledispatchmethod
 
-from ..catalogue import TargetRecord
 from ..feed import CatalogueUpdate, EvacuationUpdate, TargetUpdate
 from ..log import get_logger
 
@@ -22,14 +21,10 @@
 class DroppedTarget:
     """A target that has gone: its last report, and when it was dropped."""
 
-    record: TargetRecord
+    started_at: int
+    sequence: int
     dropped_at: float
 
-    @property
-    def reported(self):
-        """Start and sequence number of its last report."""
-        return (self.record.started_at, self.record.sequence)
-
 
 class Registry:
     """The current catalogue, the listed targets and the evacuated data centres.
@@ -185,10 +180,9 @@
         return (item["era"], item["revision"]) > reader.store_position
 
     def known_targets(self):
-        """Return the records of the listed targets and of those dropped lately."""
+        """Return the records of the targets that were read last."""
         with self._lock:
-            dropped = [entry.record for entry in self._dropped_by_target.values()]
-            return [*dropped, *self.record_by_target.values()]
+            return list(self.record_by_target.values())
 
     def note_store_recovered(self):
         """Record that the store answers again after an outage."""
@@ -344,7 +338,11 @@
             )
         else:
             dropped = self._dropped_by_target.get(name)
-            is_older = is_copy and dropped is not None and reported <= dropped.reported
+            is_older = (
+                is_copy
+                and dropped is not None
+                and reported <= (dropped.started_at, dropped.sequence)
+            )
         if is_older and is_copy:
             log.info("entry of the copy ignored", target=name, sequence=record.sequence)
         return is_older
@@ -400,5 +398,5 @@
                 other: dropped
                 for other, dropped in self._dropped_by_target.items()
                 if now - dropped.dropped_at < DROPPED_RETENTION_SECONDS
-            } | {name: DroppedTarget(record, now)}
+            } | {name: DroppedTarget(record.started_at, record.sequence, now)}
         log.info("target dropped", target=name, reason=reason)
--- a/test/test_rejoined_streams.py
+++ b/test/test_rejoined_streams.py
@@ -261,7 +261,7 @@
     assert infer(search, "bb:10,aa:100").version == "v2"
 
 
-def test_targets_that_left_or_started_again_lately_may_have_begun_the_stream():
+def test_targets_that_just_left_or_started_again_may_have_begun_the_stream():
     kept = {"t1": {"aa": 200}, "t2": None}
     listed = [record("t1", "v1")]
     search, _ = make_search(kept, listed, [record("t2", "v2")])
