Expect the wait for a named rate where it is granted

Callers whose targets name request rates were refused 0.35 s late at times, where the rates were used up, instead of at once.

Cause: a gateway that estimated the wait expected none if a target that names a rate had a free slot, as only the coordinator knows what may be granted. The coordinator itself did so too.

Now the coordinator computes when its targets may get their next requests.

test_expected_waits_follow_from_the_named_rates asserted the fault: no wait for a request that cannot be granted for 0.5 s, and 1.0 s for one that gets its grant after 1.4 s. It is replaced by the comparison with the grants, by one case with a free request, and by one on a gateway that does not coordinate, with the former figures.

--- a/almondglade/placement/pool.py
+++ b/almondglade/placement/pool.py
@@ -11,7 +11,6 @@
 
 from functools import partial
 
-from .ratelimits import share_of_rate
 from .slotrequests import SlotRequests
 
 # Without a coordinator, an instance leaves a free slot to a better request on a peer
@@ -64,7 +63,8 @@
         if not coordinated and not own:
             return
         states = self.targets.usable(cell, now)
-        self._refill_rates(cell, states, now)
+        limited = [state for state in states if state.named_rate.is_limited]
+        self._refill_rates(cell, limited, now)
         load_of = (
             self.targets.load
             if self._knows_load(cell, now)
@@ -102,17 +102,6 @@
             if free <= 0:
                 return
 
-    def _refill_rates(self, cell, states, now):
-        """Update how many requests may be granted to targets that name rate limits."""
-        limited = [state for state in states if state.named_rate.is_limited]
-        if limited:
-            share = share_of_rate(
-                self.coordinators.is_first_choice(cell.service, cell.data_centre),
-                self.targets.reachable_share(),
-            )
-            for state in limited:
-                state.named_rate.refill(share, now)
-
     def _targets_to_avoid(self, ticket, paused_here):
         """Return the targets that a request must not get; None if it must wait.
 
--- a/almondglade/placement/ratelimits.py
+++ b/almondglade/placement/ratelimits.py
@@ -6,6 +6,7 @@
 a partition has one on each side.
 """
 
+import itertools
 import math
 from dataclasses import dataclass, field
 
@@ -169,6 +170,7 @@
 
     _tokens: float = 0.0
     _refilled_at: float = 0.0
+    _refill_rate: float = MIN_REQUESTS_PER_SECOND
 
     @property
     def granted_rate(self):
@@ -196,6 +198,7 @@
         capacity = 1.0 + BURST_SECONDS * rate
         refilled = self._tokens + max(0.0, now - self._refilled_at) * rate
         self._tokens, self._refilled_at = min(capacity, refilled), now
+        self._refill_rate = rate
 
     def _growth(self, now):
         """Return the factor by which a rate grows that failures no longer name.
@@ -213,6 +216,18 @@
         """Number of requests that may be granted now."""
         return math.floor(self._tokens) if self.is_limited else math.inf
 
+    def grant_times(self):
+        """Return in how many seconds from the last refill each further one is allowed.
+
+        Returns
+        -------
+        iterator of float
+            Ascending and without an end.
+        """
+        interval = 1.0 / self._refill_rate
+        first = (math.floor(self._tokens) + 1 - self._tokens) * interval
+        return itertools.count(first, interval)
+
     def record_granted(self):
         """Count a request that was granted."""
         self._tokens -= 1.0
--- a/almondglade/placement/waits.py
+++ b/almondglade/placement/waits.py
@@ -5,10 +5,15 @@
 centre that has free slots.
 """
 
+import heapq
+import itertools
+import math
+
 from .cells import Cell
 from .outlook import OVERFLOW_WAIT_SECONDS, CellLoad, TierWaits
 from .places import Ticket
 from .queue import SlotQueue
+from .ratelimits import share_of_rate
 
 # Stands for any workspace that has no request waiting; no name has this character.
 NEW_WORKSPACE = "\0"
@@ -78,14 +83,17 @@
             return TierWaits(float("inf"))
         if not self._knows_load(cell, now):
             return self.cell_reports.expected_waits(cell, tier, now)
+        # Only the coordinator knows whether a target that names a rate limit may get a
+        # request now.
+        is_coordinator = self.coordinator(cell, now) == self.instance
+        limited = [state for state in states if state.named_rate.is_limited]
+        if is_coordinator:
+            self._refill_rates(cell, limited, now)
+        may_be_free = not is_coordinator and any(map(self._has_free_slot, limited))
         free = self.targets.free_slots(
-            state for state in states if not state.named_rate.is_limited
-        )
-        # Of a target with a free slot that names a rate limit, the coordinator alone
-        # knows whether it may get a request now.
-        may_be_free = any(
-            state.named_rate.is_limited and self.targets.load(state) < state.limit()
+            state
             for state in states
+            if is_coordinator or not state.named_rate.is_limited
         )
 
         def wait(ahead):
@@ -95,6 +103,10 @@
                 return 0.0
             position += self._booked_ahead(cell, tier, now)
             hold_seconds = self.mean_hold_seconds(cell.service)
+            if limited and is_coordinator:
+                times = self._grant_times(states, hold_seconds)
+                skipped = math.ceil(position - free) - 1
+                return next(itertools.islice(times, skipped, None))
             throughput = sum(state.throughput(hold_seconds) for state in states)
             return (position - free) / throughput
 
@@ -115,6 +127,43 @@
             },
         )
 
+    def _has_free_slot(self, state):
+        return self.targets.load(state) < state.limit()
+
+    def _refill_rates(self, cell, limited, now):
+        """Update how many requests may be granted to targets that name rate limits."""
+        if limited:
+            share = share_of_rate(
+                self.coordinators.is_first_choice(cell.service, cell.data_centre),
+                self.targets.reachable_share(),
+            )
+            for state in limited:
+                state.named_rate.refill(share, now)
+
+    def _grant_times(self, states, hold_seconds):
+        """Return in how many seconds each further request is expected to be granted.
+
+        A target with a free slot that names a rate limit gets one whenever that allows
+        it, the others when one of their requests ends.
+
+        Returns
+        -------
+        iterator of float
+            Ascending and without an end.
+        """
+        paced = [
+            state.named_rate
+            for state in states
+            if state.named_rate.is_limited and self._has_free_slot(state)
+        ]
+        others = sum(
+            state.throughput(hold_seconds)
+            for state in states
+            if not state.named_rate.is_limited or not self._has_free_slot(state)
+        )
+        times = [itertools.count(1 / others, 1 / others)] if others else []
+        return heapq.merge(*times, *(rate.grant_times() for rate in paced))
+
     def own_waits(self, cell, tier, now):
         """Return how long new requests would wait for others of their workspaces.
 
--- a/test/test_ratelimits.py
+++ b/test/test_ratelimits.py
@@ -101,15 +101,53 @@
     assert not pools.waiting_here()
 
 
-def test_expected_waits_follow_from_the_named_rates():
+# The coordinator expected no wait for the first one, and each was refused late.
+@pytest.mark.parametrize("waiting", range(6))
+def test_the_coordinator_expects_the_wait_until_the_named_rates_allow_a_request(
+    waiting,
+):
+    pools = make_pools(record("t1"), record("t2"))
+    pools.targets.state_by_target["t1"].named_rate.record(2.0, 0.0, 0.0)
+    pools.targets.state_by_target["t2"].named_rate.record(1.3, 0.0, 0.0)
+    for _ in range(waiting):
+        pools.enqueue(ticket(), 0.0)
+    expected = pools.expected_wait("drafts", (0, 0), 0.1)
+    pools.enqueue(ticket(arrived_at=0.1), 0.1)
+    *_, granted_at = (
+        now
+        for now in (0.1 + 0.01 * step for step in range(300))
+        for granted, _ in pools.match(now)
+        if granted.arrived_at == 0.1
+    )
+    assert expected == pytest.approx(granted_at - 0.1, abs=0.011)
+
+
+def test_no_wait_is_expected_while_the_named_rates_allow_a_request():
     pools = make_pools(record("t1"), record("t2"))
     name_rate(pools, 2.0)
+    assert pools.expected_wait("drafts", (0, 0), 0.5) == 0.0
+
+
+def test_an_instance_that_does_not_coordinate_waits_for_the_named_rates():
+    pools = make_pools(record("t1"), record("t2"), others=("e2",))
+    pools.coordinators.choose = lambda *args: "e2"
+    name_rate(pools, 2.0)
     assert pools.expected_wait("drafts", (0, 0), 0.0) == 0.0
     for _ in range(4):
         pools.enqueue(ticket(), 0.0)
     assert pools.expected_wait("drafts", (0, 0), 0.1) == pytest.approx(1.0)
 
 
+def test_other_targets_shorten_the_wait_for_a_named_rate():
+    pools = make_pools(record("t1"), record("t2", slots=1))
+    pools.targets.state_by_target["t1"].named_rate.record(0.5, 0.0, 0.0)
+    running = ticket()
+    pools.enqueue(running, 0.0)
+    assert [granted for granted, _ in pools.match(0.0)] == [running]
+    hold_seconds = pools.mean_hold_seconds("drafts")
+    assert pools.expected_wait("drafts", (0, 0), 0.0) == pytest.approx(hold_seconds)
+
+
 @pytest.mark.parametrize(
     ("responses", "rate"),
     [
