Count targets that keep part of a prompt as possible origins

Where no gateway knows the version of a stream, as after the loss of all, a target that keeps the prompt and all events that the caller got was taken for the only possible origin, although another one keeps less of the same part. A target that ran the request to its end while its response was lost keeps more. Then the stream would go on at that target's version (ORDER).

Now each target that keeps anything of the part is a possible origin, and the version is inferred only if all have the same one.

The log line tells the tokens of the prompt and targets that were replaced.

--- a/almondglade/gateway/originsearch.py
+++ b/almondglade/gateway/originsearch.py
@@ -85,21 +85,22 @@
             return None
         own_part = caller_headers.prompt_parts[-1]
         kept_by_target = self._ask(records, own_part)
-        silent = [record for record in records if kept_by_target[record.id] is None]
-        holders = [
-            record
-            for record in records
-            if record not in silent and kept_by_target[record.id] >= needed
+        holders = [r for r in records if (kept_by_target[r.id] or 0) >= needed]
+        # A run that is broken off may leave less than the prompt, so that one that was
+        # complete, whose response was lost, keeps more of it than the origin.
+        doubtful = [
+            r for r in records if kept_by_target[r.id] != 0 and r not in holders
         ]
-        silent += replaced
-        origin = infer_origin(holders, silent)
+        origin = infer_origin(holders, doubtful + replaced)
         log.info(
             "targets asked for the prompt of a stream",
             request=caller_headers.request_id,
             prompt_part=own_part,
             needed=needed,
+            prompt=caller_headers.last_part_tokens,
             kept={name: kept for name, kept in kept_by_target.items() if kept},
-            silent=[record.id for record in silent],
+            silent=[name for name, kept in kept_by_target.items() if kept is None],
+            replaced=[record.id for record in replaced],
             asked=len(records),
             version=origin.version if origin else None,
         )
--- a/almondglade/placement/origins.py
+++ b/almondglade/placement/origins.py
@@ -22,19 +22,19 @@
     version: str
 
 
-def infer_origin(holders, silent):
+def infer_origin(holders, doubtful):
     """Return the only `StreamOrigin` that is possible, or None.
 
     Parameters
     ----------
     holders : iterable of TargetRecord
-        Targets that have read the whole prompt of the stream.
-    silent : iterable of TargetRecord
-        Targets that may have read it.
+        Targets that keep all that the origin of the stream has read and generated.
+    doubtful : iterable of TargetRecord
+        Other targets that may have begun it.
     """
     known = {StreamOrigin(record.service, record.version) for record in holders}
     possible = known | {
-        StreamOrigin(record.service, record.version) for record in silent
+        StreamOrigin(record.service, record.version) for record in doubtful
     }
     if len(possible) != 1 or possible != known:
         return None
--- a/test/test_rejoined_streams.py
+++ b/test/test_rejoined_streams.py
@@ -219,6 +219,16 @@
     assert infer(search, "cc:50,aa:112", "1") is None
 
 
+# The origin, whose run was broken off, kept less than the whole prompt. Another target
+# had run the request before, but its response was lost; the stream went on there.
+def test_a_target_that_keeps_part_of_the_prompt_may_have_begun_the_stream():
+    listed = [record("t1", "v1"), record("t2", "v2")]
+    search, _ = make_search({"t1": {"aa": 200}, "t2": {"aa": 96}}, listed)
+    assert infer(search, "bb:10,aa:100") is None
+    search, _ = make_search({"t1": {"aa": 200}, "t2": {"bb": 10}}, listed)
+    assert infer(search, "bb:10,aa:100").version == "v1"
+
+
 def test_each_target_is_asked_once_for_streams_that_are_taken_up_together():
     search, asked = make_search({"t1": {"aa": 100}, "t2": {}})
     for _ in range(50):
