Resume a stream through another peer than the one that broke it

Cause: a peer that does not answer is passed over for a while, one whose response breaks off is not, as the target may have ended. As broken relays no longer count, the killed peer had the fewest and was chosen first.

Now a request takes the peers through which a run of it broke off after all others.

--- a/almondglade/gateway/answers.py
+++ b/almondglade/gateway/answers.py
@@ -84,6 +84,8 @@
             error, CallCancelledError | DoubtfulRefusalError
         ):
             self.scheduler.suspects.record_broken(request, target, self.sent_at)
+        if not is_sent_here:
+            self.broken_peers.add(self.peer.instance)
         self.scheduler.metrics.count("broken_runs_total", service=request.service)
         log.info(
             "run broke off",
--- a/almondglade/gateway/calls.py
+++ b/almondglade/gateway/calls.py
@@ -46,6 +46,8 @@
         Holds the slot of a target; None while a peer holds it.
     peer : Peer or None
         The peer that the request was passed to.
+    broken_peers : set of str
+        Peers through which a run of the request has broken off.
     record : TargetRecord
         The target of the newest response.
     resumable : bool
@@ -63,6 +65,7 @@
         self.call: Any = None
         self.ticket: Any = None
         self.peer: Any = None
+        self.broken_peers: set[str] = set()
         self.record: Any = None
         self.resumable = request.route.resumable and not request.relayed_by
         self.last_event_id: str | None = None
--- a/almondglade/gateway/peercalls.py
+++ b/almondglade/gateway/peercalls.py
@@ -66,7 +66,7 @@
             return None
         tried: set[str] = set()
         while len(tried) < MAX_RELAY_ATTEMPTS:
-            self.peer = relays.choose(request.service, tried)
+            self.peer = relays.choose(request.service, tried, self.broken_peers)
             if self.peer is None:
                 break
             tried.add(self.peer.instance)
--- a/almondglade/gateway/relaying.py
+++ b/almondglade/gateway/relaying.py
@@ -129,7 +129,7 @@
         """Return the base URL at which a peer accepts requests."""
         return f"http://{peer.address}:{self.port}"
 
-    def choose(self, service, tried):
+    def choose(self, service, tried, broken=frozenset()):
         """Return the best peer for a request of a service, or None.
 
         A whole data centre may have lost its links, so that those come last in which
@@ -139,6 +139,9 @@
         ----------
         tried : set of str
             Instances that could not take it.
+        broken : set of str
+            Instances through which a run of it broke off. They may have ended, or the
+            target has, so that they come after others that may take it.
         """
         now = self.clock()
         peers = self.peers()
@@ -150,6 +153,7 @@
                 (peer for peer in peers if peer.instance not in tried),
                 key=lambda peer: (
                     self._is_avoided(peer, service, now),
+                    peer.instance in broken,
                     peer.data_centre in tried_data_centres,
                     self._cost(peer),
                 ),
--- a/test/test_relays.py
+++ b/test/test_relays.py
@@ -2,6 +2,7 @@
 
 import signal
 import time
+from concurrent.futures import ThreadPoolExecutor
 from types import SimpleNamespace
 
 import pytest
@@ -23,6 +24,8 @@
 from .coordinating import FakeClock
 from .cutfleet import CutFleet
 
+STREAMS = 12
+
 
 def make_peers(clock, **data_centre_by_instance):
     peers = [
@@ -54,6 +57,14 @@
     assert relays.choose("s", {"a", "b"}) is None
 
 
+def test_a_peer_through_which_a_run_broke_off_comes_after_the_others():
+    relays = make_peers(FakeClock(), a="north", b="south")
+    assert relays.choose("s", set(), {"a"}).instance == "b"
+    assert relays.choose("s", {"b"}, {"a"}).instance == "a"
+    relays.avoid(relays.choose("s", set(), {"a"}), "s")
+    assert relays.choose("s", set(), {"a"}).instance == "a"
+
+
 # Near peers that were cut off too took most attempts, again after each second.
 def test_requests_of_a_data_centre_without_links_reach_another_one():
     clock = FakeClock()
@@ -201,6 +212,30 @@
     assert max(runs[name] for name in runs if name.startswith("look-")) <= 2
 
 
+# Streams were resumed through the peer that had just been killed, and broke for good.
+def test_streams_through_a_killed_peer_go_on_through_another_one(tmp_path):
+    with CutFleet(tmp_path, 3, cut_count=1, paths=("look",)) as fleet:
+        fleet.send_requests()
+        time.sleep(1.0)
+        fleet.cut_links("hang")
+        time.sleep(3.0)
+        fleet.stopped.set()
+        for target in fleet.targets:
+            target.slowdown = 5.0
+        with ThreadPoolExecutor(STREAMS) as executor:
+            responses = [
+                executor.submit(fleet.call, f"/stream/{number}")
+                for number in range(STREAMS)
+            ]
+            time.sleep(0.5)
+            fleet.processes[1].kill()
+            fleet.processes[1].wait()
+            statuses = [response.result().status for response in responses]
+        resumed = fleet.log(fleet.addresses[0]).count("resuming the stream")
+    assert resumed
+    assert statuses == [200] * STREAMS
+
+
 # What a peer that stands still was given may run once it goes on, also long after the
 # gateway that passed it on has answered its caller.
 def test_a_relayed_request_runs_once_and_not_after_a_refusal_while_gateways_stand_still(
