Let callers of the soak reuse no connection whose response broke off

No gateway has a line on c11-57: it was never sent. Its caller had kept the connection on which the stream before it, c11-56, had broken off, and the client refuses to send on it. With faults active such requests are not judged; this one came after the last fault.

Callers now keep a connection only after a whole response.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -132,7 +132,8 @@
             status, body, is_complete = self._exchange(
                 connection, request_id, path, key, headers, received, cause
             )
-            if self.rng.random() < 0.9:
+            # The connection of a response that broke off takes no other request.
+            if self.rng.random() < 0.9 and status is not None:
                 self.connection_by_address[address] = connection
         ended_at = time.monotonic()
         undisturbed = self.fleet.is_undisturbed(sent_at)
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -4,14 +4,19 @@
 import socket
 import threading
 import time
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from types import SimpleNamespace
+from typing import ClassVar
 
 import pytest
 
+from soak.callers import Caller
 from soak.ledger import CallerOutcome, GuaranteeLimits, Ledger, Run
 from soak.proxy import Proxy, reset
 from soak.run import soak
 
 SECONDS = 8.0
+CALLS = 20
 # Seeds, with the failure that each has found.
 REGRESSIONS = [
     pytest.param(1, id="first"),
@@ -191,6 +196,46 @@
         client.recv(1)
 
 
+# What was never sent counted as a request without a response.
+def test_a_caller_reuses_no_connection_whose_response_broke_off():
+    class BreakingHandler(BaseHTTPRequestHandler):
+        protocol_version = "HTTP/1.1"
+        seen: ClassVar[list] = []
+
+        def do_GET(self):
+            self.seen.append(self.headers["X-Request-Id"])
+            self.close_connection = len(self.seen) % 2 == 1
+            self.send_response(503)
+            self.send_header("Content-Length", "9")
+            self.end_headers()
+            self.wfile.write(b"part" if self.close_connection else b"the whole")
+
+        do_POST = do_GET
+
+        def log_message(self, *args):
+            pass
+
+    with ThreadingHTTPServer(("127.0.0.1", 0), BreakingHandler) as server:
+        threading.Thread(target=server.serve_forever, daemon=True).start()
+        fleet = SimpleNamespace(
+            addresses=["127.0.0.1"],
+            ready=[],
+            ports=[server.server_port],
+            crashing_paths=(),
+            kind_by_crashing_part={},
+            choose_key=lambda rng: "k",
+            is_undisturbed=lambda since: False,
+        )
+        ledger = Ledger()
+        caller = Caller("c", fleet, ledger, 0.5)
+        while len(ledger.outcomes) < CALLS:
+            time.sleep(0.01)
+        caller.stopped.set()
+        caller.thread.join()
+        server.shutdown()
+    assert BreakingHandler.seen == [outcome.request_id for outcome in ledger.outcomes]
+
+
 def read_until_closed(reader):
     with contextlib.suppress(OSError, ValueError):
         reader.read()
