Keep the soak's ports out of the ephemeral range

A run of the soak could end with "Address already in use" when a cut link was healed or a crashed target started again: while its port was closed, any outgoing connection of the host could take it, as ports were chosen from the ephemeral range. They now come from the range below, as those of the gateways do.

--- a/soak/links.py
+++ b/soak/links.py
@@ -55,7 +55,7 @@
         self._close_listener()
         self.is_mute = False
         self.silent_directions = frozenset()
-        self._listener = socket.create_server((LOOPBACK, self.port), backlog=128)
+        self._listener = self._listen(self.port)
         self._start_thread(self._accept_connections)
 
     def close(self):
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -8,6 +8,8 @@
 import time
 import weakref
 
+from test.gatewayfleet import free_ports
+
 LOOPBACK = "127.0.0.1"
 CHUNK_BYTES = 1 << 16
 # Value of SO_LINGER (on, 0 s) that makes closing a socket send a reset.
@@ -15,6 +17,17 @@
 POLL_SECONDS = 0.01
 
 
+def bind_free_port(bind):
+    """Return what a function returns for a free port, which it binds.
+
+    No outgoing connection takes the port while it is closed for a while.
+    """
+    while True:
+        (port,) = free_ports(1, LOOPBACK)
+        with contextlib.suppress(OSError):
+            return bind(port)
+
+
 class Proxy:
     """Forwards TCP connections to a loopback port, with injected faults.
 
@@ -47,10 +60,14 @@
         self._sockets = set()
         self._reset_sockets = weakref.WeakSet()
         self._lock = threading.Lock()
-        self._listener = socket.create_server((LOOPBACK, 0), backlog=128)
+        self._listener = bind_free_port(self._listen)
         self.port = self._listener.getsockname()[1]
         self._start_thread(self._accept_connections)
 
+    @staticmethod
+    def _listen(port):
+        return socket.create_server((LOOPBACK, port), backlog=128)
+
     def reset(self):
         """Reset all open connections."""
         with self._lock:
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -4,10 +4,11 @@
 import socket
 import threading
 import time
+from functools import partial
 
 from almondglade.platform.front import WORKSPACE_HEADER
 
-from .proxy import LOOPBACK, Proxy, reset
+from .proxy import LOOPBACK, Proxy, bind_free_port, reset
 
 EVENT_COUNT = 12
 EVENT_SECONDS = 0.02
@@ -44,7 +45,7 @@
     daemon_threads = True
     request_queue_size = 128
 
-    def __init__(self, target, port=0):
+    def __init__(self, target, port):
         self.target = target
         self.sockets = set()
         super().__init__((LOOPBACK, port), _Handler)
@@ -222,8 +223,11 @@
     def start(self):
         """Start the server, after a crash at its former port."""
         self.start_count += 1
-        port = self.proxy.upstream_port if self.start_count > 1 else 0
-        self._server = _Server(self, port)
+        self._server = (
+            _Server(self, self.proxy.upstream_port)
+            if self.start_count > 1
+            else bind_free_port(partial(_Server, self))
+        )
         threading.Thread(
             target=self._server.serve_forever, args=(0.05,), daemon=True
         ).start()
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -12,8 +12,12 @@
 
 from soak.callers import Caller
 from soak.ledger import CallerOutcome, GuaranteeLimits, Ledger, Run
+from soak.links import LinkProxy
 from soak.proxy import Proxy, reset
 from soak.run import soak
+from soak.targets import SoakTarget
+
+from .gatewayfleet import EPHEMERAL_PORTS
 
 SECONDS = 8.0
 CALLS = 20
@@ -196,6 +200,22 @@
         client.recv(1)
 
 
+# A connection of another process took the port of a link while it was cut.
+def test_ports_that_are_closed_for_a_while_are_not_ephemeral():
+    target = SoakTarget("t0", Ledger())
+    link = LinkProxy(target.proxy.upstream_port)
+    ports = {target.proxy.upstream_port, target.proxy.port, link.port}
+    try:
+        assert max(ports) < int(EPHEMERAL_PORTS.read_text().split()[0])
+        link.stop_accepting("reset")
+        link.heal()
+        with socket.create_connection(("127.0.0.1", link.port)):
+            pass
+    finally:
+        link.close()
+        target.close()
+
+
 # What was never sent counted as a request without a response.
 def test_a_caller_reuses_no_connection_whose_response_broke_off():
     class BreakingHandler(BaseHTTPRequestHandler):
