Let a cut link of the soak stay cut

test_lost_links_are_not_taken_for_crashes_of_targets[hang at most gateways] failed once, in a whole run at a load of about 21 on 8 cores. Traced: the link of the third gateway to t2 was never cut; 84 requests ran over it in 6.5 s of the cut, and none to another target, so that the gateway took t0 and t1, which it could not reach, for ended. It never found all its links lost.

Cause, in the proxy of the tests: its thread reads the listener again before each accept. If the link is cut while the thread forwards a connection, it goes on with the listener of the cut, which must not accept any. A thread now keeps its listener. The new test cuts a link within the forwarding of a connection; before, the next one was taken.

--- a/soak/links.py
+++ b/soak/links.py
@@ -56,7 +56,7 @@
         self.is_mute = False
         self.silent_directions = frozenset()
         self._listener = self._listen(self.port)
-        self._start_thread(self._accept_connections)
+        self._start_thread(self._accept_connections, self._listener)
 
     def close(self):
         """Stop the proxy and reset its connections."""
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -62,7 +62,7 @@
         self._lock = threading.Lock()
         self._listener = bind_free_port(self._listen)
         self.port = self._listener.getsockname()[1]
-        self._start_thread(self._accept_connections)
+        self._start_thread(self._accept_connections, self._listener)
 
     @staticmethod
     def _listen(port):
@@ -92,10 +92,10 @@
     def _start_thread(function, *args):
         threading.Thread(target=function, args=args, daemon=True).start()
 
-    def _accept_connections(self):
+    def _accept_connections(self, listener):
         with contextlib.suppress(OSError):
             while True:
-                client, _ = self._listener.accept()
+                client, _ = listener.accept()
                 if self.is_refusing:
                     reset(client)
                     continue
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -216,6 +216,36 @@
         target.close()
 
 
+# The thread of the former listener went on with the one of the cut.
+def test_a_link_that_is_cut_while_it_forwards_a_connection_stays_cut(monkeypatch):
+    is_forwarding, may_go_on = threading.Event(), threading.Event()
+    target = SoakTarget("t0", Ledger())
+    link = LinkProxy(target.proxy.upstream_port)
+    address = ("127.0.0.1", link.port)
+    original = socket.create_connection
+
+    def connect(address, **options):
+        if address[1] != target.proxy.upstream_port:
+            return original(address, **options)
+        is_forwarding.set()
+        may_go_on.wait()
+        raise ConnectionRefusedError
+
+    monkeypatch.setattr(socket, "create_connection", connect)
+    try:
+        with socket.create_connection(address):
+            is_forwarding.wait()
+            link.stop_accepting("hang")
+            may_go_on.set()
+            time.sleep(0.2)
+            with pytest.raises(TimeoutError):
+                socket.create_connection(address, timeout=0.5)
+    finally:
+        link.heal()
+        link.close()
+        target.close()
+
+
 # What was never sent counted as a request without a response.
 def test_a_caller_reuses_no_connection_whose_response_broke_off():
     class BreakingHandler(BaseHTTPRequestHandler):
