Do not take an answer for whole that was reset during the upload

Callers saw: a 200 without a length to a long upload, of which the target sent a part and then reset the connection, arrived framed as whole.

Cause: the kernel reports a reset to one system call only. When the write of the request got it, the call went on to read, rightly, as a target may answer early; but the reads that followed returned the part and then ended like those of an orderly close, and without a length or chunks that is the end of the body.

Why this works: the call remembers that its write was reset, and rejects a body that only the end of that connection ends. A length or the last chunk still ends an answer, so that ready answers are delivered. All routes, resumed streams, relays and entries read through this one class.

--- a/almondglade/dispatch/call.py
+++ b/almondglade/dispatch/call.py
@@ -108,6 +108,7 @@
         self.is_stream_expected = is_stream_expected
         self.is_complete = False
         self._reusable = True
+        self._is_reset = False
         self._is_reused = False
         self._stalled_seconds = 0.0
         self._connection: Any = None
@@ -178,6 +179,8 @@
         if not chunk and response.length:
             raise IncompleteRead(b"", response.length)
         is_end = not chunk or response.length == 0
+        if is_end and self._is_reset and self.framing == UNFRAMED:
+            raise HTTPException("the connection was reset before the end of the body")
         self._body_bytes += len(chunk)
         if self._body_bytes > MAX_UNFRAMED_BODY_BYTES and self.framing == UNFRAMED:
             raise HTTPException("the body without a length is too long")
@@ -270,8 +273,11 @@
         try:
             self._connection.flush()
         except (BrokenPipeError, ConnectionResetError):
-            # The target may have responded before it read the whole body.
+            # The target may have responded before it read the whole body. The kernel
+            # does not report the reset again: reads return what arrived before it, and
+            # then end as after an orderly close.
             self._reusable = False
+            self._is_reset = True
 
     def _receive_head(self):
         response = self._connection.read_head()
--- a/test/gatewayfleet.py
+++ b/test/gatewayfleet.py
@@ -146,7 +146,14 @@
         assert response.status == 200
 
     def configure(
-        self, version=1, keys=(KEY,), routes=None, others=(), terms=(), **workspace
+        self,
+        version=1,
+        keys=(KEY,),
+        routes=None,
+        others=(),
+        terms=(),
+        max_body_bytes=1 << 20,
+        **workspace,
     ):
         """Write the operator's document.
 
@@ -173,7 +180,7 @@
                     {"name": "plain", "maxConnections": 64, "healthPath": "/health"}
                     | dict(terms)
                 ],
-                "limits": {"maxBodyBytes": 1 << 20},
+                "limits": {"maxBodyBytes": max_body_bytes},
                 "tenants": [tenant, *others],
             },
         )
@@ -249,7 +256,9 @@
         except urllib3.exceptions.HTTPError:
             return False
 
-    def call(self, path, address="127.0.0.1", method="GET", key=KEY, **headers):
+    def call(
+        self, path, address="127.0.0.1", method="GET", key=KEY, body=None, **headers
+    ):
         """Send a request as a caller and return the response."""
         sent = {
             "Host": HOST,
@@ -258,7 +267,7 @@
             "X-Credential": key,
         } | {name.replace("_", "-"): value for name, value in headers.items()}
         url = f"http://{address}:{self.ports[0]}{path}"
-        return self.http.request(method, url, headers=sent)
+        return self.http.request(method, url, headers=sent, body=body)
 
     def stop(self, index=0):
         """Send the stop signal to a gateway."""
--- a/test/support/targets.py
+++ b/test/support/targets.py
@@ -19,7 +19,8 @@
     after_read : int or None
         Bytes of the request read before closing; None reads all of it.
     after_written : int or None
-        Bytes of the response written before closing; None writes all of it.
+        Bytes of the response written before closing; None writes all of it. Without
+        it, a target that does not read the whole request writes nothing.
     reset : bool
         Whether to close with a TCP reset instead of an orderly close.
     """
@@ -45,6 +46,9 @@
         Applies to requests that arrive from now on.
     pause : callable
         Called between reading the request and sending the response.
+    receive_buffer : int or None
+        Bytes of a request that the kernel takes beyond those that are read; its
+        default if None.
 
     Attributes
     ----------
@@ -55,11 +59,16 @@
     answer: object
     cut: Cut = WHOLE
     pause: object = lambda: None
+    receive_buffer: int | None = None
     seen: list = field(default_factory=list)
     connections: int = 0
 
     def __enter__(self):
         self.listener = socket.create_server(("127.0.0.1", 0), backlog=128)
+        if self.receive_buffer is not None:
+            self.listener.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, self.receive_buffer
+            )
         self.url = f"http://127.0.0.1:{self.listener.getsockname()[1]}"
         threading.Thread(target=self._accept, daemon=True).start()
         return self
@@ -90,7 +99,7 @@
         # thread started to wait for it.
         cut = self.cut
         request = self._read(sock, cut)
-        if cut.after_read is not None:
+        if cut.after_read is not None and cut.after_written is None:
             return self._end(sock, cut)
         self.pause()
         answer = self.answer(request)
