Take no response for an answer whose head is not well-formed

Callers saw: a target in trouble sent a head in which the name of a header held a blank or a control byte. They got it as an answer, without that line and all that followed it, with a body cut short by a length hidden behind a CR, or with the chunk sizes of a chunked body in it.

Cause: the heads were parsed by http.client, that is, by the parser of e-mails. It does not reject a line that it does not understand: it ends the headers there, and takes a lone CR for the end of a line. So it saw another framing than the target had meant, or the same one with headers missing.

Why this works: one module, dispatch/heads.py, says what a well-formed head or trailer is, by the strict mode of llhttp (httptools, new dependency), not by a list of bad bytes. `StrictResponse` asks it; targets' answers on all routes, resumed streams, relays and load polls are read through that class. Where a body is marked both as chunked and absent (304), the absence counts.

--- a/almondglade/dispatch/call.py
+++ b/almondglade/dispatch/call.py
@@ -18,11 +18,11 @@
     CallTimeoutError,
     DoubtfulRefusalError,
     NotSentError,
-    ResponseHead,
     check_framing,
 )
 from .connections import Attempt, PermitExpiredError
 from .events import EventSplitter, has_events, has_readable_events
+from .heads import ResponseHead
 from .timedcall import TimedCall
 
 __all__ = (
--- a/almondglade/dispatch/callresult.py
+++ b/almondglade/dispatch/callresult.py
@@ -33,14 +33,6 @@
     """The call was cancelled by this instance."""
 
 
-@dataclass(frozen=True)
-class ResponseHead:
-    """Status and headers of a target's response."""
-
-    status: int
-    headers: tuple[tuple[str, str], ...]
-
-
 @dataclass(frozen=True)
 class CallLimits:
     """Time limits of one call, in seconds.
--- /dev/null
+++ b/almondglade/dispatch/heads.py
@@ -0,0 +1,87 @@
+"""Decide what a well-formed head of a response is; all readers of responses ask here.
+
+Lines are parsed by llhttp, whose strict mode accepts what the grammar of RFC 9112 does:
+names are tokens, values have no control characters, lines end with CRLF and are not
+folded, and the length of the body is stated in one way. A lenient parser skips a line
+that it does not understand, and may end the head there: the target and the caller then
+disagree about where the body begins and ends.
+"""
+
+from dataclasses import dataclass
+from http.client import HTTPException
+
+import httptools
+
+# A start line for lines of a trailer, which are parsed like those of a head.
+ANY_STATUS_LINE = b"HTTP/1.1 200 OK\r\n"
+
+
+class MalformedHeadError(HTTPException):
+    """Bytes in place of a head, or of a trailer, are not well-formed."""
+
+
+@dataclass(frozen=True)
+class ResponseHead:
+    """Status and headers of a response.
+
+    Parameters
+    ----------
+    status : int
+    headers : tuple of (str, str)
+        Names and values in order, including repeated ones.
+    version : int
+        HTTP version, times ten.
+    """
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    version: int = 11
+
+
+class _Fields:
+    """Collects what llhttp finds in a head."""
+
+    def __init__(self):
+        self.headers = []
+        self.is_complete = False
+
+    def on_header(self, name, value):
+        """Collect one header; llhttp leaves the blanks after its value."""
+        self.headers.append(
+            (name.decode("latin-1"), value.rstrip(b" \t").decode("latin-1"))
+        )
+
+    def on_headers_complete(self):
+        """Note the empty line after the headers."""
+        self.is_complete = True
+
+
+def parse_head(data):
+    """Return the `ResponseHead` in the bytes of a head, with its empty line.
+
+    Raises
+    ------
+    MalformedHeadError
+        If it is not well-formed.
+    """
+    fields = _Fields()
+    parser = httptools.HttpResponseParser(fields)
+    try:
+        parser.feed_data(data)
+    except httptools.HttpParserError as error:
+        raise MalformedHeadError(f"the head is malformed: {error}") from error
+    if not fields.is_complete:
+        raise MalformedHeadError("the head is malformed")
+    version = int(parser.get_http_version().replace(".", ""))
+    return ResponseHead(parser.get_status_code(), tuple(fields.headers), version)
+
+
+def check_trailer(data):
+    """Check the bytes of a trailer, with its empty line.
+
+    Raises
+    ------
+    MalformedHeadError
+        If it is not well-formed.
+    """
+    parse_head(ANY_STATUS_LINE + data)
--- a/almondglade/dispatch/responses.py
+++ b/almondglade/dispatch/responses.py
@@ -2,40 +2,61 @@
 
 import http.client
 import re
+from http import HTTPStatus
 from typing import Any
 
+from .heads import check_trailer, parse_head
+
 # Also the limit of a trailer.
 MAX_HEAD_BYTES = 128 << 10
 MAX_CHUNK_LINE_BYTES = 4 << 10
-CHUNK_LINE_PATTERN = re.compile(rb"([0-9A-Fa-f]{1,15})[ \t]*(?:;[^\r\n]*)?\r\n")
+CHUNK_LINE_PATTERN = re.compile(
+    rb"([0-9A-Fa-f]{1,15})[ \t]*(?:;[\t\x20-\x7e\x80-\xff]*)?\r\n"
+)
 LINE_END = b"\r\n"
+# The parser rejects a bare LF, which also ends a head, so that no more is awaited.
+EMPTY_LINES = (LINE_END, b"\n")
+# Versions are numbers as in `http.client`.
+HTTP_1_1 = 11
+STATUSES_WITHOUT_BODY = frozenset({HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED})
 
 
 class HeadReader:
-    """Reads the lines of a head up to a total length and records the last one."""
+    """Reads heads, up to a total length.
+
+    Parameters
+    ----------
+    fp : io.BufferedReader
+        Bytes that the target has sent.
+    """
 
     def __init__(self, fp):
         self._fp = fp
         self._bytes_left = MAX_HEAD_BYTES
-        self.last = b""
 
-    def readline(self, *limit):
-        """Return the next line.
+    def read(self):
+        """Return the bytes up to the next empty line, with that line.
 
         Raises
         ------
+        IncompleteRead
+            If the connection ends before.
         HTTPException
             If the head, with all interim ones before it, is too long.
         """
-        self.last = self._fp.readline(*limit)
-        self._bytes_left -= len(self.last)
+        lines = [self._read_line()]
+        while lines[-1] not in EMPTY_LINES:
+            lines.append(self._read_line())
+        return b"".join(lines)
+
+    def _read_line(self):
+        line = self._fp.readline(self._bytes_left + 1)
+        self._bytes_left -= len(line)
         if self._bytes_left < 0:
             raise http.client.HTTPException("the head is too long")
-        return self.last
-
-    def close(self):
-        """Close the underlying reader."""
-        self._fp.close()
+        if not line.endswith(b"\n"):
+            raise http.client.IncompleteRead(line)
+        return line
 
 
 class UnclosableReader:
@@ -54,15 +75,35 @@
         """Keep the reader open."""
 
 
+def closes_connection(head):
+    """Return whether the target closes its connection after a response.
+
+    Parameters
+    ----------
+    head : ResponseHead
+    """
+    options = {
+        option.strip().lower()
+        for name, value in head.headers
+        if name.lower() == "connection"
+        for option in value.split(",")
+    }
+    return "close" in options or (
+        head.version < HTTP_1_1 and "keep-alive" not in options
+    )
+
+
 class StrictResponse(http.client.HTTPResponse):
     """A response whose head and chunks must be complete and well-formed.
 
-    `http.client` treats the end of the connection as the end of the headers, of the
-    last chunk and of the trailer, and ignores what follows a chunk in place of the
-    end of its line. A truncated response would be presented as a complete one.
+    `http.client` skips malformed lines of a head, treats the end of the connection as
+    the end of the headers, of the last chunk and of the trailer, and ignores what
+    follows a chunk in place of the end of its line. A broken response would be
+    presented as a complete one.
     """
 
     fp: Any
+    _method: Any
 
     def begin(self):
         """Read the head.
@@ -72,18 +113,36 @@
         IncompleteRead
             If the connection ended within the head.
         HTTPException
-            If the head is too long.
+            If the head is malformed or too long.
         """
-        fp: Any = self.fp
-        reader: Any = HeadReader(fp)
-        self.fp = reader
-        try:
-            super().begin()
-        finally:
-            if self.fp is reader:
-                self.fp = fp
-        if reader.last not in (b"\r\n", b"\n"):
-            raise http.client.IncompleteRead(reader.last)
+        reader = HeadReader(self.fp)
+        head = parse_head(reader.read())
+        while head.status == HTTPStatus.CONTINUE:
+            head = parse_head(reader.read())
+        self.code = self.status = head.status
+        self.reason = ""
+        self.version = head.version
+        self.headers = self.msg = http.client.HTTPMessage()
+        for name, value in head.headers:
+            self.headers[name] = value
+        self.will_close = closes_connection(head)
+        self._set_framing()
+
+    def _set_framing(self):
+        """Determine how the end of the body is marked."""
+        has_body = self._method != "HEAD" and self.status not in STATUSES_WITHOUT_BODY
+        coding = self.headers.get("transfer-encoding", "")
+        self.chunked = has_body and coding.lower() == "chunked"
+        self.chunk_left = None
+        length = self.headers.get("content-length")
+        if not has_body:
+            self.length = 0
+        elif self.chunked or length is None:
+            self.length = None
+        else:
+            self.length = int(length)
+        if not self.chunked and self.length is None:
+            self.will_close = True
 
     def _get_chunk_left(self):
         """Return the bytes left of the current chunk, or None after the last chunk.
@@ -113,7 +172,6 @@
         return int(match[1], 16)
 
     def _skip_trailer(self):
-        lines = HeadReader(self.fp)
-        while lines.last != LINE_END:
-            if not lines.readline(MAX_CHUNK_LINE_BYTES).endswith(b"\n"):
-                raise http.client.HTTPException("the trailer is incomplete")
+        trailer = HeadReader(self.fp).read()
+        if trailer != LINE_END:
+            check_trailer(trailer)
--- a/test/test_stream_parts.py
+++ b/test/test_stream_parts.py
@@ -12,6 +12,10 @@
 from .test_stream_versions import REFUSED_SECONDS
 
 HEAD = b"HTTP/1.1 200 OK\r\nX-Response-Seal: s2\r\n"
+REST_OF_STREAM = (
+    b"Content-Type: text/event-stream\r\nConnection: close\r\n\r\n"
+    b"id: 3\ndata: HTTP\n\nid: 4\ndata: HTTP\n\n"
+)
 RESPONSES_THAT_ARE_NO_STREAM = {
     "empty": b"Content-Length: 0\r\n\r\n",
     "empty in chunks": b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
@@ -19,6 +23,8 @@
     "text": b"Content-Length: 21\r\n\r\nupstream unavailable\n",
     "text and a blank line": b"Content-Length: 22\r\n\r\nupstream unavailable\n\n",
     "head": b"Content-Length: 28\r\n\r\nHTTP/1.1 502 Bad Gateway\r\n\r\n",
+    "malformed name": b"X Odd: 1\r\n" + REST_OF_STREAM,
+    "malformed value": b"X-Odd: a\rContent-Length: 17\r\n" + REST_OF_STREAM,
 }
 FOREIGN_WORDS = (b"upstream", b"HTTP")
 
