Take no response for an answer whose status line is not that of HTTP/1

But callers got a 200 for other odd forms: 0200, +200, 2_0_0, a status after two blanks or a tab, HTTP/0.9, HTTP/1.1x, and control bytes in the text.

Why this works: heads.py asks for the grammar of a status line before llhttp sees the head. The checks of the status and of the transfer coding move there from the call (`check_final`), so that load polls are held to them too.

--- a/almondglade/dispatch/call.py
+++ b/almondglade/dispatch/call.py
@@ -18,7 +18,6 @@
     CallTimeoutError,
     DoubtfulRefusalError,
     NotSentError,
-    check_framing,
 )
 from .connections import Attempt, PermitExpiredError
 from .events import EventSplitter, has_events, has_readable_events
@@ -281,7 +280,7 @@
 
     def _receive_head(self):
         response = self._connection.read_head()
-        head = self._check_head(response)
+        head = head_of(response)
         for _ in range(MAX_STALE_RESPONSES):
             verdict = self._judge(head)
             if verdict is Verdict.OURS:
@@ -294,7 +293,7 @@
             response = self._connection.read_next_head(
                 response, MAX_STALE_RESPONSE_BYTES
             )
-            head = self._check_head(response)
+            head = head_of(response)
         else:
             raise HTTPException("the answers belong to other requests")
         if self._is_doubtful:
@@ -315,10 +314,6 @@
             return Verdict.OURS
         return self.judge_response(head, self._is_reused)
 
-    def _check_head(self, response):
-        check_framing(response, self.request.method)
-        return ResponseHead(response.status, tuple(response.headers.items()))
-
     def _complete(self):
         """Return the connection to the pool, unless this instance shut it down."""
         if not self._end():
@@ -335,3 +330,8 @@
     def _end(self):
         self.judge_response = None
         return super()._end()
+
+
+def head_of(response):
+    """Return the `ResponseHead` of a `StrictResponse`."""
+    return ResponseHead(response.status, tuple(response.headers.items()))
--- a/almondglade/dispatch/heads.py
+++ b/almondglade/dispatch/heads.py
@@ -4,14 +4,20 @@
 names are tokens, values have no control characters, lines end with CRLF and are not
 folded, and the length of the body is stated in one way. A lenient parser skips a line
 that it does not understand, and may end the head there: the target and the caller then
-disagree about where the body begins and ends.
+disagree about where the body begins and ends. llhttp also reads status lines of other
+protocols and versions, and does not look at the text of the status; that is added here.
 """
 
+import re
 from dataclasses import dataclass
 from http.client import HTTPException
 
 import httptools
 
+# The version, a status of three digits, and its text, which may be missing.
+STATUS_LINE = re.compile(rb"HTTP/1\.[01] [0-9]{3}(?: [\t\x20-\x7e\x80-\xff]*)?\r\n")
+FINAL_STATUSES = range(200, 600)
+CHUNKED = "chunked"
 # A start line for lines of a trailer, which are parsed like those of a head.
 ANY_STATUS_LINE = b"HTTP/1.1 200 OK\r\n"
 
@@ -64,6 +70,8 @@
     MalformedHeadError
         If it is not well-formed.
     """
+    if STATUS_LINE.match(data) is None:
+        raise MalformedHeadError("the status line is malformed")
     fields = _Fields()
     parser = httptools.HttpResponseParser(fields)
     try:
@@ -76,6 +84,31 @@
     return ResponseHead(parser.get_status_code(), tuple(fields.headers), version)
 
 
+def check_final(head, has_body=True):
+    """Reject a response that is not final, or whose end is not certain.
+
+    Parameters
+    ----------
+    head : ResponseHead
+    has_body : bool
+        Whether a body follows the head, the framing of which then matters.
+
+    Raises
+    ------
+    MalformedHeadError
+        If its status or its transfer coding is none that can be relayed.
+    """
+    if head.status not in FINAL_STATUSES:
+        raise MalformedHeadError(f"the answer has the status {head.status}")
+    codings = [
+        value.lower()
+        for name, value in head.headers
+        if name.lower() == "transfer-encoding"
+    ]
+    if has_body and codings not in ([], [CHUNKED]):
+        raise MalformedHeadError("the answer has an unusable transfer coding")
+
+
 def check_trailer(data):
     """Check the bytes of a trailer, with its empty line.
 
--- a/almondglade/dispatch/responses.py
+++ b/almondglade/dispatch/responses.py
@@ -5,7 +5,7 @@
 from http import HTTPStatus
 from typing import Any
 
-from .heads import check_trailer, parse_head
+from .heads import check_final, check_trailer, parse_head
 
 # Also the limit of a trailer.
 MAX_HEAD_BYTES = 128 << 10
@@ -113,12 +113,14 @@
         IncompleteRead
             If the connection ended within the head.
         HTTPException
-            If the head is malformed or too long.
+            If the head is malformed, not final or too long.
         """
         reader = HeadReader(self.fp)
         head = parse_head(reader.read())
         while head.status == HTTPStatus.CONTINUE:
             head = parse_head(reader.read())
+        has_body = self._method != "HEAD" and head.status not in STATUSES_WITHOUT_BODY
+        check_final(head, has_body)
         self.code = self.status = head.status
         self.reason = ""
         self.version = head.version
@@ -126,13 +128,12 @@
         for name, value in head.headers:
             self.headers[name] = value
         self.will_close = closes_connection(head)
-        self._set_framing()
+        self._set_framing(has_body)
 
-    def _set_framing(self):
+    def _set_framing(self, has_body):
         """Determine how the end of the body is marked."""
-        has_body = self._method != "HEAD" and self.status not in STATUSES_WITHOUT_BODY
-        coding = self.headers.get("transfer-encoding", "")
-        self.chunked = has_body and coding.lower() == "chunked"
+        # The only coding that `check_final` accepts.
+        self.chunked = has_body and "transfer-encoding" in self.headers
         self.chunk_left = None
         length = self.headers.get("content-length")
         if not has_body:
--- a/test/test_malformed_heads.py
+++ b/test/test_malformed_heads.py
@@ -4,7 +4,12 @@
 
 import pytest
 
-from almondglade.dispatch.heads import MalformedHeadError, check_trailer, parse_head
+from almondglade.dispatch.heads import (
+    MalformedHeadError,
+    check_final,
+    check_trailer,
+    parse_head,
+)
 
 from .gatewayfleet import make_route
 from .relayingfleet import RelayingFleet
@@ -12,7 +17,8 @@
 from .support.targets import FakeTarget
 from .test_answers_reset_during_an_upload import named
 
-STATUS_LINE = b"HTTP/1.1 200 OK\r\n"
+STATUS = b"HTTP/1.1 200 OK"
+STATUS_LINE = STATUS + b"\r\n"
 SEAL = b"X-Response-Seal: s1\r\n"
 ODD_LINES = {
     "blank in a name": b"X Odd: 1",
@@ -51,6 +57,44 @@
     "high bytes in a value": b"X-Sound: \x80\xff",
     "all kinds of characters in a name": b"!#$%&'*+-.^_`|~09azAZ: 1",
 }
+ODD_STATUS_LINES = [
+    *(
+        b"HTTP/1.1 %b OK" % status
+        for status in (
+            *(b"000", b"0", b"99", b"1000", b"-200", b"20", b"2e2", b"2_0_0"),
+            *(b"0200", b"+200", b"101", b"102", b"199", b"600", b"999", b"2OO"),
+            *(b"", b" 200", b"\t200", b"200\t", b"\xb2\xb0\xb0", b"0x200", b"200.0"),
+        )
+    ),
+    b"HTTP/1.1\t200 OK",
+    b"HTTP/1.1",
+    b"HTTP/1.1x 200 OK",
+    b"HTTP/0.9 200 OK",
+    b"HTTP/1.2 200 OK",
+    b"HTTP/2.0 200 OK",
+    b"HTTP/2 200 OK",
+    b"HTTP/01.1 200 OK",
+    b"http/1.1 200 OK",
+    b"RTSP/1.0 200 OK",
+    b"ICY 200 OK",
+    b" HTTP/1.1 200 OK",
+    b"\r\nHTTP/1.1 200 OK",
+    b"\xef\xbb\xbfHTTP/1.1 200 OK",
+    b"HTTP/1.1 200 O\x00K",
+    b"HTTP/1.1 200 O\x01K",
+    b"HTTP/1.1 200 O\x7fK",
+    b"HTTP/1.1 200 O\rK",
+    b"HTTP/1.1 200 O\nK",
+]
+SOUND_STATUS_LINES = [
+    b"HTTP/1.1 200",
+    b"HTTP/1.1 200 ",
+    b"HTTP/1.1 200 \t odd \xe4",
+    b"HTTP/1.0 200 OK",
+    b"HTTP/1.1 204 No Content",
+    b"HTTP/1.1 299 Odd",
+    b"HTTP/1.1 599 Odd",
+]
 BODY = b"id: 1\ndata: x\n\n"
 FRAMINGS = {
     "length": (b"Content-Length: %d\r\n" % len(BODY), BODY),
@@ -159,3 +203,52 @@
         target.answer = lambda request, a=answer: named(a, request)
         response = fleet.call("/look/1", fleet.address(False))
         assert (response.status, response.data) == (200, BODY)
+
+
+# 000 never reached a caller; other odd forms of a status did.
+@pytest.mark.parametrize("line", ODD_STATUS_LINES)
+def test_an_odd_status_line_is_malformed(line):
+    with pytest.raises(MalformedHeadError):
+        check_final(parse_head(line + b"\r\nContent-Length: 1\r\n\r\n"))
+
+
+@pytest.mark.parametrize("line", SOUND_STATUS_LINES)
+def test_an_unusual_but_sound_status_line_is_read(line):
+    head = parse_head(line + b"\r\n\r\n")
+    check_final(head)
+    assert head.status == int(line.split()[1])
+
+
+def test_an_entry_passes_on_no_answer_with_an_odd_status_line():
+    passed_on = []
+    with FakeTarget(None) as target, Entry({"b1": target.url}) as entry:
+        for line, framing in itertools.product(ODD_STATUS_LINES, FRAMINGS):
+            answer = make_answer(b"X-Sound: 1", framing, 0)
+            target.answer = lambda _, a=answer, s=line: a.replace(STATUS, s, 1)
+            if entry.call("GET", "/bookings/stock").status != 502:
+                passed_on.append((line, framing))
+    assert not passed_on
+
+
+# Through a gateway that reaches the target, and through one that relays to it.
+@pytest.mark.parametrize("is_relayed", [False, True], ids=["direct", "relayed"])
+@pytest.mark.parametrize("path", [route["pathPrefix"] for route in ROUTES])
+@pytest.mark.parametrize(
+    "line",
+    [
+        b"HTTP/1.1 000 OK",
+        b"HTTP/1.1 0200 OK",
+        b"HTTP/0.9 200 OK",
+        b"HTTP/1.1 200 O\x01",
+    ],
+)
+def test_a_gateway_passes_on_no_answer_with_an_odd_status_line(
+    fleet_with_target, line, path, is_relayed
+):
+    fleet, target = fleet_with_target
+    fleet.wait_until_served("/look/1", is_relayed)
+    answer = make_answer(b"X-Sound: 1", "connection", 0).replace(STATUS, line, 1)
+    target.answer = lambda request: named(answer, request)
+    seen = len(target.seen)
+    assert not fleet.gets_success(f"{path}1", is_relayed)
+    assert len(target.seen) == seen + 1
