Read own documents as strictly as answers, limited in size and time

Reported from other systems: a faulty process sent bytes without end in a head or a body; the machine that had called it kept them all and ran out of memory, and the requests of its other callers ended with it.

Here targets' answers were limited already (test_endless_answers.py). Load polls were limited in size, but not in time against a trickle.

Why this works: `Fetcher` reads a document through `Call`, the reader of targets' answers, so that one place decides what is well-formed. It limits the connection, each pause, the whole time and the size; time limits shut the socket down from a timer, whatever the reader waits for. The limits of pauses are the former time limits; a page may take 10 s in all, as on a slow link.

--- a/almondglade/dispatch/connections.py
+++ b/almondglade/dispatch/connections.py
@@ -162,6 +162,8 @@
         Prefix of the path of each request.
     clock : callable
         Returns monotonic seconds.
+    source_address : str or None
+        Address from which to connect; any if None.
 
     Attributes
     ----------
@@ -169,11 +171,14 @@
         Decides which requests the target's responses belong to.
     """
 
-    def __init__(self, host, port, prefix="", clock=time.monotonic):
+    def __init__(
+        self, host, port, prefix="", clock=time.monotonic, source_address=None
+    ):
         self.host = host
         self.port = port
         self.prefix = prefix
         self.clock = clock
+        self.source_address = source_address
         self.attribution = Attribution(clock)
         self.closed = False
         self._idle: deque[TargetConnection] = deque()
@@ -204,7 +209,11 @@
             If the target cannot be reached.
         """
         connection = TargetConnection(
-            self.host, self.port, timeout=timeout, socket_options=TCP_OPTIONS
+            self.host,
+            self.port,
+            timeout=timeout,
+            source_address=(self.source_address, 0) if self.source_address else None,
+            socket_options=TCP_OPTIONS,
         )
         connection.connect()
         connection.opened_at = self.clock()
@@ -250,6 +259,15 @@
         )
 
 
+def make_pool(url, clock=time.monotonic, source_address=None):
+    """Return a new `TargetPool` for a base URL."""
+    parsed = urllib3.util.parse_url(url)
+    host = (parsed.host or "").strip("[]")
+    prefix = (parsed.path or "").rstrip("/")
+    port = parsed.port or DEFAULT_PORT
+    return TargetPool(host, port, prefix, clock, source_address)
+
+
 class TargetPools:
     """Connection pools by the base URL of the target."""
 
@@ -261,11 +279,7 @@
         """Return the pool for a target's base URL; create it if needed."""
         pool = self.by_url.get(url)
         if pool is None:
-            parsed = urllib3.util.parse_url(url)
-            host = (parsed.host or "").strip("[]")
-            prefix = (parsed.path or "").rstrip("/")
-            pool = TargetPool(host, parsed.port or DEFAULT_PORT, prefix, self.clock)
-            pool = self.by_url.setdefault(url, pool)
+            pool = self.by_url.setdefault(url, make_pool(url, self.clock))
         return pool
 
     def close_idle(self, url):
--- a/almondglade/gateway/peerstate.py
+++ b/almondglade/gateway/peerstate.py
@@ -9,10 +9,10 @@
 from dataclasses import dataclass
 
 import orjson
-import urllib3
-from urllib3.exceptions import HTTPError
 
-from ..errors import PeerError
+from ..dispatch.call import CallLimits
+from ..dispatch.fetching import Fetcher
+from ..errors import PeerError, TargetError
 from ..feed import Batch
 from ..log import get_logger
 from .discovery import MAX_COALESCE_SECONDS
@@ -22,8 +22,9 @@
 # Header of a request for the published state on the port for peers: era, revision and
 # version of the configuration that the reader has.
 STATE_HEADER = "X-Almondglade-State"
-CONNECT_TIMEOUT_SECONDS = 0.3
-RESPONSE_TIMEOUT_SECONDS = 1.0
+# Time limits: for a connection, for each pause of the response, and for all of it.
+LIMITS = CallLimits(connect=0.3, first_byte=1.0, between_bytes=1.0, total=10.0)
+MAX_STATE_BYTES = 8 << 20
 # Within this time a peer of the same data centre reports, too.
 PEER_MARGIN_SECONDS = 0.3
 # A sound store tells of a change within this time after a peer's report: an instance
@@ -132,7 +133,6 @@
         metrics,
         clock,
     ):
-        self.address = settings.address
         self.data_centre = settings.data_centre
         self.port = settings.peer_port
         self.registry = registry
@@ -145,7 +145,8 @@
         self._is_scheduled = False
         self._read_at = float("-inf")
         self._loop = asyncio.get_running_loop()
-        self._pool: urllib3.PoolManager | None = None
+        # Peers are known by their addresses.
+        self._fetcher = Fetcher(MAX_STATE_BYTES, source_address=settings.address)
 
     def record(self, peer, version, store_position):
         """Record how new a peer's state is; call on the event loop."""
@@ -232,24 +233,15 @@
             self._is_scheduled = False
 
     def _request(self, address):
-        if self._pool is None:
-            self._pool = urllib3.PoolManager(
-                retries=False,
-                # Peers are known by their addresses.
-                source_address=(self.address, 0),
-                timeout=urllib3.Timeout(
-                    connect=CONNECT_TIMEOUT_SECONDS, read=RESPONSE_TIMEOUT_SECONDS
-                ),
-            )
-        url = f"http://{address}:{self.port}/"
+        url = f"http://{address}:{self.port}"
+        headers = [(STATE_HEADER, self._reader_state().encode())]
         try:
-            headers = {STATE_HEADER: self._reader_state().encode()}
-            response = self._pool.request("GET", url, headers=headers)
-        except (HTTPError, OSError) as error:
+            response = self._fetcher.get(url, "/", LIMITS, headers)
+        except TargetError as error:
             raise PeerError(f"the peer cannot be reached: {error}") from error
         if response.status != 200:
             raise PeerError(f"the peer responded with status {response.status}")
-        return response.data
+        return response.body
 
     def _decode(self, data):
         try:
--- a/almondglade/loads.py
+++ b/almondglade/loads.py
@@ -6,10 +6,9 @@
 from dataclasses import dataclass
 
 import numpy as np
-import urllib3
-from urllib3.exceptions import HTTPError
 
-from .dispatch.responses import StrictResponse
+from .dispatch.call import CallLimits
+from .dispatch.fetching import Fetcher
 from .errors import TargetError
 from .kinds import ServiceKind
 from .log import get_logger
@@ -24,7 +23,8 @@
 MAX_POLL_SECONDS = 8.0
 # Share of the interval by which polls are randomly shifted to spread them.
 JITTER_SHARE = 0.2
-POLL_TIMEOUT = urllib3.Timeout(connect=0.5, read=1.0)
+# Time limits: for a connection, for each pause of the response, and for all of it.
+POLL_LIMITS = CallLimits(connect=0.5, first_byte=1.0, between_bytes=1.0, total=2.0)
 MAX_REPORT_BYTES = 1 << 20
 MAX_THREADS = 16
 # Of these threads, how many may poll targets whose last poll failed.
@@ -32,18 +32,6 @@
 TICK_SECONDS = 0.1
 
 
-class StrictConnection(urllib3.connection.HTTPConnection):
-    """A connection that reads responses strictly."""
-
-    response_class = StrictResponse
-
-
-class StrictConnectionPool(urllib3.HTTPConnectionPool):
-    """A pool of connections that read responses strictly."""
-
-    ConnectionCls = StrictConnection
-
-
 @dataclass
 class PollState:
     """Schedule and recent result of the polls of one target."""
@@ -97,8 +85,7 @@
         self._slow_polls = 0
         self._tasks: set[asyncio.Task] = set()
         self._threads = ThreadPoolExecutor(MAX_THREADS, "loads")
-        self._http = urllib3.PoolManager(num_pools=256, maxsize=1, retries=False)
-        self._http.pool_classes_by_scheme = {"http": StrictConnectionPool}
+        self._fetcher = Fetcher(MAX_REPORT_BYTES)
 
     async def run(self):
         """Poll until cancelled."""
@@ -180,25 +167,9 @@
     def _fetch_load(self, kind, url):
         asked_at = self.clock()
         try:
-            response = self._http.request(
-                "GET",
-                url.rstrip("/") + kind.load_path,
-                timeout=POLL_TIMEOUT,
-                preload_content=False,
-            )
-            data = self._read_report(response)
-        except (HTTPError, OSError) as error:
+            response = self._fetcher.get(url, kind.load_path, POLL_LIMITS)
+        except TargetError as error:
             raise TargetError(f"cannot read the load report: {error}") from error
         if response.status != 200:
             raise TargetError(f"load report request returned status {response.status}")
-        return kind.parse_load(data.decode("utf-8", "replace")), asked_at
-
-    @staticmethod
-    def _read_report(response):
-        """Read the body of a response and return its connection for reuse."""
-        data = response.read(MAX_REPORT_BYTES + 1)
-        if len(data) > MAX_REPORT_BYTES:
-            response.close()
-            raise TargetError("the load report is too long")
-        response.release_conn()
-        return data
+        return kind.parse_load(response.body.decode("utf-8", "replace")), asked_at
--- a/almondglade/platform/connection.py
+++ b/almondglade/platform/connection.py
@@ -7,16 +7,21 @@
 """
 
 import re
+from urllib.parse import urlencode
 
 import orjson
-import urllib3
-from urllib3.exceptions import HTTPError
 
-from ..errors import PlatformError
+from ..dispatch.call import CallLimits
+from ..dispatch.fetching import Fetcher
+from ..errors import PlatformError, TargetError
 from ..log import get_logger
 
-# Timeout of a response, which normally takes milliseconds.
+# Timeout of a response, which normally takes milliseconds, and of each pause in it.
 RESPONSE_TIMEOUT_SECONDS = 1.0
+# Longest time that a page may take to arrive on a slow link after that.
+TRANSFER_SECONDS = 10.0
+# A page has about 1 MB of items; a watch may tell of several changes of each.
+MAX_RESPONSE_BYTES = 8 << 20
 CONNECT_TIMEOUT_SECONDS = 0.5
 ERA_HEADER = "Store-Era"
 ERA_PATTERN = re.compile(r"[0-9]{1,18}")
@@ -55,7 +60,7 @@
         self.url = url.rstrip("/")
         self.calls = 0
         self.era = 0
-        self._pool = urllib3.PoolManager(retries=False, maxsize=4)
+        self._fetcher = Fetcher(MAX_RESPONSE_BYTES)
 
     def read_item(self, key):
         """Return an item, or None if the key does not exist.
@@ -127,16 +132,17 @@
 
     def _call(self, path, query, timeout):
         self.calls += 1
+        limits = CallLimits(
+            connect=CONNECT_TIMEOUT_SECONDS,
+            first_byte=timeout,
+            between_bytes=RESPONSE_TIMEOUT_SECONDS,
+            total=timeout + TRANSFER_SECONDS,
+        )
         try:
-            response = self._pool.request(
-                "GET",
-                self.url + path,
-                fields=query,
-                timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_SECONDS, read=timeout),
-            )
-        except (HTTPError, OSError) as error:
+            response = self._fetcher.get(self.url, f"{path}?{urlencode(query)}", limits)
+        except TargetError as error:
             raise PlatformError(f"call to the store failed: {error}") from error
-        era = parse_era(response.headers.get(ERA_HEADER))
+        era = parse_era(response.header(ERA_HEADER))
         if era < self.era:
             raise PlatformError(f"the response is of era {era}, before {self.era}")
         self.require_era(era)
@@ -157,12 +163,12 @@
         if response.status != 200:
             raise PlatformError(f"the store responded with status {response.status}")
         try:
-            content = orjson.loads(response.data)
+            content = orjson.loads(response.body)
         except orjson.JSONDecodeError as error:
             raise PlatformError("the store's response is not JSON") from error
         if not isinstance(content, dict) or not isinstance(content.get("at"), int):
             raise PlatformError("the store's response has no revision")
-        return content | {"era": parse_era(response.headers.get(ERA_HEADER))}
+        return content | {"era": parse_era(response.header(ERA_HEADER))}
 
 
 def parse_era(text):
--- a/almondglade/platform/engines.py
+++ b/almondglade/platform/engines.py
@@ -1,30 +1,24 @@
 """Ask model engines what they keep in memory and when they started."""
 
 import orjson
-import urllib3
-from urllib3.exceptions import HTTPError
 
-from ..errors import PlatformError
+from ..dispatch.call import CallLimits
+from ..dispatch.fetching import Fetcher
+from ..errors import PlatformError, TargetError
 from .front import EXPECTED_TARGET_HEADER
 
 HELD_PARTS_PATH = "/api/kv-list"
 REPORT_PATH = "/api/report"
-CONNECT_TIMEOUT_SECONDS = 0.2
-RESPONSE_TIMEOUT_SECONDS = 0.4
-MAX_POOLS = 32
+# Time limits: for a connection, for each pause of the response, and for all of it.
+LIMITS = CallLimits(connect=0.2, first_byte=0.4, between_bytes=0.4, total=2.0)
+MAX_RESPONSE_BYTES = 4 << 20
 
 
 class EngineClient:
     """Reads what engines tell of themselves; safe from any thread."""
 
     def __init__(self):
-        self._pool = urllib3.PoolManager(
-            MAX_POOLS,
-            retries=False,
-            timeout=urllib3.Timeout(
-                connect=CONNECT_TIMEOUT_SECONDS, read=RESPONSE_TIMEOUT_SECONDS
-            ),
-        )
+        self._fetcher = Fetcher(MAX_RESPONSE_BYTES)
 
     def read_parts(self, record):
         """Return how many tokens an engine keeps of each part, by the part's id.
@@ -62,16 +56,16 @@
         return start
 
     def _read(self, record, path):
-        url = f"http://{record.host}:{record.port}{path}"
-        headers = {EXPECTED_TARGET_HEADER: record.id}
+        url = f"http://{record.host}:{record.port}"
+        headers = [(EXPECTED_TARGET_HEADER, record.id)]
         try:
-            response = self._pool.request("GET", url, headers=headers)
-        except (HTTPError, OSError) as error:
+            response = self._fetcher.get(url, path, LIMITS, headers)
+        except TargetError as error:
             raise PlatformError(f"the target cannot be reached: {error}") from error
         if response.status != 200:
             raise PlatformError(f"the target responded with status {response.status}")
         try:
-            content = orjson.loads(response.data)
+            content = orjson.loads(response.body)
         except orjson.JSONDecodeError as error:
             raise PlatformError("the target's response is not JSON") from error
         if not isinstance(content, dict):
--- a/almondglade/ui/dump.py
+++ b/almondglade/ui/dump.py
@@ -1,11 +1,12 @@
 """The ``dump`` command."""
 
-import urllib3
-from urllib3.exceptions import HTTPError
+from ..dispatch.call import CallLimits
+from ..dispatch.fetching import Fetcher
+from ..errors import PeerError, TargetError
 
-from ..errors import PeerError
-
-TIMEOUT_SECONDS = 5.0
+# Time limits: for a connection, for each pause of the response, and for all of it.
+LIMITS = CallLimits(connect=5.0, first_byte=5.0, between_bytes=5.0, total=60.0)
+MAX_DUMP_BYTES = 256 << 20
 
 
 def dump(url: str):
@@ -17,9 +18,7 @@
         Base URL of its operators' port.
     """
     try:
-        response = urllib3.request(
-            "GET", url.rstrip("/") + "/dump", timeout=TIMEOUT_SECONDS, retries=False
-        )
-    except (HTTPError, OSError) as error:
+        document = Fetcher(MAX_DUMP_BYTES).get(url, "/dump", LIMITS)
+    except TargetError as error:
         raise PeerError(f"the instance cannot be reached: {error}") from error
-    print(response.data.decode())
+    print(document.body.decode())
