Count only a well-formed response to a status check

A gateway that finds a service silent asks some of its targets for their status. Any first byte counted as a response, which ended the loss of the service, and callers' requests were sent there again instead of through peers. A line "Server-Leaving: 1" anywhere in the first bytes took the target out of use, whatever else those bytes were.

Cause: as for answers: the probe looked for lines in whatever bytes it had, and did not ask whether they were a response.

Why this works: the probe reads a whole head, up to 16 KB, and asks heads.py. What is not well-formed counts as silence: a connection was accepted, and no response came.

--- a/almondglade/gateway/links.py
+++ b/almondglade/gateway/links.py
@@ -13,10 +13,12 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
+from http import HTTPStatus
 
+from ..dispatch.heads import MalformedHeadError, check_final, parse_head
 from ..log import get_logger
 from ..placement.eligibility import Obstacle
-from ..platform.front import states_leaving
+from ..platform.front import parse_target_response
 
 log = get_logger("links")
 
@@ -36,6 +38,7 @@
 PROBE_RESPONSE_SECONDS = 0.9
 # The head of a response to a status check is shorter.
 MAX_PROBE_BYTES = 1 << 14
+HEAD_END = b"\r\n\r\n"
 
 
 class Reach(Enum):
@@ -46,7 +49,7 @@
     ANSWERED
         It has responded, or it has accepted the connection and has no status check.
     SILENT
-        Something has accepted the connection, and no response came.
+        Something has accepted the connection, and no well-formed response came.
     UNREACHABLE
         No connection could be opened, or it was closed before a response.
     """
@@ -252,7 +255,9 @@
         """Open a connection to a target; yield its streams, or None if that fails."""
         try:
             async with asyncio.timeout(PROBE_TIMEOUT_SECONDS):
-                streams = await asyncio.open_connection(record.host, record.port)
+                streams = await asyncio.open_connection(
+                    record.host, record.port, limit=MAX_PROBE_BYTES
+                )
         except OSError:
             yield None
             return
@@ -263,7 +268,7 @@
             writer.close()
 
     async def _request_status(self, record, path, reader, writer):
-        """Return the `Reach` of a target by the first bytes of any response."""
+        """Return the `Reach` of a target by the head of any response."""
         head = (
             f"GET {path} HTTP/1.1\r\n"
             f"Host: {record.host}:{record.port}\r\n"
@@ -272,14 +277,22 @@
         writer.write(head.encode())
         try:
             async with asyncio.timeout(PROBE_RESPONSE_SECONDS):
-                response = await reader.read(MAX_PROBE_BYTES)
-        except TimeoutError:
+                response_head = await self._read_head(reader)
+        except (TimeoutError, MalformedHeadError, asyncio.LimitOverrunError):
             return Reach.SILENT
-        except OSError:
+        except (OSError, asyncio.IncompleteReadError):
             return Reach.UNREACHABLE
-        if states_leaving(response):
+        if parse_target_response(response_head).is_leaving:
             self.on_leaving(record, "probe")
-        return Reach.ANSWERED if response else Reach.UNREACHABLE
+        return Reach.ANSWERED
+
+    @staticmethod
+    async def _read_head(reader):
+        head = parse_head(await reader.readuntil(HEAD_END))
+        while head.status == HTTPStatus.CONTINUE:
+            head = parse_head(await reader.readuntil(HEAD_END))
+        check_final(head)
+        return head
 
     def _record_reachable(self, service, records, results):
         now = self.clock()
--- a/almondglade/platform/front.py
+++ b/almondglade/platform/front.py
@@ -275,15 +275,6 @@
     )
 
 
-def states_leaving(head):
-    """Return whether the bytes of a response's head say that its target is leaving."""
-    lines = (line.partition(b":") for line in head.lower().split(b"\r\n")[1:])
-    return any(
-        name.strip() == LEAVING_HEADER.encode() and value.strip() == LEAVING.encode()
-        for name, _, value in lines
-    )
-
-
 def _parse_seconds(text):
     return float(text.strip()) if LIMIT_PATTERN.fullmatch(text.strip()) else None
 
