Limit what is kept of a peer's refusal

A gateway that passes a request to a peer reads the error in the peer's refusal, to decide whether another peer may take the request. It kept a body without end until the time limit of the request.

Evidence: test_a_refusal_of_a_peer_without_end_is_not_kept failed before. An error is a short document; a longer one counts as one that cannot be read.

--- a/almondglade/gateway/peercalls.py
+++ b/almondglade/gateway/peercalls.py
@@ -40,6 +40,8 @@
         Code.UNAUTHENTICATED,
     )
 )
+# A peer's error is a short document.
+MAX_ERROR_BYTES = 64 << 10
 CODE_BY_TEXT = {code.text: code for code in Code}
 
 
@@ -175,6 +177,8 @@
         try:
             while chunk := self.call.read():
                 body += chunk
+                if len(body) > MAX_ERROR_BYTES:
+                    raise BrokenCallError("the peer's error is too long")
             error = orjson.loads(body)["error"]
             return CODE_BY_TEXT[error["code"]], error.get("retry_after")
         except (TargetError, orjson.JSONDecodeError, KeyError, TypeError) as error:
--- a/test/test_relays.py
+++ b/test/test_relays.py
@@ -9,6 +9,7 @@
 
 from almondglade.dispatch.call import ResponseHead
 from almondglade.errors import PeerError
+from almondglade.gateway.peercalls import PeerCall
 from almondglade.gateway.relaying import (
     ATTEMPTED_HEADER,
     AVOIDANCE_SECONDS,
@@ -19,7 +20,7 @@
     relay_outcome,
     without_relay_header,
 )
-from almondglade.outcome import OUTCOME_HEADER, Outcome
+from almondglade.outcome import OUTCOME_HEADER, Code, Outcome
 
 from .coordinating import FakeClock
 from .cutfleet import CutFleet
@@ -261,3 +262,23 @@
     assert {runs[name] for name in single} == {1}
     refused = {r.request_id for r in fleet.results if r.status in (429, 503)}
     assert not refused & single
+
+
+class EndlessRefusal:
+    """The call to a peer whose refusal does not end."""
+
+    def __init__(self):
+        self.bytes_read = 0
+
+    def read(self):
+        self.bytes_read += 1 << 16
+        assert self.bytes_read < 1 << 20
+        return b"x" * (1 << 16)
+
+
+def test_a_refusal_of_a_peer_without_end_is_not_kept():
+    request = SimpleNamespace(request_id="r1")
+    call = SimpleNamespace(
+        call=EndlessRefusal(), request=request, peer=SimpleNamespace(instance="e2")
+    )
+    assert PeerCall._read_peer_error(call) == (Code.INTERNAL, None)
