Ask for a well-formed head in the reply to a forwarded request

An entry forwards a request with a key to the instance that holds the key. The reply's status and headers come as fields of a message, and were passed on as they came: interim statuses, names with blanks, values with line ends.

Why this works: `check_relayed` puts the fields together as the head that they stand for and asks the parser of heads.py.

--- a/almondglade/dispatch/heads.py
+++ b/almondglade/dispatch/heads.py
@@ -109,6 +109,21 @@
         raise MalformedHeadError("the answer has an unusable transfer coding")
 
 
+def check_relayed(head):
+    """Check a final head that came otherwise than as the bytes of a response.
+
+    Raises
+    ------
+    MalformedHeadError
+        If it could not have come as such.
+    """
+    lines = [f"HTTP/1.1 {head.status:03}", *map(": ".join, head.headers)]
+    data = "".join(f"{line}\r\n" for line in (*lines, "")).encode("latin-1", "replace")
+    if parse_head(data).headers != tuple(head.headers):
+        raise MalformedHeadError("a header is malformed")
+    check_final(head)
+
+
 def check_trailer(data):
     """Check the bytes of a trailer, with its empty line.
 
--- a/almondglade/peers/callcodec.py
+++ b/almondglade/peers/callcodec.py
@@ -2,7 +2,7 @@
 
 import re
 
-from ..dispatch.call import ResponseHead
+from ..dispatch.heads import MalformedHeadError, ResponseHead, check_relayed
 from ..errors import PeerError
 from ..keys.claiming import ClaimProposal, ClaimVote
 from ..keys.codec import Holder
@@ -102,10 +102,13 @@
     """
     if wire.code:
         raise _decode_error(wire)
-    if not 100 <= wire.status <= 599:
-        raise PeerError(f"the holder replied with the status {wire.status}")
     headers = tuple((header.name, header.value) for header in wire.headers)
-    return BufferedRun(StoredResponse(ResponseHead(wire.status, headers), wire.body))
+    head = ResponseHead(wire.status, headers)
+    try:
+        check_relayed(head)
+    except MalformedHeadError as error:
+        raise PeerError(f"the holder replied with no answer: {error}") from error
+    return BufferedRun(StoredResponse(head, wire.body))
 
 
 def _decode_error(wire):
--- a/test/test_keys_calls.py
+++ b/test/test_keys_calls.py
@@ -9,6 +9,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from almondglade.dispatch.heads import ResponseHead
 from almondglade.entry.keys import unknown_outcome_if_keyed
 from almondglade.errors import PeerError
 from almondglade.keys.claiming import ClaimProposal
@@ -119,7 +120,39 @@
     except (PeerError, RequestError) as error:
         assert str(error)
     else:
-        assert run.head.status == wire.status >= 100 and not wire.code
+        assert run.head.status == wire.status >= 200 and not wire.code
+
+
+# Names, values and statuses were taken as they came.
+@pytest.mark.parametrize(
+    "reply",
+    [
+        pb.ForwardReply(status=100),
+        pb.ForwardReply(status=600),
+        pb.ForwardReply(status=200, headers=[pb.Header(name="X Odd", value="1")]),
+        pb.ForwardReply(status=200, headers=[pb.Header(name="", value="1")]),
+        pb.ForwardReply(status=200, headers=[pb.Header(name="X-Odd", value="a\0")]),
+        pb.ForwardReply(status=200, headers=[pb.Header(name="X", value="a\r\nB: 1")]),
+        pb.ForwardReply(status=200, headers=[pb.Header(name="X", value="\u20ac")]),
+    ],
+    ids=["interim", "600", "name", "no name", "NUL", "two lines", "not latin-1"],
+)
+def test_a_malformed_head_of_a_forwarded_request_is_no_answer(reply):
+    with pytest.raises(PeerError):
+        decode_response(reply)
+
+
+def test_a_sound_head_of_a_forwarded_request_is_unchanged():
+    headers = [
+        ("X-A", "b"),
+        ("X-A", ""),
+        ("Set-Cookie", "c=\xe4; d"),
+        ("Content-Length", "0"),
+    ]
+    reply = pb.ForwardReply(
+        status=404, headers=[pb.Header(name=n, value=v) for n, v in headers]
+    )
+    assert decode_response(reply).head == ResponseHead(404, tuple(headers))
 
 
 @given(
