Send nothing late in a stop that the end of the process would cut

Reported from other systems: in a planned stop of one gateway, requests that came late in the grace time were passed on and cut at its end with no answer, among them requests that may not be repeated.

Here, what arrived 2.2 s after the signal or later was refused already. But that was asked only when the head of a request had arrived. A request that then waited for a slot of a full target, or whose body of more than 32 KB was still being read, was sent whenever that ended, also shortly before the process did; and what was in progress at the end was closed without an answer, whether or not it may be repeated.

Why this works: each send asks `Draining`, by time and not by a flag that a busy event loop may set late. After the notice only what must end before the process does is sent, by its own time limit, and streams that have begun go on. What was not run is refused with 503 and no wait, which is true as it is decided before the send. At 0.9 of the grace time the open calls are ended, so that callers get 504, and the process waits for up to 0.05 of it for that. A notice longer than the grace time no longer takes all of it.

--- a/almondglade/gateway/calls.py
+++ b/almondglade/gateway/calls.py
@@ -78,10 +78,14 @@
         self._counted_peer: Any = None
         self.handover: Any = None
 
-    def _check_suspicion(self):
-        """Refuse a request that was found to crash targets while it waited."""
+    def _check_sendable(self):
+        """Refuse a request that crashes targets, or may not end before this process.
+
+        Either may have been found out while it waited.
+        """
         try:
             self.scheduler.suspects.check(self.request)
+            self.scheduler.draining.check(self.request)
         except RequestError:
             self._release(None)
             raise
@@ -122,6 +126,7 @@
         self.meter = ResponseMeter(
             self.sent_at, request.caller_headers.input_tokens or 0
         )
+        self.scheduler.draining.watch(self.call)
         head = self.call.open()
         self.meter.framing = self.call.framing
         return head
--- a/almondglade/gateway/dispatching.py
+++ b/almondglade/gateway/dispatching.py
@@ -37,6 +37,7 @@
         """Send the request like `_send`, with the ticket in a list if there is one."""
         request = self.request
         for _ in range(MAX_CONNECT_ATTEMPTS):
+            self.scheduler.draining.check(request)
             head = self._send_through_peers()
             if head is not None:
                 return head
@@ -45,7 +46,7 @@
             self.ticket = reserved.pop() if reserved else None
             self.ticket = self.ticket or self.scheduler.acquire(request)
             self.peer = None
-            self._check_suspicion()
+            self._check_sendable()
             try:
                 return self._dispatch()
             except (NotSentError, PermitExpiredError) as error:
--- a/almondglade/gateway/node.py
+++ b/almondglade/gateway/node.py
@@ -58,6 +58,8 @@
 OPERATOR_THREADS = 2
 # Share of the grace time within which requests in progress may end.
 DRAIN_SHARE = 0.9
+# Share of it after that, in which the callers of those that did not end are answered.
+LAST_ANSWERS_SHARE = 0.05
 # Time in which the load balancer notices that an instance is not ready: two of its
 # readiness probes.
 UNREADY_NOTICE_SECONDS = 2.2
@@ -335,20 +337,36 @@
         log.info("stopped", instance=settings.instance, cut=self.app.active)
 
     async def _drain(self, callers, relays):
-        """Stop accepting requests and wait for those in progress."""
+        """Stop accepting requests, wait for those in progress, and end the rest."""
         log.info("stopping", active=self.app.active, relayed=self.relay_app.active)
         self.stopping = self.exchange.leaving = True
         self.gossip.send_report_to_all()
         self.gossip.schedule_report()
         callers.end_keep_alive()
         relays.end_keep_alive()
-        drain_until = self.clock() + DRAIN_SHARE * self.settings.bounds.grace
-        await asyncio.sleep(UNREADY_NOTICE_SECONDS)
+        grace = self.settings.bounds.grace
+        drain_until = self.clock() + DRAIN_SHARE * grace
+        notice_until = min(self.clock() + UNREADY_NOTICE_SECONDS, drain_until)
+        self.scheduler.draining.start(notice_until, drain_until)
+        await asyncio.sleep(notice_until - self.clock())
         # From now on, callers that keep a connection open here are refused with an
         # immediate retry, so that they connect to another instance.
         self.app.stopping = self.relay_app.stopping = True
-        while (self.app.active or self.relay_app.active) and self.clock() < drain_until:
+        while self._has_requests() and self.clock() < drain_until:
             await asyncio.sleep(DRAIN_POLL_SECONDS)
+        if self._has_requests():
+            log.warning(
+                "requests in progress are ended",
+                active=self.app.active,
+                relayed=self.relay_app.active,
+            )
+        answer_until = self.clock() + LAST_ANSWERS_SHARE * grace
+        while self._has_requests() and self.clock() < answer_until:
+            self.scheduler.draining.end_calls()
+            await asyncio.sleep(DRAIN_POLL_SECONDS)
+
+    def _has_requests(self):
+        return bool(self.app.active or self.relay_app.active)
 
     def _reload(self):
         """Log the settings that the next start would change; none changes now."""
--- a/almondglade/gateway/peercalls.py
+++ b/almondglade/gateway/peercalls.py
@@ -95,7 +95,7 @@
 
     def _dispatch_to_peer(self):
         request, scheduler = self.request, self.scheduler
-        self._check_suspicion()
+        self._check_sendable()
         time_left = request.deadline - self.clock()
         if time_left <= 0.0:
             self._drop_call()
--- a/almondglade/gateway/scheduling.py
+++ b/almondglade/gateway/scheduling.py
@@ -8,6 +8,7 @@
 from ..outcome import Code, RequestError
 from ..placement.places import Ticket
 from ..placement.returns import max_wait_of_return
+from .draining import Draining
 from .hedgedrun import HedgedRun
 from .hedging import Hedging
 from .measuring import expected_first_byte_seconds
@@ -104,6 +105,7 @@
         self.fleet_size = fleet_size
         self.send_grants = send_grants
         self.deadlines = Deadlines(clock)
+        self.draining = Draining(clock)
         # Takes the bytes of responses that pass the link.
         self.record_bytes = lambda count: None
         # Checks that a target is still the listed one, before a stream goes on there.
