Let responses that nobody reads begin in their time on a busy host

test_responses_that_nobody_reads_stay_within_the_memory failed once in a run of the tests beside others, and on the code before these changes in 1 of 3 runs at a load of 2.6: 34 of the 40 requests that its check of the memory needs had reached the target 2 s after they were sent. Traced: none is refused; the target and the callers run in the process of the test, and 49 to 58 of 60 had arrived at 2 s in six runs. It now waits 2 s as before, and for up to 2.5 s more until as many have arrived as it asks for. The bound on the memory and the number of requests stay.

--- a/test/test_body_memory.py
+++ b/test/test_body_memory.py
@@ -18,6 +18,8 @@
 # `memoryMb` of the fleet's settings.
 MEMORY_KB = 150 << 10
 RUN_SECONDS = 0.3
+# On a busy host, within the time limit of the requests.
+MAX_START_SECONDS = 2.5
 
 
 def request_head(number, length):
@@ -51,10 +53,13 @@
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 16)
             sock.sendall(request_head(number, 0))
         time.sleep(2.0)
+        # Together, the responses are twice as long as the memory.
+        until = time.monotonic() + MAX_START_SECONDS
+        while len(target.seen) * 8_000_000 <= 2 * MEMORY_KB * 1024:
+            assert time.monotonic() < until
+            time.sleep(0.05)
         process = fleet.processes[0]
         assert process.poll() is None
-        # Together, the responses are twice as long as the memory.
-        assert len(target.seen) * 8_000_000 > 2 * MEMORY_KB * 1024
         assert resident_kb(process, "VmHWM") < MEMORY_KB
 
 
