--- a/test/relayingfleet.py
+++ b/test/relayingfleet.py
@@ -7,10 +7,17 @@
 
 from soak.links import GatewayLinks
 
-from .gatewayfleet import GatewayFleet, make_response
+from .gatewayfleet import GatewayFleet, make_response, make_route
 from .support.targets import WHOLE
 
 WAIT_TIMEOUT_SECONDS = 10.0
+# Each kind of route, on which nothing is tried a second time.
+ROUTES = [
+    make_route("/look/", "idempotent", "plain", maxAttempts=1),
+    make_route("/book/", "non_idempotent", "plain", maxAttempts=1),
+    make_route("/once/", "streaming", "plain", maxAttempts=1),
+    make_route("/stream/", "streaming", "plain", maxAttempts=1, streamResume=True),
+]
 
 
 @dataclass
--- a/test/support/targets.py
+++ b/test/support/targets.py
@@ -1,6 +1,7 @@
 """A raw-socket target with configurable responses, stalls, closes and resets."""
 
 import contextlib
+import re
 import socket
 import struct
 import threading
@@ -144,6 +145,12 @@
     return bool(end) and len(body) >= sum(length)
 
 
+def with_request_id(answer, request):
+    """Return an answer that names its request as the request does, if it does."""
+    ids = re.findall(rb"(?i)\r\n(x-request-id:[^\r]*)", request)
+    return answer.replace(b"\r\n", b"\r\n" + b"".join(i + b"\r\n" for i in ids), 1)
+
+
 def answer_with(body, framing="length", content_type="text/plain"):
     """Return the bytes of a response with status 200.
 
--- a/test/test_answers_reset_during_an_upload.py
+++ b/test/test_answers_reset_during_an_upload.py
@@ -4,7 +4,6 @@
 had arrived before and then end as after an orderly close.
 """
 
-import re
 from types import SimpleNamespace
 
 import pytest
@@ -13,10 +12,9 @@
 from almondglade.dispatch.call import BrokenCallError, Call, CallLimits
 from almondglade.dispatch.connections import Attempt, TargetPools
 
-from .gatewayfleet import make_route
-from .relayingfleet import RelayingFleet
+from .relayingfleet import ROUTES, RelayingFleet
 from .support.entries import Entry
-from .support.targets import Cut, FakeTarget
+from .support.targets import Cut, FakeTarget, with_request_id
 
 # More than the kernel's buffers take, so that the write waits for the target.
 UPLOAD = b"u" * (8 << 20)
@@ -38,12 +36,6 @@
     "chunked": b"Transfer-Encoding: chunked\r\n\r\n5\r\nppppp\r\n0\r\n\r\n",
 }
 LIMITS = CallLimits(1.0, 5.0, 5.0, 5.0)
-ROUTES = [
-    make_route("/look/", "idempotent", "plain", maxAttempts=1),
-    make_route("/book/", "non_idempotent", "plain", maxAttempts=1),
-    make_route("/once/", "streaming", "plain", maxAttempts=1),
-    make_route("/stream/", "streaming", "plain", maxAttempts=1, streamResume=True),
-]
 
 
 def resetting_target(answer):
@@ -54,16 +46,10 @@
 
 
 def answer_early(target, answer):
-    target.answer = lambda request: named(answer, request)
+    target.answer = lambda request: with_request_id(answer, request)
     target.cut = Cut(after_read=4096, after_written=1 << 20, reset=True)
 
 
-def named(answer, request):
-    """Return an answer with the id of its request, if that has one."""
-    ids = re.findall(rb"(?i)\r\n(x-request-id:[^\r]*)", request)
-    return answer.replace(b"\r\n", b"\r\n" + b"".join(i + b"\r\n" for i in ids), 1)
-
-
 def call_with_upload(target):
     """Send the upload and return the body of the response."""
     call = Call(
--- a/test/test_malformed_heads.py
+++ b/test/test_malformed_heads.py
@@ -11,11 +11,9 @@
     parse_head,
 )
 
-from .gatewayfleet import make_route
-from .relayingfleet import RelayingFleet
+from .relayingfleet import ROUTES, RelayingFleet
 from .support.entries import Entry
-from .support.targets import FakeTarget
-from .test_answers_reset_during_an_upload import named
+from .support.targets import FakeTarget, with_request_id
 
 STATUS = b"HTTP/1.1 200 OK"
 STATUS_LINE = STATUS + b"\r\n"
@@ -103,12 +101,6 @@
 }
 # Where the odd line stands: before, between or after what else the head has.
 PLACES = range(3)
-ROUTES = [
-    make_route("/look/", "idempotent", "plain", maxAttempts=1),
-    make_route("/book/", "non_idempotent", "plain", maxAttempts=1),
-    make_route("/once/", "streaming", "plain", maxAttempts=1),
-    make_route("/stream/", "streaming", "plain", maxAttempts=1, streamResume=True),
-]
 
 
 def make_answer(line, framing, place):
@@ -189,7 +181,7 @@
     fleet, target = fleet_with_target
     fleet.wait_until_served("/look/1", is_relayed)
     answer = make_answer(ODD_LINES[name], "connection", 2)
-    target.answer = lambda request: named(answer, request)
+    target.answer = lambda request: with_request_id(answer, request)
     seen = len(target.seen)
     assert not fleet.gets_success(f"{path}1", is_relayed)
     assert len(target.seen) == seen + 1
@@ -200,7 +192,7 @@
     for framing, name in itertools.product(FRAMINGS, SOUND_LINES):
         fleet.wait_until_served("/look/1", False)
         answer = make_answer(SOUND_LINES[name], framing, 0)
-        target.answer = lambda request, a=answer: named(a, request)
+        target.answer = lambda request, a=answer: with_request_id(a, request)
         response = fleet.call("/look/1", fleet.address(False))
         assert (response.status, response.data) == (200, BODY)
 
@@ -248,7 +240,7 @@
     fleet, target = fleet_with_target
     fleet.wait_until_served("/look/1", is_relayed)
     answer = make_answer(b"X-Sound: 1", "connection", 0).replace(STATUS, line, 1)
-    target.answer = lambda request: named(answer, request)
+    target.answer = lambda request: with_request_id(answer, request)
     seen = len(target.seen)
     assert not fleet.gets_success(f"{path}1", is_relayed)
     assert len(target.seen) == seen + 1
--- a/test/test_own_calls.py
+++ b/test/test_own_calls.py
@@ -21,7 +21,7 @@
 from almondglade.platform.connection import StoreConnection
 from almondglade.platform.engines import EngineClient
 
-from .support.targets import FakeTarget
+from .support.targets import Cut, FakeTarget
 from .test_malformed_heads import (
     FRAMINGS,
     ODD_LINES,
@@ -186,7 +186,7 @@
 def test_a_document_that_a_reset_cuts_is_not_read():
     with FakeTarget(None) as target:
         target.answer = lambda _: OK + b"Content-Length: 9\r\n\r\n{}"
-        target.cut = target.cut.__class__(after_written=1 << 10, reset=True)
+        target.cut = Cut(after_written=1 << 10, reset=True)
         with pytest.raises(TargetError):
             Fetcher(1 << 20).get(target.url, "/", LIMITS)
 
