--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,7 +1,8 @@
-"""A runner is upgraded while the store is down; its streams go on elsewhere."""
+"""A zone loses power; streams that began there go on at another version."""
 
 import asyncio
 import pathlib
+import signal
 import sys
 import time
 
@@ -9,9 +10,10 @@
 
 from standins2 import (  # noqa: E402
     KEY,
+    TOKENS_PER_EVENT,
     CannotRun,
+    EngineRunner,
     Gateways,
-    Runner,
     Store,
     call,
     is_troubled,
@@ -22,105 +24,142 @@
 )
 
 SERVICE = "engine-a"
-STREAMS = 16
-EVENTS = 60
+SESSIONS = 8
+EVENTS = 40
 EVENT_SECONDS = 0.1
-SILENCE_SECONDS = 1.8
-
-
-class PausingRunner(Runner):
-    """A runner that may fall silent for a while and goes on."""
-
-    silent_until = 0.0
-
-    async def before_event(self, headers, number, writer):
-        """Wait while the runner is silent."""
-        while (left := self.silent_until - time.monotonic()) > 0:
-            await asyncio.sleep(left)
-
-
-def versions_of(answer):
-    """Return the software versions whose runners made the events of an answer."""
-    lines = answer.body.decode().split("\n")
-    return {line.split(" ")[1] for line in lines if line.startswith("data: ")}
-
-
-async def case(record, stack):
-    """Return whether more than two streams hold events of two versions."""
-    store = Store(record)
-    ports = [await store.open_port() for _ in range(2)]
-    runners = [
-        PausingRunner(f"i-{n}", SERVICE, record, "v1", EVENT_SECONDS, EVENTS)
-        for n in range(4)
-    ]
-    for runner in runners:
-        await runner.listen()
-        stack.callback(runner.end)
-        await store.put(f"servers/{runner.name}", runner.entry())
-    route = make_route("/stream/", "streaming", SERVICE)
-    await store.put("op/config", make_config(7, [route], engines=[SERVICE]))
-    gateways = Gateways(record, ports)
-    stack.callback(gateways.close)
-    await gateways.start_all()
-    is_writing = True
-
-    async def beat():
-        while True:
-            await asyncio.sleep(1.2)
-            if store.is_silent or not is_writing:
-                continue
-            for runner in runners:
-                await store.put(f"servers/{runner.name}", runner.entry(), quiet=True)
-
-    beating = asyncio.create_task(beat())
-    stack.callback(beating.cancel)
-    await asyncio.sleep(4)
-    upgraded = runners[0]
-    if is_troubled():
-        await store.go_down()
-    await upgraded.start_again("v2")
-    if not is_troubled():
-        await store.put(f"servers/{upgraded.name}", upgraded.entry())
-    await asyncio.sleep(0.5)
-
-    async def stream(number):
-        await asyncio.sleep(number * 0.05)
+SESSION_TOKENS = 250
+DARK_SECONDS = 1.0
+TIME_LIMIT_SECONDS = 15.0
+MAX_TRIES = 5
+
+
+class Caller:
+    """A client that reads one stream, and takes it up again when it breaks off."""
+
+    def __init__(self, record, gateways, session, first_gateway):
+        self.record = record
+        self.gateways = gateways
+        self.session = session
+        self.gateway = first_gateway
+        self.first_request = None
+        self.last_event = 0
+        self.versions = []
+        self.is_whole = False
+
+    def _add(self, data):
+        for line in data.decode().splitlines():
+            if line.startswith("id: "):
+                self.last_event = int(line[4:])
+            elif line.startswith("data: "):
+                self.versions.append(line.split(" ")[1])
+
+    async def read(self):
+        """Read the stream to its end, within the time limit."""
+        end = time.monotonic() + TIME_LIMIT_SECONDS
+        for _ in range(MAX_TRIES):
+            left = end - time.monotonic()
+            answer = await self._try(left)
+            if answer.status == 200 and answer.is_complete:
+                self.is_whole = True
+                return
+            pause = float(answer.headers.get("retry-after", 0.5))
+            pause = max(pause, 1.2 if answer.status == 0 else 0.1)
+            await asyncio.sleep(min(pause, left / 3))
+            self.gateway = (self.gateway + 1) % len(self.gateways.addresses)
+
+    async def _try(self, left):
         request = new_id()
-        headers = {"X-Request-Id": request, "X-Deadline-Ms": 15000, "X-Credential": KEY}
-        gateway = number % len(ports)
-        record("sent", request=request, gateway=gateway + 1)
+        headers = {
+            "X-Request-Id": request,
+            "X-Deadline-Ms": int(left * 1000),
+            "X-Credential": KEY,
+            "X-Model-Name": "m",
+            "X-Token-Usage": f"{800 + SESSION_TOKENS},{EVENTS * TOKENS_PER_EVENT}",
+            "X-Prompt-Prefix": f"5c1e07a2:800,{self.session}:{SESSION_TOKENS}",
+        }
+        if self.last_event:
+            headers["Last-Event-Id"] = self.last_event
+            headers["Resumes"] = self.first_request
+        else:
+            self.first_request = request
+        self.record(
+            "sent",
+            request=request,
+            gateway=self.gateway + 1,
+            session=self.session,
+            after=self.last_event,
+        )
         answer = await call(
-            gateways.addresses[gateway],
-            gateways.front,
+            self.gateways.addresses[self.gateway],
+            self.gateways.front,
             "POST",
-            f"/stream/{request}",
+            f"/stream/{self.session}",
             headers,
-            15,
+            left,
             b"x",
+            self._add,
         )
-        record(
+        self.record(
             "answered",
             request=request,
             status=answer.status,
             complete=answer.is_complete,
-            versions="+".join(sorted(versions_of(answer))),
+            until=self.last_event,
+            versions="+".join(dict.fromkeys(self.versions)),
         )
         return answer
 
-    streams = [asyncio.create_task(stream(n)) for n in range(STREAMS)]
-    await asyncio.sleep(1.8)
-    upgraded.silent_until = time.monotonic() + SILENCE_SECONDS
-    record("runner", silent=upgraded.name, seconds=SILENCE_SECONDS)
-    await asyncio.sleep(1.6)
+
+async def case(record, stack):
+    """Return whether more than two streams hold events of two versions."""
+    store = Store(record)
+    ports = [await store.open_port() for _ in range(2)]
+    far = EngineRunner("i-far", SERVICE, record, "v1", EVENT_SECONDS, EVENTS)
+    near = EngineRunner("i-near", SERVICE, record, "v2", EVENT_SECONDS, EVENTS)
+    far.zone = "z2"
+    for runner in (far, near):
+        await runner.listen()
+        stack.callback(runner.end)
+    await store.put("servers/i-far", far.entry())
+    route = make_route("/stream/", "streaming", SERVICE)
+    await store.put("op/config", make_config(7, [route], engines=[SERVICE]))
+    gateways = Gateways(record, ports)
+    stack.callback(gateways.close)
+    await gateways.start_all()
+    sessions = [f"{0xE4400000 + n:x}" for n in range(SESSIONS)]
+
+    def callers(some):
+        return [Caller(record, gateways, each, n % 2) for n, each in enumerate(some)]
+
+    for some in (sessions[:4], sessions[4:]):
+        first = callers(some)
+        await asyncio.gather(*(caller.read() for caller in first))
+        if not all(caller.is_whole for caller in first):
+            raise CannotRun("the first streams of the sessions were not served")
+    await store.put("servers/i-near", near.entry())
+    await asyncio.sleep(1.5)
+    second = callers(sessions)
+    reading = asyncio.gather(*(caller.read() for caller in second))
+    await asyncio.sleep(1.5)
     if is_troubled():
-        await store.come_up()
-        await store.put(f"servers/{upgraded.name}", upgraded.entry())
-    answers = await asyncio.gather(*streams)
-    mixed = sum(len(versions_of(answer)) > 1 for answer in answers)
-    good = sum(answer.status == 200 and answer.is_complete for answer in answers)
-    record("checked", streams=len(answers), complete=good, of_two_versions=mixed)
-    if good < len(answers) // 2:
-        raise CannotRun(f"only {good} streams were served")
+        record("zone", without_power="z1", seconds=DARK_SECONDS)
+        for number in range(len(ports)):
+            gateways.signal(number, signal.SIGKILL)
+        near.end()
+        for process in gateways.processes:
+            process.wait()
+        await asyncio.sleep(DARK_SECONDS - 0.3)
+        await near.start_again()
+        await store.put("servers/i-near", near.entry())
+        for number in range(len(ports)):
+            gateways.start(number)
+    await reading
+    mixed = sum(len(set(caller.versions)) > 1 for caller in second)
+    whole = sum(caller.is_whole for caller in second)
+    begun = sum(bool(caller.versions) for caller in second)
+    record("checked", streams=begun, complete=whole, of_two_versions=mixed)
+    if begun < len(second):
+        raise CannotRun(f"only {begun} streams began")
     return mixed > 2
 
 
--- a/review/standins2.py
+++ b/review/standins2.py
@@ -25,6 +25,8 @@
 HOST = "shop.example"
 KEY = "key-of-tenant-one"
 TENANT = "tenant-one"
+# As the configuration states for the engines of a service.
+TOKENS_PER_EVENT = 4
 BOUNDS = {
     "seedLagS": 3,
     "reuseDelayS": 2,
@@ -480,6 +482,29 @@
         """Do nothing; a script may fall silent or break the stream off here."""
 
 
+class EngineRunner(Runner):
+    """A runner that keeps the last parts of prompts, with what it has generated."""
+
+    def __init__(self, *args):
+        super().__init__(*args)
+        self.kept = {}
+
+    def held(self):
+        """Return the parts of prompts that the runner keeps."""
+        return [["", part, tokens, "m"] for part, tokens in self.kept.items()]
+
+    async def start_again(self, version=None):
+        """End, and start again with nothing kept."""
+        await super().start_again(version)
+        self.kept = {}
+
+    async def before_event(self, headers, number, writer):
+        """Keep what the request has read and generated so far."""
+        part, own = headers["x-prompt-prefix"].split(",")[-1].split(":")
+        tokens = int(own) + number * TOKENS_PER_EVENT
+        self.kept[part] = max(tokens, self.kept.get(part, 0))
+
+
 def make_route(prefix, kind, service, **terms):
     """Return a route of the configuration."""
     return {
@@ -508,7 +533,7 @@
         "linkMbps": 550000.0,
         "moves": True,
         "backups": True,
-        "stride": 4,
+        "stride": TOKENS_PER_EVENT,
         "most": 12,
         "pinMs": 4000.0,
         "holdMs": 2000.0,
