--- a/review/standins2.py
+++ b/review/standins2.py
@@ -460,6 +460,10 @@
             await self.stream(headers, writer)
             return
         await asyncio.sleep(self.work_s)
+        await self.answer(headers, writer)
+
+    async def answer(self, headers, writer):
+        """Write the answer of a plain request."""
         text = f"{self.name} {headers.get('x-request-id', '')}".encode()
         answer = [*self.answer_headers(headers), ("Content-Length", len(text))]
         writer.write(head_bytes(200, answer) + text)
