--- a/review/standins2.py
+++ b/review/standins2.py
@@ -352,6 +352,12 @@
         self.arrivals = []
         self.more_headers = []
         self.running = 0
+        self.places = None
+
+    async def listen(self):
+        """Accept connections; as many requests run at a time as there are slots."""
+        self.places = asyncio.Semaphore(self.slots)
+        await super().listen()
 
     def entry(self, state="ready"):
         """Return the runner's entry in the store, with the next sequence number."""
@@ -387,23 +393,27 @@
             headers = head[1]
             body = await read_body(reader, headers)
             if path == "/health":
-                answer = [("X-Instance-Id", self.name), ("Content-Length", 0)]
-                writer.write(head_bytes(200, answer))
+                # A status check waits for a place like any other request.
+                async with self.places:
+                    answer = [("X-Instance-Id", self.name), ("Content-Length", 0)]
+                    writer.write(head_bytes(200, answer))
             elif path == "/api/report":
                 self._write_json(writer, self.report())
             elif path == "/api/kv-list":
-                content = {"epoch": 1, "next": 1, "held": self.held()}
+                # The epoch changes at a restart.
+                content = {"epoch": self.born, "next": 1, "held": self.held()}
                 self._write_json(writer, content | {"born": self.born})
             elif headers.get("x-expect-instance", self.name) != self.name:
                 answer = [("X-Instance-Id", self.name), ("Content-Length", 0)]
                 answer.append(("X-Request-Id", headers.get("x-request-id", "")))
                 writer.write(head_bytes(421, answer))
             else:
-                self.running += 1
-                try:
-                    await self.handle(method, path, headers, body, writer)
-                finally:
-                    self.running -= 1
+                async with self.places:
+                    self.running += 1
+                    try:
+                        await self.handle(method, path, headers, body, writer)
+                    finally:
+                        self.running -= 1
             await writer.drain()
 
     def held(self):
@@ -436,6 +446,7 @@
         return [
             ("X-Request-Id", headers.get("x-request-id", "")),
             ("X-Response-Seal", f"seal-{self.name}-{self.version}"),
+            ("X-Weight-Versions", 1),
             *self.more_headers,
         ]
 
