Count ended targets among those that may have begun a stream

Cause: gateways that have just started know no origins and ask engines what they keep. A target that keeps nothing counted as proof that it did not begin the stream, although it speaks of its present start only. Former starts were known from the gateway's own readings, of which a new process has none.

Evidence: the log line "targets asked for the prompt of a stream" names the one target that kept the prompt, from an earlier request of the session, and no replaced ones. test_a_stream_of_a_target_that_ended_does_not_go_on_at_another_version fails in all three cases (same id, another id, another version) without the reading of former starts.

Why it works: the store keeps its changes for some seconds. Starts that ended since the stream can have begun are read from there and count as possible origins, of unknown version where their last report is discarded. A start that ended, or reported that it leaves, before the stream can have begun does not count, nor one for which every holder of the prompt is so young that it cannot keep an earlier request of the session.

--- a/almondglade/feed.py
+++ b/almondglade/feed.py
@@ -48,11 +48,14 @@
     ----------
     is_readable : bool
         False if the entry of the target cannot be decoded.
+    is_first : bool
+        Whether the target was not listed before.
     """
 
     target: str
     record: TargetRecord | None
     is_readable: bool = field(default=True, kw_only=True)
+    is_first: bool = field(default=False, kw_only=True)
 
 
 Update = CatalogueUpdate | EvacuationUpdate | TargetUpdate
--- a/almondglade/gateway/app.py
+++ b/almondglade/gateway/app.py
@@ -153,6 +153,7 @@
             route.weight_by_service,
             caller_headers,
             min(service.tokens_per_event for service in terms),
+            route.timeout,
         )
 
     def _find_origin(self, route, caller_headers, request_id):
--- a/almondglade/gateway/node.py
+++ b/almondglade/gateway/node.py
@@ -45,6 +45,7 @@
 from .relaying import RelayPeers
 from .scheduling import GatewayScheduler
 from .suspects import SuspectTracker
+from .targethistory import TargetHistory
 from .targetlimits import LimitTracker
 from .targetstarts import TargetStarts
 
@@ -230,6 +231,12 @@
             self.registry.known_targets,
             engines.read_parts,
             self.clock,
+            TargetHistory(
+                self.store.read_target_changes,
+                self.registry,
+                settings.report_interval,
+                self.clock,
+            ).former_starts,
         )
         app_options = (
             settings.instance,
--- a/almondglade/gateway/originsearch.py
+++ b/almondglade/gateway/originsearch.py
@@ -8,15 +8,19 @@
 """
 
 import itertools
+import math
 import threading
-from collections.abc import Mapping
+import time
+from collections.abc import Callable, Mapping, Sequence
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 
 from ..catalogue import TargetRecord
 from ..errors import PlatformError
 from ..log import get_logger
+from ..placement.formerstarts import FormerStart, possible_starts
 from ..placement.origins import infer_origin
+from .targethistory import CLOCK_STEP_SECONDS, MILLISECONDS_PER_SECOND
 
 log = get_logger("origins")
 
@@ -48,21 +52,38 @@
         Takes a `TargetRecord` and returns the tokens that it keeps by part.
     clock : callable
         Returns monotonic seconds.
+    former_starts : callable
+        Takes the listed targets and a number of seconds, and returns the
+        `FormerStart`s that ended within that time.
+    time_of_day : callable
+        Returns Unix seconds.
     """
 
-    def __init__(self, read_listed, known_targets, read_parts, clock):
+    def __init__(
+        self,
+        read_listed,
+        known_targets,
+        read_parts,
+        clock,
+        former_starts: Callable[..., Sequence[FormerStart]] = lambda listed, age: (),
+        time_of_day=time.time,
+    ):
         self.read_listed = read_listed
         self.known_targets = known_targets
         self.read_parts = read_parts
         self.clock = clock
+        self.former_starts = former_starts
+        self.time_of_day = time_of_day
         self._asking = threading.Lock()
         # What the platform listed last, None if it did not tell, and since when.
         self._listed: list[TargetRecord] | None = None
         self._listed_since = float("-inf")
+        # The former starts of what was listed last, by their longest age.
+        self._former_by_age: dict[float, Sequence[FormerStart] | None] = {}
         self._listing_by_incarnation: dict[tuple[str, int], Listing] = {}
         self._executor: ThreadPoolExecutor | None = None
 
-    def infer(self, services, caller_headers, tokens_per_event):
+    def infer(self, services, caller_headers, tokens_per_event, max_age=math.inf):
         """Return the `StreamOrigin` that the targets' memory proves, or None.
 
         All targets that may have begun the stream are asked, as another one may keep
@@ -76,6 +97,8 @@
             Of the request that takes it up; it names the parts of its prompt.
         tokens_per_event : float
             Tokens in one event of the stream.
+        max_age : float
+            Longest time in seconds for which callers wait for a stream.
         """
         needed = tokens_of_origin(caller_headers, tokens_per_event)
         if needed is None:
@@ -83,6 +106,9 @@
         records, replaced = self._possible_targets(services, self.clock())
         if not 0 < len(records) <= MAX_ASKED_TARGETS:
             return None
+        former = self._former_starts(max_age)
+        if former is None:
+            return None
         own_part = caller_headers.prompt_parts[-1]
         kept_by_target = self._ask(records, own_part)
         holders = [r for r in records if (kept_by_target[r.id] or 0) >= needed]
@@ -91,7 +117,15 @@
         doubtful = [
             r for r in records if kept_by_target[r.id] != 0 and r not in holders
         ]
-        origin = infer_origin(holders, doubtful + replaced)
+        told = {r.incarnation for r in records if kept_by_target[r.id] is not None}
+        ended = possible_starts(
+            (start for start in former if _may_serve(start, services, told)),
+            self._earliest_begin(caller_headers.time_limit or 0.0, max_age),
+            min((holder.started_at for holder in holders), default=0),
+        )
+        origin = infer_origin(
+            holders, [*doubtful, *replaced, *(start.record for start in ended)]
+        )
         log.info(
             "targets asked for the prompt of a stream",
             request=caller_headers.request_id,
@@ -101,11 +135,22 @@
             kept={name: kept for name, kept in kept_by_target.items() if kept},
             silent=[name for name, kept in kept_by_target.items() if kept is None],
             replaced=[record.id for record in replaced],
+            ended={start.target: start.version for start in ended},
             asked=len(records),
             version=origin.version if origin else None,
         )
         return origin
 
+    def _earliest_begin(self, time_limit, max_age):
+        """Return the Unix milliseconds before which a stream has not begun.
+
+        A caller states the time that is left to it, or what it waits for each attempt.
+        """
+        if time_limit > max_age:
+            return -math.inf
+        age = max(time_limit, max_age - time_limit) + CLOCK_STEP_SECONDS
+        return (self.time_of_day() - age) * MILLISECONDS_PER_SECOND
+
     def _possible_targets(self, services, requested_at):
         """Return the targets that may have begun a stream.
 
@@ -125,6 +170,7 @@
             if self._listed_since < requested_at:
                 self._listed_since = self.clock()
                 self._listed = self._read_listed()
+                self._former_by_age = {}
             listed = self._listed
         if listed is None:
             return [], []
@@ -149,6 +195,20 @@
             log.info("list of targets not read", cause=str(error))
             return None
 
+    def _former_starts(self, max_age):
+        """Return the `FormerStart`s of the last list, or None if they are not known."""
+        with self._asking:
+            if max_age not in self._former_by_age:
+                self._former_by_age[max_age] = self._read_former_starts(max_age)
+            return self._former_by_age[max_age]
+
+    def _read_former_starts(self, max_age):
+        try:
+            return self.former_starts(self._listed, max_age)
+        except PlatformError as error:
+            log.info("changes of the list of targets not read", cause=str(error))
+            return None
+
     def _ask(self, records, part):
         """Return the tokens that targets keep of a part, by target.
 
@@ -185,6 +245,20 @@
             return None
 
 
+def _may_serve(start, services, told):
+    """Return whether a former start may have run requests of some services.
+
+    Parameters
+    ----------
+    told : collection of (str, int)
+        Incarnations of the targets that have told what they keep.
+    """
+    record = start.record
+    return record is None or (
+        record.service in services and record.incarnation not in told
+    )
+
+
 def tokens_of_origin(caller_headers, tokens_per_event):
     """Return how many tokens of the last part the origin of a stream keeps at least.
 
--- a/almondglade/gateway/registry.py
+++ b/almondglade/gateway/registry.py
@@ -1,6 +1,7 @@
 """What the platform has published, as far as this gateway knows."""
 
 import threading
+from collections import deque
 from collections.abc import Mapping
 from dataclasses import dataclass
 from functools import singledispatchmethod
@@ -15,6 +16,8 @@
 RELIST_SECONDS = 2.2
 # How long a dropped target is remembered, so that an older copy does not list it again.
 DROPPED_RETENTION_SECONDS = 60.0
+# Readings of which the time is remembered.
+MAX_READINGS = 512
 
 
 @dataclass(frozen=True)
@@ -70,6 +73,8 @@
         self._is_written_again = False
         self._listed_position = (0, 0)
         self._missing_since: dict[str, float] = {}
+        # Times of the readings, with the era and the revision up to which they went.
+        self._readings: deque[tuple[float, int, int]] = deque(maxlen=MAX_READINGS)
         self._lapsed_evacuations: set[str] = set()
         self._dropped_by_target: dict[str, DroppedTarget] = {}
         # Position (era and revision) of the newest update of each.
@@ -85,6 +90,24 @@
         """Era and revision up to which the store was read."""
         return (self.era or 0, self.revision)
 
+    def revision_at(self, time):
+        """Return a revision of the present era that the store had at a time.
+
+        Returns
+        -------
+        int or None
+            None if nothing was read by then.
+        """
+        with self._lock:
+            return max(
+                (
+                    revision
+                    for read_at, era, revision in self._readings
+                    if read_at <= time and era == self.era
+                ),
+                default=None,
+            )
+
     def newest_listed_version(self):
         """Return the version in force if the store proves that it is the newest.
 
@@ -124,6 +147,7 @@
                 self._begin_era(batch)
             self.era = batch.era
             self.revision = max(self.revision, batch.revision)
+            self._readings.append((self.clock(), batch.era, self.revision))
             is_copy = batch.is_from_store and self._is_first_of_era(batch)
             for update in batch.updates:
                 era = batch.era if update.era is None else update.era
--- a/almondglade/gateway/settings.py
+++ b/almondglade/gateway/settings.py
@@ -111,6 +111,8 @@
     capacity : float
         Relative capacity of processor and network link; the instances with the
         highest capacity become coordinators.
+    report_interval : float
+        Seconds from one report of a target to the next.
     machine : Machine or None
         What is declared of the machine's processor and link; None if nothing is.
     features : Features
@@ -131,6 +133,7 @@
     memory_bytes: int = 150 << 20
     max_files: int = 4096
     capacity: float = 0.0
+    report_interval: float = 1.2
     machine: Machine | None = None
     bounds: Bounds = Bounds()
     features: Features = DEFAULT_FEATURES
--- a/almondglade/placement/origins.py
+++ b/almondglade/placement/origins.py
@@ -29,9 +29,12 @@
     ----------
     holders : iterable of TargetRecord
         Targets that keep all that the origin of the stream has read and generated.
-    doubtful : iterable of TargetRecord
-        Other targets that may have begun it.
+    doubtful : iterable of TargetRecord or None
+        Other targets that may have begun it; None for one of which nothing is known.
     """
+    doubtful = list(doubtful)
+    if None in doubtful:
+        return None
     known = {StreamOrigin(record.service, record.version) for record in holders}
     possible = known | {
         StreamOrigin(record.service, record.version) for record in doubtful
--- a/almondglade/platform/settings.py
+++ b/almondglade/platform/settings.py
@@ -80,6 +80,7 @@
     internal_ports: tuple[int, int] = Field(alias="internalPorts")
     seeds: list[str] = Field([], alias="seedNodes")
     first_start: bool = Field(False, alias="bootstrap")
+    report_interval_ms: float = Field(1200, alias="heartbeatMs")
     listen: _Listen
     limits: _Limits
     bounds: _Bounds = Field(default_factory=lambda: _Bounds.model_validate({}))
@@ -132,6 +133,7 @@
         memory_bytes=parsed.limits.memory_mb << 20,
         max_files=parsed.limits.max_files,
         capacity=parsed.limits.capacity,
+        report_interval=parsed.report_interval_ms / MILLISECONDS_PER_SECOND,
         machine=parsed.limits.machine,
         bounds=Bounds(
             contact=bounds.contact_ms / MILLISECONDS_PER_SECOND,
--- a/almondglade/platform/store.py
+++ b/almondglade/platform/store.py
@@ -83,6 +83,38 @@
         updates = self.decode_items(items, response["era"])
         return [update.record for update in updates if update.record is not None]
 
+    def read_target_changes(self, after, until, era):
+        """Return the changes of the list of targets after a revision.
+
+        Like `read_targets`, this may be called in any thread.
+
+        Parameters
+        ----------
+        after, until : int
+            Revisions; the changes go on to the second one at least.
+        era : int
+            Era in which they count.
+
+        Returns
+        -------
+        list of TargetUpdate
+            In their order.
+
+        Raises
+        ------
+        HistoryLostError
+            If the changes are no longer available.
+        PlatformError
+            If the store cannot be reached or its response is invalid.
+        """
+        changes: list = []
+        while True:
+            response = self.connection.watch(TARGET_PREFIX, after, 0.0, era)
+            changes += self.decode_items(response["events"], era)
+            if response["at"] >= until or not response["events"]:
+                return changes
+            after = response["at"]
+
     def watch(self, revision, wait):
         """Return a `Batch` of the changes after a revision, once there are any.
 
@@ -171,4 +203,5 @@
             return TargetUpdate(
                 revision, name, None, era=origin["era"], is_readable=False
             )
-        return TargetUpdate(revision, name, record, **origin)
+        is_first = item.get("createdAt") == revision
+        return TargetUpdate(revision, name, record, is_first=is_first, **origin)
--- a/standin/platform.py
+++ b/standin/platform.py
@@ -32,8 +32,25 @@
     other_items_by_key: dict[str, tuple[bytes | None, int]] = field(
         default_factory=dict
     )
+    created_by_key: dict[str, int] = field(default_factory=dict)
+    history: tuple[dict, ...] = ()
     era: int | None = None
 
+    def change_item(self, key, value, revision):
+        """Return the contents after an item was written, or removed (value is None)."""
+        if value is None:
+            created = {k: v for k, v in self.created_by_key.items() if k != key}
+            event = {"key": key, "revision": revision, "deleted": True}
+        else:
+            created = {key: revision} | self.created_by_key
+            event = _make_item(key, value, revision, created[key])
+        return replace(
+            self,
+            other_items_by_key=self.other_items_by_key | {key: (value, revision)},
+            created_by_key=created,
+            history=(*self.history, event),
+        )
+
     @property
     def revision(self):
         """Revision of the latest change."""
@@ -51,23 +68,30 @@
             if value is not None
         ]
         return [
-            {
-                "key": key,
-                "value": base64.b64encode(value).decode(),
-                "revision": revision,
-                "createdAt": 1,
-                "lease": 0,
-            }
+            _make_item(key, value, revision, self.created_by_key.get(key, 1))
             for key, value, revision in items
         ]
 
-    def deletions(self):
-        """Return the deleted items in the format of watch events."""
-        return [
-            {"key": key, "revision": revision, "deleted": True}
-            for key, (value, revision) in self.other_items_by_key.items()
-            if value is None
+    def changes(self, after):
+        """Return what was written after a revision, in the format of watch events."""
+        written = [
+            item for item in self.items() if item["key"] not in self.other_items_by_key
         ]
+        events = [*written, *self.history]
+        return sorted(
+            (event for event in events if event["revision"] > after),
+            key=lambda event: event["revision"],
+        )
+
+
+def _make_item(key, value, revision, created):
+    return {
+        "key": key,
+        "value": base64.b64encode(value).decode(),
+        "revision": revision,
+        "createdAt": created,
+        "lease": 0,
+    }
 
 
 @dataclass(frozen=True)
@@ -152,9 +176,9 @@
         def changes():
             contents = self._visible_contents(caller)
             return [
-                item
-                for item in contents.items() + contents.deletions()
-                if item["key"].startswith(pathPrefix) and item["revision"] > int(after)
+                event
+                for event in contents.changes(int(after))
+                if event["key"].startswith(pathPrefix)
             ]
 
         timeout = min(int(waitMs) / 1000, MAX_WATCH_SECONDS)
@@ -218,16 +242,12 @@
                         instances_revision=self.revision,
                     )
                 case "item":
-                    self.contents = replace(
-                        self.contents,
-                        other_items_by_key=self.contents.other_items_by_key
-                        | {query["key"]: (body, self.revision)},
+                    self.contents = self.contents.change_item(
+                        query["key"], body, self.revision
                     )
                 case "removal":
-                    self.contents = replace(
-                        self.contents,
-                        other_items_by_key=self.contents.other_items_by_key
-                        | {query["key"]: (None, self.revision)},
+                    self.contents = self.contents.change_item(
+                        query["key"], None, self.revision
                     )
                 case "copy":
                     self._copy = self.contents
--- a/test/test_rejoined_streams.py
+++ b/test/test_rejoined_streams.py
@@ -2,8 +2,10 @@
 
 import contextlib
 import itertools
+import math
 import time
 from dataclasses import replace
+from types import SimpleNamespace
 
 import orjson
 import pytest
@@ -11,13 +13,24 @@
 from almondglade.catalogue import TargetRecord
 from almondglade.dispatch.call import NotSentError
 from almondglade.errors import PlatformError
+from almondglade.feed import Batch, TargetUpdate
 from almondglade.gateway.originsearch import MAX_ASKED_TARGETS, OriginSearch
+from almondglade.gateway.registry import Registry
+from almondglade.gateway.targethistory import TargetHistory
 from almondglade.gateway.targetstarts import (
     MAX_LIST_AGE_SECONDS,
     VALIDITY_SECONDS,
     TargetStarts,
 )
+from almondglade.placement.formerstarts import (
+    LEAVING_NOTICE_MS,
+    SESSION_MS,
+    FormerStart,
+    find_former_starts,
+    possible_starts,
+)
 from almondglade.placement.origins import StreamOrigin, infer_origin
+from almondglade.platform.connection import HistoryLostError
 from almondglade.platform.engines import EngineClient
 from almondglade.platform.front import parse_caller_headers
 
@@ -80,6 +93,10 @@
         yield [stack.enter_context(RememberingTarget(version)) for version in versions]
 
 
+def unix_ms():
+    return time.time_ns() // 1_000_000
+
+
 def prompt_of(number):
     return f"5c1e07a2:800,{0xE4400000 + number:x}:{OWN_TOKENS}"
 
@@ -105,8 +122,8 @@
     fleet.wait_until_ready()
 
 
-def resume_stream(fleet, address, number):
-    return call_until_run(
+def resume_stream(fleet, address, number, call=call_until_run):
+    return call(
         fleet,
         "/stream/1",
         address,
@@ -293,6 +310,40 @@
     assert not asked
 
 
+# A target that began streams lost power with all gateways. Those that had just started
+# took the version of another, which kept an earlier request, for that of the streams.
+@pytest.mark.parametrize("successor", ["the same id", "another id", "another version"])
+def test_a_stream_of_a_target_that_ended_does_not_go_on_at_another_version(
+    tmp_path, targets, successor
+):
+    old, new = targets[0], targets[2]
+    with GatewayFleet(tmp_path, count=2) as fleet:
+        start_fleet(fleet, [], max_attempts=1, terms=ENGINE)
+        since = {"born": unix_ms() - 60_000, "sequence": 51}
+        fleet.list_target("t1", old, version=old.version, **since)
+        fleet.list_target("t2", new, version=new.version, **since)
+        wait_until_listed(fleet, 2)
+        begin_streams(fleet, [old, new])
+        parts = [f"{0xE4400000 + number:x}" for number in range(STREAMS)]
+        old.held |= dict.fromkeys(parts, 2 * OWN_TOKENS)
+        new.held.clear()
+        name = "t3" if successor == "another id" else "t2"
+        version = "v1.3" if successor == "another version" else new.version
+        if successor == "another id":
+            fleet.remove("servers/t2")
+        new.start_again(version)
+        new.started_at = unix_ms()
+        start = {"born": new.started_at, "sequence": 1}
+        fleet.list_target(name, new, version=version, **start)
+        lose_all_gateways(fleet)
+        statuses = [
+            resume_stream(fleet, fleet.addresses[number % 2], number, GatewayFleet.call)
+            for number in range(STREAMS)
+        ]
+    assert statuses == [503] * STREAMS
+    assert not [request for target in targets for request in target.resumed]
+
+
 # The same at a gateway that reaches neither the store nor a peer. The stream went on at
 # the version that it knew.
 def test_a_stream_of_a_version_that_joined_unnoticed_does_not_go_on_at_another(
@@ -383,3 +434,134 @@
     starts, asked = make_starts(0.5 * MAX_LIST_AGE_SECONDS)
     starts.check(listed)
     assert not asked
+
+
+def change(revision, name, version=None, started_at=0, sequence=1, **options):
+    """Return a `TargetUpdate`; without a version, the target was removed."""
+    entry = None
+    if version is not None:
+        entry = replace(
+            record(name, version),
+            started_at=started_at,
+            sequence=sequence,
+            leaving=options.pop("leaving", False),
+        )
+    return TargetUpdate(revision, name, entry, **options)
+
+
+def former_versions(changes, listed=(), begun_after=1000.0):
+    starts = find_former_starts(changes, listed, begun_after, 1.0)
+    return {start.target: (start.version, start.until) for start in starts}
+
+
+def test_a_start_ends_with_the_next_one_under_its_id_or_with_its_removal():
+    changes = [
+        change(5, "t1", "v2", 2000, is_first=True),
+        change(6, "t2", "v1", 2100, is_first=True),
+        change(7, "t1", "v2", 9000),
+        change(8, "t2"),
+        change(9, "t3", "v1", 9500, is_first=True),
+    ]
+    assert former_versions(changes) == {"t1": ("v2", 9000), "t2": ("v1", 9500)}
+
+
+def test_of_a_start_whose_reports_are_discarded_the_version_is_not_known():
+    changes = [change(7, "t1", "v2", 9000), change(8, "t2")]
+    young = replace(record("t3", "v1"), started_at=5000)
+    old = replace(record("t4", "v1"), started_at=500)
+    assert former_versions(changes, [young, old]) == {
+        "t1": (None, 9000),
+        "t2": (None, math.inf),
+        "t3": (None, math.inf),
+    }
+
+
+def test_a_target_that_is_listed_again_has_not_ended():
+    changes = [
+        change(5, "t1", "v1", 2000, 3),
+        change(6, "t1"),
+        change(7, "t1", "v1", 2000, 9, is_first=True),
+        change(8, "t2"),
+        change(9, "t2", "v1", 500, 90, is_first=True),
+    ]
+    assert former_versions(changes) == {"t1": (None, 2000 + 2000)}
+
+
+def test_no_stream_begins_at_a_target_that_has_reported_that_it_leaves():
+    changes = [
+        change(5, "t1", "v1", 2000, is_first=True),
+        change(6, "t1", "v1", 2000, 5, leaving=True),
+        change(7, "t1"),
+    ]
+    assert former_versions(changes) == {"t1": ("v1", 6000 + LEAVING_NOTICE_MS)}
+
+
+def test_reports_of_a_target_that_does_not_count_them_date_nothing():
+    changes = [
+        change(5, "t1", "v1", 9000, is_first=True),
+        change(6, "t1"),
+        change(7, "t2", "v1", 2000, 2),
+    ]
+    assert former_versions(changes, begun_after=3000.0) == {"t1": ("v1", math.inf)}
+
+
+def test_a_target_that_started_after_another_had_its_last_stream_kept_no_session():
+    former = [FormerStart("t1", record("t1", "v1"), 5000.0)]
+    assert possible_starts(former, 1000.0, 5000.0 - SESSION_MS) == former
+    assert not possible_starts(former, 1000.0, 5001.0 - SESSION_MS)
+    assert not possible_starts(former, 5001.0, 0.0)
+
+
+class DiscardedChanges:
+    """A store whose changes up to a revision are discarded."""
+
+    def __init__(self, oldest):
+        self.oldest = oldest
+        self.calls = []
+
+    def read(self, after, until, era):
+        self.calls.append(after)
+        if after < self.oldest:
+            raise HistoryLostError("discarded")
+        return [change(n, "t1", "v1", n) for n in range(after + 1, until + 1)]
+
+
+@pytest.mark.parametrize("oldest", [0, 1, 37, 99, 100])
+def test_all_changes_that_the_store_still_has_are_found(oldest):
+    store, registry = DiscardedChanges(oldest), Registry(lambda: 50.0)
+    registry.apply_batch(Batch((), 100, True, 0.0))
+    history = TargetHistory(store.read, registry, 1.0, lambda: 50.0, lambda: 0.0)
+    former = history.former_starts([], 10.0)
+    assert len(former) == 100 - oldest
+    assert len(store.calls) <= 9
+    store.calls.clear()
+    history.former_starts([], 10.0)
+    assert store.calls == [oldest]
+
+
+def test_changes_before_a_reading_that_is_old_enough_are_not_needed():
+    clock = SimpleNamespace(now=0.0)
+    store, registry = DiscardedChanges(0), Registry(lambda: clock.now)
+    registry.apply_batch(Batch((), 40, True, 0.0))
+    clock.now = 5.0
+    registry.apply_batch(Batch((), 60, False, 0.0))
+    clock.now = 13.0
+    history = TargetHistory(store.read, registry, 1.0, lambda: clock.now)
+    history.former_starts([], 10.0)
+    assert store.calls == [40]
+    store.oldest = 41
+    with pytest.raises(PlatformError):
+        history.former_starts([], 10.0)
+
+
+def test_nothing_is_inferred_while_the_former_starts_of_targets_are_not_known():
+    search, asked = make_search({"t1": {"aa": 200}})
+
+    def fail(listed, max_age):
+        raise PlatformError("the store cannot be reached")
+
+    search.former_starts = fail
+    assert infer(search, "bb:10,aa:100") is None
+    assert not asked
+    search.former_starts = lambda listed, max_age: [FormerStart("t2", None)]
+    assert infer(search, "bb:10,aa:200") is None
