Use granted slots only for requests of the start that asked for them

Cause: each process numbered its waiting requests from 1. The coordinator kept those of the former process, and sent its unconfirmed grants to the new one, where they went to whichever request had the number by then.

Evidence: the log of such a booking says service ledger, target i-0, which is of the other service, number 2, 7 ms after its arrival. Three tests fail before: on the numbers, on the service and on the coordinator.

Why it works: the numbers begin at a random number at each start, so that a message about a request of an earlier start names none of this one, also if it comes from a coordinator of the release before. The same numbers name booked returns and their claims. A coordinator forgets what it granted to a former start. Besides, no request is sent to a target of another service.

--- a/almondglade/gateway/dispatching.py
+++ b/almondglade/gateway/dispatching.py
@@ -72,6 +72,8 @@
         self.record = record = scheduler.record_for(self.ticket.target)
         if record is None:
             raise NotSentError("the target takes no new work")
+        if record.service != request.service:
+            raise NotSentError("the target is of another service")
         if request.version not in ("", record.version):
             raise NotSentError("the target has another software version")
         if request.version:
--- a/almondglade/gateway/exchange.py
+++ b/almondglade/gateway/exchange.py
@@ -266,15 +266,23 @@
         return delay
 
     def _note_incarnation(self, report):
-        """Forget which grants of a peer were received before it started again.
+        """Forget what concerned a peer's former start if it has started again.
 
-        Their numbers follow its clock, which may have been set back.
+        The numbers of its grants follow its clock, which may have been set back. Its
+        requests have ended, and so have the slots that were granted to them.
         """
         former = self._incarnation_by_peer.get(report.instance)
         self._incarnation_by_peer[report.instance] = report.incarnation
         if former not in (None, report.incarnation):
             self.pools.latest_grant_by_coordinator.pop(report.instance, None)
             self.pools.returns.forget(report.instance)
+            self.pools.fleet.forget(report.instance)
+            log.info(
+                "peer has started again",
+                peer=report.instance,
+                incarnation=report.incarnation,
+                former=former,
+            )
 
     def _answer_batch(self):
         self._is_batch_scheduled = False
--- a/almondglade/placement/fleetload.py
+++ b/almondglade/placement/fleetload.py
@@ -79,6 +79,13 @@
         for ticket in load.tickets:
             self._tickets_by_cell[ticket.cell].pop((peer, ticket.number), None)
 
+    def forget(self, peer):
+        """Remove the load of a peer that has started again, and the grants to it."""
+        self.remove(peer)
+        for key in list(self._unconfirmed_grant_by_request):
+            if key[0] == peer:
+                self._drop_grant(key)
+
     def expire(self, now):
         """Remove the loads of silent peers, and grants not confirmed in time."""
         silent = [
--- a/almondglade/placement/places.py
+++ b/almondglade/placement/places.py
@@ -100,8 +100,8 @@
     due_at: float = float("inf")
 
     def accepts(self, record):
-        """Return whether a target has the software version that it needs."""
-        return self.version in ("", record.version)
+        """Return whether a target is of its service and has the version it needs."""
+        return self.service == record.service and self.version in ("", record.version)
 
     @property
     def cell(self):
--- a/almondglade/placement/queue.py
+++ b/almondglade/placement/queue.py
@@ -5,6 +5,7 @@
 """
 
 import itertools
+import random
 from collections import Counter
 from functools import partial
 
@@ -22,6 +23,8 @@
 HOLD_WEIGHT = 0.05
 # Mean time for which a slot is held, before there are samples.
 INITIAL_HOLD_SECONDS = 0.5
+# Bits of the random number after which the requests of one start are numbered.
+NUMBER_BASE_BITS = 31
 
 
 class SlotQueue:
@@ -38,6 +41,10 @@
     grant_number_base : int
         Grants are numbered from the next number on; must be higher after each
         restart.
+    request_number_base : int or None
+        Requests and bookings are numbered from the next number on. Drawn at random if
+        None, so that what peers still hold of an earlier start of this instance names
+        no request of this one.
 
     Attributes
     ----------
@@ -61,7 +68,16 @@
         What targets say of their load at this moment.
     """
 
-    def __init__(self, instance, data_centre, selector, grant_number_base=0):
+    def __init__(
+        self,
+        instance,
+        data_centre,
+        selector,
+        grant_number_base=0,
+        request_number_base=None,
+    ):
+        if request_number_base is None:
+            request_number_base = random.getrandbits(NUMBER_BASE_BITS)
         self.data_centre = data_centre
         self.selector = selector
         self.instance = instance
@@ -75,13 +91,13 @@
         self.shares = FairShares()
         self.response_times = ResponseTimes()
         self.is_full_mesh = True
-        self.returns = ReturnCalendar(instance)
+        self.returns = ReturnCalendar(instance, request_number_base)
         self.on_new_term = lambda: None
         self.tickets_by_service: dict[str, list[Ticket]] = {}
         self.hold_seconds_by_service: dict[str, float] = {}
         self.latest_grant_by_coordinator: dict[str, int] = {}
         self._recent_waits = RecentWaits()
-        self._numbers = itertools.count(1)
+        self._numbers = itertools.count(request_number_base + 1)
         self._grant_numbers = itertools.count(grant_number_base + 1)
 
     def set_targets(self, records):
--- a/almondglade/placement/returns.py
+++ b/almondglade/placement/returns.py
@@ -121,16 +121,18 @@
     ----------
     instance : str
         This instance.
+    number_base : int
+        Bookings are numbered from the next number on.
     """
 
-    def __init__(self, instance):
+    def __init__(self, instance, number_base=0):
         self.instance = instance
         self.rates = GrantRates()
         self._bookings_by_key: dict[tuple[str, int], list[Booking]] = {}
         self._own: deque[Booking] = deque()
         self._known_numbers_by_owner: dict[str, dict[int, Booking]] = {}
         self._recent_counts: dict[tuple[str, tuple[int, ...]], tuple[int, float]] = {}
-        self._numbers = itertools.count(1)
+        self._numbers = itertools.count(number_base + 1)
 
     def book(self, ticket, earliest_seconds, now):
         """Book room for a refused request, if there is some that its caller can use.
--- a/test/test_late_messages.py
+++ b/test/test_late_messages.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import threading
+from dataclasses import replace
 from types import SimpleNamespace
 
 import pytest
@@ -20,6 +21,7 @@
     Report,
     SuspectEvidence,
     SuspectReport,
+    WaitingRequest,
 )
 from almondglade.gossip.receipts import MAX_BACKLOG_SECONDS, ReceiptTimes
 from almondglade.metrics import Metrics
@@ -27,7 +29,7 @@
 from almondglade.placement.fleetload import GRANT_EXPIRY_SECONDS
 from almondglade.placement.suspects import Suspicion
 
-from .placing import record, ticket
+from .placing import SERVICE, record, ticket
 from .test_cells import make_exchange
 from .test_fleet import FakeExchange
 
@@ -186,6 +188,28 @@
     assert receipts.sent_at(10.2) == 10.0
 
 
+# A coordinator sent them to the next start, whose requests had the same numbers, and
+# counted their slots as taken.
+def test_grants_to_a_peer_that_has_started_again_are_not_sent_again():
+    exchange, _ = make_exchange("e1", "north", {"e2": InstanceInfo("north")})
+    sent = []
+    exchange.gossip = SimpleNamespace(
+        call_later=lambda seconds, callback: callback(),
+        send_soon=lambda peers, message: sent.append(message),
+    )
+    exchange.pools.is_full_mesh = True
+    exchange.pools.set_targets([record("t1", "north", 1), record("t2", "north", 1)])
+    granted = ticket(owner="e2", number=7, target="t1")
+    exchange.pools.fleet.add_grant(granted, 1, exchange.clock())
+    waiting = (WaitingRequest(7, SERVICE, (0, 0), 0.0, coordinator="e1"),)
+    report = Report("e2", "north", 1000, 1, waiting=waiting)
+    exchange.handle_report(report)
+    assert [grant.request for grant in sent.pop().grants] == [7]
+    exchange.handle_report(replace(report, incarnation=2000))
+    assert not sent.pop().grants
+    assert not exchange.pools.fleet.running_by_target
+
+
 # Each grant that lay unread put a request more on its target than it has slots.
 def test_a_grant_is_not_used_once_its_coordinator_may_have_given_the_slot_away():
     info_by_instance = {name: InstanceInfo("north") for name in ("e1", "e2")}
--- a/test/test_placement_pool.py
+++ b/test/test_placement_pool.py
@@ -171,6 +171,26 @@
     assert pools.apply_grant("e2", 6, entry.number, "t2") is entry
 
 
+# Bookings ran at the targets of another service, in the slots that a coordinator had
+# granted to requests which waited here before this instance was killed.
+def test_a_grant_to_a_former_start_is_not_used_by_a_request_of_this_one():
+    former, present = (make_pools(record("t1"), others=("e2",)) for _ in range(2))
+    entries = [ticket() for _ in range(5)]
+    for pools, entry in zip([former, *[present] * 4], entries, strict=True):
+        pools.enqueue(entry, 0.0)
+    lost, *waiting = entries
+    assert present.apply_grant("e2", 5, lost.number, "t1") is None
+    assert present.waiting_here() == waiting
+
+
+def test_a_grant_of_a_target_of_another_service_is_not_used():
+    pools = make_pools(record("t1"), replace(record("t2"), service="other"))
+    entry = ticket()
+    pools.enqueue(entry, 0.0)
+    assert pools.apply_grant("e2", 5, entry.number, "t2") is None
+    assert pools.apply_grant("e2", 6, entry.number, "t1") is entry
+
+
 def test_a_coordinator_grants_no_slots_on_targets_that_the_peer_pauses():
     pools = make_pools(record("t1"), record("t2"))
     report_load(pools, "e2", 0.0, [peer_ticket("e2", 1)], paused=["t1"])
