Take only a silence in which entries can expire for an outage

Cause: one call that failed counted as an outage of the store, in which entries of live targets expire. For 2.2 s after it, each removed entry was kept for another 2.2 s.

Evidence: the log has "store unreachable" and "store reachable" 0.1 s apart, and the target is dropped 2.2 s after its removal. test_a_target_that_is_removed_after_a_cut_watch_gets_no_requests fails before with processes, two more on the decisions.

Why it works: an entry expires after three missed reports, so that an outage lasts two report intervals at least. The silence is measured from the last answer of the store to this instance or a peer. What is missing after a real outage is kept until 2.2 s from its end.

--- a/almondglade/gateway/discovery.py
+++ b/almondglade/gateway/discovery.py
@@ -1,7 +1,14 @@
-"""Read and watch what the platform publishes in its store."""
+"""Read and watch what the platform publishes in its store.
 
+Load pattern: the store cuts a watch now and then, is away for seconds, or turns this
+instance away while it serves the others. The entries of live targets expire only in an
+outage that keeps their reports from it.
+"""
+
+import math
 import threading
 
+from ..clocks import boottime_clock
 from ..errors import PlatformError
 from ..log import get_logger
 from ..platform.connection import HistoryLostError
@@ -26,6 +33,9 @@
 MAX_COALESCE_SECONDS = 0.7
 MIN_BACKOFF_SECONDS = 0.1
 MAX_BACKOFF_SECONDS = 0.8
+# Entries expire after the time of three reports; the last one came before the outage,
+# by up to the time of one.
+MIN_EXPIRY_INTERVALS = 2
 
 
 class Discovery:
@@ -47,6 +57,10 @@
     evidence_age : callable
         Returns the seconds since the configuration in use was last known to be the
         newest, by this instance's calls or by a peer.
+    report_interval : float
+        Seconds from one report of a target to the next.
+    clock : callable
+        Returns seconds of a clock that also runs while the host is suspended.
 
     Attributes
     ----------
@@ -62,6 +76,8 @@
         rng,
         fleet_size=lambda: 1,
         evidence_age=lambda: 0.0,
+        report_interval=0.0,
+        clock=boottime_clock,
     ):
         self.store = store
         self.registry = registry
@@ -69,7 +85,10 @@
         self.rng = rng
         self.fleet_size = fleet_size
         self.evidence_age = evidence_age
+        self.report_interval = report_interval
+        self.clock = clock
         self.reachable = None
+        self._answered_at = -math.inf
         self._stopped = threading.Event()
         self._thread = threading.Thread(target=self._run, daemon=True)
 
@@ -122,9 +141,10 @@
             batch = self.store.watch(revision, self._watch_seconds())
         if not self.reachable:
             if self.reachable is False:
-                self.registry.note_store_recovered()
+                self._note_end_of_silence()
             self.reachable = True
             log.info("store reachable", revision=batch.revision)
+        self._answered_at = self.clock()
         if not self.registry.apply_batch(batch):
             raise PlatformError("the reading is of an earlier era")
         self.confirm(batch.as_of)
@@ -147,6 +167,21 @@
         pause = min(self.fleet_size() / FLEET_CALLS_PER_SECOND, MAX_COALESCE_SECONDS)
         return pause * self.rng.uniform(0.8, 1.0)
 
+    def _note_end_of_silence(self):
+        """Let targets list themselves again if the store may have been away for long.
+
+        It was not while it answered this instance or a peer.
+        """
+        silence = min(self.clock() - self._answered_at, self.evidence_age())
+        is_outage = silence >= MIN_EXPIRY_INTERVALS * self.report_interval
+        if is_outage:
+            self.registry.note_store_recovered()
+        log.info(
+            "store answers again",
+            silence=round(silence, 3) if math.isfinite(silence) else None,
+            entries_may_have_expired=is_outage,
+        )
+
     def _note_unreachable(self, error):
         if self.reachable is not False:
             log.warning("store unreachable", cause=str(error))
--- a/almondglade/gateway/node.py
+++ b/almondglade/gateway/node.py
@@ -211,6 +211,7 @@
             rng,
             lambda: self.gossip.max_instances_seen,
             self._evidence_age,
+            settings.report_interval,
         )
         self.exchange.peer_states = PeerStateReader(
             settings,
--- a/almondglade/gateway/registry.py
+++ b/almondglade/gateway/registry.py
@@ -72,7 +72,8 @@
         self._era_began_at = float("-inf")
         self._is_written_again = False
         self._listed_position = (0, 0)
-        self._missing_since: dict[str, float] = {}
+        # When targets are dropped that are not listed, unless they are listed again.
+        self._missing_until: dict[str, float] = {}
         # Times of the readings, with the era and the revision up to which they went.
         self._readings: deque[tuple[float, int, int]] = deque(maxlen=MAX_READINGS)
         self._lapsed_evacuations: set[str] = set()
@@ -229,12 +230,12 @@
 
     def expire(self):
         """Drop what was not written again in time after an outage of the store."""
-        if not self._missing_since and not self._lapsed_evacuations:
+        if not self._missing_until and not self._lapsed_evacuations:
             return
-        until = self.clock() - RELIST_SECONDS
+        now = self.clock()
         with self._lock:
             missing = [
-                name for name, since in self._missing_since.items() if since <= until
+                name for name, until in self._missing_until.items() if until <= now
             ]
             lapsed = list(self._lapsed_evacuations) if self._is_settled() else []
             for name in missing:
@@ -324,7 +325,8 @@
         if not update.is_readable:
             # Another writer may have replaced the entry; a live target writes again.
             if name in self.record_by_target:
-                self._missing_since.setdefault(name, self.clock())
+                until = self.clock() + RELIST_SECONDS
+                self._missing_until.setdefault(name, until)
             return
         if record is None:
             self._handle_unlisted(name)
@@ -332,7 +334,7 @@
         if self._is_older(name, record, is_copy):
             return
         known = self.record_by_target.get(name)
-        self._missing_since.pop(name, None)
+        self._missing_until.pop(name, None)
         self._dropped_by_target.pop(name, None)
         self.record_by_target[name] = record
         self._keep_item(update, name)
@@ -402,19 +404,20 @@
     def _handle_unlisted(self, name):
         """Drop an unlisted target, or mark it as missing after a store outage.
 
-        Entries expire during an outage of the store, so that a live target may be
-        missing until it is listed again.
+        Entries expire during an outage of the store. A live target is listed again
+        within a fixed time from the end of the outage.
         """
         if name not in self.record_by_target:
             return
-        if self.clock() - self.store_recovered_at < RELIST_SECONDS:
-            self._missing_since.setdefault(name, self.clock())
+        until = self.store_recovered_at + RELIST_SECONDS
+        if self.clock() < until:
+            self._missing_until.setdefault(name, until)
             return
         self._drop(name, "no longer listed")
 
     def _drop(self, name, reason):
         now = self.clock()
-        self._missing_since.pop(name, None)
+        self._missing_until.pop(name, None)
         record = self.record_by_target.pop(name, None)
         self._item_by_subject.pop((TargetUpdate, name), None)
         if record is not None:
--- a/test/test_discovery.py
+++ b/test/test_discovery.py
@@ -2,10 +2,12 @@
 
 import random
 import time
+from types import SimpleNamespace
 
 import pytest
 
 from almondglade.catalogue import TargetRecord
+from almondglade.errors import PlatformError
 from almondglade.feed import Batch, TargetUpdate
 from almondglade.gateway.discovery import (
     FLEET_CALLS_PER_SECOND,
@@ -16,10 +18,13 @@
 from almondglade.gateway.registry import RELIST_SECONDS, Registry
 from almondglade.placement.freshness import EVIDENCE_VALIDITY_SHARE
 
+from .storefleet import StoreFleet, make_target
+
 # Shortest time limits that operators set: until a revoked key stops working, and
 # until a leaving target or a change of the configuration takes effect.
 REVOKE_SECONDS = 5.0
 DRAIN_SECONDS = 2.0
+REPORT_SECONDS = 1.2
 
 
 class ChangingStore:
@@ -136,6 +141,89 @@
     assert 330 / mean <= 2000 / 10
 
 
+class CutStore:
+    """A store that lists a target, and fails calls when a test says so."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.is_down = False
+        record = TargetRecord("t1", "drafts", "10.0.0.1", 80, "north", 4)
+        self.updates = (TargetUpdate(1, "t1", record),)
+
+    def read_all(self):
+        if self.is_down:
+            raise PlatformError("down")
+        return Batch(self.updates, 1, True, self.clock.now)
+
+    def watch(self, revision, wait):
+        raise PlatformError("the watch was cut")
+
+
+def read_after_cut(clock, silence, evidence_age):
+    """Return a registry whose discovery reads again after a failed watch."""
+    store = CutStore(clock)
+    discovery = Discovery(
+        store,
+        Registry(lambda: clock.now),
+        lambda as_of: None,
+        random.Random(1),
+        evidence_age=lambda: evidence_age,
+        report_interval=REPORT_SECONDS,
+        clock=lambda: clock.now,
+    )
+    revision = discovery._read(None)
+    clock.now += silence
+    with pytest.raises(PlatformError) as caught:
+        discovery._read(revision)
+    discovery._note_unreachable(caught.value)
+    discovery._read(revision)
+    return discovery.registry
+
+
+# A target that left within 2.2 s of the cut got requests for another 2.2 s.
+@pytest.mark.parametrize(
+    ("silence", "evidence_age"), [(2 * REPORT_SECONDS - 0.1, 60.0), (60.0, 1.0)]
+)
+def test_a_target_that_leaves_after_a_cut_watch_is_dropped_at_once(
+    silence, evidence_age
+):
+    clock = SimpleNamespace(now=100.0)
+    registry = read_after_cut(clock, silence, evidence_age)
+    clock.now += 0.5
+    registry.apply_batch(Batch((TargetUpdate(2, "t1", None),), 2, False, clock.now))
+    assert not registry.record_by_target
+
+
+def test_a_target_that_is_missing_after_an_outage_has_time_from_its_end():
+    clock = SimpleNamespace(now=100.0)
+    registry = read_after_cut(clock, 2 * REPORT_SECONDS, 60.0)
+    clock.now += RELIST_SECONDS - 0.1
+    registry.apply_batch(Batch((TargetUpdate(2, "t1", None),), 2, False, clock.now))
+    registry.expire()
+    assert registry.record_by_target
+    clock.now += 0.2
+    registry.expire()
+    assert not registry.record_by_target
+
+
+# The same with processes: requests that may run once only were lost as it ended.
+def test_a_target_that_is_removed_after_a_cut_watch_gets_no_requests(tmp_path):
+    with StoreFleet(tmp_path) as fleet, make_target() as first, make_target() as second:
+        fleet.configure_routes(1)
+        for name, target in (("t1", first), ("t2", second)):
+            fleet.list_target(name, target)
+        fleet.start()
+        time.sleep(0.5)
+        fleet.proxy_by_address["127.0.0.1"].reset()
+        time.sleep(1.5)
+        fleet.remove("servers/t1")
+        time.sleep(DRAIN_SECONDS / 2)
+        first.seen.clear()
+        statuses = [fleet.call(f"/look/{number}").status for number in range(30)]
+        assert statuses == [200] * 30
+        assert not [request for request in first.seen if b"/look/" in request]
+
+
 def test_a_watch_ends_when_the_return_from_a_copy_has_settled():
     # Keys were refused for up to two seconds longer.
     discovery = make_discovery(2)
