Prove which start of a target began a stream before it goes on

Cause: the listed version was recorded at the first event as that of the stream and told to peers. A list that cannot be read does not change, so that the comparison with it told nothing.

Why it works: a list proves the start only if it was the newest when the stream began or later. Otherwise the engine is asked for its start, then the store. Where nothing proves it, a silent target is not given up, and a broken stream does not go on. The same holds for streams that callers take up; no message to peers changes.

--- a/almondglade/gateway/discovery.py
+++ b/almondglade/gateway/discovery.py
@@ -66,6 +66,9 @@
     ----------
     reachable : bool or None
         Whether the store answered the last call; None before the first one.
+    answering_since : float
+        When the first reading ended after the last call that failed; minus infinity
+        if none has, infinite if the last one did.
     """
 
     def __init__(
@@ -88,6 +91,7 @@
         self.report_interval = report_interval
         self.clock = clock
         self.reachable = None
+        self.answering_since = -math.inf
         self._answered_at = -math.inf
         self._stopped = threading.Event()
         self._thread = threading.Thread(target=self._run, daemon=True)
@@ -142,6 +146,7 @@
         if not self.reachable:
             if self.reachable is False:
                 self._note_end_of_silence()
+                self.answering_since = self.clock()
             self.reachable = True
             log.info("store reachable", revision=batch.revision)
         self._answered_at = self.clock()
@@ -186,3 +191,4 @@
         if self.reachable is not False:
             log.warning("store unreachable", cause=str(error))
         self.reachable = False
+        self.answering_since = math.inf
--- a/almondglade/gateway/handover.py
+++ b/almondglade/gateway/handover.py
@@ -89,6 +89,7 @@
             and scheduler.has_target(
                 request.service, request.version or None, attempted
             )
+            and self.run.is_origin_certain()
         )
 
     def withdraw(self):
--- a/almondglade/gateway/node.py
+++ b/almondglade/gateway/node.py
@@ -36,6 +36,7 @@
 from .hedging import Hedging
 from .links import LinkMonitor
 from .operators import GatewayOperatorApp
+from .origincheck import OriginCheck
 from .origins import OriginTracker
 from .originsearch import OriginSearch
 from .ownload import OwnLoad
@@ -227,6 +228,18 @@
         self.scheduler.check_start = TargetStarts(
             lambda: self._listed_at, self._is_engine, engines.read_start, boottime_clock
         ).check
+        origin_check = OriginCheck(
+            self.registry,
+            lambda: self._listed_at,
+            lambda: self.discovery.answering_since,
+            self.discovery.read_targets,
+            self._is_engine,
+            engines.read_start,
+            settings.report_interval,
+            boottime_clock,
+        )
+        self.scheduler.is_certain_start = origin_check.is_certain_start
+        self.origins.is_certain = origin_check.is_certain_origin
         origin_search = OriginSearch(
             self.discovery.read_targets,
             self.registry.known_targets,
--- a/almondglade/gateway/origins.py
+++ b/almondglade/gateway/origins.py
@@ -1,6 +1,7 @@
 """Keep and share which software version began each stream that callers may take up."""
 
 import threading
+from collections.abc import Callable
 from typing import Any
 
 from ..gossip.fleet import HolderCounts
@@ -37,6 +38,8 @@
     ----------
     gossip : GossipProtocol
         Sends the messages; set after it has been created.
+    is_certain : callable
+        Takes a recorded `StreamOrigin` and its age, and returns whether it is right.
     """
 
     def __init__(self, instance, metrics, clock):
@@ -44,6 +47,7 @@
         self.metrics = metrics
         self.clock = clock
         self.gossip: Any = None
+        self.is_certain: Callable[[StreamOrigin, float], bool] = lambda *args: True
         self._table = OriginTable()
         self._known = threading.Condition()
 
@@ -87,9 +91,11 @@
                     )
                     found, source = self._wait_for(resumed_request, timeout), "peers"
         origin, age = found or (None, None)
+        if found is not None and not self.is_certain(*found):
+            origin = None
         if origin is None:
-            origin, source = infer(), "targets"
-            if origin is not None:
+            origin, source, age = infer(), "targets", None
+            if origin is not None and found is None:
                 self.record(resumed_request or request_id, origin)
         result = source if origin is not None else "unknown"
         self.metrics.count("stream_resumes_total", result=result)
--- a/almondglade/gateway/registry.py
+++ b/almondglade/gateway/registry.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from functools import singledispatchmethod
 
+from ..catalogue import TargetRecord
 from ..feed import CatalogueUpdate, EvacuationUpdate, TargetUpdate
 from ..log import get_logger
 
@@ -18,6 +19,8 @@
 DROPPED_RETENTION_SECONDS = 60.0
 # Readings of which the time is remembered.
 MAX_READINGS = 512
+# Starts of targets under the ids of former ones that are remembered.
+MAX_RESTARTS = 256
 
 
 @dataclass(frozen=True)
@@ -77,6 +80,8 @@
         # Times of the readings, with the era and the revision up to which they went.
         self._readings: deque[tuple[float, int, int]] = deque(maxlen=MAX_READINGS)
         self._lapsed_evacuations: set[str] = set()
+        # When other starts of known targets were read, and their entries.
+        self._restarts: deque[tuple[float, TargetRecord]] = deque(maxlen=MAX_RESTARTS)
         self._dropped_by_target: dict[str, DroppedTarget] = {}
         # Position (era and revision) of the newest update of each.
         self._catalogue_position = (0, 0)
@@ -204,6 +209,17 @@
             )
         return (item["era"], item["revision"]) > reader.store_position
 
+    def restarts(self):
+        """Return when other starts of known targets were read, and their entries.
+
+        Returns
+        -------
+        list of (float, TargetRecord)
+            Monotonic times.
+        """
+        with self._lock:
+            return list(self._restarts)
+
     def known_targets(self):
         """Return the records of the targets that were read last."""
         with self._lock:
@@ -334,6 +350,8 @@
         if self._is_older(name, record, is_copy):
             return
         known = self.record_by_target.get(name)
+        if known is not None and known.incarnation != record.incarnation:
+            self._restarts.append((self.clock(), record))
         self._missing_until.pop(name, None)
         self._dropped_by_target.pop(name, None)
         self.record_by_target[name] = record
--- a/almondglade/gateway/run.py
+++ b/almondglade/gateway/run.py
@@ -3,6 +3,7 @@
 from dataclasses import replace
 from typing import Any
 
+from ..catalogue import TargetRecord
 from ..dispatch.call import UNFRAMED, CallTimeoutError, DoubtfulRefusalError
 from ..dispatch.events import (
     has_events,
@@ -43,6 +44,8 @@
         super().__init__(scheduler, request)
         self.head: Any = None
         self.has_begun = bool(request.version)
+        # The target that began the stream as it was listed then, and when it was sent.
+        self._origin: tuple[TargetRecord, float] | None = None
         # Whether the response may turn out not to be the rest of the stream.
         self._is_doubtful_rest = False
         self.ended = False
@@ -217,6 +220,7 @@
             )
             return
         request.version = record.version
+        self._origin = (record, self.sent_at)
         self.scheduler.origins.record(
             request.request_id, StreamOrigin(request.service, record.version)
         )
@@ -282,6 +286,8 @@
             return False
         if self.handover is not None and self.handover.is_reserved:
             return True
+        if not self.is_origin_certain():
+            return False
         if request.version and not self.scheduler.has_target(
             request.service, request.version, request.attempted_targets
         ):
@@ -295,6 +301,16 @@
             return False
         return request.route.repeatable and self.scheduler.may_retry(request)
 
+    def is_origin_certain(self):
+        """Return whether the version that began the stream is known for certain."""
+        if self._origin is None:
+            return True
+        record, sent_at = self._origin
+        if not self.scheduler.is_certain_start(record, self.clock() - sent_at):
+            return False
+        self._origin = None
+        return True
+
     def _finish_failed(self, error):
         """End the run as failed and return the `RequestError` for the caller."""
         request = self.request
--- a/almondglade/gateway/scheduling.py
+++ b/almondglade/gateway/scheduling.py
@@ -110,6 +110,8 @@
         self.record_bytes = lambda count: None
         # Checks that a target is still the listed one, before a stream goes on there.
         self.check_start = lambda record: None
+        # Whether the start that was listed has surely begun a stream of some age.
+        self.is_certain_start = lambda record, age: True
         self.refusals = Refusals(metrics, clock)
         self.returns = BookedReturns(pools, features.booked_returns, metrics, clock)
         self.moments = MomentRecorder(pools, lock, metrics, clock)
--- a/test/test_handover.py
+++ b/test/test_handover.py
@@ -65,7 +65,11 @@
         route=SimpleNamespace(max_attempts=3),
     )
     run = SimpleNamespace(
-        request=request, scheduler=scheduler, resumable=True, clock=lambda: 1.0
+        request=request,
+        scheduler=scheduler,
+        resumable=True,
+        clock=lambda: 1.0,
+        is_origin_certain=lambda: True,
     )
     return Handover(run, "t1")
 
@@ -94,6 +98,7 @@
     "end",
     [
         lambda run: setattr(run, "resumable", False),
+        lambda run: setattr(run, "is_origin_certain", lambda: False),
         lambda run: setattr(run.request.caller_connection, "disconnected", True),
         lambda run: setattr(run.request, "deadline", 0.5),
         lambda run: setattr(run.request.route, "max_attempts", 1),
@@ -101,7 +106,14 @@
             run.scheduler.suspects, "isolated_fingerprint", lambda request: 7
         ),
     ],
-    ids=["not resumable", "caller gone", "late", "attempts", "isolated"],
+    ids=[
+        "not resumable",
+        "version uncertain",
+        "caller gone",
+        "late",
+        "attempts",
+        "isolated",
+    ],
 )
 def test_a_run_that_could_not_go_on_elsewhere_is_not_ended(scheduler, handover, end):
     scheduler.has_slot = False
--- a/test/test_rejoined_streams.py
+++ b/test/test_rejoined_streams.py
@@ -54,6 +54,10 @@
 ENGINE = {"engine": {"stride": 1}}
 
 
+def unix_ms():
+    return time.time_ns() // 1_000_000
+
+
 class RememberingTarget(VersionedTarget):
     """A target that tells which parts of prompts it keeps."""
 
@@ -65,7 +69,7 @@
 
     def start_again(self, version):
         """Start again under the same id and address."""
-        self.version, self.started_at = version, self.started_at + 1
+        self.version, self.started_at = version, unix_ms()
 
     def respond(self, request):
         if request.startswith(b"GET /api/report"):
@@ -93,10 +97,6 @@
         yield [stack.enter_context(RememberingTarget(version)) for version in versions]
 
 
-def unix_ms():
-    return time.time_ns() // 1_000_000
-
-
 def prompt_of(number):
     return f"5c1e07a2:800,{0xE4400000 + number:x}:{OWN_TOKENS}"
 
@@ -332,7 +332,6 @@
         if successor == "another id":
             fleet.remove("servers/t2")
         new.start_again(version)
-        new.started_at = unix_ms()
         start = {"born": new.started_at, "sequence": 1}
         fleet.list_target(name, new, version=version, **start)
         lose_all_gateways(fleet)
