Take the first reading of a returned store for that of a copy

Cause: only a rise of the era that a process had seen itself made its reading one of a copy. The first reading of a process never did, and peers that could tell had started again, too.

Evidence: test_a_revoked_key_does_not_run_if_all_gateways_start_at_the_return fails before, and the case of the registry.

Why it works: where the store states that it has come back before, the first reading proves nothing until writers had their time, or have written in sight of the process. Evidence of peers counts as before, so that a single gateway that starts again does not wait.

--- a/almondglade/gateway/node.py
+++ b/almondglade/gateway/node.py
@@ -131,7 +131,7 @@
             restarted_at=float("-inf") if settings.first_start else self.clock(),
         )
         self.connections = TargetPools()
-        self.registry = Registry(self.clock, self._apply_registry)
+        self.registry = Registry(self.clock, self._apply_registry, settings.first_start)
         self.exchange = Exchange(
             settings,
             self.incarnation,
--- a/almondglade/gateway/registry.py
+++ b/almondglade/gateway/registry.py
@@ -44,6 +44,9 @@
         Returns monotonic seconds.
     on_change : callable
         Called after changes, in the thread that made them.
+    is_first_start : bool
+        Whether no instance has run before, so that the first reading can lack nothing
+        that one has known.
 
     Attributes
     ----------
@@ -59,9 +62,10 @@
         Version of the configuration that the store lists; None if it lists none.
     """
 
-    def __init__(self, clock, on_change=lambda: None):
+    def __init__(self, clock, on_change=lambda: None, is_first_start=True):
         self.clock = clock
         self.on_change = on_change
+        self.is_first_start = is_first_start
         self.catalogue = None
         self.catalogue_revision = 0
         self.record_by_target: dict = {}
@@ -167,8 +171,21 @@
         return True
 
     def _is_first_of_era(self, batch):
-        """Return whether the store is read for the first time after its return."""
-        is_first = self._store_era is not None and batch.era > self._store_era
+        """Return whether the store is read for the first time after its return.
+
+        The first reading of a process may be one, as it can't tell when an era began.
+        """
+        if self._store_era is None:
+            is_first = batch.era > 0 and not self.is_first_start
+            if is_first:
+                self._era_began_at = self.clock()
+                log.info(
+                    "the store may just have come back from an older copy",
+                    era=batch.era,
+                    revision=batch.revision,
+                )
+        else:
+            is_first = batch.era > self._store_era
         self._store_era = batch.era
         return is_first
 
--- a/test/test_registry.py
+++ b/test/test_registry.py
@@ -183,6 +183,19 @@
     assert registry.newest_listed_version() == 4
 
 
+@pytest.mark.parametrize("era", [0, 2])
+def test_the_first_reading_of_a_process_may_be_that_of_a_copy(era):
+    registry = Registry(Clock(), is_first_start=False)
+    registry.apply_batch(snapshot(50, catalogue(50, 4), era=era))
+    assert registry.newest_listed_version() == (None if era else 4)
+    registry.clock.now += RELIST_SECONDS
+    assert registry.newest_listed_version() == 4
+    again = Registry(Clock(), is_first_start=False)
+    again.apply_batch(snapshot(50, catalogue(50, 4), era=2))
+    again.apply_batch(changes(51, catalogue(51, 4), era=2))
+    assert again.newest_listed_version() == 4
+
+
 def test_a_version_that_is_written_again_proves_that_it_is_the_newest(registry):
     registry.apply_batch(snapshot(50, catalogue(50, 4)))
     registry.apply_batch(snapshot(50, catalogue(50, 4), era=2))
--- a/test/test_restored_store.py
+++ b/test/test_restored_store.py
@@ -4,11 +4,13 @@
 import time
 
 import pytest
+import urllib3
 
 from almondglade.gateway.discovery import MAX_BACKOFF_SECONDS, REFRESH_WATCH_SECONDS
 from almondglade.gateway.registry import RELIST_SECONDS
 from almondglade.platform.client import PlatformClient
 
+from .gatewayfleet import KEY
 from .storefleet import (
     APPLY_SECONDS,
     DRAIN_SECONDS,
@@ -22,6 +24,9 @@
 # and from then on.
 SETTLED_SECONDS = MAX_BACKOFF_SECONDS + RELIST_SECONDS + 2 * REFRESH_WATCH_SECONDS
 
+# Time in which operators and targets have written again after a return.
+WRITERS_SECONDS = 2.0
+
 
 @pytest.fixture
 def fleet_and_target(tmp_path):
@@ -178,6 +183,36 @@
     assert fleet.call("/added4/1", started).status in {200, 503}
 
 
+# A copy with the key was taken for the newest state, as its first reading was also the
+# first one of each process.
+def test_a_revoked_key_does_not_run_if_all_gateways_start_at_the_return(
+    fleet_and_target,
+):
+    fleet, target = fleet_and_target
+    fleet.configure_routes(2, keys=[KEY, "revoked"])
+    assert fleet.wait_for_statuses("/look/1", 200, APPLY_SECONDS)
+    fleet.control_store("copy")
+    fleet.configure_routes(4, keys=[KEY])
+    time.sleep(REWRITE_SECONDS)
+    for process in fleet.processes:
+        process.kill()
+        process.wait()
+    fleet.restore_after_outage()
+    written_again_at = time.monotonic() + WRITERS_SECONDS
+    fleet.processes = [fleet._start(address) for address in fleet.addresses]
+    statuses = set()
+    while time.monotonic() < written_again_at:
+        with contextlib.suppress(urllib3.exceptions.HTTPError):
+            statuses.update(fleet.statuses("/look/1", key="revoked"))
+        time.sleep(0.05)
+    assert statuses == {503}
+    fleet.configure_routes(4, keys=[KEY])
+    fleet.list_target("t1", target)
+    fleet.wait_until_ready()
+    assert fleet.statuses("/look/1") == [200, 200]
+    assert fleet.statuses("/look/1", key="revoked") == [401, 401]
+
+
 def test_a_document_written_after_the_return_is_read_despite_its_revision(tmp_path):
     # `almondglade serve` reads single keys, and would wait for a higher revision.
     with StoreFleet(tmp_path) as fleet:
