Return no port twice to the fleets of the tests, and end one that cannot start

Cause: free_ports closes the ports that it returns. Targets and proxies that start before the gateways drew theirs from the same range. As __enter__ then failed, nothing stopped the store's threads.

Evidence: both new tests fail before.

Why it works: no port is returned twice in one process, and a failed start ends what was started. Processes side by side may still draw the same port.

--- a/test/gatewayfleet.py
+++ b/test/gatewayfleet.py
@@ -25,16 +25,22 @@
 MIN_PORT = 10_000
 KEY = "key-of-w1"
 SEAL = "X-Response-Seal: s1\r\n"
+# Ports that were returned to a fleet or a target of this process, which may bind later.
+_drawn_ports: set[int] = set()
 
 
 def free_ports(count, address="127.0.0.1"):
-    """Return ports that are free at present.
+    """Return ports that are free at present, and were not returned before.
 
     They are outside the ephemeral range, from which any connection on the host may
     take one before it is used here.
     """
     first_ephemeral = int(EPHEMERAL_PORTS.read_text().split()[0])
-    candidates = range(MIN_PORT, first_ephemeral)
+    ports = range(MIN_PORT, first_ephemeral)
+    if len(_drawn_ports) > len(ports) // 2:
+        # The first of them belong to fleets that have ended.
+        _drawn_ports.clear()
+    candidates = [port for port in ports if port not in _drawn_ports]
     with contextlib.ExitStack() as stack:
         sockets = []
         while len(sockets) < count:
@@ -42,7 +48,9 @@
             with contextlib.suppress(OSError):
                 sock.bind((address, random.SystemRandom().choice(candidates)))
                 sockets.append(sock)
-        return [sock.getsockname()[1] for sock in sockets]
+        drawn = [sock.getsockname()[1] for sock in sockets]
+    _drawn_ports.update(drawn)
+    return drawn
 
 
 def make_response(body=b"done", status="200 OK", headers=SEAL, request=b""):
@@ -206,9 +214,14 @@
 
     def start(self):
         """Start all gateways and wait until they are ready."""
-        for address in self.addresses:
-            self.processes.append(self._start(address))
-        self.wait_until_ready()
+        try:
+            for address in self.addresses:
+                self.processes.append(self._start(address))
+            self.wait_until_ready()
+        except BaseException:
+            # Without the end of its threads, the test process would not exit.
+            self.__exit__(None, None, None)
+            raise
         self.is_first_start = False
 
     def wait_until_ready(self):
--- a/test/test_support.py
+++ b/test/test_support.py
@@ -1,8 +1,12 @@
 """The fake target on a raw socket behaves as configured."""
 
 import socket
+import threading
 import time
 
+import pytest
+
+from .gatewayfleet import GatewayFleet, free_ports
 from .support.targets import WHOLE, Cut, FakeTarget, answer_with
 
 
@@ -18,3 +22,24 @@
             sock.sendall(request)
             assert sock.recv(1000).endswith(b"done")
         assert target.seen == [request]
+
+
+# A target that started before the gateways drew one of their ports, which none had bound.
+def test_no_port_is_returned_twice():
+    ports = [port for _ in range(300) for port in free_ports(5)]
+    assert len(set(ports)) == len(ports)
+
+
+# The threads of the store were left, so that the test process did not exit.
+def test_a_fleet_that_cannot_start_leaves_no_threads(tmp_path, monkeypatch):
+    monkeypatch.setattr("test.gatewayfleet.START_TIMEOUT_SECONDS", 0.5)
+    before = threading.active_count()
+    fleet = GatewayFleet(tmp_path).__enter__()
+    with socket.create_server((fleet.addresses[0], fleet.ports[0])):
+        with pytest.raises(AssertionError):
+            fleet.start()
+    end = time.monotonic() + 5.0
+    while threading.active_count() > before and time.monotonic() < end:
+        time.sleep(0.05)
+    assert threading.active_count() <= before
+    assert fleet.processes[0].poll() is not None
