Tell by order and numbers of reports which targets ended before a stream

What callers would have seen: after a loss of all gateways, streams of a target that had gone could still go on at another version if the target listed in its place had started long before.

Cause: changes of the list were dated by the number of a report, counted from the start of its target. A target that is listed late, or does not count its reports, dates them too early, so that the former start looked older than the stream.

Evidence: by reading, for "another id, late" of test_a_stream_of_a_target_that_ended_does_not_go_on_at_another_version, which passes now.

Why it works: the store's changes have an order, and the numbers of one target's reports tell how much time lies between them at least. Neither depends on when a target was first listed.

--- a/almondglade/gateway/node.py
+++ b/almondglade/gateway/node.py
@@ -250,7 +250,7 @@
                 self.registry,
                 settings.report_interval,
                 self.clock,
-            ).former_starts,
+            ).read,
         )
         app_options = (
             settings.instance,
--- a/almondglade/gateway/originsearch.py
+++ b/almondglade/gateway/originsearch.py
@@ -10,17 +10,15 @@
 import itertools
 import math
 import threading
-import time
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Mapping
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 
 from ..catalogue import TargetRecord
 from ..errors import PlatformError
 from ..log import get_logger
-from ..placement.formerstarts import FormerStart, possible_starts
+from ..placement.formerstarts import StartHistory
 from ..placement.origins import infer_origin
-from .targethistory import CLOCK_STEP_SECONDS, MILLISECONDS_PER_SECOND
 
 log = get_logger("origins")
 
@@ -52,11 +50,9 @@
         Takes a `TargetRecord` and returns the tokens that it keeps by part.
     clock : callable
         Returns monotonic seconds.
-    former_starts : callable
+    read_history : callable
         Takes the listed targets and a number of seconds, and returns the
-        `FormerStart`s that ended within that time.
-    time_of_day : callable
-        Returns Unix seconds.
+        `StartHistory` of that time.
     """
 
     def __init__(
@@ -65,21 +61,19 @@
         known_targets,
         read_parts,
         clock,
-        former_starts: Callable[..., Sequence[FormerStart]] = lambda listed, age: (),
-        time_of_day=time.time,
+        read_history: Callable[..., StartHistory] = lambda listed, age: StartHistory(),
     ):
         self.read_listed = read_listed
         self.known_targets = known_targets
         self.read_parts = read_parts
         self.clock = clock
-        self.former_starts = former_starts
-        self.time_of_day = time_of_day
+        self.read_history = read_history
         self._asking = threading.Lock()
         # What the platform listed last, None if it did not tell, and since when.
         self._listed: list[TargetRecord] | None = None
         self._listed_since = float("-inf")
-        # The former starts of what was listed last, by their longest age.
-        self._former_by_age: dict[float, Sequence[FormerStart] | None] = {}
+        # The history of what was listed last, None if it is not known, by its length.
+        self._history_by_age: dict[float, StartHistory | None] = {}
         self._listing_by_incarnation: dict[tuple[str, int], Listing] = {}
         self._executor: ThreadPoolExecutor | None = None
 
@@ -106,8 +100,8 @@
         records, replaced = self._possible_targets(services, self.clock())
         if not 0 < len(records) <= MAX_ASKED_TARGETS:
             return None
-        former = self._former_starts(max_age)
-        if former is None:
+        history = self._history(max_age)
+        if history is None:
             return None
         own_part = caller_headers.prompt_parts[-1]
         kept_by_target = self._ask(records, own_part)
@@ -118,11 +112,13 @@
             r for r in records if kept_by_target[r.id] != 0 and r not in holders
         ]
         told = {r.incarnation for r in records if kept_by_target[r.id] is not None}
-        ended = possible_starts(
-            (start for start in former if _may_serve(start, services, told)),
-            self._earliest_begin(caller_headers.time_limit or 0.0, max_age),
-            min((holder.started_at for holder in holders), default=0),
-        )
+        ended = [
+            start
+            for start in history.possible_starts(
+                oldest_age(caller_headers.time_limit or 0.0, max_age), holders
+            )
+            if _may_serve(start, services, told)
+        ]
         origin = infer_origin(
             holders, [*doubtful, *replaced, *(start.record for start in ended)]
         )
@@ -141,16 +137,6 @@
         )
         return origin
 
-    def _earliest_begin(self, time_limit, max_age):
-        """Return the Unix milliseconds before which a stream has not begun.
-
-        A caller states the time that is left to it, or what it waits for each attempt.
-        """
-        if time_limit > max_age:
-            return -math.inf
-        age = max(time_limit, max_age - time_limit) + CLOCK_STEP_SECONDS
-        return (self.time_of_day() - age) * MILLISECONDS_PER_SECOND
-
     def _possible_targets(self, services, requested_at):
         """Return the targets that may have begun a stream.
 
@@ -170,7 +156,7 @@
             if self._listed_since < requested_at:
                 self._listed_since = self.clock()
                 self._listed = self._read_listed()
-                self._former_by_age = {}
+                self._history_by_age = {}
             listed = self._listed
         if listed is None:
             return [], []
@@ -195,16 +181,16 @@
             log.info("list of targets not read", cause=str(error))
             return None
 
-    def _former_starts(self, max_age):
-        """Return the `FormerStart`s of the last list, or None if they are not known."""
+    def _history(self, max_age):
+        """Return the `StartHistory` of the last list, or None if it is not known."""
         with self._asking:
-            if max_age not in self._former_by_age:
-                self._former_by_age[max_age] = self._read_former_starts(max_age)
-            return self._former_by_age[max_age]
+            if max_age not in self._history_by_age:
+                self._history_by_age[max_age] = self._read_history(max_age)
+            return self._history_by_age[max_age]
 
-    def _read_former_starts(self, max_age):
+    def _read_history(self, max_age):
         try:
-            return self.former_starts(self._listed, max_age)
+            return self.read_history(self._listed, max_age)
         except PlatformError as error:
             log.info("changes of the list of targets not read", cause=str(error))
             return None
@@ -245,6 +231,23 @@
             return None
 
 
+def oldest_age(time_limit, max_age):
+    """Return the longest time in seconds since a stream can have begun.
+
+    Parameters
+    ----------
+    time_limit : float
+        What the caller states: the time that is left to it, or what it waits for each
+        attempt.
+    max_age : float
+        Longest time for which callers wait for a stream.
+    """
+    if time_limit > max_age:
+        # The caller waits for longer, which it does not tell.
+        return math.inf
+    return max(time_limit, max_age - time_limit)
+
+
 def _may_serve(start, services, told):
     """Return whether a former start may have run requests of some services.
 
--- a/almondglade/gateway/registry.py
+++ b/almondglade/gateway/registry.py
@@ -118,6 +118,26 @@
                 default=None,
             )
 
+    def first_reading(self, revision):
+        """Return the revision and the age of the first reading with a revision.
+
+        Returns
+        -------
+        int
+            Up to which it went; the given one if there was none.
+        float
+            Seconds since then; 0 if there was none.
+        """
+        with self._lock:
+            return next(
+                (
+                    (read_until, self.clock() - read_at)
+                    for read_at, era, read_until in self._readings
+                    if era == self.era and read_until >= revision
+                ),
+                (revision, 0.0),
+            )
+
     def newest_listed_version(self):
         """Return the version in force if the store proves that it is the newest.
 
--- a/almondglade/gateway/targethistory.py
+++ b/almondglade/gateway/targethistory.py
@@ -8,7 +8,7 @@
 import time
 
 from ..log import get_logger
-from ..placement.formerstarts import find_former_starts
+from ..placement.formerstarts import StartHistory, find_former_starts
 from ..platform.connection import HistoryLostError
 
 log = get_logger("origins")
@@ -50,8 +50,8 @@
         # Position from which the changes were available at the last call.
         self._oldest = (0, 0)
 
-    def former_starts(self, listed, max_age):
-        """Return the `FormerStart`s that ended within some time.
+    def read(self, listed, max_age):
+        """Return the `StartHistory` of some time.
 
         Parameters
         ----------
@@ -75,7 +75,7 @@
             else self.read_changes(after, newest, era)
         )
         begun_after = (self.time_of_day() - max_age) * MILLISECONDS_PER_SECOND
-        former = find_former_starts(changes, listed, begun_after, self.report_interval)
+        former = find_former_starts(changes, listed, begun_after)
         log.info(
             "changes of the list of targets read",
             era=era,
@@ -85,7 +85,9 @@
             max_age=max_age,
             former=[start.target for start in former],
         )
-        return former
+        return StartHistory(
+            former, changes, self.report_interval, self.registry.first_reading
+        )
 
     def _read_oldest(self, newest, era):
         """Return all changes that the store still has."""
--- a/almondglade/placement/formerstarts.py
+++ b/almondglade/placement/formerstarts.py
@@ -7,18 +7,20 @@
 """
 
 import itertools
-import math
 from collections import defaultdict
-from dataclasses import dataclass
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
 
 from ..catalogue import TargetRecord
 from ..feed import TargetUpdate
 
 # Gateways send nothing new to a target from this time after its report that it leaves.
-LEAVING_NOTICE_MS = 1000.0
-# A target that started no longer than this before another one got its last stream has
-# not run an earlier request of that stream's session to its end.
-SESSION_MS = 3000.0
+LEAVING_NOTICE_SECONDS = 1.0
+# The reports of a target come at this share of their interval at the soonest.
+MIN_INTERVAL_SHARE = 0.9
+# A target that has not reported more often has run no request of a session whose next
+# one went to another target.
+YOUNG_REPORTS = 3
 
 
 @dataclass(frozen=True)
@@ -31,13 +33,14 @@
         Id of the target.
     record : TargetRecord or None
         What was last listed of it; None if that is not known any more.
-    until : float
-        Unix milliseconds after which no stream began there; infinite if not known.
+    left_at : int or None
+        Revision of the store at which it had reported that it leaves, or had ended;
+        None if that is not known.
     """
 
     target: str
     record: TargetRecord | None
-    until: float = math.inf
+    left_at: int | None = None
 
     @property
     def version(self):
@@ -46,14 +49,82 @@
 
 
 @dataclass(frozen=True)
-class _Change:
-    """A change of the list of targets, and when it had been made at the latest."""
+class StartHistory:
+    """The starts that ended during some changes of the list of targets.
 
-    update: TargetUpdate
-    made_by: float
+    The store does not date its changes. How long ago one was made at least follows from
+    the numbers of the reports after it, and from the readings of this instance.
 
+    Parameters
+    ----------
+    former : sequence of FormerStart
+    changes : sequence of TargetUpdate
+        All changes of a span of time, in their order.
+    report_interval : float
+        Seconds from one report of a target to the next.
+    first_reading : callable
+        Takes a revision and returns the revision and the age in seconds of the first
+        reading by this instance that includes it.
+    """
+
+    former: Sequence[FormerStart] = ()
+    changes: Sequence[TargetUpdate] = ()
+    report_interval: float = 0.0
+    first_reading: Callable[[int], tuple[int, float]] = field(
+        default=lambda revision: (revision, 0.0)
+    )
 
-def find_former_starts(changes, listed, begun_after, report_interval):
+    def possible_starts(self, max_age, holders):
+        """Return the starts that may have begun a stream which others seem to keep.
+
+        Parameters
+        ----------
+        max_age : float
+            Longest time in seconds since the stream can have begun.
+        holders : sequence of TargetRecord
+            Targets that keep its prompt, maybe from an earlier request of its session.
+
+        Returns
+        -------
+        list of FormerStart
+        """
+        return [
+            start
+            for start in self.former
+            if start.left_at is None
+            or (
+                self.seconds_since(start.left_at) < max_age + LEAVING_NOTICE_SECONDS
+                and not all(self._is_young(h, start.left_at) for h in holders)
+            )
+        ]
+
+    def seconds_since(self, revision):
+        """Return for how many seconds at least a change has been made."""
+        read_until, age = self.first_reading(revision)
+        numbers_by_start = defaultdict(list)
+        for update in self.changes:
+            if update.record is not None and revision <= update.revision <= read_until:
+                numbers_by_start[update.record.incarnation].append(
+                    update.record.sequence
+                )
+        reports = max(
+            (max(numbers) - min(numbers) for numbers in numbers_by_start.values()),
+            default=0,
+        )
+        return age + reports * MIN_INTERVAL_SHARE * self.report_interval
+
+    def _is_young(self, holder, revision):
+        """Return whether a target had only begun to report when a change was made."""
+        return any(
+            update.revision > revision
+            and update.record is not None
+            and update.record.incarnation == holder.incarnation
+            and update.record.sequence <= YOUNG_REPORTS
+            for update in self.changes
+        )
+
+
+def find_former_starts(changes, listed, begun_after):
     """Return the starts that ended during some changes of the list of targets.
 
     Parameters
@@ -65,16 +136,15 @@
     begun_after : float
         Unix milliseconds at which that time began at the latest. What started before
         has run since then.
-    report_interval : float
-        Seconds from one report of a target to the next.
 
     Returns
     -------
     list of FormerStart
     """
     changes_by_target = defaultdict(list)
-    for change in _date_changes(changes, report_interval):
-        changes_by_target[change.update.target].append(change)
+    for update in changes:
+        if update.is_readable:
+            changes_by_target[update.target].append(update)
     # Their first report came before the changes, or has been discarded.
     unexplained = (
         FormerStart(record.id, None)
@@ -82,87 +152,35 @@
         if record.id not in changes_by_target and record.started_at >= begun_after
     )
     ended = (
-        _former_starts_of(name, its_changes, begun_after)
-        for name, its_changes in changes_by_target.items()
+        _former_starts_of(name, updates, begun_after)
+        for name, updates in changes_by_target.items()
     )
     return [*itertools.chain.from_iterable(ended), *unexplained]
 
 
-def possible_starts(former, begun_after, kept_since):
-    """Return the former starts that may have begun a stream that others seem to keep.
-
-    Parameters
-    ----------
-    former : iterable of FormerStart
-    begun_after : float
-        Unix milliseconds before which the stream has not begun.
-    kept_since : float
-        Unix milliseconds of the first start among the targets that keep its prompt.
-    """
-    since = max(begun_after, kept_since + SESSION_MS)
-    return [start for start in former if start.until >= since]
-
-
-def _date_changes(changes, report_interval):
-    """Return the readable changes in their order, with the times of the reports.
-
-    A change was made before each report that follows it in the store.
-    """
-    updates = [update for update in changes if update.is_readable]
-    # A target that starts is listed after its start.
-    made_after = itertools.accumulate(
-        (update.record.started_at if update.record else 0 for update in updates), max
-    )
-    times = [
-        _reported_by(update.record, since, report_interval)
-        for update, since in zip(updates, made_after, strict=True)
-    ]
-    made_by = reversed(list(itertools.accumulate(reversed(times), min)))
-    return list(map(_Change, updates, made_by))
-
-
-def _reported_by(record, since, report_interval):
-    """Return the Unix milliseconds at which a report had been made at the latest.
-
-    Infinite if that is not known, as of a target that does not count its reports.
-
-    Parameters
-    ----------
-    record : TargetRecord or None
-        None if the target was removed.
-    since : float
-        Unix milliseconds after which it was made.
-    """
-    if record is None or not record.started_at:
-        return math.inf
-    # The first report has the number 1.
-    intervals = max(0, record.sequence - 1)
-    reported_at = record.started_at + intervals * report_interval * 1000.0
-    return reported_at if reported_at >= since else math.inf
-
-
-def _former_starts_of(name, changes, begun_after):
+def _former_starts_of(name, updates, begun_after):
     """Yield the former starts of one target, given all changes of its entry."""
-    last = None if changes[0].update.is_first else FormerStart(name, None)
-    for change in changes:
-        record = change.update.record
+    last = None if updates[0].is_first else FormerStart(name, None)
+    for update in updates:
+        record = update.record
         if record is None:
             # The same start may be listed again.
             continue
         if last is not None and _is_other_start(record, last.record, begun_after):
-            yield _end(last, change)
+            yield _left(last, update)
             last = None
-        until = math.inf if last is None else last.until
-        if record.leaving:
-            until = min(until, change.made_by + LEAVING_NOTICE_MS)
-        last = FormerStart(name, record, until)
-    if last is not None and changes[-1].update.record is None:
-        yield _end(last, changes[-1])
+        left_at = last.left_at if last is not None else None
+        if record.leaving and left_at is None:
+            left_at = update.revision
+        last = FormerStart(name, record, left_at)
+    if last is not None and updates[-1].record is None:
+        yield _left(last, updates[-1])
 
 
-def _end(start, change):
+def _left(start, update):
     """Return a start that had ended when a change was made."""
-    return FormerStart(start.target, start.record, min(start.until, change.made_by))
+    left_at = update.revision if start.left_at is None else start.left_at
+    return FormerStart(start.target, start.record, left_at)
 
 
 def _is_other_start(record, former, begun_after):
--- a/test/test_rejoined_streams.py
+++ b/test/test_rejoined_streams.py
@@ -14,7 +14,11 @@
 from almondglade.dispatch.call import NotSentError
 from almondglade.errors import PlatformError
 from almondglade.feed import Batch, TargetUpdate
-from almondglade.gateway.originsearch import MAX_ASKED_TARGETS, OriginSearch
+from almondglade.gateway.originsearch import (
+    MAX_ASKED_TARGETS,
+    OriginSearch,
+    oldest_age,
+)
 from almondglade.gateway.registry import Registry
 from almondglade.gateway.targethistory import TargetHistory
 from almondglade.gateway.targetstarts import (
@@ -23,11 +27,12 @@
     TargetStarts,
 )
 from almondglade.placement.formerstarts import (
-    LEAVING_NOTICE_MS,
-    SESSION_MS,
+    LEAVING_NOTICE_SECONDS,
+    MIN_INTERVAL_SHARE,
+    YOUNG_REPORTS,
     FormerStart,
+    StartHistory,
     find_former_starts,
-    possible_starts,
 )
 from almondglade.placement.origins import StreamOrigin, infer_origin
 from almondglade.platform.connection import HistoryLostError
@@ -312,7 +317,9 @@
 
 # A target that began streams lost power with all gateways. Those that had just started
 # took the version of another, which kept an earlier request, for that of the streams.
-@pytest.mark.parametrize("successor", ["the same id", "another id", "another version"])
+@pytest.mark.parametrize(
+    "successor", ["the same id", "another id", "another id, late", "another version"]
+)
 def test_a_stream_of_a_target_that_ended_does_not_go_on_at_another_version(
     tmp_path, targets, successor
 ):
@@ -327,11 +334,14 @@
         parts = [f"{0xE4400000 + number:x}" for number in range(STREAMS)]
         old.held |= dict.fromkeys(parts, 2 * OWN_TOKENS)
         new.held.clear()
-        name = "t3" if successor == "another id" else "t2"
+        name = "t3" if successor.startswith("another id") else "t2"
         version = "v1.3" if successor == "another version" else new.version
-        if successor == "another id":
+        if name == "t3":
             fleet.remove("servers/t2")
         new.start_again(version)
+        if successor == "another id, late":
+            # It has run for long when it is listed.
+            new.started_at = since["born"]
         start = {"born": new.started_at, "sequence": 1}
         fleet.list_target(name, new, version=version, **start)
         lose_all_gateways(fleet)
@@ -449,8 +459,8 @@
 
 
 def former_versions(changes, listed=(), begun_after=1000.0):
-    starts = find_former_starts(changes, listed, begun_after, 1.0)
-    return {start.target: (start.version, start.until) for start in starts}
+    starts = find_former_starts(changes, listed, begun_after)
+    return {start.target: (start.version, start.left_at) for start in starts}
 
 
 def test_a_start_ends_with_the_next_one_under_its_id_or_with_its_removal():
@@ -461,7 +471,7 @@
         change(8, "t2"),
         change(9, "t3", "v1", 9500, is_first=True),
     ]
-    assert former_versions(changes) == {"t1": ("v2", 9000), "t2": ("v1", 9500)}
+    assert former_versions(changes) == {"t1": ("v2", 7), "t2": ("v1", 8)}
 
 
 def test_of_a_start_whose_reports_are_discarded_the_version_is_not_known():
@@ -469,46 +479,79 @@
     young = replace(record("t3", "v1"), started_at=5000)
     old = replace(record("t4", "v1"), started_at=500)
     assert former_versions(changes, [young, old]) == {
-        "t1": (None, 9000),
-        "t2": (None, math.inf),
-        "t3": (None, math.inf),
+        "t1": (None, 7),
+        "t2": (None, 8),
+        "t3": (None, None),
     }
 
 
 def test_a_target_that_is_listed_again_has_not_ended():
     changes = [
-        change(5, "t1", "v1", 2000, 3),
+        change(5, "t1", "v1", 2000, 3, is_first=True),
         change(6, "t1"),
         change(7, "t1", "v1", 2000, 9, is_first=True),
         change(8, "t2"),
         change(9, "t2", "v1", 500, 90, is_first=True),
     ]
-    assert former_versions(changes) == {"t1": (None, 2000 + 2000)}
+    assert not former_versions(changes)
 
 
 def test_no_stream_begins_at_a_target_that_has_reported_that_it_leaves():
     changes = [
         change(5, "t1", "v1", 2000, is_first=True),
         change(6, "t1", "v1", 2000, 5, leaving=True),
-        change(7, "t1"),
+        change(7, "t1", "v1", 2000, 6, leaving=True),
+        change(8, "t1"),
     ]
-    assert former_versions(changes) == {"t1": ("v1", 6000 + LEAVING_NOTICE_MS)}
+    assert former_versions(changes) == {"t1": ("v1", 6)}
 
 
-def test_reports_of_a_target_that_does_not_count_them_date_nothing():
-    changes = [
-        change(5, "t1", "v1", 9000, is_first=True),
-        change(6, "t1"),
-        change(7, "t2", "v1", 2000, 2),
-    ]
-    assert former_versions(changes, begun_after=3000.0) == {"t1": ("v1", math.inf)}
+FORMER = FormerStart("t1", record("t1", "v1"), 10)
+
+
+def make_history(*changes, reading=(10, 0.0)):
+    return StartHistory([FORMER], changes, 1.0, lambda revision: reading)
+
+
+def test_a_target_that_had_only_begun_to_report_kept_no_earlier_request():
+    def possible(*changes):
+        history = make_history(*changes, reading=(99, 0.0))
+        holder = replace(record("t2", "v2"), started_at=7)
+        return history.possible_starts(60.0, [holder])
+
+    young = change(11, "t2", "v2", 7, YOUNG_REPORTS)
+    assert not possible(young)
+    assert possible() == [FORMER]
+    # It may have been listed for long, or had stopped to report before.
+    assert possible(change(11, "t2", "v2", 7, YOUNG_REPORTS + 1)) == [FORMER]
+    assert possible(change(9, "t2", "v2", 7, 1)) == [FORMER]
+    # The reports of others, or of its former start, tell nothing.
+    assert possible(change(11, "t2", "v2", 6, 1)) == [FORMER]
+    assert possible(change(11, "t3", "v2", 7, 1)) == [FORMER]
+
+
+def test_a_target_that_left_before_a_stream_can_have_begun_did_not_begin_it():
+    holder = replace(record("t2", "v2"), started_at=7)
+    reports = [change(9, "t3", "v1", 7, 1), change(11, "t3", "v1", 7, 11)]
+    since = LEAVING_NOTICE_SECONDS + 20.0
+    history = make_history(reading=(20, since))
+    assert not history.possible_starts(20.0, [holder])
+    assert history.possible_starts(20.1, [holder]) == [FORMER]
+    # Reports count from the first one after it left.
+    history = make_history(*reports, reading=(20, 0.0))
+    assert history.possible_starts(1.0, [holder]) == [FORMER]
+    later = change(15, "t3", "v1", 7, 31)
+    history = make_history(*reports, later, reading=(20, 0.0))
+    assert history.seconds_since(10) == pytest.approx(20 * MIN_INTERVAL_SHARE)
+    assert not history.possible_starts(17.0, [holder])
+    # The rest is counted by this instance's own readings.
+    assert make_history(*reports, later, reading=(14, 3.0)).seconds_since(10) == 3.0
 
 
-def test_a_target_that_started_after_another_had_its_last_stream_kept_no_session():
-    former = [FormerStart("t1", record("t1", "v1"), 5000.0)]
-    assert possible_starts(former, 1000.0, 5000.0 - SESSION_MS) == former
-    assert not possible_starts(former, 1000.0, 5001.0 - SESSION_MS)
-    assert not possible_starts(former, 5001.0, 0.0)
+def test_callers_state_what_is_left_or_what_they_wait_for_each_attempt():
+    assert oldest_age(4.0, 15.0) == 11.0
+    assert oldest_age(14.0, 15.0) == 14.0
+    assert oldest_age(16.0, 15.0) == math.inf
 
 
 class DiscardedChanges:
@@ -530,11 +573,10 @@
     store, registry = DiscardedChanges(oldest), Registry(lambda: 50.0)
     registry.apply_batch(Batch((), 100, True, 0.0))
     history = TargetHistory(store.read, registry, 1.0, lambda: 50.0, lambda: 0.0)
-    former = history.former_starts([], 10.0)
-    assert len(former) == 100 - oldest
+    assert len(history.read([], 10.0).changes) == 100 - oldest
     assert len(store.calls) <= 9
     store.calls.clear()
-    history.former_starts([], 10.0)
+    history.read([], 10.0)
     assert store.calls == [oldest]
 
 
@@ -546,11 +588,11 @@
     registry.apply_batch(Batch((), 60, False, 0.0))
     clock.now = 13.0
     history = TargetHistory(store.read, registry, 1.0, lambda: clock.now)
-    history.former_starts([], 10.0)
+    history.read([], 10.0)
     assert store.calls == [40]
     store.oldest = 41
     with pytest.raises(PlatformError):
-        history.former_starts([], 10.0)
+        history.read([], 10.0)
 
 
 def test_nothing_is_inferred_while_the_former_starts_of_targets_are_not_known():
@@ -559,8 +601,8 @@
     def fail(listed, max_age):
         raise PlatformError("the store cannot be reached")
 
-    search.former_starts = fail
+    search.read_history = fail
     assert infer(search, "bb:10,aa:100") is None
     assert not asked
-    search.former_starts = lambda listed, max_age: [FormerStart("t2", None)]
+    search.read_history = lambda *args: StartHistory([FormerStart("t2", None)])
     assert infer(search, "bb:10,aa:200") is None
--- a/test/test_support.py
+++ b/test/test_support.py
@@ -24,7 +24,7 @@
         assert target.seen == [request]
 
 
-# A target that started before the gateways drew one of their ports, which none had bound.
+# A target that started before the gateways drew one of their ports.
 def test_no_port_is_returned_twice():
     ports = [port for _ in range(300) for port in free_ports(5)]
     assert len(set(ports)) == len(ports)
