Prove starts by what was told after a stream began, and pass no doubtful origin on

What callers would have seen: a stream that began within half a second of an earlier answer of its target or of the store could go on at another version, and so could one that was taken up at a gateway which had just started.

Cause: answers were kept for half a second, also those from before the stream began. A gateway that has just started has not seen that a target was listed late.

Evidence: test_what_was_told_before_a_stream_began_proves_nothing and test_a_peer_is_not_told_of_an_origin_that_may_be_wrong.

Why it works: an answer counts only for streams that began before it was asked for. A gateway that learned of a start late does not answer queries for the streams that it concerns.

--- a/almondglade/gateway/node.py
+++ b/almondglade/gateway/node.py
@@ -240,6 +240,7 @@
         )
         self.scheduler.is_certain_start = origin_check.is_certain_start
         self.origins.is_certain = origin_check.is_certain_origin
+        self.origins.is_doubtful = origin_check.is_doubtful_origin
         origin_search = OriginSearch(
             self.discovery.read_targets,
             self.registry.known_targets,
--- a/almondglade/gateway/origincheck.py
+++ b/almondglade/gateway/origincheck.py
@@ -15,7 +15,8 @@
 
 log = get_logger("origins")
 
-# What a target or the store tells holds for all streams that go on within this time.
+# What a target or the store tells holds for the streams that began before, and go on
+# within this time.
 VALIDITY_SECONDS = 0.5
 # Targets of a version that are asked for their start.
 MAX_ASKED_TARGETS = 16
@@ -90,7 +91,7 @@
             started_at = self._started_at(record, self.registry.known_targets())
         else:
             is_engine = self.is_engine(record.service)
-            started_at = self._ask_start(record) if is_engine else None
+            started_at = self._ask_start(record, age) if is_engine else None
             if started_at is None:
                 started_at = self._read_started_at(record, age)
         is_certain = started_at is not None and (
@@ -119,8 +120,8 @@
         age : float
             Seconds since the first event.
         """
-        unnoticed = self._learned_late(origin, age)
-        is_known = not unnoticed and (
+        learned_late = self._learned_late(origin, age)
+        is_known = not learned_late and (
             self._is_proof(self.listed_at(), age)
             or self._is_list_unchanged(origin, age)
             or self._are_starts_unchanged(origin, age)
@@ -130,12 +131,20 @@
                 "the recorded version of a stream is not certain",
                 service=origin.service,
                 version=origin.version,
-                learned_late=unnoticed,
+                learned_late=learned_late,
                 age=round(age, 3),
                 list_age=round(self.clock() - self.listed_at(), 3),
             )
         return is_known
 
+    def is_doubtful_origin(self, origin, age):
+        """Return whether a recorded `StreamOrigin` may be wrong, without asking anyone.
+
+        A peer that has just started cannot tell, as it has not seen when starts were
+        listed.
+        """
+        return bool(self._learned_late(origin, age))
+
     def _learned_late(self, origin, age):
         """Return the targets whose start this gateway learned after a stream began."""
         return [
@@ -148,7 +157,7 @@
 
     def _is_list_unchanged(self, origin, age):
         """Return whether the store lists no start that was not known when it began."""
-        listed = self._read_listed_recently()
+        listed = self._read_listed_since(age)
         if listed is None or not self._is_proof(self.clock(), age):
             return False
         known = {record.id: record for record in self.registry.known_targets()}
@@ -173,7 +182,7 @@
                 start is not None
                 and (start == record.started_at or not self._had_started(start, age))
                 for record in records
-                for start in (self._ask_start(record),)
+                for start in (self._ask_start(record, age),)
             )
         )
 
@@ -201,15 +210,15 @@
         )
 
     def _read_started_at(self, record, age):
-        listed = self._read_listed_recently()
+        listed = self._read_listed_since(age)
         if listed is None or not self._is_proof(self.clock(), age):
             return None
         return self._started_at(record, listed)
 
-    def _read_listed_recently(self):
-        """Return the list of the store, or None if it does not answer."""
+    def _read_listed_since(self, age):
+        """Return the list of the store since some time; None if it does not answer."""
         with self._lock:
-            if self.clock() - self._listed_since > VALIDITY_SECONDS:
+            if self.clock() - self._listed_since > min(age, VALIDITY_SECONDS):
                 self._listed_since = self.clock()
                 try:
                     self._listed = self.read_listed()
@@ -218,8 +227,8 @@
                     self._listed = None
             return self._listed
 
-    def _ask_start(self, record):
-        """Return when an engine says that it started, or None if it does not tell."""
+    def _ask_start(self, record, age):
+        """Return when an engine has started, as it said since some time, or None."""
         with self._lock:
             now = self.clock()
             self._start_by_incarnation = {
@@ -227,15 +236,19 @@
                 for incarnation, (start, asked_at) in self._start_by_incarnation.items()
                 if now - asked_at <= VALIDITY_SECONDS
             }
-            if record.incarnation not in self._start_by_incarnation:
-                try:
-                    start = self.read_start(record)
-                except PlatformError as error:
-                    log.info(
-                        "target did not tell its start",
-                        target=record.id,
-                        cause=str(error),
-                    )
-                    start = None
+            start, asked_at = self._start_by_incarnation.get(
+                record.incarnation, (None, -math.inf)
+            )
+            if now - asked_at > age:
+                start = self._read_start(record)
                 self._start_by_incarnation[record.incarnation] = (start, now)
-            return self._start_by_incarnation[record.incarnation][0]
+            return start
+
+    def _read_start(self, record):
+        try:
+            return self.read_start(record)
+        except PlatformError as error:
+            log.info(
+                "target did not tell its start", target=record.id, cause=str(error)
+            )
+            return None
--- a/almondglade/gateway/origins.py
+++ b/almondglade/gateway/origins.py
@@ -40,6 +40,8 @@
         Sends the messages; set after it has been created.
     is_certain : callable
         Takes a recorded `StreamOrigin` and its age, and returns whether it is right.
+    is_doubtful : callable
+        Takes the same, and returns at once whether it may be wrong.
     """
 
     def __init__(self, instance, metrics, clock):
@@ -48,6 +50,7 @@
         self.clock = clock
         self.gossip: Any = None
         self.is_certain: Callable[[StreamOrigin, float], bool] = lambda *args: True
+        self.is_doubtful: Callable[[StreamOrigin, float], bool] = lambda *args: False
         self._table = OriginTable()
         self._known = threading.Condition()
 
@@ -146,7 +149,7 @@
         """Return the `OriginReport` for a peer's query, or None if it is not known."""
         with self._known:
             found = self._table.find(query.request_id, self.clock())
-        if found is None:
+        if found is None or self.is_doubtful(*found):
             return None
         origin, age = found
         return OriginReport(
--- a/test/test_stream_origins.py
+++ b/test/test_stream_origins.py
@@ -151,6 +151,16 @@
     assert not peer.gossip.sent
 
 
+# A peer that had just started went on with what it was told, as it had not seen that a
+# target started again unlisted.
+def test_a_peer_is_not_told_of_an_origin_that_may_be_wrong(make_tracker):
+    knowing = make_tracker("e1")
+    knowing.record("r1", OLD)
+    assert knowing.answer(OriginQuery("e2", "r1")).version == OLD.version
+    knowing.is_doubtful = lambda origin, age: origin == OLD
+    assert knowing.answer(OriginQuery("e2", "r1")) is None
+
+
 def test_a_lost_query_is_repeated(make_tracker):
     peer = make_tracker("e2")
     peer.record("r1", OLD)
--- a/test/test_uncertain_origins.py
+++ b/test/test_uncertain_origins.py
@@ -163,8 +163,22 @@
     assert verdicts(check, target) == (False, False)
     assert check.is_certain_origin(StreamOrigin("other", "v1"), AGE)
     assert check.is_certain_origin(OLD, 0.0) is False
+    assert check.is_doubtful_origin(OLD, AGE)
+    assert not check.is_doubtful_origin(StreamOrigin("other", "v1"), AGE)
 
 
 def test_targets_that_do_not_tell_their_start_are_believed():
     check, _, _ = make_check(0.0)
     assert check.is_certain_start(record("t1", "v1"), AGE)
+
+
+def test_what_was_told_before_a_stream_began_proves_nothing():
+    check, target, _ = make_check(0.0, starts={"t1": 1000})
+    asked = []
+    check.read_start = lambda target: asked.append(target.id) or 1000
+    now = NOW
+    check.clock = lambda: now
+    for seconds, age in ((0.0, 1.0), (0.1, 1.0), (0.1, 0.05)):
+        now += seconds
+        assert check.is_certain_start(target, age)
+    assert len(asked) == 2
