Count a start that the store told of in time for one after the stream

What callers would have seen: a stream that had begun up to two seconds before its target, or another one of its service, started again did not go on elsewhere.

Cause: clocks may differ by two seconds, so that a start within them counted as one before the stream, also where the store had answered all the while and told of it later.

Evidence: test_a_store_that_has_answered_lists_a_start_in_time.

Why it works: a gateway whose readings went on without a failure learns of a start within a second. What it learned later than that came after the stream began.

--- a/almondglade/gateway/origincheck.py
+++ b/almondglade/gateway/origincheck.py
@@ -11,6 +11,7 @@
 
 from ..errors import PlatformError
 from ..log import get_logger
+from .discovery import MAX_COALESCE_SECONDS
 from .targethistory import CLOCK_STEP_SECONDS, MILLISECONDS_PER_SECOND
 
 log = get_logger("origins")
@@ -18,6 +19,9 @@
 # What a target or the store tells holds for the streams that began before, and go on
 # within this time.
 VALIDITY_SECONDS = 0.5
+# A store that answers tells of a new start within this time: gateways pause between
+# their readings.
+MAX_LISTING_SECONDS = MAX_COALESCE_SECONDS + 0.3
 # Targets of a version that are asked for their start.
 MAX_ASKED_TARGETS = 16
 
@@ -87,15 +91,18 @@
         """
         if not record.started_at:
             return True
+        learned_ago = None
         if self._is_proof(self.listed_at(), age):
             started_at = self._started_at(record, self.registry.known_targets())
+            learned_ago = self._learned_ago(record.id, started_at)
         else:
             is_engine = self.is_engine(record.service)
             started_at = self._ask_start(record, age) if is_engine else None
             if started_at is None:
                 started_at = self._read_started_at(record, age)
         is_certain = started_at is not None and (
-            started_at == record.started_at or not self._had_started(started_at, age)
+            started_at == record.started_at
+            or not self._may_precede(started_at, learned_ago, age)
         )
         if not is_certain:
             log.info(
@@ -149,12 +156,29 @@
         """Return the targets whose start this gateway learned after a stream began."""
         return [
             record.id
-            for learned_at, record in self.registry.restarts()
+            for learned_ago, record in self._restarts()
             if record.service == origin.service
-            and learned_at >= self.registry.clock() - age
-            and self._had_started(record.started_at, age)
+            and learned_ago <= age
+            and self._may_precede(record.started_at, learned_ago, age)
         ]
 
+    def _restarts(self):
+        """Yield how long ago other starts of known targets were read, and entries."""
+        now = self.registry.clock()
+        for learned_at, record in self.registry.restarts():
+            yield now - learned_at, record
+
+    def _learned_ago(self, target, started_at):
+        """Return how long ago another start of a target was read, or None."""
+        return next(
+            (
+                learned_ago
+                for learned_ago, record in self._restarts()
+                if (record.id, record.started_at) == (target, started_at)
+            ),
+            None,
+        )
+
     def _is_list_unchanged(self, origin, age):
         """Return whether the store lists no start that was not known when it began."""
         listed = self._read_listed_since(age)
@@ -164,7 +188,7 @@
         return not any(
             record.service == origin.service
             and known.get(record.id, record).incarnation != record.incarnation
-            and self._had_started(record.started_at, age)
+            and self._may_precede(record.started_at, None, age)
             for record in listed
         )
 
@@ -180,7 +204,10 @@
             and self.is_engine(origin.service)
             and all(
                 start is not None
-                and (start == record.started_at or not self._had_started(start, age))
+                and (
+                    start == record.started_at
+                    or not self._may_precede(start, None, age)
+                )
                 for record in records
                 for start in (self._ask_start(record, age),)
             )
@@ -196,8 +223,23 @@
             as_of >= self.answering_since() + self.report_interval
         )
 
-    def _had_started(self, started_at, age):
-        """Return whether a start may have come before a time."""
+    def _may_precede(self, started_at, learned_ago, age):
+        """Return whether a start may have come before a stream began.
+
+        Parameters
+        ----------
+        started_at : int
+            Unix milliseconds.
+        learned_ago : float or None
+            Seconds since it was read when the store told of it; None if it was learned
+            otherwise.
+        age : float
+            Seconds since the stream began.
+        """
+        if learned_ago is not None and age - learned_ago > MAX_LISTING_SECONDS:
+            answering_since = self.answering_since() + self.report_interval
+            if answering_since <= self.clock() - age:
+                return False
         began_at = self.time_of_day() - age + CLOCK_STEP_SECONDS
         return started_at <= began_at * MILLISECONDS_PER_SECOND
 
--- a/test/test_uncertain_origins.py
+++ b/test/test_uncertain_origins.py
@@ -6,7 +6,7 @@
 
 from almondglade.errors import PlatformError
 from almondglade.feed import Batch, TargetUpdate
-from almondglade.gateway.origincheck import OriginCheck
+from almondglade.gateway.origincheck import MAX_LISTING_SECONDS, OriginCheck
 from almondglade.gateway.registry import Registry
 from almondglade.gateway.targethistory import CLOCK_STEP_SECONDS
 from almondglade.placement.origins import StreamOrigin
@@ -157,7 +157,7 @@
 
 
 def test_a_start_that_was_learned_late_makes_the_streams_of_its_service_doubtful():
-    check, target, registry = make_check()
+    check, target, registry = make_check(answering_since=NOW - AGE)
     started = replace(record("t1", "v2"), started_at=int(1000 * (NOW - AGE)))
     registry.apply_batch(Batch((TargetUpdate(2, "t1", started),), 2, False, NOW))
     assert verdicts(check, target) == (False, False)
@@ -167,6 +167,18 @@
     assert not check.is_doubtful_origin(StreamOrigin("other", "v1"), AGE)
 
 
+# Streams that a target had begun soon before it ended did not go on once it was back.
+@pytest.mark.parametrize(
+    ("age", "expected"),
+    [(MAX_LISTING_SECONDS - 0.1, False), (MAX_LISTING_SECONDS + 0.1, True)],
+)
+def test_a_store_that_has_answered_lists_a_start_in_time(age, expected):
+    check, target, registry = make_check()
+    started = replace(record("t1", "v2"), started_at=int(1000 * NOW))
+    registry.apply_batch(Batch((TargetUpdate(2, "t1", started),), 2, False, NOW))
+    assert verdicts(check, target, age) == (expected, expected)
+
+
 def test_targets_that_do_not_tell_their_start_are_believed():
     check, _, _ = make_check(0.0)
     assert check.is_certain_start(record("t1", "v1"), AGE)
