Count only the threads that a failed fleet leaves and that keep the process alive

Seen: the test failed once in a whole run, 1 failed and 1,704 passed: 1,221 threads where 1,220 had been.

Cause: it counted all threads of the process. Those of earlier tests, of which over a thousand are left late in a run, still start others.

The test now asks for the threads that began since and are no daemons, which are those that kept the process from its exit. It fails without the end of a fleet that cannot start, as before.

--- a/test/test_support.py
+++ b/test/test_support.py
@@ -33,13 +33,19 @@
 # The threads of the store were left, so that the test process did not exit.
 def test_a_fleet_that_cannot_start_leaves_no_threads(tmp_path, monkeypatch):
     monkeypatch.setattr("test.gatewayfleet.START_TIMEOUT_SECONDS", 0.5)
-    before = threading.active_count()
+    before = set(threading.enumerate())
     fleet = GatewayFleet(tmp_path).__enter__()
     with socket.create_server((fleet.addresses[0], fleet.ports[0])):
         with pytest.raises(AssertionError):
             fleet.start()
+
+    def left():
+        # Only these keep the process alive; those of other tests come and go.
+        threads = set(threading.enumerate()) - before
+        return [thread for thread in threads if not thread.daemon]
+
     end = time.monotonic() + 5.0
-    while threading.active_count() > before and time.monotonic() < end:
+    while left() and time.monotonic() < end:
         time.sleep(0.05)
-    assert threading.active_count() <= before
+    assert not left()
     assert fleet.processes[0].poll() is not None
